--- a/src/bin/ironpin-adapter.rs
+++ b/src/bin/lapisrudder-adapter.rs
@@ -5,10 +5,10 @@
 
 fn main() -> ExitCode {
     let input = io::BufReader::with_capacity(1 << 20, io::stdin());
-    match ironpin::wire::run(input, io::stdout()) {
+    match lapisrudder::wire::run(input, io::stdout()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("ironpin-adapter: {message}");
+            eprintln!("lapisrudder-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! ironpin decides, for a sidecar in front of a fleet of cache servers, which
+//! lapisrudder decides, for a sidecar in front of a fleet of cache servers, which
 //! server each request goes to. It does no I/O of its own: feed it [`Event`]s,
 //! carry out the [`Action`]s it answers with.
 //!
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,4 +1,4 @@
-//! All decisions of ironpin. Types in and out: `src/interface.rs`; bookkeeping only: `src/state.rs`.
+//! All decisions of lapisrudder. Types in and out: `src/interface.rs`; bookkeeping only: `src/state.rs`.
 //! The rule is locality-aware least-connection (article, 3.2): a table maps each key to one server; a new key
 //! goes to the least-connection server; a key moves when its server is over the high mark while another is
 //! under the low one, or at twice the high mark. All else is an exception to that, in a section of its own.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,12 +10,13 @@
 use std::hash::Hasher;
 use std::io::{self, BufRead, Write};
 
-fn micros(seconds: f64) -> Micros {
+/// Seconds, as the settings tell times, to the module's unit.
+pub fn micros(seconds: f64) -> Micros {
     (seconds * 1e6).round() as Micros
 }
 
 /// A text id as a number that every balancer computes alike.
-fn digest(text: &str) -> u64 {
+pub fn digest(text: &str) -> u64 {
     let mut hasher = FxHasher::default();
     hasher.write(text.as_bytes());
     hasher.finish()
@@ -80,17 +81,20 @@
     since_s: Option<f64>,
 }
 
+/// The settings as both hosts are told them: on the bench's wire and in a node's configuration.
 #[derive(Deserialize)]
 #[serde(default, rename_all = "kebab-case")]
-struct Options {
+pub struct Options {
     az: u32,
+    pub zones: Vec<String>,
+    pub host_types: Vec<String>,
     siblings: u32,
     discovery: String,
-    request_classes: Vec<WireClass>,
+    pub request_classes: Vec<WireClass>,
     customers: Vec<WireTenant>,
     over_share_worth: f64,
     family_info: Family,
-    bounds: Bounds,
+    pub bounds: Bounds,
     rules: Rules,
     report: Report,
     worth_by: String,
@@ -106,7 +110,9 @@
 
 #[derive(Deserialize, Default)]
 #[serde(default, rename_all = "kebab-case")]
-struct WireClass {
+pub struct WireClass {
+    pub name: String,
+    pub give_up_s: f64,
     slo_s: f64,
     effect: String,
     group: String,
@@ -130,7 +136,11 @@
 
 #[derive(Deserialize)]
 #[serde(default, rename_all = "kebab-case")]
-struct Bounds {
+pub struct Bounds {
+    pub conn_idle_s: f64,
+    pub connect_timeout_s: f64,
+    pub most_held: usize,
+    pub multiplex: usize,
     attempts_cap: u32,
     cancel: bool,
     second_copies: bool,
@@ -162,6 +172,8 @@
     fn default() -> Self {
         Options {
             az: 0,
+            zones: Vec::new(),
+            host_types: Vec::new(),
             siblings: 1,
             discovery: String::new(),
             request_classes: Vec::new(),
@@ -179,7 +191,16 @@
 
 impl Default for Bounds {
     fn default() -> Self {
-        Bounds { attempts_cap: 1, cancel: false, second_copies: false, max_retry_after_s: 0.0 }
+        Bounds {
+            conn_idle_s: 60.0,
+            connect_timeout_s: 0.25,
+            most_held: 20_000,
+            multiplex: 1,
+            attempts_cap: 1,
+            cancel: false,
+            second_copies: false,
+            max_retry_after_s: 0.0,
+        }
     }
 }
 
@@ -211,51 +232,52 @@
     })
 }
 
-fn settings(options: &str) -> Result<Settings, String> {
-    let o: Options = serde_json::from_str(options).map_err(|e| format!("bad options: {e}"))?;
-    let class = |c: &WireClass| Class {
-        aim: micros(c.slo_s),
-        worth: c.worth,
-        late_worth: c.late_worth,
-        effect: match c.effect.as_str() {
-            "free" => Effect::Safe,
-            "guarded" => Effect::Keyed,
-            _ => Effect::Unsafe,
-        },
-        group: match c.group.as_str() {
-            "zone" => Group::Zone,
-            "cell" => Group::Cell,
-            _ => Group::All,
-        },
-        repeat_window: micros(c.window_s),
-    };
-    let aside = o.family_info.mode == "aside";
-    Ok(Settings {
-        classes: o.request_classes.iter().map(class).collect(),
-        tenants: o.customers.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
-        over_share_worth: o.over_share_worth,
-        mode: if aside { Mode::Aside } else { Mode::Through },
-        origin_kind: u32::try_from(o.family_info.origin_kind).ok().filter(|_| aside),
-        zone: o.az,
-        siblings: o.siblings.max(1),
-        must_ask: o.discovery == "subscribe",
-        ask_within: micros(o.rules.ask_within_s),
-        max_attempts: o.bounds.attempts_cap,
-        budget: budget(&o.rules),
-        gone_is_advice: o.rules.gone_is_advice,
-        may_cancel: o.bounds.cancel,
-        second_copies: o.bounds.second_copies,
-        max_retry_after: micros(o.bounds.max_retry_after_s),
-        drain_grace: micros(o.rules.drain_grace_s),
-        start_capacity: o.rules.start_capacity,
-        cold: micros(o.rules.cold_s),
-        tip_multiple: o.rules.tip_multiple,
-        tip_window: micros(o.rules.fall_s),
-        worth_by_work: o.worth_by == "work",
-        connection_price: o.tariffs.connection,
-        handshake_price: o.tariffs.handshake,
-        report_queue: o.report.names.iter().position(|n| n == "backlog"),
-    })
+impl From<&Options> for Settings {
+    fn from(o: &Options) -> Settings {
+        let class = |c: &WireClass| Class {
+            aim: micros(c.slo_s),
+            worth: c.worth,
+            late_worth: c.late_worth,
+            effect: match c.effect.as_str() {
+                "free" => Effect::Safe,
+                "guarded" => Effect::Keyed,
+                _ => Effect::Unsafe,
+            },
+            group: match c.group.as_str() {
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                _ => Group::All,
+            },
+            repeat_window: micros(c.window_s),
+        };
+        let aside = o.family_info.mode == "aside";
+        Settings {
+            classes: o.request_classes.iter().map(class).collect(),
+            tenants: o.customers.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
+            over_share_worth: o.over_share_worth,
+            mode: if aside { Mode::Aside } else { Mode::Through },
+            origin_kind: u32::try_from(o.family_info.origin_kind).ok().filter(|_| aside),
+            zone: o.az,
+            siblings: o.siblings.max(1),
+            must_ask: o.discovery == "subscribe",
+            ask_within: micros(o.rules.ask_within_s),
+            max_attempts: o.bounds.attempts_cap,
+            budget: budget(&o.rules),
+            gone_is_advice: o.rules.gone_is_advice,
+            may_cancel: o.bounds.cancel,
+            second_copies: o.bounds.second_copies,
+            max_retry_after: micros(o.bounds.max_retry_after_s),
+            drain_grace: micros(o.rules.drain_grace_s),
+            start_capacity: o.rules.start_capacity,
+            cold: micros(o.rules.cold_s),
+            tip_multiple: o.rules.tip_multiple,
+            tip_window: micros(o.rules.fall_s),
+            worth_by_work: o.worth_by == "work",
+            connection_price: o.tariffs.connection,
+            handshake_price: o.tariffs.handshake,
+            report_queue: o.report.names.iter().position(|n| n == "backlog"),
+        }
+    }
 }
 
 /// Server names by number, so that actions can name them as they came.
@@ -300,6 +322,16 @@
     value.ok_or_else(|| format!("missing {what}"))
 }
 
+/// What a server's note on its cache means.
+pub fn cache_note(note: usize) -> Option<CacheNote> {
+    match note {
+        1 => Some(CacheNote::Hit),
+        2 => Some(CacheNote::Fetched),
+        3 => Some(CacheNote::OthersFetch),
+        _ => None,
+    }
+}
+
 fn number(raw: Option<&RawValue>) -> Option<usize> {
     raw.and_then(|r| r.get().parse().ok())
 }
@@ -340,12 +372,7 @@
             server: ServerId(digest(need(line.host.as_deref(), "host")?)),
             took: micros(line.waited.unwrap_or(0.0)),
             outcome: outcome(need(line.how.as_deref(), "how")?)?,
-            note: match number(line.detail) {
-                Some(1) => Some(CacheNote::Hit),
-                Some(2) => Some(CacheNote::Fetched),
-                Some(3) => Some(CacheNote::OthersFetch),
-                _ => None,
-            },
+            note: number(line.detail).and_then(cache_note),
             finished: line.done.unwrap_or(false),
             report: line.gauge.and_then(|g| serde_json::from_str(g.get()).ok()).unwrap_or_default(),
         }),
@@ -434,7 +461,9 @@
                 match verb {
                     "start" => {
                         let options = need(line.options, "options").map_err(fail)?;
-                        let settings = settings(options.get()).map_err(fail)?;
+                        let options: Options = serde_json::from_str(options.get())
+                            .map_err(|e| fail(format!("bad options: {e}")))?;
+                        let settings = Settings::from(&options);
                         let balancer = Balancer::new(line.seed.unwrap_or(0), settings, now);
                         balancers.insert(who, (balancer, Names::new()));
                     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A balancer on a hand-turned clock, for the tests of the module.
 #![allow(dead_code)]
 
-use ironpin::*;
+use lapisrudder::*;
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
--- a/tests/hearsay.rs
+++ b/tests/hearsay.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ironpin::*;
+use lapisrudder::*;
 
 fn advised() -> Desk {
     let settings = Settings { gone_is_advice: true, ..settings() };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ironpin::*;
+use lapisrudder::*;
 
 #[test]
 fn a_key_stays_with_its_server() {
--- a/tests/rules_hold.rs
+++ b/tests/rules_hold.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ironpin::*;
+use lapisrudder::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ironpin::*;
+use lapisrudder::*;
 
 fn at_scale(siblings: u32) -> Settings {
     Settings { siblings, ..settings() }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn adapter(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ironpin-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lapisrudder-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -65,7 +65,7 @@
         assert!(!output.status.success(), "{input}");
         let message = String::from_utf8(output.stderr).expect("UTF-8");
         assert_eq!(message.trim_end().lines().count(), 1, "{message}");
-        assert!(message.starts_with("ironpin-adapter: line "), "{message}");
+        assert!(message.starts_with("lapisrudder-adapter: line "), "{message}");
         assert!(output.stdout.is_empty());
     }
 }
