--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -23,7 +23,6 @@
 #[derive(Clone, Debug)]
 pub struct Target {
     pub listed: Listed,
-    pub uid: String,
     pub endpoint: SocketAddr,
 }
 
@@ -156,5 +155,5 @@
         weight: t.capacity_hint.unwrap_or(1.0),
         since: t.boot_ms.filter(|ms| *ms > 0.0).map(|ms| (ms * 1000.0) as Micros),
     };
-    Ok(Target { listed, uid: t.uid, endpoint })
+    Ok(Target { listed, endpoint })
 }
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,174 @@
+//! HTTP/1.1 as the origin and discovery speak it: an incremental parser of responses, and writers of requests.
+
+use super::memcache::{Parsed, Request};
+use std::borrow::Cow;
+use std::net::SocketAddr;
+
+/// Largest body that is read: discovery's list; an origin's value is held to its own limit.
+const MAX_BODY: usize = 4 << 20;
+const MAX_HEAD: usize = 16 << 10;
+
+#[derive(Debug, PartialEq)]
+pub struct Response<'a> {
+    pub status: u16,
+    /// `Srv-Declined: 1`: it never ran.
+    pub declined: bool,
+    /// The connection may carry another request.
+    pub keep: bool,
+    pub body: Cow<'a, [u8]>,
+}
+
+/// The response at the start of a buffer. `ended` tells that the peer has closed.
+pub fn parse_response(buffer: &[u8], ended: bool) -> Parsed<Response<'_>> {
+    let mut headers = [httparse::EMPTY_HEADER; 48];
+    let mut head = httparse::Response::new(&mut headers);
+    let from = match head.parse(buffer) {
+        Ok(httparse::Status::Complete(used)) => used,
+        Ok(httparse::Status::Partial) if buffer.len() < MAX_HEAD => return Ok(None),
+        _ => return Err("bad response head"),
+    };
+    let status = head.code.unwrap_or(0);
+    if (100..200).contains(&status) {
+        let rest = parse_response(&buffer[from..], ended)?;
+        return Ok(rest.map(|(response, used)| (response, from + used)));
+    }
+    let header = |name: &str| {
+        let named = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(named.value).ok().map(str::trim)
+    };
+    let is = |name: &str, value: &str| header(name).is_some_and(|v| v.eq_ignore_ascii_case(value));
+    let keep = !is("connection", "close") && (head.version == Some(1) || is("connection", "keep-alive"));
+    let declined = header("srv-declined") == Some("1");
+    let found = |body, used, keep| Ok(Some((Response { status, declined, keep, body }, used)));
+    if is("transfer-encoding", "chunked") {
+        return match chunks(&buffer[from..])? {
+            Some((body, used)) => found(Cow::Owned(body), from + used, keep),
+            None => Ok(None),
+        };
+    }
+    let length = match header("content-length").map(str::parse::<usize>) {
+        Some(Ok(length)) if length <= MAX_BODY => length,
+        Some(_) => return Err("bad content length"),
+        None if matches!(status, 204 | 304) => 0,
+        // Without a length the body lasts until the peer closes.
+        None if ended => return found(Cow::Borrowed(&buffer[from..]), buffer.len(), false),
+        None if buffer.len() - from > MAX_BODY => return Err("body too long"),
+        None => return Ok(None),
+    };
+    match buffer.get(from..from + length) {
+        Some(body) => found(Cow::Borrowed(body), from + length, keep),
+        None => Ok(None),
+    }
+}
+
+fn chunks(buffer: &[u8]) -> Parsed<Vec<u8>> {
+    let (mut body, mut at) = (Vec::new(), 0);
+    loop {
+        let (start, size) = match httparse::parse_chunk_size(&buffer[at..]) {
+            Ok(httparse::Status::Complete(found)) => found,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err("bad chunk"),
+        };
+        let size =
+            usize::try_from(size).ok().filter(|s| body.len() + s <= MAX_BODY).ok_or("body too long")?;
+        at += start;
+        let Some(chunk) = buffer.get(at..at + size + 2) else { return Ok(None) };
+        if !chunk.ends_with(b"\r\n") {
+            return Err("bad chunk");
+        }
+        body.extend_from_slice(&chunk[..size]);
+        at += size + 2;
+        if size == 0 {
+            return Ok(Some((body, at)));
+        }
+    }
+}
+
+/// A client's request as the origin is to get it.
+pub fn write_request(r: &Request, host: SocketAddr, wait_ms: u64, out: &mut Vec<u8>) {
+    out.extend_from_slice(if r.write { b"PUT /" } else { b"GET /" });
+    out.extend_from_slice(r.key);
+    out.extend_from_slice(format!(" HTTP/1.1\r\nHost: {host}\r\nReq-Id: ").as_bytes());
+    out.extend_from_slice(r.id);
+    out.extend_from_slice(b"\r\nReq-Extra: ");
+    r.write_extra(wait_ms, out);
+    if r.write {
+        out.extend_from_slice(format!("\r\nContent-Length: {}", r.value.len()).as_bytes());
+    }
+    out.extend_from_slice(b"\r\n\r\n");
+    out.extend_from_slice(r.value);
+}
+
+pub fn write_get(path: &str, host: SocketAddr, out: &mut Vec<u8>) {
+    out.extend_from_slice(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n").as_bytes());
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::memcache::{Command, parse_command};
+    use super::*;
+
+    #[test]
+    fn responses_are_taken_whole() {
+        let ok = |body: &'static str, keep| Response {
+            status: 200,
+            declined: false,
+            keep,
+            body: Cow::Borrowed(body.as_bytes()),
+        };
+        let declined = Response { status: 503, declined: true, ..ok("", true) };
+        let cases = [
+            ("HTTP/1.1 200 OK\r\nContent-Le", false, Ok(None)),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", false, Ok(None)),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP", false, Ok(Some((ok("ab", true), 40)))),
+            (
+                "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                false,
+                Ok(Some((ok("", true), 56))),
+            ),
+            (
+                "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+                false,
+                Ok(Some((ok("", false), 57))),
+            ),
+            ("HTTP/1.1 200 OK\r\n\r\nab", false, Ok(None)),
+            ("HTTP/1.1 200 OK\r\n\r\nab", true, Ok(Some((ok("ab", false), 21)))),
+            (
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\n",
+                false,
+                Ok(Some((ok("ab", true), 64))),
+            ),
+            (
+                "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n",
+                false,
+                Ok(Some((declined, 55))),
+            ),
+            ("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", false, Err("bad content length")),
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false, Err("bad chunk")),
+            ("VA 2\r\n", false, Err("bad response head")),
+        ];
+        for (text, ended, expected) in cases {
+            assert_eq!(parse_response(text.as_bytes(), ended), expected, "{text:?}");
+        }
+    }
+
+    #[test]
+    fn requests_carry_id_list_and_value() {
+        let host = SocketAddr::from(([127, 0, 0, 1], 80));
+        for (text, expected) in [
+            (
+                "mg k v O9 Pc=r,d=4\r\n",
+                "GET /k HTTP/1.1\r\nHost: 127.0.0.1:80\r\nReq-Id: 9\r\nReq-Extra: c=r,d=7\r\n\r\n",
+            ),
+            (
+                "ms k 2 O9 Pd=4\r\nhi\r\n",
+                "PUT /k HTTP/1.1\r\nHost: 127.0.0.1:80\r\nReq-Id: 9\r\nReq-Extra: d=7\r\nContent-Length: 2\r\n\r\nhi",
+            ),
+        ] {
+            let Ok(Some((Command::Request(r), _))) = parse_command(text.as_bytes()) else { panic!("{text}") };
+            let mut out = Vec::new();
+            write_request(&r, host, 7, &mut out);
+            assert_eq!(String::from_utf8_lossy(&out), expected);
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,13 +1,28 @@
-//! The node on real sockets.
+//! The node on real sockets: one thread, one loop.
 
-#[allow(dead_code)] // the parts that read it come next
 pub mod config;
+mod deadlines;
+mod discovery;
+mod http;
+mod memcache;
+mod node;
+mod pool_member;
+mod socket;
+mod virtual_server;
 
+use calloop::EventLoop;
+use calloop::signals::{Signal, Signals};
+use node::Node;
+
+/// Runs the node until it is told to stop and has answered all that it took.
 pub fn serve(config: config::Config) -> Result<(), String> {
-    let listener = std::net::TcpListener::bind(config.listen)
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    for stream in listener.incoming() {
-        drop(stream);
+    let mut events: EventLoop<Node> = EventLoop::try_new().map_err(|e| format!("cannot start: {e}"))?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    events.handle().insert_source(signals, |_, _, node| node.stop()).map_err(|e| format!("signals: {e}"))?;
+    let mut node = Node::new(config, &events.handle())?;
+    while !node.is_over() {
+        events.dispatch(node.until_next(), &mut node).map_err(|e| format!("the loop failed: {e}"))?;
+        node.turn();
     }
     Ok(())
 }
--- /dev/null
+++ b/src/net/node.rs
@@ -0,0 +1,479 @@
+//! Transactions, and the one place where happenings become events and actions are carried out.
+
+use super::config::{Config, Target};
+use super::deadlines::{Deadline, Deadlines, FlowId, Key};
+use super::discovery::{self, Discovery};
+use super::memcache::{Answer, Request};
+use super::pool_member::{self, Flow, Limits, Pool};
+use super::socket::Handle;
+use super::virtual_server::{self, SCRATCH, VirtualServer};
+use lapisrudder::wire::{Options, digest, micros};
+use lapisrudder::{
+    Action, Balancer, CacheNote, Ended, Event, Micros, NewRequest, Outcome, RequestId, Scope, ServerId,
+    Settings,
+};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A transaction that has no final answer this long after its time gets one from the node itself.
+const OVERDUE: Micros = 10_000;
+/// How long a stopping node takes new connections: they go on coming for up to 0.4 s.
+const ACCEPTS_ON: Micros = 500_000;
+/// A stopping node ends this long before it is killed, which is 0.7 s after the longest deadline or 3 s.
+const LAST_CALL: Micros = 400_000;
+const LONGEST_WAIT: Micros = 3_000_000;
+/// After descriptors ran out, accepting is tried again this soon.
+const ACCEPT_AGAIN: Micros = 50_000;
+/// Idle connections close long before the member's machine may close them under a request.
+const IDLE_MOST: Micros = 10_000_000;
+/// Connections to one member, by all nodes: members refuse more, and slow down as their table fills.
+const PER_MEMBER: usize = 48;
+/// Descriptors that are neither a client's nor a member's: standard streams, loop, listener, discovery.
+const OWN_SOCKETS: usize = 24;
+
+/// The time as the settings and discovery tell it, from a clock that only goes forward.
+struct Clock {
+    base: Micros,
+    started: Instant,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { base: base.as_micros() as Micros, started: Instant::now() }
+    }
+
+    fn now(&self) -> Micros {
+        self.base + self.started.elapsed().as_micros() as Micros
+    }
+}
+
+struct FlowState {
+    server: ServerId,
+    sent: Micros,
+    deadline: Option<Key>,
+    ended: bool,
+}
+
+struct Transaction {
+    client: u64,
+    raw: Rc<[u8]>,
+    due: Micros,
+    deadline: Option<Key>,
+    /// Its final answer has gone out, or nobody waits for one.
+    answered: bool,
+    flows: Vec<FlowState>,
+}
+
+/// Transactions and what has happened to them, in the form that the decisions take.
+#[derive(Default)]
+struct Transactions {
+    all: FxHashMap<RequestId, Transaction>,
+    events: VecDeque<Event>,
+}
+
+impl Transactions {
+    /// Books the end of a server-side flow, once.
+    fn flow_ended(
+        &mut self,
+        flow: FlowId,
+        outcome: Outcome,
+        note: Option<CacheNote>,
+        now: Micros,
+        deadlines: &mut Deadlines,
+    ) {
+        let Some(transaction) = self.all.get_mut(&flow.request) else { return };
+        let Some(state) = transaction.flows.get_mut(flow.attempt as usize).filter(|f| !f.ended) else {
+            return;
+        };
+        state.ended = true;
+        deadlines.remove(state.deadline.take());
+        let (server, took) = (state.server, now - state.sent);
+        self.events.push_back(Event::Ended(Ended {
+            request: flow.request,
+            attempt: flow.attempt,
+            server,
+            took,
+            outcome,
+            note,
+            finished: transaction.answered,
+            report: Vec::new(),
+        }));
+        self.forget(flow.request);
+    }
+
+    /// Marks a transaction as answered; gives its client if it was not before.
+    fn answer(&mut self, request: RequestId, deadlines: &mut Deadlines) -> Option<u64> {
+        let transaction = self.all.get_mut(&request).filter(|t| !t.answered)?;
+        transaction.answered = true;
+        deadlines.remove(transaction.deadline.take());
+        let client = transaction.client;
+        self.forget(request);
+        Some(client)
+    }
+
+    fn forget(&mut self, request: RequestId) {
+        if self.all.get(&request).is_some_and(|t| t.answered && t.flows.iter().all(|f| f.ended)) {
+            self.all.remove(&request);
+        }
+    }
+}
+
+#[derive(PartialEq)]
+enum Phase {
+    Serving,
+    /// Told to stop; new connections are still taken.
+    Stopping,
+    /// Ends once the last client has its answers.
+    Draining,
+    Over,
+}
+
+pub struct Node {
+    clock: Clock,
+    scratch: Vec<u8>,
+    deadlines: Deadlines,
+    server: VirtualServer,
+    pool: Pool,
+    discovery: Discovery,
+    transactions: Transactions,
+    balancer: Balancer,
+    actions: Vec<Action>,
+    options: Options,
+    origin_kind: Option<u32>,
+    phase: Phase,
+    longest_wait: Micros,
+    /// Transactions that may be held at a time.
+    most_held: usize,
+}
+
+impl Node {
+    pub fn new(config: Config, handle: &Handle) -> Result<Node, String> {
+        let clock = Clock::new();
+        let now = clock.now();
+        let settings = Settings::from(&config.options);
+        let origin_kind = settings.origin_kind;
+        let siblings = settings.siblings.max(1) as usize;
+        let bounds = &config.options.bounds;
+        let sockets = config.sockets - OWN_SOCKETS;
+        let limits = Limits {
+            connect_timeout: micros(bounds.connect_timeout_s),
+            idle: micros(bounds.conn_idle_s / 4.0).min(IDLE_MOST),
+            multiplex: bounds.multiplex,
+            per_member: (PER_MEMBER / siblings).max(2),
+            in_all: sockets / 2,
+        };
+        let server = VirtualServer::new(config.listen, sockets / 2, handle)
+            .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+        let longest = config.options.request_classes.iter().map(|c| micros(c.give_up_s)).max();
+        // Each transaction may hold a value on either side; a quarter of the memory is kept for the rest.
+        let by_memory = (config.memory_mb as usize * 3 / 4) << 20;
+        let mut node = Node {
+            clock,
+            scratch: vec![0; SCRATCH],
+            deadlines: Deadlines::default(),
+            server,
+            pool: Pool::new(limits, handle),
+            discovery: Discovery::new(config.discovery, config.revision, handle),
+            transactions: Transactions::default(),
+            balancer: Balancer::new(config.seed, settings, now),
+            actions: Vec::new(),
+            origin_kind,
+            phase: Phase::Serving,
+            longest_wait: longest.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT),
+            most_held: bounds.most_held.min(by_memory / (2 * super::memcache::MAX_VALUE)).max(1),
+            options: config.options,
+        };
+        node.listed(Scope::Remembered, config.known);
+        // The first watch is out before the first client; the decisions ask for all later ones.
+        let failed = node.discovery.watch(now, &mut node.deadlines);
+        node.discovery_news(failed);
+        node.turn();
+        println!("{} listens on {}", config.name, node.server.address().unwrap_or(config.listen));
+        Ok(node)
+    }
+
+    /// How long the loop may wait.
+    pub fn until_next(&self) -> Option<Duration> {
+        let wait = self.deadlines.next()? - self.clock.now();
+        Some(Duration::from_micros(wait.max(0) as u64))
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.phase == Phase::Over
+    }
+
+    // ---- Callbacks ------------------------------------------------------------------------------------
+
+    pub fn accept(&mut self) {
+        let now = self.clock.now();
+        if self.server.accept(now) {
+            self.deadlines.add(now + ACCEPT_AGAIN, Deadline::Accept);
+        }
+    }
+
+    pub fn client_ready(&mut self, id: u64) {
+        self.server.on_ready(id, &mut self.scratch, self.clock.now());
+        self.client_news();
+    }
+
+    pub fn member_ready(&mut self, id: u64) {
+        let now = self.clock.now();
+        let Node { pool, scratch, deadlines, server, transactions, .. } = self;
+        let (mut ended, mut finished) = (Vec::new(), Vec::new());
+        pool.on_ready(id, scratch, now, deadlines, |flow, answer| {
+            let told = transactions.all.get(&flow.request).filter(|t| !t.answered);
+            let told =
+                told.and_then(|t| Some((t.client, t.raw.clone(), pool_member::request(&t.raw)?.write)));
+            let (outcome, note) = judge(&answer, told.as_ref().is_some_and(|(_, _, write)| *write));
+            if let (Outcome::Served, Some((client, raw, _))) = (outcome, &told)
+                && let Some(request) = pool_member::request(raw)
+            {
+                serve(server, *client, flow.request, &request, &answer);
+                finished.push(flow.request);
+            }
+            ended.push((flow, outcome, note));
+        });
+        for request in finished {
+            self.transactions.answer(request, &mut self.deadlines);
+        }
+        for (flow, outcome, note) in ended {
+            self.transactions.flow_ended(flow, outcome, note, now, &mut self.deadlines);
+        }
+    }
+
+    pub fn discovery_ready(&mut self) {
+        let now = self.clock.now();
+        let news = self.discovery.on_ready(&mut self.scratch, &self.options, now, &mut self.deadlines);
+        self.discovery_news(news);
+    }
+
+    /// The operators end the node: what was taken is answered, then it ends.
+    pub fn stop(&mut self) {
+        if self.phase == Phase::Serving {
+            self.phase = Phase::Stopping;
+            let now = self.clock.now();
+            self.deadlines.add(now + ACCEPTS_ON, Deadline::StopAccepting);
+            self.deadlines.add(now + self.longest_wait + LAST_CALL, Deadline::LastCall);
+        }
+    }
+
+    // ---- Happenings to events -------------------------------------------------------------------------
+
+    fn client_news(&mut self) {
+        self.server.read_on(&mut self.scratch, self.clock.now());
+        while let Some(news) = self.server.news.pop_front() {
+            match news {
+                virtual_server::News::Command { client, request, raw } => self.take(client, request, raw),
+                virtual_server::News::Left { request } => {
+                    if self.transactions.answer(request, &mut self.deadlines).is_some() {
+                        self.transactions.events.push_back(Event::ClientLeft { request });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes a transaction: from here on it is owed one final answer.
+    fn take(&mut self, client: u64, id: RequestId, raw: Rc<[u8]>) {
+        let now = self.clock.now();
+        let Some(request) = pool_member::request(&raw) else { return };
+        let name = request.named(b"c").unwrap_or_default();
+        let class = self.options.request_classes.iter().position(|c| c.name.as_bytes() == name);
+        let Some(class) = class else {
+            let line: &[u8] = b"CLIENT_ERROR unknown class\r\n";
+            return self.server.answer(client, id, &[line]);
+        };
+        if self.transactions.all.len() >= self.most_held {
+            let line: &[u8] = b"SERVER_ERROR busy\r\n";
+            return self.server.answer(client, id, &[line]);
+        }
+        let longest = micros(self.options.request_classes[class].give_up_s);
+        let wait = request.wait_ms().map_or(longest, |ms| (ms as Micros).saturating_mul(1000));
+        let due = now + wait.clamp(0, 3_600_000_000);
+        let new = NewRequest {
+            request: id,
+            key: Some(lapisrudder::Key(digest(&String::from_utf8_lossy(request.key)))),
+            write: request.write,
+            class,
+            tenant: 0,
+            hint: None,
+            repeated: request.named(b"r") == Some(b"1"),
+            due,
+        };
+        let deadline = Some(self.deadlines.add(due + OVERDUE, Deadline::Transaction(id)));
+        let flows = Vec::new();
+        let transaction = Transaction { client, raw: raw.clone(), due, deadline, answered: false, flows };
+        self.transactions.all.insert(id, transaction);
+        self.transactions.events.push_back(Event::Request(new));
+    }
+
+    fn discovery_news(&mut self, news: Option<discovery::News>) {
+        match news {
+            Some(discovery::News::List { scope, targets }) => self.listed(scope, targets),
+            Some(discovery::News::Failed(what)) => {
+                eprintln!("discovery: {what}");
+                self.transactions.events.push_back(Event::Servers { scope: Scope::Lost, list: Vec::new() });
+            }
+            None => {}
+        }
+    }
+
+    fn listed(&mut self, scope: Scope, targets: Vec<Target>) {
+        if scope != Scope::Changes {
+            for server in self.pool.servers() {
+                if !targets.iter().any(|t| t.listed.server == server) {
+                    self.pool.gone(server);
+                }
+            }
+        }
+        for t in &targets {
+            let origin = self.origin_kind == Some(t.listed.kind);
+            self.pool.list(t.listed.server, t.endpoint, origin, t.listed.stage);
+        }
+        let list = targets.into_iter().map(|t| t.listed).collect();
+        self.transactions.events.push_back(Event::Servers { scope, list });
+    }
+
+    /// The sweep: each deadline that has come, in order.
+    fn sweep(&mut self) {
+        let now = self.clock.now();
+        while let Some(deadline) = self.deadlines.pop_due(now) {
+            match deadline {
+                Deadline::Wake => self.transactions.events.push_back(Event::Wake),
+                Deadline::Flow(flow) => self.give_up(flow, Outcome::TimedOut),
+                Deadline::Transaction(id) => {
+                    self.end(id, b"SERVER_ERROR failed\r\n");
+                    self.transactions.events.push_back(Event::ClientLeft { request: id });
+                }
+                Deadline::Connection(id) => self.pool.on_deadline(id, now, &mut self.deadlines),
+                Deadline::Discovery => {
+                    let news = self.discovery.on_deadline(&mut self.deadlines);
+                    self.discovery_news(Some(news));
+                }
+                Deadline::Accept => {
+                    self.server.resume();
+                    self.accept();
+                }
+                Deadline::StopAccepting => {
+                    self.phase = Phase::Draining;
+                    self.server.stop_accepting(now);
+                }
+                Deadline::LastCall => {
+                    let open: Vec<RequestId> = self.transactions.all.keys().copied().collect();
+                    open.into_iter().for_each(|id| self.end(id, b"SERVER_ERROR failed\r\n"));
+                    self.phase = Phase::Over;
+                }
+            }
+        }
+    }
+
+    /// Stops waiting for a server-side flow.
+    fn give_up(&mut self, flow: FlowId, outcome: Outcome) {
+        let now = self.clock.now();
+        let transaction = self.transactions.all.get(&flow.request);
+        let state = transaction.and_then(|t| t.flows.get(flow.attempt as usize)).filter(|f| !f.ended);
+        let Some(server) = state.map(|f| f.server) else { return };
+        let unsent = self.pool.abandon(server, flow, now, &mut self.deadlines);
+        let outcome = if unsent { Outcome::NeverSent } else { outcome };
+        self.transactions.flow_ended(flow, outcome, None, now, &mut self.deadlines);
+    }
+
+    /// The final answer, in one line.
+    fn end(&mut self, id: RequestId, line: &[u8]) {
+        if let Some(client) = self.transactions.answer(id, &mut self.deadlines) {
+            self.server.answer(client, id, &[line]);
+        }
+    }
+
+    // ---- Actions --------------------------------------------------------------------------------------
+
+    /// One turn: sweeps deadlines, gives all events to the decisions, and carries out what they say.
+    pub fn turn(&mut self) {
+        self.sweep();
+        loop {
+            while let Some((flow, outcome)) = self.pool.lost.pop_front() {
+                let now = self.clock.now();
+                self.transactions.flow_ended(flow, outcome, None, now, &mut self.deadlines);
+            }
+            self.client_news();
+            let Some(event) = self.transactions.events.pop_front() else { break };
+            self.balancer.handle(self.clock.now(), event, &mut self.actions);
+            let mut actions = std::mem::take(&mut self.actions);
+            actions.drain(..).for_each(|action| self.carry_out(action));
+            self.actions = actions;
+        }
+        if !self.server.ready && self.pool.any_open() {
+            self.server.now_ready();
+        }
+        if self.phase == Phase::Draining && self.server.is_empty() {
+            self.phase = Phase::Over;
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        let now = self.clock.now();
+        match action {
+            Action::Send { request, server, until } => self.send(request, server, until, now),
+            Action::Cancel { request, attempt } => {
+                self.give_up(FlowId { request, attempt }, Outcome::Cancelled)
+            }
+            Action::Refuse { request, retry_in: 0 } => self.end(request, b"SERVER_ERROR busy\r\n"),
+            Action::Refuse { request, retry_in } => {
+                let line = format!("SERVER_ERROR busy {}\r\n", (retry_in / 1000).max(1));
+                self.end(request, line.as_bytes());
+            }
+            Action::Fail { request } => self.end(request, b"SERVER_ERROR failed\r\n"),
+            Action::Wake { after } => {
+                self.deadlines.add(now + after, Deadline::Wake);
+            }
+            Action::Close { server } => self.pool.close_idle(server, now, &mut self.deadlines),
+            Action::Watch => {
+                let news = self.discovery.watch(now, &mut self.deadlines);
+                self.discovery_news(news);
+            }
+        }
+    }
+
+    fn send(&mut self, request: RequestId, server: ServerId, until: Micros, now: Micros) {
+        let Some(transaction) = self.transactions.all.get_mut(&request) else { return };
+        let id = FlowId { request, attempt: transaction.flows.len() as u32 };
+        let until = if until <= 0 { transaction.due } else { until.min(transaction.due) };
+        let deadline = Some(self.deadlines.add(until, Deadline::Flow(id)));
+        transaction.flows.push(FlowState { server, sent: now, deadline, ended: false });
+        let raw = transaction.raw.clone();
+        if transaction.answered || until <= now {
+            return self.transactions.flow_ended(id, Outcome::NeverSent, None, now, &mut self.deadlines);
+        }
+        self.pool.send(server, Flow { id, raw, until }, now, &mut self.deadlines);
+    }
+}
+
+/// What an answer means for a flow. A read is served by a value, a write by a receipt that fits in a line.
+fn judge(answer: &Answer, write: bool) -> (Outcome, Option<CacheNote>) {
+    let plain = |receipt: &[u8]| receipt.len() < 512 && receipt.iter().all(u8::is_ascii_graphic);
+    match answer {
+        Answer::Value { note, .. } if !write => (Outcome::Served, *note),
+        Answer::Receipt { note, receipt } if write && plain(receipt) => (Outcome::Served, *note),
+        Answer::Miss { note } => (Outcome::Miss, *note),
+        Answer::Busy => (Outcome::Full, None),
+        _ => (Outcome::Error, None),
+    }
+}
+
+/// Passes the answer on, straight from where it was read.
+fn serve(server: &mut VirtualServer, client: u64, id: RequestId, request: &Request, answer: &Answer) {
+    match answer {
+        Answer::Value { value, .. } => {
+            let length = value.len().to_string();
+            let parts = [b"VA ", length.as_bytes(), b" O", request.id, b"\r\n", value, b"\r\n"];
+            server.answer(client, id, &parts);
+        }
+        Answer::Receipt { receipt, .. } => {
+            server.answer(client, id, &[b"HD O", request.id, b" c", receipt, b"\r\n"])
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/src/net/socket.rs
@@ -0,0 +1,90 @@
+//! A non-blocking socket on the loop. It leaves the loop and closes when it is dropped.
+
+use super::node::Node;
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use socket2::{Domain, Protocol, SockAddr, Type};
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+pub type Handle = LoopHandle<'static, Node>;
+
+pub struct Socket {
+    stream: Rc<TcpStream>,
+    token: RegistrationToken,
+    handle: Handle,
+}
+
+impl Socket {
+    /// The callback runs at each edge: what is ready must be used up, or remembered.
+    pub fn new(
+        stream: TcpStream,
+        handle: &Handle,
+        mut callback: impl FnMut(Readiness, &mut Node) + 'static,
+    ) -> io::Result<Socket> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        let stream = Rc::new(stream);
+        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+        let token = handle
+            .insert_source(source, move |ready, _, node| {
+                callback(ready, node);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| io::Error::other(e.error))?;
+        Ok(Socket { stream, token, handle: handle.clone() })
+    }
+
+    /// Begins to connect; the callback tells when that has ended.
+    pub fn connect(
+        to: SocketAddr,
+        handle: &Handle,
+        callback: impl FnMut(Readiness, &mut Node) + 'static,
+    ) -> io::Result<Socket> {
+        let socket = socket2::Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&SockAddr::from(to)) {
+            Err(e) if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(EINPROGRESS) => Err(e),
+            _ => Socket::new(socket.into(), handle, callback),
+        }
+    }
+
+    /// Whether a begun connect has come up; an error if it failed.
+    pub fn is_up(&self) -> io::Result<bool> {
+        match self.stream.take_error()? {
+            Some(e) => Err(e),
+            None => Ok(self.stream.peer_addr().is_ok()),
+        }
+    }
+
+    /// Bytes read, 0 at the end of the stream, or `None` if there are none for now.
+    pub fn read(&self, into: &mut [u8]) -> io::Result<Option<usize>> {
+        retry(|| (&*self.stream).read(into))
+    }
+
+    /// Bytes written; 0 if none can be for now.
+    pub fn write(&self, parts: &[IoSlice]) -> io::Result<usize> {
+        Ok(retry(|| (&*self.stream).write_vectored(parts))?.unwrap_or(0))
+    }
+}
+
+/// The number of Linux for 'operation now in progress'; the standard library has no stable name for it.
+const EINPROGRESS: i32 = 115;
+
+fn retry(mut call: impl FnMut() -> io::Result<usize>) -> io::Result<Option<usize>> {
+    loop {
+        match call() {
+            Ok(n) => return Ok(Some(n)),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(None),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        self.handle.remove(self.token);
+    }
+}
