Never write a flow whose transaction was answered while it waited

Cause: Pool::put wrote a flow that had waited for a connection although another flow of its transaction had been served earlier in the same turn; the decisions' Cancel comes only at the end of the turn. Ruled out: the decisions themselves (a second copy that waits is always called off). The flow now shares the transaction's 'answered' mark and ends as NeverSent; the same check stands for flows behind a full socket.

Test: a_flow_that_has_waited_is_not_begun_if_it_may_no_longer_go (fails without the check).

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -4,7 +4,7 @@
 use super::deadlines::{Deadline, Deadlines, FlowId, Key};
 use super::discovery::{self, Discovery};
 use super::memcache::{Answer, Request};
-use super::pool_member::{self, Flow, Limits, Pool};
+use super::pool_member::{Call, Flow, Limits, Pool};
 use super::socket::Handle;
 use super::virtual_server::{self, SCRATCH, VirtualServer};
 use lapisrudder::wire::{Options, digest, micros};
@@ -13,6 +13,7 @@
     Settings,
 };
 use rustc_hash::FxHashMap;
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -59,11 +60,9 @@
 
 struct Transaction {
     client: u64,
-    raw: Rc<[u8]>,
+    call: Rc<Call>,
     due: Micros,
     deadline: Option<Key>,
-    /// Its final answer has gone out, or nobody waits for one.
-    answered: bool,
     flows: Vec<FlowState>,
 }
 
@@ -90,6 +89,9 @@
         };
         state.ended = true;
         deadlines.remove(state.deadline.take());
+        if transaction.call.answered.get() {
+            deadlines.remove(transaction.deadline.take());
+        }
         let (server, took) = (state.server, now - state.sent);
         self.events.push_back(Event::Ended(Ended {
             request: flow.request,
@@ -98,7 +100,7 @@
             took,
             outcome,
             note,
-            finished: transaction.answered,
+            finished: transaction.call.answered.get(),
             report: Vec::new(),
         }));
         self.forget(flow.request);
@@ -106,8 +108,7 @@
 
     /// Marks a transaction as answered; gives its client if it was not before.
     fn answer(&mut self, request: RequestId, deadlines: &mut Deadlines) -> Option<u64> {
-        let transaction = self.all.get_mut(&request).filter(|t| !t.answered)?;
-        transaction.answered = true;
+        let transaction = self.all.get_mut(&request).filter(|t| !t.call.answered.replace(true))?;
         deadlines.remove(transaction.deadline.take());
         let client = transaction.client;
         self.forget(request);
@@ -115,7 +116,7 @@
     }
 
     fn forget(&mut self, request: RequestId) {
-        if self.all.get(&request).is_some_and(|t| t.answered && t.flows.iter().all(|f| f.ended)) {
+        if self.all.get(&request).is_some_and(|t| t.call.answered.get() && t.flows.iter().all(|f| f.ended)) {
             self.all.remove(&request);
         }
     }
@@ -222,23 +223,18 @@
     pub fn member_ready(&mut self, id: u64) {
         let now = self.clock.now();
         let Node { pool, scratch, deadlines, server, transactions, .. } = self;
-        let (mut ended, mut finished) = (Vec::new(), Vec::new());
-        pool.on_ready(id, scratch, now, deadlines, |flow, answer| {
-            let told = transactions.all.get(&flow.request).filter(|t| !t.answered);
-            let told =
-                told.and_then(|t| Some((t.client, t.raw.clone(), pool_member::request(&t.raw)?.write)));
-            let (outcome, note) = judge(&answer, told.as_ref().is_some_and(|(_, _, write)| *write));
-            if let (Outcome::Served, Some((client, raw, _))) = (outcome, &told)
-                && let Some(request) = pool_member::request(raw)
+        let mut ended = Vec::new();
+        pool.on_ready(id, scratch, now, deadlines, |flow, request, answer| {
+            let (outcome, note) = judge(&answer, request.write);
+            // The first that serves is passed on; what comes later for the same transaction is dropped.
+            if outcome == Outcome::Served
+                && !flow.call.answered.replace(true)
+                && let Some(transaction) = transactions.all.get(&flow.id.request)
             {
-                serve(server, *client, flow.request, &request, &answer);
-                finished.push(flow.request);
+                serve(server, transaction.client, flow.id.request, request, &answer);
             }
-            ended.push((flow, outcome, note));
+            ended.push((flow.id, outcome, note));
         });
-        for request in finished {
-            self.transactions.answer(request, &mut self.deadlines);
-        }
         for (flow, outcome, note) in ended {
             self.transactions.flow_ended(flow, outcome, note, now, &mut self.deadlines);
         }
@@ -277,9 +273,10 @@
     }
 
     /// Takes a transaction: from here on it is owed one final answer.
-    fn take(&mut self, client: u64, id: RequestId, raw: Rc<[u8]>) {
+    fn take(&mut self, client: u64, id: RequestId, raw: Box<[u8]>) {
         let now = self.clock.now();
-        let Some(request) = pool_member::request(&raw) else { return };
+        let call = Rc::new(Call { raw, answered: Cell::new(false) });
+        let Some(request) = call.request() else { return };
         let name = request.named(b"c").unwrap_or_default();
         let class = self.options.request_classes.iter().position(|c| c.name.as_bytes() == name);
         let Some(class) = class else {
@@ -305,7 +302,7 @@
         };
         let deadline = Some(self.deadlines.add(due + OVERDUE, Deadline::Transaction(id)));
         let flows = Vec::new();
-        let transaction = Transaction { client, raw: raw.clone(), due, deadline, answered: false, flows };
+        let transaction = Transaction { client, call: call.clone(), due, deadline, flows };
         self.transactions.all.insert(id, transaction);
         self.transactions.events.push_back(Event::Request(new));
     }
@@ -443,11 +440,11 @@
         let until = if until <= 0 { transaction.due } else { until.min(transaction.due) };
         let deadline = Some(self.deadlines.add(until, Deadline::Flow(id)));
         transaction.flows.push(FlowState { server, sent: now, deadline, ended: false });
-        let raw = transaction.raw.clone();
-        if transaction.answered || until <= now {
+        let call = transaction.call.clone();
+        if call.answered.get() || until <= now {
             return self.transactions.flow_ended(id, Outcome::NeverSent, None, now, &mut self.deadlines);
         }
-        self.pool.send(server, Flow { id, raw, until }, now, &mut self.deadlines);
+        self.pool.send(server, Flow { id, call, until }, now, &mut self.deadlines);
     }
 }
 
--- a/src/net/pool_member.rs
+++ b/src/net/pool_member.rs
@@ -6,6 +6,7 @@
 use super::socket::{Handle, Socket};
 use lapisrudder::{Micros, Outcome, ServerId, Stage};
 use rustc_hash::FxHashMap;
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::io::IoSlice;
 use std::net::SocketAddr;
@@ -14,10 +15,27 @@
 /// Buffers larger than this are given back once empty.
 const KEPT: usize = 16 << 10;
 
+/// A client's command, copied since it outlives the buffer that it was read into.
+pub struct Call {
+    pub raw: Box<[u8]>,
+    /// The final answer has gone out, or nobody waits for one: nothing more may be sent for it.
+    pub answered: Cell<bool>,
+}
+
+impl Call {
+    /// The request that the command holds; it was checked when it came.
+    pub fn request(&self) -> Option<Request<'_>> {
+        match memcache::parse_command(&self.raw) {
+            Ok(Some((Command::Request(request), _))) => Some(request),
+            _ => None,
+        }
+    }
+}
+
 /// What is to be sent, and for how long its answer is waited for.
 pub struct Flow {
     pub id: FlowId,
-    pub raw: Rc<[u8]>,
+    pub call: Rc<Call>,
     pub until: Micros,
 }
 
@@ -202,9 +220,8 @@
     /// Puts a flow on a connection that is up.
     fn put(&mut self, id: u64, flow: Flow, now: Micros, deadlines: &mut Deadlines) {
         let Some(c) = self.connections.get_mut(&id) else { return };
-        deadlines.remove(c.deadline.take());
-        let mut bytes = Vec::with_capacity(flow.raw.len() + 128);
-        if let Some(request) = request(&flow.raw) {
+        let mut bytes = Vec::with_capacity(flow.call.raw.len() + 128);
+        if let Some(request) = flow.call.request() {
             let wait_ms = ((flow.until - now) / 1000).max(1) as u64;
             if c.origin {
                 http::write_request(&request, c.endpoint, wait_ms, &mut bytes);
@@ -214,6 +231,7 @@
         }
         c.places.push_back(Place { flow, bytes, written: 0, abandoned: false });
         self.flush(id, now, deadlines);
+        self.freed(id, now, deadlines);
     }
 
     /// Writes as far as the socket takes it.
@@ -221,10 +239,11 @@
         let Some(c) = self.connections.get_mut(&id).filter(|c| c.up) else { return };
         let closed = self.members.get(&c.server).is_none_or(|m| m.closed);
         let lost = &mut self.lost;
-        // Guards the drain rule: a send counts from its first byte, so one that has waited behind a full
-        // socket while its member began to drain must not begin.
+        // Guards the drain rule: a send counts from its first byte, so one that has waited for a connection or
+        // behind a full socket while its member began to drain must not begin. Nor may one whose transaction
+        // another flow has served in the same turn, before the decisions could call this one off.
         c.places.retain(|p| {
-            let late = p.written == 0 && (closed || p.abandoned);
+            let late = p.written == 0 && (closed || p.abandoned || p.flow.call.answered.get());
             if late && !p.abandoned {
                 lost.push_back((p.flow.id, Outcome::NeverSent));
             }
@@ -249,7 +268,7 @@
         scratch: &mut [u8],
         now: Micros,
         deadlines: &mut Deadlines,
-        mut answered: impl FnMut(FlowId, Answer),
+        mut answered: impl FnMut(&Flow, &Request, Answer),
     ) {
         let Some(c) = self.connections.get_mut(&id) else { return };
         if !c.up {
@@ -290,24 +309,23 @@
     fn came_up(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
         let Some(c) = self.connections.get_mut(&id) else { return };
         c.up = true;
-        deadlines.remove(c.deadline.take());
         self.freed(id, now, deadlines);
     }
 
     /// A connection with nothing on it takes what waits longest, or stands idle for a while.
     fn freed(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
-        let Some(c) = self.connections.get_mut(&id).filter(|c| c.places.is_empty()) else { return };
-        let member = self.members.get_mut(&c.server);
-        match member {
-            Some(member) if !member.closed => match member.waiting.pop_front() {
-                Some(flow) => self.put(id, flow, now, deadlines),
-                None if c.deadline.is_none() => {
-                    let at = now + self.limits.idle;
-                    c.deadline = Some(deadlines.add(at, Deadline::Connection(id)));
-                }
-                None => {}
-            },
-            _ => self.close(id, now, deadlines),
+        let Some(c) = self.connections.get_mut(&id) else { return };
+        deadlines.remove(c.deadline.take());
+        if !c.places.is_empty() {
+            return;
+        }
+        match self.members.get_mut(&c.server).filter(|m| !m.closed).map(|m| m.waiting.pop_front()) {
+            Some(Some(flow)) => self.put(id, flow, now, deadlines),
+            Some(None) => {
+                let at = now + self.limits.idle;
+                c.deadline = Some(deadlines.add(at, Deadline::Connection(id)));
+            }
+            None => self.close(id, now, deadlines),
         }
     }
 
@@ -378,15 +396,15 @@
         &mut self,
         buffer: &[u8],
         ended: bool,
-        answered: &mut impl FnMut(FlowId, Answer),
+        answered: &mut impl FnMut(&Flow, &Request, Answer),
     ) -> Result<(usize, bool), &'static str> {
         let (mut taken, mut keep) = (0, true);
         while let Some(place) = self.places.front().filter(|p| keep && p.bytes.is_empty()) {
             let rest = &buffer[taken..];
-            let Some(request) = request(&place.flow.raw) else { return Err("no request") };
+            let Some(request) = place.flow.call.request() else { return Err("no request") };
             let mut pass = |answer| {
                 if !place.abandoned {
-                    answered(place.flow.id, answer);
+                    answered(&place.flow, &request, answer);
                 }
             };
             taken += if self.origin {
@@ -411,10 +429,40 @@
     }
 }
 
-/// The request that a kept command holds; it was checked when it came.
-pub fn request(raw: &[u8]) -> Option<Request<'_>> {
-    match memcache::parse_command(raw) {
-        Ok(Some((Command::Request(request), _))) => Some(request),
-        _ => None,
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::node::Node;
+    use calloop::EventLoop;
+    use std::net::TcpListener;
+
+    const MEMBER: ServerId = ServerId(1);
+
+    /// A flow waits for its connection; meanwhile `happens`. Gives how it ended.
+    fn ends(happens: impl Fn(&mut Pool, &Call, SocketAddr)) -> Vec<Lost> {
+        let events: EventLoop<Node> = EventLoop::try_new().unwrap();
+        let limits = Limits { connect_timeout: 1, idle: 1, multiplex: 1, per_member: 1, in_all: 1 };
+        let mut pool = Pool::new(limits, &events.handle());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        pool.list(MEMBER, at, false, Stage::Live);
+        let call = Rc::new(Call { raw: (*b"mg k v O9\r\n").into(), answered: Cell::new(false) });
+        let id = FlowId { request: lapisrudder::RequestId(1), attempt: 0 };
+        let mut deadlines = Deadlines::default();
+        pool.send(MEMBER, Flow { id, call: call.clone(), until: 9 }, 0, &mut deadlines);
+        let _accepted = listener.accept().unwrap();
+        happens(&mut pool, &call, at);
+        pool.on_ready(0, &mut [0; 64], 0, &mut deadlines, |_, _, _| {});
+        pool.lost.into_iter().collect()
+    }
+
+    #[test]
+    fn a_flow_that_has_waited_is_not_begun_if_it_may_no_longer_go() {
+        let outcomes = |lost: Vec<Lost>| lost.into_iter().map(|(_, outcome)| outcome).collect::<Vec<_>>();
+        assert_eq!(outcomes(ends(|_, _, _| {})), []);
+        assert_eq!(outcomes(ends(|_, call, _| call.answered.set(true))), [Outcome::NeverSent]);
+        let drains = |pool: &mut Pool, _: &Call, at| pool.list(MEMBER, at, false, Stage::Draining);
+        assert_eq!(outcomes(ends(drains)), [Outcome::NeverSent]);
+        assert_eq!(outcomes(ends(|pool, _, _| pool.gone(MEMBER))), [Outcome::NeverSent]);
     }
 }
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -21,7 +21,7 @@
 
 /// What the clients' side tells the node.
 pub enum News {
-    Command { client: u64, request: RequestId, raw: Rc<[u8]> },
+    Command { client: u64, request: RequestId, raw: Box<[u8]> },
     Left { request: RequestId },
 }
 
