Write nothing behind another on origin connections; write flows at the end of the turn

Checked: a log of every write, call-off and final answer showed no write after an answer, so the order in the node was right. A second log showed the flagged request as a GET written behind another on an origin connection (355 of 6330 were); it was called off at place 1 of 2, so the connection stayed open, and the origin began it when the one before was answered. Members begin pipelined memcache commands at once, the origin over HTTP does not. Lines at fault: Pool::least_busy.

Now an origin connection carries one flow; the origin may have twice the connections of a member, and flows wait for one. Also new: bytes are written at the end of the turn, after all that has come in was read, so a flow cannot go out beside the answer of its transaction; one not yet written can be taken back without closing its connection.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -396,7 +396,12 @@
                 self.transactions.flow_ended(flow, outcome, None, now, &mut self.deadlines);
             }
             self.client_news();
-            let Some(event) = self.transactions.events.pop_front() else { break };
+            let Some(event) = self.transactions.events.pop_front() else {
+                match self.pool.write_out(self.clock.now(), &mut self.deadlines) {
+                    true => continue,
+                    false => break,
+                }
+            };
             self.balancer.handle(self.clock.now(), event, &mut self.actions);
             let mut actions = std::mem::take(&mut self.actions);
             actions.drain(..).for_each(|action| self.carry_out(action));
--- a/src/net/pool_member.rs
+++ b/src/net/pool_member.rs
@@ -93,6 +93,8 @@
     limits: Limits,
     handle: Handle,
     next: u64,
+    /// Connections with something to write at the end of the turn.
+    unwritten: Vec<u64>,
     pub lost: VecDeque<Lost>,
 }
 
@@ -104,13 +106,15 @@
             limits,
             handle: handle.clone(),
             next: 0,
+            unwritten: Vec::new(),
             lost: VecDeque::new(),
         }
     }
 
     /// What the list says of a member. Flows not yet begun never go to one that drains or is gone.
     pub fn list(&mut self, server: ServerId, endpoint: SocketAddr, origin: bool, stage: Stage) {
-        let per_member = self.limits.per_member;
+        // The origin's connections carry one flow each, so that it needs more of them.
+        let per_member = self.limits.per_member * if origin { 2 } else { 1 };
         let member = self.members.entry(server).or_insert_with(|| PoolMember {
             endpoint,
             origin,
@@ -172,7 +176,10 @@
         let ids = self.members.get(&server)?.connections.iter();
         let up = ids.filter_map(|id| Some((*id, self.connections.get(id).filter(|c| c.up)?)));
         let least = up.min_by_key(|(_, c)| c.places.len())?;
-        (least.1.places.len() < self.limits.multiplex).then_some(least.0)
+        // Guards against a request that runs after its final answer: over HTTP the origin begins a request only
+        // when the one before it is answered, and one called off meanwhile could not be taken back.
+        let most = if least.1.origin { 1 } else { self.limits.multiplex };
+        (least.1.places.len() < most).then_some(least.0)
     }
 
     fn open(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
@@ -200,12 +207,12 @@
         }
     }
 
-    /// A connection did not come up. Flows beyond those that still have one to wait for go behind others
-    /// where the member has connections. Guards against taking a full connection table for a dead machine.
+    /// A connection did not come up. Flows beyond those that still have one to wait for go behind others, or
+    /// wait on, where the member has connections. Guards against taking a full table for a dead machine.
     fn not_connected(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
         loop {
             let Some(member) = self.members.get_mut(&server) else { return };
-            let coming = |id: &&u64| self.connections.get(id).is_some_and(|c| !c.up);
+            let coming = |id: &&u64| self.connections.get(id).is_some_and(|c| !c.up || c.origin);
             if member.waiting.len() <= member.connections.iter().filter(coming).count() {
                 return;
             }
@@ -229,9 +236,20 @@
                 request.write(wait_ms, &mut bytes);
             }
         }
+        deadlines.remove(c.deadline.take());
         c.places.push_back(Place { flow, bytes, written: 0, abandoned: false });
-        self.flush(id, now, deadlines);
-        self.freed(id, now, deadlines);
+        self.unwritten.push(id);
+    }
+
+    /// Writes what this turn has put on connections. Guards against a flow that goes out beside the final
+    /// answer of its transaction: all that has come in by now has been read first. False if there was nothing.
+    pub fn write_out(&mut self, now: Micros, deadlines: &mut Deadlines) -> bool {
+        let some = !self.unwritten.is_empty();
+        while let Some(id) = self.unwritten.pop() {
+            self.flush(id, now, deadlines);
+            self.freed(id, now, deadlines);
+        }
+        some
     }
 
     /// Writes as far as the socket takes it.
@@ -278,7 +296,7 @@
                 Err(_) => return self.close(id, now, deadlines),
             }
         }
-        self.flush(id, now, deadlines);
+        self.unwritten.push(id);
         loop {
             let Some(c) = self.connections.get_mut(&id) else { return };
             let held = c.input.len();
@@ -314,11 +332,8 @@
 
     /// A connection with nothing on it takes what waits longest, or stands idle for a while.
     fn freed(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
-        let Some(c) = self.connections.get_mut(&id) else { return };
+        let Some(c) = self.connections.get_mut(&id).filter(|c| c.up && c.places.is_empty()) else { return };
         deadlines.remove(c.deadline.take());
-        if !c.places.is_empty() {
-            return;
-        }
         match self.members.get_mut(&c.server).filter(|m| !m.closed).map(|m| m.waiting.pop_front()) {
             Some(Some(flow)) => self.put(id, flow, now, deadlines),
             Some(None) => {
@@ -372,11 +387,14 @@
         let mut ids = member.connections.iter().copied();
         let Some(id) = ids.find(|id| self.connections.get(id).is_some_and(carries)) else { return false };
         let Some(c) = self.connections.get_mut(&id) else { return false };
-        let mut unsent = false;
-        for p in c.places.iter_mut().filter(|p| p.flow.id == flow) {
-            p.abandoned = true;
-            unsent = !p.bytes.is_empty();
+        let Some(place) = c.places.iter().position(|p| p.flow.id == flow) else { return false };
+        if c.places[place].written == 0 {
+            c.places.remove(place);
+            self.freed(id, now, deadlines);
+            return true;
         }
+        c.places[place].abandoned = true;
+        let unsent = !c.places[place].bytes.is_empty();
         if c.places.iter().all(|p| p.abandoned) {
             self.close(id, now, deadlines);
         }
@@ -434,35 +452,74 @@
     use super::*;
     use crate::net::node::Node;
     use calloop::EventLoop;
-    use std::net::TcpListener;
+    use std::net::{TcpListener, TcpStream};
 
     const MEMBER: ServerId = ServerId(1);
 
-    /// A flow waits for its connection; meanwhile `happens`. Gives how it ended.
-    fn ends(happens: impl Fn(&mut Pool, &Call, SocketAddr)) -> Vec<Lost> {
-        let events: EventLoop<Node> = EventLoop::try_new().unwrap();
-        let limits = Limits { connect_timeout: 1, idle: 1, multiplex: 1, per_member: 1, in_all: 1 };
-        let mut pool = Pool::new(limits, &events.handle());
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let at = listener.local_addr().unwrap();
-        pool.list(MEMBER, at, false, Stage::Live);
-        let call = Rc::new(Call { raw: (*b"mg k v O9\r\n").into(), answered: Cell::new(false) });
-        let id = FlowId { request: lapisrudder::RequestId(1), attempt: 0 };
-        let mut deadlines = Deadlines::default();
-        pool.send(MEMBER, Flow { id, call: call.clone(), until: 9 }, 0, &mut deadlines);
-        let _accepted = listener.accept().unwrap();
-        happens(&mut pool, &call, at);
-        pool.on_ready(0, &mut [0; 64], 0, &mut deadlines, |_, _, _| {});
-        pool.lost.into_iter().collect()
+    /// A pool of one member, whose first connection is coming up, and what a flow needs.
+    struct Desk {
+        pool: Pool,
+        deadlines: Deadlines,
+        at: SocketAddr,
+        call: Rc<Call>,
+        _kept: (EventLoop<'static, Node>, TcpListener, TcpStream),
+    }
+
+    impl Desk {
+        /// Sends so many flows of one transaction.
+        fn new(origin: bool, flows: u32) -> Desk {
+            let events = EventLoop::try_new().unwrap();
+            let limits = Limits { connect_timeout: 1, idle: 1, multiplex: 2, per_member: 1, in_all: 1 };
+            let mut pool = Pool::new(limits, &events.handle());
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let at = listener.local_addr().unwrap();
+            pool.list(MEMBER, at, origin, Stage::Live);
+            let call = Rc::new(Call { raw: (*b"mg k v O9\r\n").into(), answered: Cell::new(false) });
+            let mut deadlines = Deadlines::default();
+            pool.send(MEMBER, flow(0, &call), 0, &mut deadlines);
+            let (accepted, _) = listener.accept().unwrap();
+            let mut desk = Desk { pool, deadlines, at, call, _kept: (events, listener, accepted) };
+            if flows > 1 {
+                desk.comes_up();
+                (1..flows).for_each(|n| desk.pool.send(MEMBER, flow(n, &desk.call), 0, &mut desk.deadlines));
+            }
+            desk
+        }
+
+        fn comes_up(&mut self) {
+            self.pool.on_ready(0, &mut [0; 64], 0, &mut self.deadlines, |_, _, _| {});
+            self.pool.write_out(0, &mut self.deadlines);
+        }
+    }
+
+    fn flow(attempt: u32, call: &Rc<Call>) -> Flow {
+        let id = FlowId { request: lapisrudder::RequestId(1), attempt };
+        Flow { id, call: call.clone(), until: 9 }
     }
 
     #[test]
     fn a_flow_that_has_waited_is_not_begun_if_it_may_no_longer_go() {
-        let outcomes = |lost: Vec<Lost>| lost.into_iter().map(|(_, outcome)| outcome).collect::<Vec<_>>();
-        assert_eq!(outcomes(ends(|_, _, _| {})), []);
-        assert_eq!(outcomes(ends(|_, call, _| call.answered.set(true))), [Outcome::NeverSent]);
-        let drains = |pool: &mut Pool, _: &Call, at| pool.list(MEMBER, at, false, Stage::Draining);
-        assert_eq!(outcomes(ends(drains)), [Outcome::NeverSent]);
-        assert_eq!(outcomes(ends(|pool, _, _| pool.gone(MEMBER))), [Outcome::NeverSent]);
+        let ends = |happens: fn(&mut Desk)| {
+            let mut desk = Desk::new(false, 1);
+            happens(&mut desk);
+            desk.comes_up();
+            desk.pool.lost.into_iter().map(|(_, outcome)| outcome).collect::<Vec<_>>()
+        };
+        assert_eq!(ends(|_| {}), []);
+        assert_eq!(ends(|desk| desk.call.answered.set(true)), [Outcome::NeverSent]);
+        assert_eq!(
+            ends(|desk| desk.pool.list(MEMBER, desk.at, false, Stage::Draining)),
+            [Outcome::NeverSent]
+        );
+        assert_eq!(ends(|desk| desk.pool.gone(MEMBER)), [Outcome::NeverSent]);
+    }
+
+    #[test]
+    fn nothing_is_written_behind_another_on_a_connection_to_the_origin() {
+        for (origin, behind) in [(false, 2), (true, 1)] {
+            let desk = Desk::new(origin, 2);
+            assert_eq!(desk.pool.connections[&0].places.len(), behind);
+            assert_eq!(desk.pool.members[&MEMBER].waiting.len(), 2 - behind);
+        }
     }
 }
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,161 @@
+//! The node's rules on real sockets, one test each.
+
+mod toy;
+
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread;
+use std::time::Duration;
+use toy::*;
+
+fn counted() -> Arc<AtomicUsize> {
+    Arc::default()
+}
+
+fn value(id: &str, text: &str) -> String {
+    format!("VA {} O{id}\r\n{text}\r\n", text.len())
+}
+
+#[test]
+fn a_miss_and_a_write_go_to_the_origin_with_id_list_and_value() {
+    let (tell, heard) = mpsc::channel();
+    let tell = Mutex::new(tell);
+    let cache = server(|command| Some(format!("EN O{} h0\r\n", flag(command, 'O'))));
+    let origin = server(move |request| {
+        tell.lock().unwrap().send(request.to_string()).unwrap();
+        http(if request.starts_with("PUT") { "77" } else { "from afar" })
+    });
+    let node = Node::start(&[entry("c", cache, "cache", "up"), entry("o", origin, "origin", "up")]);
+    let mut client = node.client();
+    assert_eq!(client.read("a1", 2000), value("a1", "from afar"));
+    let get = heard.recv_timeout(WIDE).unwrap();
+    assert!(get.starts_with("GET /ka1 ") && get.contains("Req-Id: a1\r\n"), "{get}");
+    assert_eq!(client.ask("ms kb 2 Ob2 Pc=put,d=2000,k=ee\r\nhi\r\n"), "HD Ob2 c77\r\n");
+    let put = heard.recv_timeout(WIDE).unwrap();
+    assert!(put.starts_with("PUT /kb ") && put.ends_with("\r\n\r\nhi") && put.contains(",k=ee\r\n"), "{put}");
+}
+
+#[test]
+fn answers_keep_the_order_of_commands_and_bad_ones_are_told() {
+    let node = Node::start(&[entry("c", holder("c", counted()), "cache", "up")]);
+    let mut client = node.client();
+    client.send(
+        "mg k1 v O1 Pc=read,d=2000\r\nget k\r\nmg k2 v O2 Pc=read,d=2000\r\nmg k v O3 Pc=x,d=9\r\nmn\r\n",
+    );
+    assert_eq!(client.answer(), value("1", "c:1"));
+    assert_eq!(client.answer(), "CLIENT_ERROR unknown command\r\n");
+    assert_eq!(client.answer(), value("2", "c:2"));
+    assert_eq!(client.answer(), "CLIENT_ERROR unknown class\r\n");
+    assert_eq!(client.answer(), "MN\r\n");
+    assert_eq!(client.ask("ms k 99999999 O4\r\n"), "CLIENT_ERROR object too large\r\n");
+    assert_eq!(client.answer(), "", "framing is lost, so the connection closes");
+}
+
+#[test]
+fn a_transaction_that_nobody_serves_gets_one_answer_in_time() {
+    let node = Node::start(&[entry("c", server(|_| None), "cache", "up")]);
+    let mut client = node.client();
+    let answer = client.read("1", 300);
+    assert!(answer.starts_with("SERVER_ERROR "), "{answer}");
+    assert_eq!(client.ask("mn\r\n"), "MN\r\n", "nothing more comes for the first");
+}
+
+#[test]
+fn a_late_answer_reaches_no_other_transaction() {
+    let released = Arc::new(AtomicBool::new(false));
+    let release = released.clone();
+    let cache = server(move |command| {
+        let id = flag(command, 'O');
+        while id == "1" && !released.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        Some(value(id, id))
+    });
+    let node = Node::start(&[entry("c", cache, "cache", "up")]);
+    let mut client = node.client();
+    assert!(client.read("1", 200).starts_with("SERVER_ERROR "));
+    release.store(true, Ordering::SeqCst);
+    // The module leaves a silent member alone for a while, and says so.
+    let served = (2..200).map(|id| id.to_string()).find_map(|id| {
+        let answer = client.read(&id, 2000);
+        thread::sleep(Duration::from_millis(20));
+        (!answer.starts_with("SERVER_ERROR busy")).then_some((id, answer))
+    });
+    let (id, answer) = served.expect("served in the end");
+    assert_eq!(answer, value(&id, &id));
+}
+
+#[test]
+fn nothing_new_goes_to_a_member_that_drains_and_a_bad_list_changes_nothing() {
+    let (asked, other) = (counted(), counted());
+    let (a, b) = (holder("a", asked.clone()), holder("b", other));
+    let node = Node::start(&[entry("a", a, "cache", "up")]);
+    let mut client = node.client();
+    assert_eq!(client.read("1", 2000), value("1", "a:1"));
+    node.list.set(|_| "{\"rev\":".into());
+    node.list.told();
+    assert_eq!(client.read("1b", 2000), value("1b", "a:1b"));
+    node.list.entries(&[entry("a", a, "cache", "draining"), entry("b", b, "cache", "up")]);
+    let served = (2..2000).map(|id| id.to_string()).find_map(|id| {
+        let answer = client.read(&id, 2000);
+        thread::sleep(Duration::from_millis(5));
+        (answer == value(&id, &format!("b:{id}"))).then_some(())
+    });
+    served.expect("the list is told in the end");
+    let before = asked.load(Ordering::SeqCst);
+    for id in 3000..3050 {
+        assert_eq!(client.read(&id.to_string(), 2000), value(&id.to_string(), &format!("b:{id}")));
+    }
+    assert_eq!(asked.load(Ordering::SeqCst), before);
+}
+
+#[test]
+fn a_member_that_talks_nonsense_costs_only_its_own_flow() {
+    let good = holder("good", counted());
+    let bad = server(|_| Some("VA x\r\n\u{1}\r\n".into()));
+    let node = Node::start(&[entry("bad", bad, "cache", "up"), entry("good", good, "cache", "up")]);
+    let mut client = node.client();
+    let answers: Vec<String> = (0..50).map(|id| client.read(&id.to_string(), 2000)).collect();
+    assert!(answers.iter().all(|a| a.starts_with("VA ") || a.starts_with("SERVER_ERROR ")), "{answers:?}");
+    assert!(answers.iter().any(|a| a.contains("good:")), "{answers:?}");
+}
+
+#[test]
+fn a_node_told_to_stop_answers_what_it_took_and_ends() {
+    let (tell, asked) = mpsc::channel();
+    let (release, released) = mpsc::channel::<()>();
+    let (tell, released) = (Mutex::new(tell), Mutex::new(released));
+    let cache = server(move |command| {
+        tell.lock().unwrap().send(()).unwrap();
+        released.lock().unwrap().recv().unwrap();
+        Some(value(flag(command, 'O'), "slow"))
+    });
+    let mut node = Node::start(&[entry("c", cache, "cache", "up")]);
+    let mut client = node.client();
+    client.send("mg k v O1 Pc=read,d=60000\r\n");
+    asked.recv_timeout(WIDE).unwrap();
+    let pid = node.child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    release.send(()).unwrap();
+    assert_eq!(client.answer(), value("1", "slow"));
+    assert_eq!(client.answer(), "", "connections close between requests");
+    assert!(node.child.wait().unwrap().success());
+}
+
+#[test]
+fn a_bad_configuration_ends_the_program_with_one_line() {
+    let whole = format!(r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{SETTINGS}}}"#);
+    let cases = [
+        ("{", "bad JSON"),
+        (r#"{"settings":{}}"#, "no request classes"),
+        (&whole.replace("127.0.0.1:0", "nowhere"), "is no address and port"),
+        (&whole.replace("\"settings\"", r#""limits":{"sockets":3},"settings""#), "sockets must be at least"),
+        (&whole.replace("\"multiplex\":32", "\"multiplex\":0"), "must be above 0"),
+    ];
+    for (config, expected) in cases {
+        let output = program(config, &[]).output().unwrap();
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success() && said.lines().count() == 1 && said.contains(expected), "{said}");
+    }
+}
