Divide descriptors by the members listed; leave the first watch to the decisions

Clients now get what the listed members cannot use, idle clients make room, and a client that was just used is not taken for idle. The accept queue is 1,024 long.

Tests: idle_clients_make_room_when_descriptors_are_short, a_client_that_does_not_read_is_not_read_from_and_loses_nothing.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -146,6 +146,8 @@
     origin_kind: Option<u32>,
     phase: Phase,
     longest_wait: Micros,
+    /// Descriptors for clients and members together.
+    sockets: usize,
     /// Transactions that may be held at a time.
     most_held: usize,
 }
@@ -183,14 +185,12 @@
             actions: Vec::new(),
             origin_kind,
             phase: Phase::Serving,
+            sockets,
             longest_wait: longest.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT),
             most_held: bounds.most_held.min(by_memory / (2 * super::memcache::MAX_VALUE)).max(1),
             options: config.options,
         };
         node.listed(Scope::Remembered, config.known);
-        // The first watch is out before the first client; the decisions ask for all later ones.
-        let failed = node.discovery.watch(now, &mut node.deadlines);
-        node.discovery_news(failed);
         node.turn();
         println!("{} listens on {}", config.name, node.server.address().unwrap_or(config.listen));
         Ok(node)
@@ -330,6 +330,7 @@
             let origin = self.origin_kind == Some(t.listed.kind);
             self.pool.list(t.listed.server, t.endpoint, origin, t.listed.stage);
         }
+        self.server.limit = self.sockets - self.pool.reserve();
         let list = targets.into_iter().map(|t| t.listed).collect();
         self.transactions.events.push_back(Event::Servers { scope, list });
     }
--- a/src/net/pool_member.rs
+++ b/src/net/pool_member.rs
@@ -143,6 +143,11 @@
         self.members.keys().copied().collect()
     }
 
+    /// Connections that the members there are may take, within the limit for all.
+    pub fn reserve(&self) -> usize {
+        self.members.values().map(|m| m.most).sum::<usize>().min(self.limits.in_all)
+    }
+
     pub fn any_open(&self) -> bool {
         self.members.values().any(|m| !m.closed)
     }
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -6,6 +6,7 @@
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use lapisrudder::{Micros, RequestId};
 use rustc_hash::FxHashMap;
+use socket2::{Domain, Protocol, Type};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use std::net::{SocketAddr, TcpListener};
@@ -19,6 +20,12 @@
 /// Buffers larger than this are given back once empty.
 const KEPT: usize = 16 << 10;
 
+/// A client that was used within this time is not taken for idle.
+const JUST_NOW: Micros = 100_000;
+/// Connections that the kernel keeps until they are accepted. Guards against a burst whose connects are dropped
+/// there and tried again only after a second.
+const BACKLOG: i32 = 1024;
+
 /// What the clients' side tells the node.
 pub enum News {
     Command { client: u64, request: RequestId, raw: Box<[u8]> },
@@ -97,7 +104,7 @@
     token: Option<RegistrationToken>,
     handle: Handle,
     /// Connections that may be open at once, so that descriptors are left for pool members.
-    limit: usize,
+    pub limit: usize,
     paused: bool,
     /// Between requests connections close: the node is stopping.
     draining: bool,
@@ -116,9 +123,12 @@
 
 impl VirtualServer {
     pub fn new(at: SocketAddr, limit: usize, handle: &Handle) -> io::Result<VirtualServer> {
-        let listener = TcpListener::bind(at)?;
+        let listener = socket2::Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+        listener.set_reuse_address(true)?;
+        listener.bind(&at.into())?;
+        listener.listen(BACKLOG)?;
         listener.set_nonblocking(true)?;
-        let listener = Rc::new(listener);
+        let listener = Rc::new(TcpListener::from(listener));
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
         let token = handle
             .insert_source(source, |_, _, node| {
@@ -151,12 +161,12 @@
         self.clients.is_empty()
     }
 
-    /// Takes all new connections there is room for. True if descriptors have run out.
+    /// Takes all new connections there is room for. True if that must be tried again soon.
     pub fn accept(&mut self, now: Micros) -> bool {
         while let Some(listener) = self.listener.clone() {
-            if self.clients.len() >= self.limit && !self.close_longest_idle() {
+            if self.clients.len() >= self.limit && !self.close_longest_idle(now) {
                 self.pause();
-                return false;
+                return true;
             }
             match listener.accept() {
                 Ok((stream, _)) => {
@@ -181,7 +191,7 @@
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
                 // Guards against a loop that spins on EMFILE: the listener stays readable all the while.
                 Err(_) => {
-                    self.close_longest_idle();
+                    self.close_longest_idle(now);
                     self.pause();
                     return true;
                 }
@@ -202,9 +212,10 @@
         }
     }
 
-    /// A node may close a connection between requests: room for a client that has something to ask.
-    fn close_longest_idle(&mut self) -> bool {
-        let idle = |c: &Client| c.quiet() && c.input.is_empty() && !c.unread;
+    /// A node may close a connection between requests: room for a client that has something to ask. One that
+    /// was used or came just now likely has something to ask itself.
+    fn close_longest_idle(&mut self, now: Micros) -> bool {
+        let idle = |c: &Client| c.quiet() && c.input.is_empty() && !c.unread && now - c.used > JUST_NOW;
         let longest = self.clients.iter().filter(|(_, c)| idle(c)).min_by_key(|(_, c)| c.used);
         let id = longest.map(|(id, _)| *id);
         id.is_some_and(|id| self.clients.remove(&id).is_some())
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -121,6 +121,37 @@
     assert!(answers.iter().any(|a| a.contains("good:")), "{answers:?}");
 }
 
+#[test]
+fn a_client_that_does_not_read_is_not_read_from_and_loses_nothing() {
+    const MANY: usize = 2000;
+    let asked = counted();
+    let count = asked.clone();
+    let big = "x".repeat(64 * 1024);
+    let cache = server(move |command| {
+        count.fetch_add(1, Ordering::SeqCst);
+        Some(value(flag(command, 'O'), &big))
+    });
+    let node = Node::start(&[entry("c", cache, "cache", "up")]);
+    let mut client = node.client();
+    let id = |n: usize| format!("{n:x}");
+    client.send(&(0..MANY).map(|n| format!("mg k v O{} Pc=read,d=60000\r\n", id(n))).collect::<String>());
+    let mut other = node.client();
+    (0..50).for_each(|n| assert!(other.read(&format!("f{n}"), 60_000).starts_with("VA ")));
+    assert!(asked.load(Ordering::SeqCst) < MANY / 2, "the rest waits for the client");
+    for n in 0..MANY {
+        assert!(client.answer().starts_with(&format!("VA 65536 O{}\r\n", id(n))));
+    }
+}
+
+#[test]
+fn idle_clients_make_room_when_descriptors_are_short() {
+    let node = Node::limited(&[entry("c", holder("c", counted()), "cache", "up")], 64);
+    let mut clients: Vec<Client> = (0..100).map(|_| node.client()).collect();
+    let last = clients.last_mut().unwrap();
+    assert_eq!(last.read("1", 60_000), value("1", "c:1"));
+    assert_eq!(clients[0].answer(), "", "the one idle for longest was closed");
+}
+
 #[test]
 fn a_node_told_to_stop_answers_what_it_took_and_ends() {
     let (tell, asked) = mpsc::channel();
--- a/tests/toy/mod.rs
+++ b/tests/toy/mod.rs
@@ -140,11 +140,15 @@
 impl Node {
     /// Starts a node that discovery tells of these entries.
     pub fn start(entries: &[String]) -> Node {
+        Node::limited(entries, 1024)
+    }
+
+    pub fn limited(entries: &[String], sockets: u32) -> Node {
         let list = List::default();
         list.entries(entries);
         let discovery = list.clone().serve();
         let config = format!(
-            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1","settings":{SETTINGS}}}"#
+            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{SETTINGS}}}"#
         );
         let mut child = program(&config, &[]).spawn().expect("the program starts");
         let mut output = BufReader::new(child.stdout.take().expect("its output"));
