Halve the connections to each member, so that full tables take no capacity

Checked: no failed connects, no resets, 0.05 s of CPU in a node's busiest second; so neither refusals nor the node's own speed.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -29,8 +29,9 @@
 const ACCEPT_AGAIN: Micros = 50_000;
 /// Idle connections close long before the member's machine may close them under a request.
 const IDLE_MOST: Micros = 10_000_000;
-/// Connections to one member, by all nodes: members refuse more, and slow down as their table fills.
-const PER_MEMBER: usize = 48;
+/// Connections to one member, by all nodes. Guards a member's capacity: the fuller its table, the less it has
+/// left to serve with. At 48 a busy day tipped into a jam; at 24 flows seldom wait behind others.
+const PER_MEMBER: usize = 24;
 /// Descriptors that are neither a client's nor a member's: standard streams, loop, listener, discovery.
 const OWN_SOCKETS: usize = 24;
 
--- a/src/net/pool_member.rs
+++ b/src/net/pool_member.rs
@@ -113,8 +113,8 @@
 
     /// What the list says of a member. Flows not yet begun never go to one that drains or is gone.
     pub fn list(&mut self, server: ServerId, endpoint: SocketAddr, origin: bool, stage: Stage) {
-        // The origin's connections carry one flow each, so that it needs more of them.
-        let per_member = self.limits.per_member * if origin { 2 } else { 1 };
+        // The origin's connections carry one flow each, and the decisions bound how many flows it gets.
+        let per_member = self.limits.per_member * if origin { 4 } else { 1 };
         let member = self.members.entry(server).or_insert_with(|| PoolMember {
             endpoint,
             origin,
