--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -30,8 +30,10 @@
 /// Idle connections close long before the member's machine may close them under a request.
 const IDLE_MOST: Micros = 10_000_000;
 /// Connections to one member, by all nodes. Guards a member's capacity: the fuller its table, the less it has
-/// left to serve with. At 48 a busy day tipped into a jam; at 24 flows seldom wait behind others.
-const PER_MEMBER: usize = 24;
+/// left to serve with. At 48 a busy day tipped into a jam; at 12 an overloaded one still did better than at 24.
+const PER_MEMBER: usize = 12;
+/// The same for the origin, whose connections carry one flow each; the decisions bound how many flows it gets.
+const TO_ORIGIN: usize = 96;
 /// Descriptors that are neither a client's nor a member's: standard streams, loop, listener, discovery.
 const OWN_SOCKETS: usize = 24;
 
@@ -167,6 +169,7 @@
             idle: micros(bounds.conn_idle_s / 4.0).min(IDLE_MOST),
             multiplex: bounds.multiplex,
             per_member: (PER_MEMBER / siblings).max(2),
+            to_origin: (TO_ORIGIN / siblings).max(2),
             in_all: sockets / 2,
         };
         let server = VirtualServer::new(config.listen, sockets / 2, handle)
--- a/src/net/pool_member.rs
+++ b/src/net/pool_member.rs
@@ -47,7 +47,7 @@
     connections: Vec<u64>,
     /// Flows that wait for a connection, oldest first.
     waiting: VecDeque<Flow>,
-    /// Connections that it takes, as far as refusals have shown.
+    /// Connections to it at the most.
     most: usize,
 }
 
@@ -82,8 +82,9 @@
     pub idle: Micros,
     /// Flows on one connection at a time.
     pub multiplex: usize,
-    /// Connections to one member, and to all.
+    /// Connections to one member, to the origin, and to all.
     pub per_member: usize,
+    pub to_origin: usize,
     pub in_all: usize,
 }
 
@@ -113,15 +114,14 @@
 
     /// What the list says of a member. Flows not yet begun never go to one that drains or is gone.
     pub fn list(&mut self, server: ServerId, endpoint: SocketAddr, origin: bool, stage: Stage) {
-        // The origin's connections carry one flow each, and the decisions bound how many flows it gets.
-        let per_member = self.limits.per_member * if origin { 4 } else { 1 };
+        let most = if origin { self.limits.to_origin } else { self.limits.per_member };
         let member = self.members.entry(server).or_insert_with(|| PoolMember {
             endpoint,
             origin,
             closed: false,
             connections: Vec::new(),
             waiting: VecDeque::new(),
-            most: per_member,
+            most,
         });
         (member.endpoint, member.origin, member.closed) = (endpoint, origin, stage != Stage::Live);
         if member.closed {
@@ -474,7 +474,8 @@
         /// Sends so many flows of one transaction.
         fn new(origin: bool, flows: u32) -> Desk {
             let events = EventLoop::try_new().unwrap();
-            let limits = Limits { connect_timeout: 1, idle: 1, multiplex: 2, per_member: 1, in_all: 1 };
+            let limits =
+                Limits { connect_timeout: 1, idle: 1, multiplex: 2, per_member: 1, to_origin: 1, in_all: 1 };
             let mut pool = Pool::new(limits, &events.handle());
             let listener = TcpListener::bind("127.0.0.1:0").unwrap();
             let at = listener.local_addr().unwrap();
