Test that a dead member costs its keys a detour only

A member whose port refuses connections ends each flow as ConnectFailed; every read still gets one answer, and those of other members are served. No change to the node.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -121,6 +121,17 @@
     assert!(answers.iter().any(|a| a.contains("good:")), "{answers:?}");
 }
 
+#[test]
+fn a_dead_member_costs_its_keys_a_detour_only() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let good = holder("good", counted());
+    let node = Node::start(&[entry("gone", gone, "cache", "up"), entry("good", good, "cache", "up")]);
+    let mut client = node.client();
+    let answers: Vec<String> = (0..50).map(|id| client.read(&id.to_string(), 60_000)).collect();
+    assert!(answers.iter().all(|a| a.starts_with("VA ") || a.starts_with("SERVER_ERROR ")), "{answers:?}");
+    assert!(answers.iter().filter(|a| a.contains("good:")).count() > 10, "{answers:?}");
+}
+
 #[test]
 fn a_client_that_does_not_read_is_not_read_from_and_loses_nothing() {
     const MANY: usize = 2000;
