Move the decisions into a crate of their own

Need: a crate for configuration has to know the settings and list entries that the decisions take, and must not depend on the daemon's package.

Change: interface.rs, rules.rs and state.rs move unchanged to crates/decisions; the root library re-exports all of it, so that `lapisrudder::Balancer` and the rest keep their paths.

--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decides, for a load balancer node in front of a fleet of cache servers, which server each request goes to,
+//! whether it is tried again, and what is turned away.
+//!
+//! No I/O and no clock: feed a [`Balancer`] with [`Event`]s and the time they happened at, and carry out the
+//! [`Action`]s that it answers with. All types that it speaks are in [`interface`].
+#![forbid(unsafe_code)]
+
+pub mod interface;
+pub mod rules;
+mod state;
+
+pub use interface::*;
+pub use rules::Balancer;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,10 +6,6 @@
 #![doc = include_str!("../README.md")]
 #![forbid(unsafe_code)]
 
-pub mod interface;
-pub mod rules;
-mod state;
 pub mod wire;
 
-pub use interface::*;
-pub use rules::Balancer;
+pub use lapisrudder_decisions::*;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -387,7 +387,7 @@
 
 #[test]
 fn rules_rs_keeps_its_limits() {
-    let text = include_str!("../src/rules.rs");
+    let text = include_str!("../crates/decisions/src/rules.rs");
     let lines = text.lines().filter(|l| !l.trim().is_empty()).count();
     assert!(lines <= 730, "{lines} lines");
     assert!(text.lines().all(|l| l.chars().count() <= 110));
