Add what the limits are made of: fair shares, rates, life tables, reserve, stages, spells

Need: a flood, a slow client or a reload must not decide by accident who keeps room. Change: weighted max-min shares in a treap of groups, rates by source in a multistage filter of fixed memory, the hazard of a next request by class and idle age with censoring and forgetting, a reserve that is lent only as far as it can be taken back, stages of running out with hysteresis, and events once a spell. Each stands alone.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -22,9 +22,16 @@
 #![warn(missing_docs, unreachable_pub)]
 
 pub mod admission;
+pub mod caps;
+pub mod hazard;
+pub mod keep;
 pub mod orders;
+pub mod reserve;
+pub mod room;
 pub mod settings;
+pub mod share;
 pub mod source;
+pub mod spells;
 
 pub use admission::{Accepting, Admission, Resources, Shortage, Used};
 pub use orders::{Activity, ConnId, Event, EventKind, Explanation, Facts, Intake, Order, Situation, Ticket};
