Ask the limits who gets in, who is kept and what is taken in

Need: fixed times and counts in the virtual server learn nothing. Change: the virtual server asks Admission at each accept, request and change of a connection, and carries out its orders; a spare descriptor lets a refusal be told when descriptors have run out; closes between requests shut the sending side first, so that a request that crosses one is seen and counted.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -4,6 +4,7 @@
 use super::memcache::{MAX_LINE, MAX_VALUE};
 use super::socket::Socket;
 use lapisrudder::{Micros, RequestId};
+use lapisrudder_limits::{Activity, ConnId};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 
@@ -16,17 +17,14 @@
 const KEPT: usize = 4 << 10;
 /// Errors on one connection after which it closes. Guards usual clients against one that sends nothing else.
 const ERRORS: u32 = 16;
-/// A connection that has brought no transaction, or but a part of a command, for this long is closed.
-const UNFINISHED: Micros = 2_200_000;
-/// One that was used is closed after this long without a request. Guards clients that may hold only so many: where
-/// each asks once and keeps its connection, others find none.
-const IDLE: Micros = 2_050_000;
 /// An answer that its client does not read is kept for this long.
 const UNREAD_FOR: Micros = 30_000_000;
 /// A connection on which framing was lost is read from, and what comes is dropped, for this long and up to so
 /// many bytes. Guards the error line: closing on unread bytes sends a reset, which may destroy it.
 const LINGER: Micros = 1_000_000;
 const DRAINED: usize = 1 << 20;
+/// One that was closed between requests is read from for this long, to see whether the close crossed a request.
+const PARTING: Micros = 100_000;
 
 /// The room that one read needs at most: what is left of a command, and as much again to read into.
 pub const SCRATCH: usize = 2 * (MAX_LINE + MAX_VALUE + 2);
@@ -43,9 +41,23 @@
     Closing,
     /// All is sent, and its sending side shut; what still comes is dropped.
     Lingering,
+    /// Its sending side was shut between requests, to make room.
+    Parting,
+}
+
+/// What came on a connection that is over.
+#[derive(PartialEq)]
+pub enum Drained {
+    Nothing,
+    /// Something that a close had crossed.
+    Crossed,
+    /// The peer has closed too.
+    Ended,
 }
 
 pub struct Client {
+    /// Its name in the books of who gets in.
+    pub conn: ConnId,
     socket: Socket,
     /// Part of a command that has been read.
     pub input: Vec<u8>,
@@ -56,19 +68,18 @@
     phase: Phase,
     /// The socket may hold more that was not read.
     pub unread: bool,
-    /// It had the answer to a transaction: somebody uses it, and does not merely hold it.
-    pub used: bool,
     errors: u32,
     drained: usize,
-    /// When it last got on: connected, began a command, or was sent an answer.
-    pub since: Micros,
+    /// When it was last sent something, or began to be over.
+    since: Micros,
     /// When this is to be looked at again.
     pub deadline: Option<Key>,
 }
 
 impl Client {
-    pub fn new(socket: Socket, now: Micros) -> Client {
+    pub fn new(conn: ConnId, socket: Socket, now: Micros) -> Client {
         Client {
+            conn,
             socket,
             input: Vec::new(),
             slots: VecDeque::new(),
@@ -76,7 +87,6 @@
             sent: 0,
             phase: Phase::Open,
             unread: false,
-            used: false,
             errors: 0,
             drained: 0,
             since: now,
@@ -100,8 +110,31 @@
         self.unread
     }
 
+    /// Nothing more is owed on it, and its sending side is shut.
     pub fn lingers(&self) -> bool {
-        self.phase == Phase::Lingering
+        matches!(self.phase, Phase::Lingering | Phase::Parting)
+    }
+
+    /// What it is doing, as the limits see it.
+    pub fn activity(&self) -> Activity {
+        match self.phase {
+            Phase::Open if self.quiet() && !self.unread => {
+                if self.input.is_empty() {
+                    Activity::Idle
+                } else {
+                    Activity::Unfinished
+                }
+            }
+            _ if self.lingers() => Activity::Over,
+            _ => Activity::Owed,
+        }
+    }
+
+    /// Shuts its sending side between requests. Guards the count of closes that crossed a request: what comes from
+    /// here on does.
+    pub fn part(&mut self, now: Micros) -> io::Result<()> {
+        (self.phase, self.since) = (Phase::Parting, now);
+        self.socket.finish()
     }
 
     /// May be given another command.
@@ -124,22 +157,16 @@
         }
     }
 
-    /// The time at which it is to be closed, if nothing happens until then.
-    pub fn due(&self, now: Micros) -> Micros {
+    /// The time at which it is to be closed, if nothing happens until then and it is not between requests.
+    pub fn due(&self) -> Option<Micros> {
         let lasts = match self.phase {
             Phase::Lingering => LINGER,
+            Phase::Parting => PARTING,
             _ if self.sent < self.output.len() => UNREAD_FOR,
-            // The transactions have deadlines of their own.
-            _ if !self.slots.is_empty() => return now + UNFINISHED,
-            Phase::Open if self.used && self.input.is_empty() => IDLE,
-            _ => UNFINISHED,
+            // The transactions have deadlines of their own, and the limits know how long the others may stay.
+            _ => return None,
         };
-        self.since + lasts
-    }
-
-    /// A part of a command has come, and nothing is owed.
-    pub fn is_unfinished(&self) -> bool {
-        self.phase == Phase::Open && self.quiet() && !self.input.is_empty()
+        Some(self.since + lasts)
     }
 
     /// Reads once, behind what an earlier read left over; gives what there is now in `scratch`. `None` means
@@ -159,24 +186,22 @@
     }
 
     /// Keeps what is not taken of what was read.
-    pub fn keep(&mut self, rest: &[u8], taken: bool, now: Micros) {
-        if taken || self.used && self.input.is_empty() && !rest.is_empty() {
-            self.since = now;
-        }
+    pub fn keep(&mut self, rest: &[u8]) {
         self.input.clear();
         self.input.extend_from_slice(rest);
         self.input.shrink_to(KEPT);
     }
 
-    /// Drops what comes, up to a point. False once the peer has closed.
-    pub fn drain(&mut self, scratch: &mut [u8]) -> bool {
+    /// Drops what comes, up to a point.
+    pub fn drain(&mut self, scratch: &mut [u8]) -> Drained {
         match self.socket.read(scratch) {
-            Ok(Some(0)) | Err(_) => return false,
+            Ok(Some(0)) | Err(_) => return Drained::Ended,
+            Ok(Some(_)) if self.phase == Phase::Parting => return Drained::Crossed,
             Ok(Some(n)) => self.drained += n,
             Ok(None) => self.unread = false,
         }
         self.unread &= self.drained < DRAINED;
-        true
+        Drained::Nothing
     }
 
     /// Sends ready answers as far as the socket takes them.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -14,6 +14,7 @@
     Action, Balancer, CacheNote, Ended, Event, Micros, NewRequest, Outcome, RequestId, Scope, ServerId,
     Settings,
 };
+use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -31,8 +32,10 @@
 const LONGEST_WAIT: Micros = 3_000_000;
 /// No transaction is held for longer, whatever its client says.
 const LONGEST_HELD: Micros = 3_600_000_000;
-/// After descriptors ran out, accepting is tried again this soon.
-const ACCEPT_AGAIN: Micros = 50_000;
+/// How often the process's memory is looked at.
+const MEMORY_EVERY: Micros = 1_000_000;
+/// Clients hold at most this share of the descriptors that the platform gives a node.
+const CLIENTS_SHARE: usize = 3;
 /// Idle connections close long before the member's machine may close them under a request.
 const IDLE_MOST: Micros = 10_000_000;
 /// Connections to one member, by all nodes. Guards a member's capacity: the fuller its table, the less it has
@@ -69,6 +72,7 @@
 
 struct Transaction {
     client: u64,
+    ticket: Ticket,
     call: Rc<Call>,
     due: Micros,
     deadline: Option<Key>,
@@ -79,6 +83,8 @@
 #[derive(Default)]
 struct Transactions {
     all: FxHashMap<RequestId, Transaction>,
+    /// Which of them the limits mean.
+    tickets: FxHashMap<Ticket, RequestId>,
     /// The ids that their clients gave them.
     names: FxHashSet<Box<[u8]>>,
     /// Bytes of their commands.
@@ -119,13 +125,14 @@
         self.forget(flow.request);
     }
 
-    /// Marks a transaction as answered; gives its client if it was not before.
-    fn answer(&mut self, request: RequestId, deadlines: &mut Deadlines) -> Option<u64> {
+    /// Marks a transaction as answered; gives its client and ticket if it was not before.
+    fn answer(&mut self, request: RequestId, deadlines: &mut Deadlines) -> Option<(u64, Ticket)> {
         let transaction = self.all.get_mut(&request).filter(|t| !t.call.answered.replace(true))?;
         deadlines.remove(transaction.deadline.take());
-        let client = transaction.client;
+        let (client, ticket) = (transaction.client, transaction.ticket);
+        self.tickets.remove(&ticket);
         self.forget(request);
-        Some(client)
+        Some((client, ticket))
     }
 
     fn forget(&mut self, request: RequestId) {
@@ -134,6 +141,7 @@
             && let Some(transaction) = self.all.remove(&request)
         {
             self.bytes -= transaction.call.raw.len();
+            self.tickets.remove(&transaction.ticket);
             transaction.call.request().map(|r| self.names.remove(r.id));
         }
     }
@@ -170,6 +178,11 @@
     /// Transactions that may be held at a time, and bytes of their commands.
     most_held: usize,
     most_bytes: usize,
+    /// All descriptors, and all memory in bytes.
+    descriptors: usize,
+    memory: u64,
+    /// What the process took of it when that was last looked at.
+    resident: (Micros, u64),
 }
 
 impl Node {
@@ -189,7 +202,9 @@
             to_origin: (TO_ORIGIN / siblings).max(2),
             in_all: sockets / 2,
         };
-        let server = VirtualServer::new(config.listen, sockets, handle)
+        let admission = Admission::new(lapisrudder_limits::Settings::default(), config.seed, now)
+            .map_err(|e| e.to_string())?;
+        let server = VirtualServer::new(config.listen, admission, handle)
             .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
         let longest = config.options.request_classes.iter().map(|c| micros(c.give_up_s)).max();
         let mut node = Node {
@@ -209,6 +224,9 @@
             most_held: bounds.most_held.max(1),
             // The rest is for what is read and sent.
             most_bytes: (config.memory_mb as usize) << 18,
+            descriptors: config.sockets,
+            memory: config.memory_mb << 20,
+            resident: (now, 0),
             options: config.options,
         };
         node.listed(Scope::Remembered, config.known);
@@ -222,7 +240,7 @@
         if self.server.is_behind() {
             return Some(Duration::ZERO);
         }
-        let next = self.deadlines.next().into_iter().chain(self.server.next_early()).min();
+        let next = self.deadlines.next().into_iter().chain(self.server.due()).min();
         let wait = next? - self.clock.now();
         Some(Duration::from_micros(wait.max(0) as u64))
     }
@@ -234,10 +252,7 @@
     // ---- Callbacks ------------------------------------------------------------------------------------
 
     pub fn accept(&mut self) {
-        let now = self.clock.now();
-        if self.server.accept_some(now, &mut self.deadlines) {
-            self.deadlines.add(now + ACCEPT_AGAIN, Deadline::Accept);
-        }
+        self.server.accept(self.clock.now(), &mut self.deadlines);
     }
 
     pub fn client_ready(&mut self, id: u64) {
@@ -257,6 +272,7 @@
                 && let Some(transaction) = transactions.all.get(&flow.id.request)
             {
                 serve(server, transaction.client, flow.id.request, request, &answer, now);
+                server.over(transaction.ticket, true, now);
             }
             ended.push((flow.id, outcome, note));
         });
@@ -289,7 +305,7 @@
     pub fn stop(&mut self) {
         if self.phase == Phase::Serving {
             self.phase = Phase::Stopping;
-            self.server.stopping = true;
+            self.server.stopping();
             let now = self.clock.now();
             self.deadlines.add(now + ACCEPTS_ON, Deadline::Leave);
             self.deadlines.add(now + self.longest_wait + STOP_TAKING, Deadline::StopAccepting);
@@ -304,10 +320,16 @@
             match news {
                 virtual_server::News::Command { client, request, raw } => self.take(client, request, raw),
                 virtual_server::News::Left { request } => {
-                    if self.transactions.answer(request, &mut self.deadlines).is_some() {
+                    if let Some((_, ticket)) = self.transactions.answer(request, &mut self.deadlines) {
+                        self.server.over(ticket, false, self.clock.now());
                         self.transactions.events.push_back(Event::ClientLeft { request });
                     }
                 }
+                virtual_server::News::Recall { ticket, retry_ms } => {
+                    let Some(&request) = self.transactions.tickets.get(&ticket) else { continue };
+                    self.end(request, format!("SERVER_ERROR busy {retry_ms}\r\n").as_bytes());
+                    self.transactions.events.push_back(Event::ClientLeft { request });
+                }
             }
         }
     }
@@ -329,10 +351,21 @@
         if self.transactions.names.contains(request.id) {
             return self.server.reject(client, id, "request id in use", now);
         }
-        if self.transactions.all.len() >= self.most_held || self.transactions.bytes >= self.most_bytes {
-            return self.server.answer(client, id, &[b"SERVER_ERROR busy\r\n"], now);
-        }
         let due = now + (wait as Micros).saturating_mul(1000).clamp(0, LONGEST_HELD);
+        let facts = Facts {
+            worth: self.options.request_classes[class].worth,
+            left: due - now,
+            bytes: call.raw.len(),
+            class,
+            recallable: self.options.request_classes[class].may_repeat(),
+        };
+        let ticket = match self.server.intake(client, &facts, now) {
+            Intake::Take { ticket } => ticket,
+            Intake::Refuse { retry_ms, .. } => {
+                let line = format!("SERVER_ERROR busy {}\r\n", retry_ms.max(1));
+                return self.server.answer(client, id, &[line.as_bytes()], now);
+            }
+        };
         let new = NewRequest {
             request: id,
             key: Some(lapisrudder::Key(digest(&String::from_utf8_lossy(request.key)))),
@@ -345,8 +378,9 @@
         };
         let deadline = Some(self.deadlines.add(due + OVERDUE, Deadline::Transaction(id)));
         let flows = Vec::new();
-        let transaction = Transaction { client, call: call.clone(), due, deadline, flows };
+        let transaction = Transaction { client, ticket, call: call.clone(), due, deadline, flows };
         self.transactions.all.insert(id, transaction);
+        self.transactions.tickets.insert(ticket, id);
         self.transactions.names.insert(request.id.into());
         self.transactions.bytes += call.raw.len();
         self.transactions.events.push_back(Event::Request(new));
@@ -375,7 +409,6 @@
             let origin = self.origin_kind == Some(t.listed.kind);
             self.pool.list(t.listed.server, t.endpoint, origin, t.listed.stage, &mut self.deadlines);
         }
-        self.server.limit = self.sockets - self.pool.reserve();
         let list = targets.into_iter().map(|t| t.listed).collect();
         self.transactions.events.push_back(Event::Servers { scope, list });
     }
@@ -398,7 +431,7 @@
                     self.discovery_news(Some(news));
                 }
                 Deadline::Accept => {
-                    self.server.resume();
+                    self.server.resume(&mut self.deadlines);
                     self.accept();
                 }
                 Deadline::Leave => self.phase = Phase::Leaving,
@@ -428,9 +461,34 @@
 
     /// The final answer, in one line.
     fn end(&mut self, id: RequestId, line: &[u8]) {
-        if let Some(client) = self.transactions.answer(id, &mut self.deadlines) {
-            self.server.answer(client, id, &[line], self.clock.now());
+        if let Some((client, ticket)) = self.transactions.answer(id, &mut self.deadlines) {
+            let now = self.clock.now();
+            self.server.answer(client, id, &[line], now);
+            self.server.over(ticket, false, now);
+        }
+    }
+
+    /// Tells the limits what there is, and does what they say.
+    fn keep_limits(&mut self) {
+        let now = self.clock.now();
+        if now - self.resident.0 >= MEMORY_EVERY {
+            self.resident = (now, resident_bytes());
         }
+        let members = self.pool.open();
+        let resources = Resources {
+            connections: self.sockets - self.pool.reserve(),
+            clients_room: self.descriptors / CLIENTS_SHARE,
+            in_flight: self.most_held,
+            buffer_bytes: self.most_bytes,
+            descriptors: Used {
+                used: (self.server.held() + members + OWN_SOCKETS) as u64,
+                limit: self.descriptors as u64,
+            },
+            memory: Used { used: self.resident.1, limit: self.memory },
+            ports: Used::default(),
+        };
+        self.server.resources(now, &resources);
+        self.server.keep_limits(now, &mut self.deadlines);
     }
 
     // ---- Actions --------------------------------------------------------------------------------------
@@ -438,7 +496,7 @@
     /// One turn: sweeps deadlines, gives all events to the decisions, and carries out what they say.
     pub fn turn(&mut self) {
         self.sweep();
-        self.server.close_early(self.clock.now(), &mut self.deadlines);
+        self.keep_limits();
         self.server.read_on(&mut self.scratch, self.clock.now(), &mut self.deadlines);
         loop {
             while let Some((flow, outcome)) = self.pool.lost.pop_front() {
@@ -503,6 +561,13 @@
     }
 }
 
+/// Memory that the process holds now; 0 where the system does not say.
+fn resident_bytes() -> u64 {
+    let told = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = told.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.trim().trim_end_matches(" kB").parse::<u64>().ok()).unwrap_or(0) << 10
+}
+
 /// What an answer means for a flow.
 fn judge(answer: &Answer) -> (Outcome, Option<CacheNote>) {
     match answer {
--- a/src/net/pool_member.rs
+++ b/src/net/pool_member.rs
@@ -120,6 +120,11 @@
         self.members.values().map(needs).sum::<usize>().min(self.limits.in_all)
     }
 
+    /// Connections held.
+    pub fn open(&self) -> usize {
+        self.connections.len()
+    }
+
     pub fn any_open(&self) -> bool {
         self.members.values().any(|m| !m.closed)
     }
@@ -151,7 +156,7 @@
                 return;
             }
             if idle.is_none() && (room || member.connections.is_empty()) {
-                if !self.open(server, now, deadlines) {
+                if !self.connect(server, now, deadlines) {
                     return self.not_connected(server, now, deadlines);
                 }
                 continue;
@@ -177,7 +182,7 @@
     }
 
     /// Begins to connect; false if that failed at once.
-    fn open(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) -> bool {
+    fn connect(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) -> bool {
         let Some(member) = self.members.get_mut(&server) else { return false };
         let id = self.next;
         self.next += 1;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -117,10 +117,17 @@
     effect: String,
     group: String,
     window_s: f64,
-    worth: f64,
+    pub worth: f64,
     late_worth: f64,
 }
 
+impl WireClass {
+    /// A request of the class may run more than once, and be refused at any time.
+    pub fn may_repeat(&self) -> bool {
+        self.effect == "free"
+    }
+}
+
 #[derive(Deserialize, Default)]
 #[serde(default, rename_all = "kebab-case")]
 struct WireTenant {
