Let Admission decide who gets in, who makes room and what is taken in

Need: which connection is closed for another was decided by two fixed times, whoever the source and whatever clients' gaps are; nothing bounded one source, kept room for known clients or turned requests away by worth. Change: books of connections and sources with lists by class; victims by worth and fair share; early closes while the clients' room is nearly taken, with the share that crosses a request bounded; caps, reserve, stages, overload by rank and Erlang's loss formula; orders polled, events drained, an explanation in plain lines.

--- /dev/null
+++ b/crates/limits/src/admission/mod.rs
@@ -0,0 +1,573 @@
+//! The one type that hosts call: what they tell it of connections and requests, and what it has them do.
+//!
+//! # How a host drives it
+//!
+//! - Each turn: [`Admission::resources`] (what there is), then callbacks, then [`Admission::poll`] until it gives
+//!   `None`, then [`Admission::events`] to the log. Wake at [`Admission::due`].
+//! - Accepting: [`Admission::accepting`] says how many connections to take from the kernel's queue now. For each one
+//!   look whether something came with it (a peek), and ask [`Admission::arrived`]. Where `accept` fails with EMFILE
+//!   or ENFILE: [`Admission::ran_out`].
+//! - A connection: [`Admission::state`] whenever what it is doing may have changed (calling it with no change costs
+//!   nothing), [`Admission::left`] once it is closed, whoever closed it.
+//! - A request: [`Admission::request`] when its last byte is read, [`Admission::ended`] when its final answer is
+//!   given or its client is gone.
+//! - A name that is not in the books (any more) is passed over in silence: hosts need not keep count of what they
+//!   were told.
+
+mod explain;
+mod orders_due;
+mod requests;
+#[cfg(test)]
+mod tests;
+mod victims;
+
+use crate::Micros;
+use crate::books::Books;
+use crate::caps::{Bucket, Filter, Rate};
+use crate::flights::Flights;
+use crate::intake::Overload;
+use crate::keep::{Newcomer, Worth, micros};
+use crate::meter::Meter;
+use crate::orders::{Activity, ConnId, Event, EventKind, Order, Verdict, Why};
+use crate::reserve::Pool;
+use crate::room::Stages;
+use crate::settings::{Caps, MOST_CONNECTIONS, Settings, SettingsError};
+use crate::source::{Directory, Keyed, Source};
+use crate::spells::Spells;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::VecDeque;
+use std::net::IpAddr;
+
+/// Connections taken from the kernel's queue in one turn. Guards those there are against a storm of new ones.
+const BULK: usize = 64;
+/// While all places are held, newcomers wait in the kernel's queue for so long before it is looked at again.
+const LOOK_AGAIN: Micros = 50_000;
+/// Of those that are told to come again, so many are taken from the queue in one turn.
+const TOLD_AT_ONCE: usize = 16;
+
+/// How much of something is used. A `limit` of 0 means that it is not known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Used {
+    /// In use.
+    pub used: u64,
+    /// As much as there is.
+    pub limit: u64,
+}
+
+/// What the host can bear, as of now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Resources {
+    /// Connections that clients may hold at this node, in all: its descriptors without those that members,
+    /// discovery, the origin and the node itself need.
+    pub connections: usize,
+    /// Connections that usual clients open at most, all together, where the deployment bounds that (a third of the
+    /// node's descriptors). 0: not bound, and idle ones are closed early only where a newcomer asks for room.
+    pub clients_room: usize,
+    /// Requests that may be in flight: the intake's limit. May be a limit that follows.
+    pub in_flight: usize,
+    /// Bytes that may be held for commands. 0: not bound.
+    pub buffer_bytes: usize,
+    /// Descriptors of the process.
+    pub descriptors: Used,
+    /// Memory, in bytes.
+    pub memory: Used,
+    /// Ephemeral ports towards the busiest member.
+    pub ports: Used,
+}
+
+/// How many connections to take from the kernel's queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Accepting {
+    /// Up to so many in this turn. Ask again after them.
+    Take(usize),
+    /// None until then, or until [`Admission::accepting`] says otherwise.
+    Pause {
+        /// When to ask again at the latest.
+        until: Micros,
+    },
+}
+
+/// What to do where `accept` found no descriptor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shortage {
+    /// Close the spare descriptor, accept, tell the connection `busy` with so many milliseconds, close it, open the
+    /// spare again and report [`Admission::spare`]. Ask [`Admission::accepting`] before the next.
+    UseSpare {
+        /// Come again after so many milliseconds.
+        retry_ms: u32,
+    },
+    /// Leave the queue alone until then.
+    Pause {
+        /// When to ask [`Admission::accepting`] again.
+        until: Micros,
+    },
+}
+
+/// Caps on one rate, in all and by source.
+struct Rates {
+    all: Bucket,
+    by_source: Filter,
+}
+
+impl Rates {
+    fn new(caps: &Caps, all: f64, by_source: f64, key: Keyed) -> Rates {
+        Rates {
+            all: Bucket::new(Rate::new(all, caps.burst_ms)),
+            by_source: Filter::new(Rate::new(by_source, caps.burst_ms), caps.rate_cells, key),
+        }
+    }
+
+    fn reload(&mut self, caps: &Caps, all: f64, by_source: f64) {
+        self.all.set(Rate::new(all, caps.burst_ms));
+        self.by_source.set(Rate::new(by_source, caps.burst_ms), caps.rate_cells);
+    }
+
+    /// Counts one more, unless it is too many.
+    fn take(&mut self, now: Micros, source: &Source, weight: u32, reasons: [Why; 2]) -> Result<(), Why> {
+        if !self.all.has_room(now) {
+            return Err(reasons[0]);
+        }
+        self.by_source.take(now, source, weight).map_err(|_| reasons[1])?;
+        self.all.take(now);
+        Ok(())
+    }
+}
+
+/// Decides who gets in, who keeps room and what is taken in. See the [module](self) for how hosts drive it.
+pub struct Admission {
+    settings: Settings,
+    directory: Directory,
+    resources: Resources,
+    books: Books,
+    worth: Worth,
+    stages: Stages,
+    spells: Spells,
+    connects: Rates,
+    requests: Rates,
+    flights: Flights,
+    overload: Overload,
+    /// Places for requests in flight, and bytes held for them.
+    slots: Pool,
+    bytes: Pool,
+    random: SmallRng,
+    orders: VecDeque<Order>,
+    stopping: bool,
+    /// The host holds a descriptor that it can give up to tell a refusal.
+    spare: bool,
+    /// Since when all places have been held by such as may not be closed.
+    full_since: Option<Micros>,
+    /// When to look next whom to close early.
+    next_look: Option<Micros>,
+    /// How far the walk round all connections has come.
+    cursor: usize,
+    /// Connections that brought their first request.
+    newly_used: Meter,
+    /// The latest time that was told.
+    now: Micros,
+}
+
+impl Admission {
+    /// Begins with nobody. `seed` is for the spread of come-again times and for keyed hashes: new with each start,
+    /// unknown to clients.
+    ///
+    /// # Errors
+    /// The first setting that cannot be used.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Admission, SettingsError> {
+        settings.check()?;
+        let caps = &settings.caps;
+        let (all, each) = (caps.connects_per_s, caps.connects_per_s_per_source);
+        let connects = Rates::new(caps, all, each, Keyed::new(seed, 1));
+        let (all, each) = (caps.requests_per_s, caps.requests_per_s_per_source);
+        let requests = Rates::new(caps, all, each, Keyed::new(seed, 2));
+        let mut admission = Admission {
+            directory: Directory::new(&settings.sources, &settings.known),
+            resources: Resources::default(),
+            books: Books::new(seed),
+            worth: Worth::new(now, &settings.keep),
+            stages: Stages::new(&settings.room),
+            spells: Spells::new(micros(settings.log.spell_ms), settings.log.spells),
+            connects,
+            requests,
+            flights: Flights::default(),
+            overload: Overload::new(now, &settings.overload, seed ^ 3),
+            slots: Pool::default(),
+            bytes: Pool::default(),
+            random: SmallRng::seed_from_u64(seed ^ 4),
+            orders: VecDeque::new(),
+            stopping: false,
+            spare: false,
+            full_since: None,
+            next_look: None,
+            cursor: 0,
+            newly_used: Meter::new(now, 2_000_000),
+            now,
+            settings,
+        };
+        admission.bound();
+        Ok(admission)
+    }
+
+    /// Takes other settings on. Nobody is dropped who is owed an answer: where more is in use than allowed now, idle
+    /// connections go, and the rest shrinks as requests end. Prefixes and weights count for sources that hold
+    /// nothing at the moment.
+    ///
+    /// # Errors
+    /// The first setting that cannot be used; the old ones stay.
+    pub fn reload(&mut self, now: Micros, settings: Settings) -> Result<(), SettingsError> {
+        settings.check()?;
+        self.tick(now);
+        let caps = &settings.caps;
+        self.connects.reload(caps, caps.connects_per_s, caps.connects_per_s_per_source);
+        self.requests.reload(caps, caps.requests_per_s, caps.requests_per_s_per_source);
+        self.directory = Directory::new(&settings.sources, &settings.known);
+        self.worth.reload(now, &settings.keep);
+        self.stages.reload(&settings.room);
+        self.spells.reload(micros(settings.log.spell_ms), settings.log.spells);
+        self.overload.reload(now, &settings.overload);
+        self.settings = settings;
+        self.bound();
+        self.next_look = Some(now);
+        Ok(())
+    }
+
+    /// What the host can bear now. Cheap: call it each turn, or whenever it changes.
+    pub fn resources(&mut self, now: Micros, resources: &Resources) {
+        self.tick(now);
+        if self.resources != *resources {
+            self.resources = *resources;
+            self.next_look = Some(now);
+            self.bound();
+        }
+        let share = |u: Used| if u.limit > 0 { u.used as f64 / u.limit as f64 } else { 0.0 };
+        let Resources { descriptors, memory, ports, .. } = *resources;
+        let before = self.stages.stage();
+        self.stages.see(now, share(descriptors).max(share(memory)).max(share(ports)));
+        let stage = self.stages.stage();
+        if stage > before {
+            self.spells.note(now, EventKind::Stage(stage), None);
+            self.next_look = Some(now);
+        }
+    }
+
+    /// Takes over what settings and resources say of places and bytes.
+    fn bound(&mut self) {
+        let least = |cap: usize, host: usize| match (cap, host) {
+            (0, host) => host as u64,
+            (cap, host) => cap.min(host) as u64,
+        };
+        let (caps, known, there) = (&self.settings.caps, &self.settings.known, &self.resources);
+        let bytes = if there.buffer_bytes == 0 { usize::MAX } else { there.buffer_bytes };
+        (self.slots.most, self.slots.reserve) =
+            (least(caps.in_flight, there.in_flight), known.in_flight as u64);
+        (self.bytes.most, self.bytes.reserve) = (least(caps.buffer_bytes, bytes), known.buffer_bytes as u64);
+    }
+
+    /// The node is stopping: its clients have only the connections that stay open, so none is closed early.
+    pub fn stopping(&mut self) {
+        self.stopping = true;
+    }
+
+    fn tick(&mut self, now: Micros) {
+        self.now = self.now.max(now);
+    }
+
+    // ---- Connections ----------------------------------------------------------------------------------
+
+    /// As many connections as clients may hold now.
+    fn most(&mut self) -> u64 {
+        let most = match self.settings.caps.connections {
+            0 => self.resources.connections,
+            cap => cap.min(self.resources.connections),
+        };
+        self.stages.connections(most.min(MOST_CONNECTIONS)) as u64
+    }
+
+    /// Connections of which an unknown client's request may not make one more busy: the reserve must be free, or
+    /// idle so that it can be taken back.
+    fn places(&mut self) -> Pool {
+        let [others, known] = self.books.sides;
+        Pool {
+            // While there are more than allowed, what is there counts: nobody with work is turned away for that.
+            most: self.most().max(self.books.held_in_all()),
+            reserve: self.settings.known.connections as u64,
+            firm: others.working,
+            lent: others.held - others.working,
+            known: known.held,
+        }
+    }
+
+    /// How many connections to take from the kernel's queue now.
+    pub fn accepting(&mut self, now: Micros) -> Accepting {
+        self.tick(now);
+        let (most, held) = (self.most(), self.books.held_in_all());
+        if self.stages.stage() >= 2 {
+            self.full_since = None;
+            return Accepting::Take(TOLD_AT_ONCE);
+        }
+        if held < most {
+            self.full_since = None;
+            return Accepting::Take(BULK.min((most - held) as usize));
+        }
+        // Guards known clients against a queue that others hold up: whoever is next must be looked at.
+        let places = self.places();
+        let for_known = places.known < places.reserve && places.lent > 0;
+        if for_known || self.victim(now, None, false, self.newcomer(now, false)).is_some() {
+            self.full_since = None;
+            return Accepting::Take(1);
+        }
+        let until = self.next_victim(now);
+        // Guards one whose first bytes are on their way: shortly any newcomer finds room.
+        let shortly = until.is_some_and(|at| at <= now + micros(self.settings.keep.silent_earliest_ms));
+        if !shortly && self.victim(now, None, false, self.newcomer(now, true)).is_some() {
+            self.full_since = None;
+            return Accepting::Take(1);
+        }
+        let since = *self.full_since.get_or_insert(now);
+        let tell = since + micros(self.settings.room.tell_after_ms);
+        if now >= tell {
+            return Accepting::Take(TOLD_AT_ONCE);
+        }
+        let until = until.unwrap_or(tell).clamp(now + 1000, now + LOOK_AGAIN);
+        Accepting::Pause { until: until.min(tell.max(now + 1000)) }
+    }
+
+    fn newcomer(&self, now: Micros, speaks: bool) -> Newcomer {
+        Newcomer { worth: self.worth.newcomer(now, speaks), speaks }
+    }
+
+    /// A connection was accepted. `speaks`: bytes wait on it already (a peek, or its readiness).
+    pub fn arrived(&mut self, now: Micros, address: IpAddr, speaks: bool) -> Verdict {
+        self.tick(now);
+        let listed = self.directory.look_up(address);
+        let stage = self.stages.stage();
+        if stage >= 3 || stage == 2 && !listed.known {
+            return self.refuse(now, listed.source, Why::RunOut);
+        }
+        let reasons = [Why::ConnectRate, Why::SourceConnectRate];
+        if let Err(why) = self.connects.take(now, &listed.source, listed.weight, reasons) {
+            return self.refuse(now, listed.source, why);
+        }
+        let cap = self.settings.caps.connections_per_source as u64 * u64::from(listed.weight);
+        let own = self.books.find(listed.source, listed.known).map_or(0, |h| u64::from(h.held));
+        let own_full = cap > 0 && own >= cap;
+        let full = self.books.held_in_all() >= self.most();
+        let probe = self.random.random_ratio(1, self.settings.keep.probe_one_in);
+        let conn = self.books.insert(now, listed, probe, speaks);
+        if !full && !own_full {
+            return Verdict::Keep { conn };
+        }
+        let asks = self.newcomer(now, speaks);
+        let victim = if own_full { self.own_victim(now, conn, asks) } else { None };
+        let victim =
+            victim.or_else(|| if own_full { None } else { self.victim(now, Some(conn), listed.known, asks) });
+        match victim {
+            Some(victim) => {
+                self.take_place(now, victim);
+                Verdict::KeepAndClose { conn, victim }
+            }
+            None => {
+                self.books.remove(conn);
+                let places = self.places();
+                let why = match own_full {
+                    true => Why::SourceConnections,
+                    false if !listed.known && places.lent > 0 && places.known < places.reserve => {
+                        Why::Reserved
+                    }
+                    false => Why::Full,
+                };
+                self.refuse(now, listed.source, why)
+            }
+        }
+    }
+
+    fn refuse(&mut self, now: Micros, source: Source, why: Why) -> Verdict {
+        self.spells.note(now, EventKind::Refused(why), Some(source));
+        Verdict::Refuse { why, retry_ms: Some(self.overload.retry_ms(now)) }
+    }
+
+    /// A connection goes for a newcomer: it counts no more.
+    fn take_place(&mut self, now: Micros, victim: ConnId) {
+        self.observe_rest(now, victim);
+        self.books.set_counted(victim, false);
+        let source = self.source_of(victim);
+        self.spells.note(now, EventKind::Closed(Why::MakesRoom), source);
+    }
+
+    fn source_of(&self, conn: ConnId) -> Option<Source> {
+        Some(self.books.holder(self.books.get(conn)?.source)?.source)
+    }
+
+    /// Something has come on the victim of [`Verdict::KeepAndClose`]: it stays, and another takes its place. `None`:
+    /// there is none, so `conn` is out of the books; the host closes it, or tells it `busy`.
+    pub fn instead(&mut self, now: Micros, conn: ConnId, victim: ConnId) -> Option<ConnId> {
+        self.tick(now);
+        self.books.update(victim, |c| {
+            (c.activity, c.ordered, c.watched) = (Activity::Owed, false, false);
+            c.stirred = Some(now - c.since);
+        });
+        self.books.set_counted(victim, true);
+        let known = self.books.is_known(conn)?;
+        let speaks = self.books.get(conn).is_some_and(|c| c.spoke);
+        let other = self.victim(now, Some(conn), known, self.newcomer(now, speaks));
+        match other {
+            Some(other) => self.take_place(now, other),
+            None => {
+                let source = self.source_of(conn);
+                self.books.remove(conn);
+                self.spells.note(now, EventKind::Refused(Why::Full), source);
+            }
+        }
+        other
+    }
+
+    /// `accept` failed with EMFILE (`own`: this process's limit) or ENFILE (the machine's). Also for a connection to
+    /// a member that found no descriptor.
+    pub fn ran_out(&mut self, now: Micros, own: bool) -> Shortage {
+        self.tick(now);
+        self.stages.ran_out(now, self.books.held_in_all() as usize);
+        self.spells.note(now, EventKind::NoDescriptor, None);
+        self.next_look = Some(now);
+        if own && self.spare {
+            return Shortage::UseSpare { retry_ms: self.overload.retry_ms(now) };
+        }
+        // With ENFILE a spare that is given up may be gone for good: others on the machine want one too.
+        Shortage::Pause { until: now + LOOK_AGAIN }
+    }
+
+    /// Whether the host holds its spare descriptor (at the start, and after each use).
+    pub fn spare(&mut self, held: bool) {
+        self.spare = held;
+    }
+
+    /// What a connection is doing now. A connection is idle at its arrival. One whose close was ordered stays over
+    /// until [`Admission::spoke`].
+    pub fn state(&mut self, now: Micros, conn: ConnId, activity: Activity) {
+        self.tick(now);
+        let Some(old) = self.books.get(conn) else { return };
+        if old.activity == activity || old.ordered {
+            return;
+        }
+        self.books.update(conn, |c| {
+            match activity {
+                Activity::Idle => {
+                    (c.since, c.observed, c.begun, c.stirred) = (now, 0, None, None);
+                    c.working = false;
+                }
+                Activity::Unfinished => {
+                    c.working = false;
+                    // Guards against a connection that says nothing until its time is almost over, and then sends
+                    // half a command, or lets such drip in.
+                    let begun = if c.asked == 0 { c.since } else { now };
+                    c.begun.get_or_insert(begun);
+                }
+                Activity::Over => c.working = false,
+                Activity::Owed => {}
+            }
+            if c.activity == Activity::Idle {
+                c.stirred = Some(now - c.since);
+            }
+            c.activity = activity;
+        });
+        if activity == Activity::Idle {
+            self.look_if_wanted(now);
+        }
+    }
+
+    /// The front has made sure that a known client is on it (a token).
+    pub fn known(&mut self, conn: ConnId) {
+        self.books.make_known(conn);
+    }
+
+    /// An [`Order::Close`] was not carried out, since something had come on the connection.
+    pub fn spoke(&mut self, now: Micros, conn: ConnId) {
+        self.tick(now);
+        self.books.update(conn, |c| {
+            if c.ordered {
+                (c.activity, c.ordered, c.watched) = (Activity::Owed, false, false);
+                c.stirred = Some(now - c.since);
+            }
+        });
+    }
+
+    /// A request came on a connection after it was closed by an order (seen while lingering).
+    pub fn crossed(&mut self, now: Micros, conn: ConnId) {
+        self.tick(now);
+        let Some(found) = self.books.get_mut(conn).filter(|c| c.watched) else { return };
+        found.watched = false;
+        self.worth.closed(now);
+        self.worth.crossing(now);
+        let source = self.source_of(conn);
+        self.spells.note(now, EventKind::Crossed, source);
+    }
+
+    /// A connection is closed, whoever closed it.
+    pub fn left(&mut self, now: Micros, conn: ConnId) {
+        self.tick(now);
+        self.observe_rest(now, conn);
+        if let Some(old) = self.books.remove(conn)
+            && old.watched
+        {
+            self.worth.closed(now);
+        }
+    }
+
+    /// It will not ask any more: for how long it has not is counted, and that it did not is not.
+    fn observe_rest(&mut self, now: Micros, conn: ConnId) {
+        let Some(c) = self.books.get_mut(conn) else { return };
+        if std::mem::take(&mut c.spoke) {
+            self.worth.spoke(now, false);
+        }
+        let idle = match c.activity {
+            Activity::Idle => Some(now - c.since),
+            _ => c.stirred.take(),
+        };
+        if let Some(age) = idle.filter(|_| !c.ordered && !c.working) {
+            let (class, from) = (c.class(), std::mem::replace(&mut c.observed, age));
+            self.worth.observe(now, class, from, age, false);
+        }
+    }
+
+    /// What is learnt of crossings: early closes that were watched, and those that crossed a request.
+    pub fn crossings(&self) -> (u64, u64) {
+        (self.worth.watched, self.worth.crossed)
+    }
+
+    /// Connections held, and those of known clients.
+    pub fn held(&self) -> (usize, usize) {
+        (self.books.held_in_all() as usize, self.books.sides[1].held as usize)
+    }
+
+    /// Requests in flight, and those of known clients.
+    pub fn in_flight(&self) -> (usize, usize) {
+        (self.slots.held() as usize, self.slots.known as usize)
+    }
+
+    /// What operators are to be told since the last call.
+    pub fn events(&mut self, now: Micros) -> Vec<Event> {
+        self.spells.drain(now)
+    }
+
+    /// Bytes that the books take at most for so many connections and requests at a time, whatever clients do.
+    pub fn most_bytes(&self, connections: usize, in_flight: usize) -> usize {
+        let mut weights: Vec<u32> = self.settings.sources.weights.iter().map(|w| w.weight).collect();
+        weights.push(1);
+        weights.sort_unstable();
+        weights.dedup();
+        size_of::<Admission>()
+            + Books::most_bytes(connections, in_flight, weights.len())
+            + Flights::most_bytes(in_flight)
+            + self.connects.by_source.bytes()
+            + self.requests.by_source.bytes()
+            + Spells::most_bytes(self.settings.log.spells)
+    }
+
+    /// Bytes that the books take now (events that wait to be told left out).
+    pub fn bytes(&self) -> usize {
+        size_of::<Admission>()
+            + self.books.bytes()
+            + self.flights.bytes()
+            + self.connects.by_source.bytes()
+            + self.requests.by_source.bytes()
+    }
+}
--- a/crates/limits/src/keep.rs
+++ b/crates/limits/src/keep.rs
@@ -7,6 +7,7 @@
 
 use crate::Micros;
 use crate::hazard::Hazard;
+use crate::meter::Meter;
 use crate::settings::Keep;
 
 /// Classes of connections: [`UNUSED`], [`ONCE`], and four for those used often.
@@ -18,13 +19,19 @@
 /// Usual gaps up to which each class of those used often goes, but for the last.
 const GAPS: [Micros; 3] = [100_000, 400_000, 1_600_000];
 /// Hazards (1/s) before anything is learnt, up to the settings' times: about one by the class's gap.
-const PRIOR: [f64; CLASSES] = [10.0, 1.0, 14.0, 3.5, 1.0, 0.25];
+const PRIOR: [f64; CLASSES] = [1.0, 1.0, 14.0, 3.5, 1.0, 0.25];
+/// The same for a new connection, in the first fifth of its time: usual clients ask as soon as they are connected.
+const PRIOR_NEW: f64 = 20.0;
 /// The same beyond them.
 const PRIOR_LATER: f64 = 0.05;
 /// Worth under which a connection whose time is over is nobody's demand: it goes first, whosever it is.
 pub const NEXT_TO_NOTHING: f64 = 0.06;
 /// Crossings that are borne at once before early closing backs off.
 const CROSSINGS_BORNE: f64 = 3.0;
+/// A used one goes before its time only for a newcomer that is worth more than this many times as much.
+const MARGIN: f64 = 2.0;
+/// Connections that spoke at once and brought a request, taken as seen before any was.
+const SPEAKERS: f64 = 8.0;
 /// Credit that closes without a crossing can save up.
 const CREDIT: f64 = 5.0;
 /// After so long without backing off again, the earliest time falls by a half.
@@ -44,6 +51,15 @@
     }
 }
 
+/// One that asks for room.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Newcomer {
+    /// What it is worth.
+    pub worth: f64,
+    /// It has something to say already.
+    pub speaks: bool,
+}
+
 /// What connections are worth.
 #[derive(Clone, Debug)]
 pub struct Worth {
@@ -55,6 +71,9 @@
     earliest: Micros,
     backed_off: Micros,
     balance: f64,
+    /// Connections that spoke at once, lately, and those of them that brought a request.
+    spoke: Meter,
+    brought: Meter,
     /// Early closes that were watched for a crossing, and those that crossed a request.
     pub watched: u64,
     /// See `watched`.
@@ -63,7 +82,11 @@
 
 fn prior(keep: &Keep, class: usize) -> impl Fn(Micros) -> f64 + use<> {
     let until = micros(if class == UNUSED { keep.silent_room_ms } else { keep.used_room_ms });
-    move |age| if age < until { PRIOR[class] } else { PRIOR_LATER }
+    move |age| match age {
+        _ if age >= until => PRIOR_LATER,
+        _ if class == UNUSED && age < until / 5 => PRIOR_NEW,
+        _ => PRIOR[class],
+    }
 }
 
 impl Worth {
@@ -77,6 +100,8 @@
             earliest: micros(keep.earliest_ms),
             backed_off: now,
             balance: 0.0,
+            spoke: Meter::new(now, micros(keep.memory_ms)),
+            brought: Meter::new(now, micros(keep.memory_ms)),
             watched: 0,
             crossed: 0,
         }
@@ -104,14 +129,25 @@
         self.tables.iter_mut().for_each(|t| t.freshen(now));
     }
 
-    /// The probability that one of a class that is idle for so long brings a request soon.
+    /// The probability that one of a class that is idle for so long brings a request soon. A new connection asks
+    /// within the time that it has under want, or hardly at all.
     pub fn of(&self, class: usize, age: Micros) -> f64 {
-        self.tables.get(class).map_or(0.0, |t| t.within(age, self.soon))
+        let soon = if class == UNUSED { micros(self.keep.silent_room_ms) } else { self.soon };
+        self.tables.get(class).map_or(0.0, |t| t.within(age, soon))
+    }
+
+    /// One that spoke at once brought a request, or else it went without one.
+    pub fn spoke(&mut self, now: Micros, brought: bool) {
+        self.spoke.add(now, 1.0);
+        self.brought.add(now, f64::from(u8::from(brought)));
     }
 
-    /// What a newcomer is worth: one that speaks asks right now.
-    pub fn newcomer(&self, speaks: bool) -> f64 {
-        if speaks { 1.0 } else { self.of(UNUSED, 0) }
+    /// What a newcomer is worth.
+    pub fn newcomer(&self, now: Micros, speaks: bool) -> f64 {
+        match speaks {
+            true => (self.brought.lately(now) + SPEAKERS) / (self.spoke.lately(now) + SPEAKERS),
+            false => self.of(UNUSED, 0),
+        }
     }
 
     /// From this age on, one of a class makes room whatever was learnt.
@@ -129,15 +165,26 @@
         micros(if class == UNUSED { self.keep.silent_close_ms } else { self.keep.idle_close_ms })
     }
 
-    /// Whether one of a class may make room for something worth so much; gives its own worth if so. Those that
-    /// `probe` what would be stay until the settings' time.
-    pub fn may_go(&self, now: Micros, class: usize, age: Micros, probe: bool, below: f64) -> Option<f64> {
+    /// Whether one of a class may make room for a newcomer; gives its own worth if so. Those that `probe` what would
+    /// be stay until the settings' time.
+    pub fn may_go(
+        &self,
+        now: Micros,
+        class: usize,
+        age: Micros,
+        probe: bool,
+        newcomer: Newcomer,
+    ) -> Option<f64> {
         let worth = self.of(class, age);
         if age >= self.room_after(class) {
             return Some(worth);
         }
         let learnt = !probe && age >= self.earliest(class) && self.is_learnt(now, class, age);
-        (learnt && worth < below).then_some(worth)
+        let less = match class {
+            UNUSED => worth < newcomer.worth,
+            _ => newcomer.speaks && worth * MARGIN < newcomer.worth,
+        };
+        (learnt && less).then_some(worth)
     }
 
     /// Enough was seen of the class at this age.
@@ -180,6 +227,8 @@
 mod tests {
     use super::*;
 
+    const SPEAKS: Newcomer = Newcomer { worth: 1.0, speaks: true };
+
     #[test]
     fn the_settings_times_hold_until_something_is_learnt() {
         let mut worth = Worth::new(0, &Keep::default());
@@ -190,18 +239,24 @@
             (ONCE, 2_000_000, true),
             (5, 1_999_999, false),
         ] {
-            assert_eq!(worth.may_go(0, class, age, false, 1.0).is_some(), goes, "{class} at {age}");
+            assert_eq!(worth.may_go(0, class, age, false, SPEAKS).is_some(), goes, "{class} at {age}");
         }
         // Those used once never ask again: seen for a while, they go at the earliest time.
         for i in 0..100 {
             worth.observe(i * 10_000, ONCE, 0, 1_000_000, false);
         }
         worth.freshen(2_000_000);
-        let goes = |age, probe| worth.may_go(2_000_000, ONCE, age, probe, 0.5).is_some();
+        let goes = |age, probe| worth.may_go(2_000_000, ONCE, age, probe, SPEAKS).is_some();
         assert!(goes(100_000, false) && !goes(99_999, false));
+        let silent = Newcomer { worth: 0.9, speaks: false };
+        assert_eq!(
+            worth.may_go(2_000_000, ONCE, 500_000, false, silent),
+            None,
+            "not for one that says nothing"
+        );
         assert!(!goes(1_000_000, true), "one that probes stays for the settings' time");
         assert!(
-            worth.may_go(2_000_000, 3, 500_000, false, 1.0).is_none(),
+            worth.may_go(2_000_000, 3, 500_000, false, SPEAKS).is_none(),
             "of others nothing is learnt by that"
         );
     }
@@ -231,8 +286,11 @@
             worth.observe(i * 1000, UNUSED, 0, if i % 10 == 0 { 3_000 } else { 100_000 }, i % 10 == 0);
         }
         worth.freshen(2_000_000);
-        assert_eq!(worth.newcomer(true), 1.0);
-        let (new, old) = (worth.newcomer(false), worth.of(UNUSED, 30_000));
+        assert_eq!(worth.newcomer(2_000_000, true), 1.0);
+        let (new, old) = (worth.newcomer(2_000_000, false), worth.of(UNUSED, 30_000));
         assert!((0.05..0.2).contains(&new) && old < NEXT_TO_NOTHING, "{new} {old}");
+        // A flood of half commands speaks, and brings no request.
+        (0..200).for_each(|i| worth.spoke(2_000_000 + i, i % 10 == 0));
+        assert!(worth.newcomer(2_100_000, true) < 0.2);
     }
 }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! [`Admission`] is the one type that hosts call. What it is made of stands alone beside it, one concern a file.
 //!
-//! ```no_run
+//! ```
 //! use lapisrudder_limits::{Activity, Admission, Facts, Intake, Resources, Settings, Verdict};
 //!
 //! let mut admission = Admission::new(Settings::default(), 7, 0).expect("the defaults are sound");
@@ -16,15 +16,20 @@
 //! let Intake::Take { ticket } = admission.request(1_000, conn, &facts) else { panic!() };
 //! admission.ended(9_000, ticket, true);
 //! admission.state(9_000, conn, Activity::Idle);
+//! assert_eq!(admission.poll(9_000), None);
 //! assert_eq!(admission.due(), Some(2_059_000), "idle for 2.05 s by then");
 //! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
 pub mod admission;
+mod books;
 pub mod caps;
+mod flights;
 pub mod hazard;
+mod intake;
 pub mod keep;
+pub mod meter;
 pub mod orders;
 pub mod reserve;
 pub mod room;
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -127,13 +127,16 @@
     pub silent_room_ms: u32,
     /// The same for one that had an answer. Default 2000.
     pub used_room_ms: u32,
+    /// Under want, one that brought but a part of a command makes room after this many ms. Default 1000.
+    pub unfinished_room_ms: u32,
     /// What is learnt never lets one that had no request make room sooner than this many ms. Default 20.
     pub silent_earliest_ms: u32,
     /// What is learnt never closes one that had an answer sooner than this many idle ms. 2000 restores the strict
     /// reading: nothing is closed before 2 s idle. Default 100.
     pub earliest_ms: u32,
     /// How many connections clients hold at most, all together, wherever it is that this is bound. 0: as the host
-    /// says ([`Resources::clients_room`](crate::Resources::clients_room)). Default 0.
+    /// says ([`Resources::clients_room`](crate::Resources::clients_room)); if that says nothing either, idle ones
+    /// are closed early only where a newcomer asks for room. Default 0.
     pub clients_room: usize,
     /// Used connections are closed early only while more than this share of the clients' room is taken by them.
     /// Default 0.375.
@@ -243,6 +246,7 @@
             idle_close_ms: 2050,
             silent_room_ms: 100,
             used_room_ms: 2000,
+            unfinished_room_ms: 1000,
             silent_earliest_ms: 20,
             earliest_ms: 100,
             clients_room: 0,
@@ -312,6 +316,7 @@
             ("keep.idle_close_ms", keep.idle_close_ms),
             ("keep.silent_room_ms", keep.silent_room_ms),
             ("keep.used_room_ms", keep.used_room_ms),
+            ("keep.unfinished_room_ms", keep.unfinished_room_ms),
             ("keep.soon_ms", keep.soon_ms),
             ("keep.memory_ms", keep.memory_ms),
             ("room.recover_ms", room.recover_ms),
