Read the platform's and the operators' configuration in a crate of its own

Need: configuration was a module of the daemon with errors that were plain strings, told one at a time and without a line. Operators had no file of their own, and nobody could see what was in force.

Change: crates/config decodes the platform's JSON (unchanged, simd-json), the operators' TOML (--config FILE; unknown keys, wrong types and values out of range are refused) and the arguments, all problems at once, each one line with file, line and key. Settings decoding moves there from src/wire.rs, whose names it keeps. `check-config` prints each problem, `config` each setting with its source. SIGHUP reads both files; the node has one place where the operators' settings are applied.

Result: tables of bad files, sources of settings, and the delivered operators' file against the defaults are tested; the node's and the adapter's tests pass as they were.

--- /dev/null
+++ b/crates/config/tests/problems.rs
@@ -0,0 +1,185 @@
+//! Bad files, and the one line that each problem of theirs is told in.
+
+use lapisrudder_config::{Environment, ListError, MemberList, Operators, Options, Platform, Problem};
+use std::path::Path;
+
+const GOOD: &str = r#"{
+  "name": "n0", "listen": "127.0.0.1:0",
+  "discovery": "127.0.0.1:1",
+  "limits": {"cores": 0.5, "sockets": 1024},
+  "known": {"rev": 4, "all": true, "targets": [
+    {"uid": "a", "endpoint": "127.0.0.1:5", "az": "z", "model": "cache", "state": "up"}]},
+  "settings": {
+    "zones": ["z"], "host-types": ["cache"], "unheard-of": [{}],
+    "bounds": {"multiplex": 32,
+      "conn-idle-s": 60.0},
+    "request-classes": [{"name": "read", "worth": 5}]
+  }
+}"#;
+
+fn told(problems: Vec<Problem>) -> Vec<String> {
+    problems.iter().map(Problem::to_string).collect()
+}
+
+fn platform(text: &str, env: &Environment) -> Vec<String> {
+    Platform::parse(text.as_bytes(), Path::new("p.json"), env, false).map_or_else(told, |_| Vec::new())
+}
+
+#[test]
+fn the_platforms_file() {
+    let none = Environment::default();
+    assert_eq!(platform(GOOD, &none), Vec::<String>::new());
+    type Changes = &'static [(&'static str, &'static str)];
+    let cases: &[(Changes, &[&str])] = &[
+        (&[("127.0.0.1:0", "nowhere")], &[r#"p.json:2: listen: "nowhere" is no address and port"#]),
+        (
+            &[(r#""discovery": "127.0.0.1:1","#, "")],
+            &["p.json: discovery: is stated neither here nor by EDGE_DISCOVERY"],
+        ),
+        (&[("1024", "3")], &["p.json:4: limits.sockets: 3: sockets must be at least 64"]),
+        (
+            &[("1024", "-3")],
+            &["p.json:4: limits.sockets: bad JSON: invalid value: integer `-3`, expected usize"],
+        ),
+        (&[("\"up\"", "\"asleep\"")], &[r#"p.json:5: known: a: unknown state "asleep""#]),
+        (&[("\"az\": \"z\"", "\"az\": \"y\"")], &[r#"p.json:5: known: a: unknown az "y""#]),
+        (&[("127.0.0.1:5", "5")], &[r#"p.json:5: known: a: bad endpoint "5""#]),
+        (&[("32", "0")], &["p.json:9: settings.bounds.multiplex: 0 must be above 0"]),
+        (&[("60.0", "-0.5")], &["p.json:10: settings.bounds.conn-idle-s: -0.5 must be above 0"]),
+        (
+            &[(r#"[{"name": "read", "worth": 5}]"#, "[]")],
+            &["p.json:11: settings.request-classes: there are no request classes"],
+        ),
+        (
+            &[(r#""worth": 5"#, r#""worth": "much""#)],
+            &[
+                "p.json:11: settings.request-classes[0].worth: bad JSON: invalid type: string \"much\", expected f64",
+            ],
+        ),
+        (&[("\"settings\"", "\"setting\"")], &["p.json:13: bad JSON: missing field `settings`"]),
+        (&[("}]\n", "\n")], &["p.json:13: bad JSON: expected `,` or `]`"]),
+        (
+            &[("127.0.0.1:0", ""), ("127.0.0.1:1", "x:y"), ("32", "0")],
+            &[
+                "p.json:9: settings.bounds.multiplex: 0 must be above 0",
+                r#"p.json:2: listen: "" is no address and port"#,
+                r#"p.json:3: discovery: "x:y" is no address and port"#,
+            ],
+        ),
+    ];
+    for (changes, expected) in cases {
+        let text = changes.iter().fold(GOOD.to_string(), |text, (from, to)| text.replace(from, to));
+        assert_ne!(text, GOOD);
+        assert_eq!(platform(&text, &none), *expected, "{changes:?}");
+    }
+    for text in ["", "{", "[1", "\u{feff}{}", "{\"settings\":{}} x", "nul"] {
+        let told = platform(text, &none);
+        assert!(
+            told.len() == 1 && told[0].starts_with("p.json:1: ") && told[0].contains("bad JSON"),
+            "{told:?}"
+        );
+    }
+}
+
+#[test]
+fn variables_go_before_the_file_but_do_not_pin_discovery_at_a_reload() {
+    let env = Environment {
+        listen: Some("10.0.0.1".into()),
+        discovery: Some("127.0.0.1:9".into()),
+        ..Environment::default()
+    };
+    assert_eq!(platform(GOOD, &env), [r#"EDGE_LISTEN: "10.0.0.1" is no address and port"#]);
+    let env = Environment { listen: None, name: Some("other".into()), ..env };
+    let discovery = |text: &str, again| {
+        let platform = Platform::parse(text.as_bytes(), Path::new("p"), &env, again).expect("sound");
+        assert_eq!(platform.name, "other");
+        platform.discovery.port()
+    };
+    assert_eq!(discovery(GOOD, false), 9);
+    assert_eq!(discovery(GOOD, true), 1);
+    assert_eq!(discovery(&GOOD.replace("\"discovery\"", "\"was\""), true), 9, "the file does not say");
+}
+
+#[test]
+fn the_operators_file() {
+    let cases: &[(&str, &[&str])] = &[
+        ("", &[]),
+        ("# nothing\n[log]\n[limits]\n", &[]),
+        ("[log]\nlevel = \"debug\"\nformat = \"json\"\nwindow_ms = 1000\nrepeats = 1\nlines = 2\n", &[]),
+        ("log.level = \"warn\"\n", &[]),
+        ("[lgo]\nx = 1\n", &["o.toml:1: lgo: unknown field `lgo`, expected `limits` or `log`"]),
+        (
+            "\n[log]\nlevle = \"warn\"\n",
+            &[
+                "o.toml:3: log.levle: unknown field `levle`, expected one of `level`, `format`, `window_ms`, `repeats`, `lines`",
+            ],
+        ),
+        ("log = 3\n", &["o.toml:1: log: invalid type: integer `3`, expected a table"]),
+        (
+            "[log]\nrepeats = \"many\"\n",
+            &["o.toml:2: log.repeats: invalid type: string \"many\", expected u32"],
+        ),
+        ("[log]\nrepeats = -1\n", &["o.toml:2: log.repeats: invalid value: integer `-1`, expected u32"]),
+        (
+            "log.repeats = 99999999999\n",
+            &["o.toml:1: log.repeats: invalid value: integer `99999999999`, expected u32"],
+        ),
+        ("[log]\nrepeats = 0\n", &["o.toml:2: log.repeats: 0 is not within 1 to 10000"]),
+        (
+            "[log]\nlevel = \"loud\"\n",
+            &[
+                "o.toml:2: log.level: unknown variant `loud`, expected one of `error`, `warn`, `info`, `debug`, `trace`",
+            ],
+        ),
+        (
+            "[limits]\nanything = 1\n",
+            &["o.toml:2: limits.anything: unknown field `anything`, there are no fields"],
+        ),
+        (
+            "[log]\nlevel = \"info\"\nlevel = \"warn\"\n",
+            &["o.toml:3: bad TOML: duplicate key in `level = \"warn\"`"],
+        ),
+        ("[log\nlevel = \"info\"\n", &["o.toml:1: bad TOML: unclosed table, expected `]` in `[log`"]),
+        ("[log]\nlevel = info\n", &["o.toml:2: bad TOML: invalid float, expected `inf` in `level = info`"]),
+        (
+            "[log]\nwindow_ms = 5\n\nrepeats = 1.5\nlines = 0\ncolour = { a = 1 }\n[limits]\nx.y = 1\n",
+            &[
+                "o.toml:2: log.window_ms: 5 is not within 100 to 86400000",
+                "o.toml:4: log.repeats: invalid type: floating point `1.5`, expected u32",
+                "o.toml:5: log.lines: 0 is not within 1 to 10000",
+                "o.toml:6: log.colour: unknown field `colour`, expected one of `level`, `format`, `window_ms`, `repeats`, `lines`",
+                "o.toml:8: limits.x: unknown field `x`, there are no fields",
+            ],
+        ),
+    ];
+    for (text, expected) in cases {
+        let told = Operators::parse(text, Path::new("o.toml")).map_or_else(told, |_| Vec::new());
+        assert_eq!(told, *expected, "{text}");
+    }
+}
+
+#[test]
+fn discoverys_lists() {
+    let options = Options { zones: vec!["z".into()], host_types: vec!["cache".into()], ..Options::default() };
+    let list = |entry: &str| {
+        let text = format!(r#"{{"rev":7,"all":true,"new":0,"targets":[{entry}]}}"#);
+        MemberList::decode(&mut text.into_bytes(), &options)
+    };
+    const ENTRY: &str =
+        r#"{"uid":"a","endpoint":"[::1]:5","az":"z","model":"cache","state":"up","boot_ms":1500}"#;
+    let good = list(ENTRY).expect("sound");
+    assert!(good.revision == 7 && good.all && good.targets[0].endpoint.port() == 5);
+    assert_eq!(good.targets[0].listed.since, Some(1_500_000));
+    type Is = fn(&ListError) -> bool;
+    let cases: [(&str, &str, Is); 5] = [
+        ("\"up\"", "\"UP\"", |e| matches!(e, ListError::State { state, .. } if state == "UP")),
+        ("[::1]:5", "[::1]", |e| matches!(e, ListError::Endpoint { uid, .. } if uid == "a")),
+        ("\"z\"", "\"\"", |e| matches!(e, ListError::Name { what: "az", .. })),
+        ("cache", "toy", |e| matches!(e, ListError::Name { what: "model", name, .. } if name == "toy")),
+        ("\"a\"", "5", |e| matches!(e, ListError::Json(_))),
+    ];
+    for (from, to, is) in cases {
+        let error = list(&ENTRY.replace(from, to)).expect_err(to);
+        assert!(is(&error), "{error}");
+    }
+}
--- /dev/null
+++ b/crates/config/tests/sources.rs
@@ -0,0 +1,124 @@
+//! What all sources say together, where each setting came from, and the operators' file that is delivered.
+
+use lapisrudder_config::{
+    Arguments, Environment, Format, Level, Operators, Part, Setting, Source, Sources, to_toml,
+};
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// A file with this text, in the tests' own folder.
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}", std::process::id()));
+    fs::write(&path, text).expect("a file");
+    path
+}
+
+const PLATFORM: &str = "{\"listen\":\"127.0.0.1:0\",\n\"discovery\":\"127.0.0.1:1\",\"settings\":{\"bounds\":{\n\"cancel\":true},\"request-classes\":[{\"name\":\"read\"}]}}";
+
+fn sources(name: &str, operators: &str) -> Sources {
+    Sources {
+        environment: Environment {
+            config: Some(file(&format!("{name}.json"), PLATFORM)),
+            name: Some("n7".into()),
+            ..Environment::default()
+        },
+        operators: Some(file(&format!("{name}.toml"), operators)),
+        arguments: Arguments::default(),
+    }
+}
+
+fn find<'s>(settings: &'s [Setting], key: &str) -> &'s Setting {
+    settings.iter().find(|s| s.key == key).unwrap_or_else(|| panic!("{key}"))
+}
+
+#[test]
+fn each_setting_names_its_source() {
+    let mut sources = sources("named", "[log]\n\nlevel = \"warn\"\nrepeats = 7\n");
+    sources.arguments.log_level = Some(Level::Debug);
+    sources.arguments.log_format = Some(Format::Json);
+    let settings = sources.explain().expect("sound");
+    let json = sources.environment.config.clone().expect("a file");
+    let toml = sources.operators.clone().expect("a file");
+    let at = |file: &Path, line| Source::File { file: file.into(), line };
+    for (key, value, source) in [
+        ("name", "\"n7\"", Source::Environment { variable: "EDGE_NAME" }),
+        ("listen", "\"127.0.0.1:0\"", at(&json, 1)),
+        ("discovery", "\"127.0.0.1:1\"", at(&json, 2)),
+        ("limits.sockets", "1024", Source::Default),
+        ("settings.bounds.cancel", "true", at(&json, 3)),
+        ("settings.bounds.most-held", "20000", Source::Default),
+        ("log.level", "\"debug\"", Source::Argument { name: "--log-level" }),
+        ("log.format", "\"json\"", Source::Argument { name: "--log-format" }),
+        ("log.repeats", "7", at(&toml, 4)),
+        ("log.lines", "100", Source::Default),
+    ] {
+        let setting = find(&settings, key);
+        assert_eq!((setting.value.to_string().as_str(), &setting.source), (value, &source), "{key}");
+    }
+    assert_eq!(find(&settings, "log.repeats").part, Part::Operators);
+    let text = to_toml(&settings);
+    assert!(text.contains("# platform: name = \"n7\"  # environment EDGE_NAME\n"), "{text}");
+    assert!(text.contains(&format!("repeats = 7  # {}:4\n", toml.display())), "{text}");
+    let (again, _) = Operators::parse(&text, Path::new("printed")).expect("an operators' file");
+    assert_eq!(again, sources.load().expect("sound").operators);
+    assert!(again.log.repeats == 7 && again.log.level == Level::Debug);
+}
+
+#[test]
+fn problems_of_both_files_are_told_together_and_a_mended_file_is_read() {
+    let sources = sources("both", "[log]\nlines = 0\nx = 1\n");
+    let json = sources.environment.config.clone().expect("a file");
+    let toml = sources.operators.clone().expect("a file");
+    fs::write(&json, PLATFORM.replace("127.0.0.1:0", "here")).expect("written");
+    let problems = sources.reload().expect_err("bad");
+    let told: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    let (json, toml) = (json.display(), toml.display());
+    assert_eq!(told[0], format!("{json}:1: listen: \"here\" is no address and port"));
+    assert_eq!(told[1], format!("{toml}:2: log.lines: 0 is not within 1 to 10000"));
+    assert!(
+        told[2].starts_with(&format!("{toml}:3: log.x: unknown field `x`")) && told.len() == 3,
+        "{told:?}"
+    );
+    assert_eq!(problems.to_string(), format!("{} (and 2 more, see `check-config`)", told[0]));
+    fs::write(json.to_string(), PLATFORM).expect("written");
+    fs::write(toml.to_string(), "[log]\nlines = 3\n").expect("written");
+    assert_eq!(sources.reload().expect("sound").operators.log.lines, 3);
+}
+
+#[test]
+fn what_is_missing_or_no_text_is_told() {
+    let told = |sources: &Sources| sources.load().expect_err("bad").to_string();
+    assert_eq!(told(&Sources::default()), "EDGE_CONFIG: is not set");
+    let mut sources = sources("missing", "");
+    sources.operators = Some("/nonexistent/o.toml".into());
+    assert_eq!(told(&sources), "/nonexistent/o.toml: cannot read it: No such file or directory (os error 2)");
+    let path = file("latin.toml", "");
+    fs::write(&path, b"# one\n# caf\xe9\n").expect("written");
+    sources.operators = Some(path.clone());
+    assert_eq!(told(&sources), format!("{}:2: bad TOML: it is not UTF-8", path.display()));
+    sources = Sources { operators: None, ..sources };
+    assert_eq!(sources.load().expect("sound").operators, Operators::default());
+}
+
+/// The delivered file states each key as a comment (`#key = value`, no blank) with the default as its value.
+#[test]
+fn the_delivered_operators_file_holds_each_key_at_its_default() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/lapisrudder.toml");
+    let text = fs::read_to_string(&path).expect("the file");
+    let (operators, stated) = Operators::parse(&text, &path).expect("sound");
+    assert_eq!(operators, Operators::default(), "as delivered it changes nothing");
+    assert!(stated.keys().all(|key| !key.contains('.')), "it states sections only: {stated:?}");
+    let is_key = |c: char| c.is_ascii_lowercase() || c == '[';
+    let uncommented: Vec<&str> = text
+        .lines()
+        .map(|line| line.strip_prefix('#').filter(|l| l.starts_with(is_key)).unwrap_or(line))
+        .collect();
+    let (all, lines) =
+        Operators::parse(&uncommented.join("\n"), &path).expect("each key is one that there is");
+    assert_eq!(all, Operators::default(), "each value is the default");
+    let settings = Sources::default().explain().expect("defaults");
+    let there_are: BTreeSet<&str> = settings.iter().map(|s| s.key.as_str()).collect();
+    let held: BTreeSet<&str> = lines.keys().map(String::as_str).filter(|k| there_are.contains(k)).collect();
+    assert_eq!(held, there_are, "each key that there is, is explained");
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,11 +1,10 @@
 //! Discovery: one watch after another on one connection, as long as it answers.
 
-use super::config::{Target, decode_list};
 use super::deadlines::{Deadline, Deadlines, Key};
 use super::http;
 use super::socket::{Handle, Socket};
-use lapisrudder::wire::Options;
 use lapisrudder::{Micros, Scope};
+use lapisrudder_config::{MemberList, Options, Target};
 use std::io::IoSlice;
 use std::net::SocketAddr;
 
@@ -149,8 +148,8 @@
             if status != 200 {
                 return Some(self.fail(format!("status {status}"), deadlines));
             }
-            return Some(match decode_list(&mut body, options) {
-                Ok((revision, all, targets)) => {
+            return Some(match MemberList::decode(&mut body, options) {
+                Ok(MemberList { revision, all, targets }) => {
                     self.revision = Some(revision);
                     deadlines.remove(self.deadline.take());
                     let scope = if all { Scope::Full } else { Scope::Changes };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,6 @@
 //! The node on real sockets: one thread, one loop.
 
 mod client;
-pub mod config;
 mod connection;
 mod deadlines;
 mod discovery;
@@ -14,24 +13,48 @@
 
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
+use lapisrudder_config::{Config, Sources};
 use node::Node;
+use std::io;
+use std::net::SocketAddr;
+use thiserror::Error;
 
-/// Runs the node until it is told to stop and has answered all that it took.
-pub fn serve(config: config::Config) -> Result<(), String> {
-    let mut events: EventLoop<Node> = EventLoop::try_new().map_err(|e| format!("cannot start: {e}"))?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
-        .map_err(|e| format!("signals: {e}"))?;
+/// Why the node could not start, or had to end.
+#[derive(Debug, Error)]
+pub enum Error {
+    #[error("cannot start the loop: {0}")]
+    Start(#[source] calloop::Error),
+    #[error("cannot listen for signals: {0}")]
+    Signals(#[source] calloop::Error),
+    #[error("cannot listen on {at}: {source}")]
+    Listen { at: SocketAddr, source: io::Error },
+    #[error("the loop failed: {0}")]
+    Loop(#[source] calloop::Error),
+}
+
+/// Runs the node until it is told to stop and has answered all that it took. On SIGHUP the sources are read again.
+pub fn serve(sources: Sources, config: Config) -> Result<(), Error> {
+    let mut events: EventLoop<Node> = EventLoop::try_new().map_err(Error::Start)?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(Error::Signals)?;
     events
         .handle()
-        .insert_source(signals, |event, _, node: &mut Node| match event.signal() {
-            Signal::SIGHUP => node.reload(),
+        .insert_source(signals, move |event, _, node: &mut Node| match event.signal() {
+            Signal::SIGHUP => reload(&sources, node),
             _ => node.stop(),
         })
-        .map_err(|e| format!("signals: {e}"))?;
+        .map_err(|e| Error::Signals(e.error))?;
     let mut node = Node::new(config, &events.handle())?;
     while !node.is_over() {
-        events.dispatch(node.until_next(), &mut node).map_err(|e| format!("the loop failed: {e}"))?;
+        events.dispatch(node.until_next(), &mut node).map_err(Error::Loop)?;
         node.turn();
     }
     Ok(())
 }
+
+/// Reads all configuration again. If anything is wrong with it, nothing of it is used.
+fn reload(sources: &Sources, node: &mut Node) {
+    match sources.reload() {
+        Ok(config) => node.reload(config),
+        Err(problems) => eprintln!("reload: the old configuration stays: {problems}"),
+    }
+}
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,7 +1,6 @@
 //! Transactions, and the one place where happenings become events and actions are carried out.
 
 use super::client::SCRATCH;
-use super::config::{Config, Target};
 use super::connection::{Call, Flow};
 use super::deadlines::{Deadline, Deadlines, FlowId, Key};
 use super::discovery::{self, Discovery};
@@ -14,6 +13,7 @@
     Action, Balancer, CacheNote, Ended, Event, Micros, NewRequest, Outcome, RequestId, Scope, ServerId,
     Settings,
 };
+use lapisrudder_config::{Config, Operators, Target};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -173,7 +173,8 @@
 }
 
 impl Node {
-    pub fn new(config: Config, handle: &Handle) -> Result<Node, String> {
+    pub fn new(config: Config, handle: &Handle) -> Result<Node, super::Error> {
+        let Config { platform: config, operators } = config;
         let clock = Clock::new();
         let now = clock.now();
         let settings = Settings::from(&config.options);
@@ -190,7 +191,7 @@
             in_all: sockets / 2,
         };
         let server = VirtualServer::new(config.listen, sockets / 2, handle)
-            .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+            .map_err(|source| super::Error::Listen { at: config.listen, source })?;
         let longest = config.options.request_classes.iter().map(|c| micros(c.give_up_s)).max();
         let mut node = Node {
             clock,
@@ -211,6 +212,7 @@
             most_bytes: (config.memory_mb as usize) << 18,
             options: config.options,
         };
+        node.apply(operators);
         node.listed(Scope::Remembered, config.known);
         node.turn();
         println!("{} listens on {}", config.name, node.server.address().unwrap_or(config.listen));
@@ -270,20 +272,23 @@
         self.discovery_news(news);
     }
 
-    /// The configuration file may have changed: discovery may have moved. What else it says holds from the next
-    /// start on. A bad file changes nothing.
-    pub fn reload(&mut self) {
-        match Config::reread() {
-            Ok(config) if config.discovery != self.discovery.address() => {
-                eprintln!("reload: discovery is now at {}", config.discovery);
-                let news = self.discovery.move_to(config.discovery, self.clock.now(), &mut self.deadlines);
-                self.discovery_news(news);
-            }
-            Ok(_) => eprintln!("reload: discovery stays where it is"),
-            Err(what) => eprintln!("reload: the old configuration stays: {what}"),
+    /// The configuration may have changed: discovery may have moved, and the operators' settings hold at once. What
+    /// else the platform's file says holds from the next start on.
+    pub fn reload(&mut self, config: Config) {
+        self.apply(config.operators);
+        let discovery = config.platform.discovery;
+        if discovery == self.discovery.address() {
+            eprintln!("reload: discovery stays where it is");
+            return;
         }
+        eprintln!("reload: discovery is now at {discovery}");
+        let news = self.discovery.move_to(discovery, self.clock.now(), &mut self.deadlines);
+        self.discovery_news(news);
     }
 
+    /// The operators' settings, at the start and at each reload. Nobody is dropped for them.
+    fn apply(&mut self, _operators: Operators) {}
+
     /// The operators end the node: what was taken is answered, then it ends.
     pub fn stop(&mut self) {
         if self.phase == Phase::Serving {
