Log by tracing: one line a matter, repeats capped, and nobody waits for the reader

Need: the node told troubles by eprintln!, from its only thread: a storm of faults could fill a disk, and a pipe that nobody reads could stop the loop.

Change: crates/log takes tracing's events to standard error as text or JSON. A cap counts lines by message and by what they are about (field `about`); what is over is held back and told in one line when the window is over. Lines go through a bounded queue to a thread that writes them; what finds no room is dropped and counted. The thread starts after the signals are blocked, since it takes the caller's mask.

--- a/crates/config/src/sections.rs
+++ b/crates/config/src/sections.rs
@@ -17,7 +17,7 @@
 
 /// How grave what is told must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
+#[serde(rename_all = "lowercase", try_from = "String")]
 pub enum Level {
     /// The node cannot do what it was told to.
     Error,
@@ -33,7 +33,7 @@
 
 /// How a line is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
+#[serde(rename_all = "lowercase", try_from = "String")]
 pub enum Format {
     /// For people.
     Text,
@@ -78,6 +78,22 @@
     }
 }
 
+impl TryFrom<String> for Level {
+    type Error = NoSuchWord;
+
+    fn try_from(word: String) -> Result<Level, NoSuchWord> {
+        word.parse()
+    }
+}
+
+impl TryFrom<String> for Format {
+    type Error = NoSuchWord;
+
+    fn try_from(word: String) -> Result<Format, NoSuchWord> {
+        word.parse()
+    }
+}
+
 /// `[log]`: what is told on standard error, and how.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, expecting = "a table")]
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,6 +7,7 @@
 use lapisrudder_config::{MemberList, Options, Target};
 use std::io::IoSlice;
 use std::net::SocketAddr;
+use tracing::{info, warn};
 
 /// A watch is answered after this long, news or none. Short, since a silent discovery is noticed only then.
 const HOLD: Micros = 4_000_000;
@@ -15,10 +16,10 @@
 /// Answers longer than this are not read.
 const LONGEST: usize = 4 << 20;
 
-/// News of the list, or that a call failed, with the reason.
+/// News of the list, or that a call failed.
 pub enum News {
     List { scope: Scope, targets: Vec<Target> },
-    Failed(String),
+    Failed,
 }
 
 pub struct Discovery {
@@ -35,6 +36,8 @@
     deadline: Option<Key>,
     /// The list in hand; `None` asks for all of it.
     revision: Option<u64>,
+    /// Calls that failed since the last that did not.
+    failed: u32,
 }
 
 impl Discovery {
@@ -50,6 +53,7 @@
             input: Vec::new(),
             deadline: None,
             revision: Some(revision).filter(|r| *r > 0),
+            failed: 0,
         }
     }
 
@@ -151,6 +155,10 @@
             return Some(match MemberList::decode(&mut body, options) {
                 Ok(MemberList { revision, all, targets }) => {
                     self.revision = Some(revision);
+                    let failed = std::mem::take(&mut self.failed);
+                    if failed > 0 {
+                        info!(about = %self.at, failed, "discovery: answers again");
+                    }
                     deadlines.remove(self.deadline.take());
                     let scope = if all { Scope::Full } else { Scope::Changes };
                     // A watch goes on only if the next call comes at once.
@@ -182,8 +190,10 @@
     }
 
     fn fail(&mut self, what: String, deadlines: &mut Deadlines) -> News {
+        self.failed += 1;
+        warn!(about = %self.at, "discovery: {what}");
         self.socket = None;
         deadlines.remove(self.deadline.take());
-        News::Failed(what)
+        News::Failed
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,11 +13,13 @@
 
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
-use lapisrudder_config::{Config, Sources};
+use lapisrudder_config::{self as config, Config, Sources};
+use lapisrudder_log::{self as log, Log};
 use node::Node;
 use std::io;
 use std::net::SocketAddr;
 use thiserror::Error;
+use tracing::{Level, error, info};
 
 /// Why the node could not start, or had to end.
 #[derive(Debug, Error)]
@@ -26,6 +28,8 @@
     Start(#[source] calloop::Error),
     #[error("cannot listen for signals: {0}")]
     Signals(#[source] calloop::Error),
+    #[error(transparent)]
+    Log(#[from] log::StartError),
     #[error("cannot listen on {at}: {source}")]
     Listen { at: SocketAddr, source: io::Error },
     #[error("the loop failed: {0}")]
@@ -36,11 +40,16 @@
 pub fn serve(sources: Sources, config: Config) -> Result<(), Error> {
     let mut events: EventLoop<Node> = EventLoop::try_new().map_err(Error::Start)?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(Error::Signals)?;
+    // Danger: threads begun before the signals are blocked would take them, and SIGTERM would kill the node.
+    let log = Log::start(log_settings(&config.operators.log), io::stderr())?;
     events
         .handle()
         .insert_source(signals, move |event, _, node: &mut Node| match event.signal() {
-            Signal::SIGHUP => reload(&sources, node),
-            _ => node.stop(),
+            Signal::SIGHUP => reload(&sources, &log, node),
+            signal => {
+                info!(?signal, "told to stop");
+                node.stop();
+            }
         })
         .map_err(|e| Error::Signals(e.error))?;
     let mut node = Node::new(config, &events.handle())?;
@@ -48,13 +57,39 @@
         events.dispatch(node.until_next(), &mut node).map_err(Error::Loop)?;
         node.turn();
     }
+    info!("ended");
     Ok(())
 }
 
 /// Reads all configuration again. If anything is wrong with it, nothing of it is used.
-fn reload(sources: &Sources, node: &mut Node) {
+fn reload(sources: &Sources, log: &Log, node: &mut Node) {
     match sources.reload() {
-        Ok(config) => node.reload(config),
-        Err(problems) => eprintln!("reload: the old configuration stays: {problems}"),
+        Ok(config) => {
+            log.apply(log_settings(&config.operators.log));
+            node.reload(config);
+        }
+        Err(problems) => error!("reload: the old configuration stays: {problems}"),
+    }
+}
+
+/// `[log]` in the log's own terms.
+fn log_settings(section: &config::Log) -> log::Settings {
+    log::Settings {
+        level: match section.level {
+            config::Level::Error => Level::ERROR,
+            config::Level::Warn => Level::WARN,
+            config::Level::Info => Level::INFO,
+            config::Level::Debug => Level::DEBUG,
+            config::Level::Trace => Level::TRACE,
+        },
+        format: match section.format {
+            config::Format::Text => log::Format::Text,
+            config::Format::Json => log::Format::Json,
+        },
+        bounds: log::Bounds {
+            window: i64::from(section.window_ms) * 1000,
+            repeats: section.repeats,
+            lines: section.lines,
+        },
     }
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -19,6 +19,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tracing::info;
 
 /// A transaction that has no final answer this long after its time gets one from the node itself.
 const OVERDUE: Micros = 10_000;
@@ -278,10 +279,10 @@
         self.apply(config.operators);
         let discovery = config.platform.discovery;
         if discovery == self.discovery.address() {
-            eprintln!("reload: discovery stays where it is");
+            info!("reload: discovery stays where it is");
             return;
         }
-        eprintln!("reload: discovery is now at {discovery}");
+        info!("reload: discovery is now at {discovery}");
         let news = self.discovery.move_to(discovery, self.clock.now(), &mut self.deadlines);
         self.discovery_news(news);
     }
@@ -358,8 +359,7 @@
     fn discovery_news(&mut self, news: Option<discovery::News>) {
         match news {
             Some(discovery::News::List { scope, targets }) => self.listed(scope, targets),
-            Some(discovery::News::Failed(what)) => {
-                eprintln!("discovery: {what}");
+            Some(discovery::News::Failed) => {
                 self.transactions.events.push_back(Event::Servers { scope: Scope::Lost, list: Vec::new() });
             }
             None => {}
