--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -5,7 +5,7 @@
 //! always behaved, but for closing idle connections early under want (`keep.earliest_ms`).
 
 use ipnet::IpNet;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// A setting that cannot be used, by its key.
@@ -37,8 +37,28 @@
     },
 }
 
+impl SettingsError {
+    /// The key in question, from `limits` on.
+    #[must_use]
+    pub fn key(&self) -> &'static str {
+        let (SettingsError::Range { key, .. } | SettingsError::Order { key, .. }) = self;
+        key
+    }
+
+    /// What is wrong, without the key.
+    #[must_use]
+    pub fn what(&self) -> String {
+        match self {
+            SettingsError::Range { value, must, .. } => format!("{value} is not {must}"),
+            SettingsError::Order { value, relation, other, bound, .. } => {
+                format!("{value} is {relation} limits.{other} ({bound})")
+            }
+        }
+    }
+}
+
 /// All limits of a node.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Who counts as one source, and for how many it stands.
@@ -58,7 +78,7 @@
 }
 
 /// `[limits.sources]`: who counts as one source, and for how many it stands.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Sources {
     /// Leading bits of an IPv4 address that name a source. Default 32: each address is one.
@@ -71,7 +91,7 @@
 }
 
 /// One of `[[limits.sources.weights]]`: a prefix and what each source in it weighs.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Weight {
     /// The addresses meant. The longest prefix that holds an address decides.
@@ -82,7 +102,7 @@
 }
 
 /// `[limits.caps]`: what must never be exceeded. 0 means no cap.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Caps {
     /// Connections of clients held at a time, in all. Default 0: as many as descriptors leave.
@@ -113,7 +133,7 @@
 }
 
 /// `[limits.keep]`: which connections are kept, and for how long.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Keep {
     /// A connection that never brought a request is closed after this many ms. Default 2200.
@@ -153,7 +173,7 @@
 }
 
 /// `[limits.known]`: clients with a reserve of their own.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Known {
     /// Their addresses. Clients that prove themselves otherwise (a token) are told by the front. Default: none.
@@ -167,7 +187,7 @@
 }
 
 /// `[limits.room]`: what is done when something runs out.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Room {
     /// Share of descriptors, memory or ports from which on idle connections are closed early, and nothing is lent.
@@ -187,7 +207,7 @@
 }
 
 /// `[limits.overload]`: what is done when more comes than can be taken in.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Overload {
     /// Share of the places for requests from which on those worth least are turned away. Default 0.9.
@@ -204,7 +224,7 @@
 }
 
 /// `[limits.log]`: what is told in the log.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Log {
     /// A spell of one kind from one source is over after this many quiet ms. Default 10,000.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,7 +1,6 @@
 //! Transactions, and the one place where happenings become events and actions are carried out.
 
 use super::client::SCRATCH;
-use super::config::{Config, Target};
 use super::connection::{Call, Flow};
 use super::deadlines::{Deadline, Deadlines, FlowId, Key};
 use super::discovery::{self, Discovery};
@@ -14,12 +13,14 @@
     Action, Balancer, CacheNote, Ended, Event, Micros, NewRequest, Outcome, RequestId, Scope, ServerId,
     Settings,
 };
+use lapisrudder_config::{Config, Target};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tracing::{info, warn};
 
 /// A transaction that has no final answer this long after its time gets one from the node itself.
 const OVERDUE: Micros = 10_000;
@@ -186,7 +187,8 @@
 }
 
 impl Node {
-    pub fn new(config: Config, handle: &Handle) -> Result<Node, String> {
+    pub fn new(config: Config, handle: &Handle) -> Result<Node, super::Error> {
+        let Config { platform: config, operators } = config;
         let clock = Clock::new();
         let now = clock.now();
         let settings = Settings::from(&config.options);
@@ -202,10 +204,9 @@
             to_origin: (TO_ORIGIN / siblings).max(2),
             in_all: sockets / 2,
         };
-        let admission = Admission::new(lapisrudder_limits::Settings::default(), config.seed, now)
-            .map_err(|e| e.to_string())?;
+        let admission = Admission::new(operators.limits, config.seed, now)?;
         let server = VirtualServer::new(config.listen, admission, handle)
-            .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+            .map_err(|source| super::Error::Listen { at: config.listen, source })?;
         let longest = config.options.request_classes.iter().map(|c| micros(c.give_up_s)).max();
         let mut node = Node {
             clock,
@@ -287,18 +288,21 @@
         self.discovery_news(news);
     }
 
-    /// The configuration file may have changed: discovery may have moved. What else it says holds from the next
-    /// start on. A bad file changes nothing.
-    pub fn reload(&mut self) {
-        match Config::reread() {
-            Ok(config) if config.discovery != self.discovery.address() => {
-                eprintln!("reload: discovery is now at {}", config.discovery);
-                let news = self.discovery.move_to(config.discovery, self.clock.now(), &mut self.deadlines);
-                self.discovery_news(news);
-            }
-            Ok(_) => eprintln!("reload: discovery stays where it is"),
-            Err(what) => eprintln!("reload: the old configuration stays: {what}"),
+    /// The configuration may have changed: discovery may have moved, and the operators' settings hold at once. What
+    /// else the platform's file says holds from the next start on.
+    pub fn reload(&mut self, config: Config) {
+        if let Err(what) = self.server.reload(self.clock.now(), config.operators.limits) {
+            // Checked when the file was read; the old ones stay.
+            warn!("reload: {what}");
         }
+        let discovery = config.platform.discovery;
+        if discovery == self.discovery.address() {
+            info!("reload: discovery stays where it is");
+            return;
+        }
+        info!("reload: discovery is now at {discovery}");
+        let news = self.discovery.move_to(discovery, self.clock.now(), &mut self.deadlines);
+        self.discovery_news(news);
     }
 
     /// The operators end the node: what was taken is answered, then it ends.
@@ -389,8 +393,7 @@
     fn discovery_news(&mut self, news: Option<discovery::News>) {
         match news {
             Some(discovery::News::List { scope, targets }) => self.listed(scope, targets),
-            Some(discovery::News::Failed(what)) => {
-                eprintln!("discovery: {what}");
+            Some(discovery::News::Failed) => {
                 self.transactions.events.push_back(Event::Servers { scope: Scope::Lost, list: Vec::new() });
             }
             None => {}
@@ -474,16 +477,13 @@
         if now - self.resident.0 >= MEMORY_EVERY {
             self.resident = (now, resident_bytes());
         }
-        let members = self.pool.open();
         let resources = Resources {
             connections: self.sockets - self.pool.reserve(),
             clients_room: self.descriptors / CLIENTS_SHARE,
             in_flight: self.most_held,
             buffer_bytes: self.most_bytes,
-            descriptors: Used {
-                used: (self.server.held() + members + OWN_SOCKETS) as u64,
-                limit: self.descriptors as u64,
-            },
+            // What clients may hold leaves the others theirs; EMFILE tells if something else took them.
+            descriptors: Used::default(),
             memory: Used { used: self.resident.1, limit: self.memory },
             ports: Used::default(),
         };
--- a/src/net/pool_member.rs
+++ b/src/net/pool_member.rs
@@ -120,11 +120,6 @@
         self.members.values().map(needs).sum::<usize>().min(self.limits.in_all)
     }
 
-    /// Connections held.
-    pub fn open(&self) -> usize {
-        self.connections.len()
-    }
-
     pub fn any_open(&self) -> bool {
         self.members.values().any(|m| !m.closed)
     }
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -9,7 +9,8 @@
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_limits::{
-    Accepting, Admission, ConnId, Facts, Intake, Order, Resources, Shortage, Ticket, Verdict,
+    Accepting, Admission, ConnId, EventKind, Facts, Intake, Order, Resources, SettingsError, Shortage,
+    Ticket, Verdict,
 };
 use rustc_hash::FxHashMap;
 use socket2::{Domain, Protocol, Type};
@@ -18,6 +19,7 @@
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use tracing::{debug, info};
 
 /// Connections that the kernel keeps until they are accepted. Guards against a burst whose connects are dropped
 /// there and tried again only after a second.
@@ -128,11 +130,6 @@
         !self.touched.is_empty()
     }
 
-    /// Connections held.
-    pub fn held(&self) -> usize {
-        self.clients.len()
-    }
-
     // ---- Who gets in ----------------------------------------------------------------------------------
 
     /// Takes new connections as far as the limits have it. True if more may wait.
@@ -266,10 +263,23 @@
             }
         }
         for event in self.admission.events(now) {
-            eprintln!("limits: {event}");
+            match event.kind {
+                // What usual clients cause on usual days.
+                EventKind::Closed(_) => debug!("limits: {event}"),
+                _ => info!("limits: {event}"),
+            }
         }
     }
 
+    /// Takes other settings on; nobody is dropped who is owed an answer.
+    pub fn reload(
+        &mut self,
+        now: Micros,
+        settings: lapisrudder_limits::Settings,
+    ) -> Result<(), SettingsError> {
+        self.admission.reload(now, settings)
+    }
+
     /// The node is stopping: its clients have only the connections that stay open.
     pub fn stopping(&mut self) {
         self.admission.stopping();
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -3,6 +3,7 @@
 #[allow(dead_code)]
 mod toy;
 
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -30,7 +31,7 @@
                 Err(e) => assert_ne!(e.kind(), ErrorKind::WouldBlock, "no answer"),
             }
         }
-        panic!("client {n} was kept out");
+        panic!("client {n} of run {run} was kept out");
     };
     (0..count).map(|n| read(n, &mut kept)).collect()
 }
@@ -40,44 +41,46 @@
     times[times.len() / 2]
 }
 
+/// Ends the flood when its scope is left, also by a failed test: its threads would run on, and the node with them.
+struct Over<'a>(&'a AtomicBool);
+
+impl Drop for Over<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 #[test]
 fn a_flood_from_one_address_keeps_nobody_else_out_and_gets_what_is_left() {
-    let node = Arc::new(Node::limited(&[entry("c", holder("c", Arc::default()), "cache", "up")], 160));
+    let node = Node::limited(&[entry("c", holder("c", Arc::default()), "cache", "up")], 160);
     let calm = median(usual(&node, 1, 60));
-    let over = Arc::new(AtomicBool::new(false));
-    let (connects, served) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
-    // Four threads open connections as fast as they can and keep them; every eighth asks.
-    let flood: Vec<_> = (0..4)
-        .map(|thread| {
-            let (node, over) = (node.clone(), over.clone());
-            let (connects, served) = (connects.clone(), served.clone());
-            thread::spawn(move || {
-                let mut kept = std::collections::VecDeque::new();
-                for n in 0.. {
-                    if over.load(Ordering::SeqCst) {
-                        return;
-                    }
-                    let Ok(mut client) = node.client_from(FLOODER) else { continue };
-                    connects.fetch_add(1, Ordering::SeqCst);
-                    let asks = n % 8 == 0;
-                    let text = format!("mg f{thread}x{n} v Of{thread}x{n} Pc=read,d=60000\r\n");
-                    if asks && client.try_ask(&text).is_ok_and(|answer| answer.starts_with("VA ")) {
-                        served.fetch_add(1, Ordering::SeqCst);
-                    }
-                    kept.push_back(client);
-                    if kept.len() > 200 {
-                        kept.pop_front();
-                    }
-                }
-            })
-        })
-        .collect();
-    while connects.load(Ordering::SeqCst) < 400 {
-        thread::yield_now();
-    }
-    let flooded = median(usual(&node, 2, 60));
-    over.store(true, Ordering::SeqCst);
-    flood.into_iter().for_each(|t| t.join().expect("the flood ends"));
+    let over = AtomicBool::new(false);
+    let (connects, served) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    // Opens connections as fast as it can and keeps them; every eighth asks.
+    let flood = |thread: usize| {
+        let mut kept = VecDeque::new();
+        for n in (0..).take_while(|_| !over.load(Ordering::SeqCst)) {
+            let Ok(mut client) = node.client_from(FLOODER) else { continue };
+            connects.fetch_add(1, Ordering::SeqCst);
+            let text = format!("mg f{thread}x{n} v Of{thread}x{n} Pc=read,d=60000\r\n");
+            if n % 8 == 0 && client.try_ask(&text).is_ok_and(|answer| answer.starts_with("VA ")) {
+                served.fetch_add(1, Ordering::SeqCst);
+            }
+            kept.push_back(client);
+            if kept.len() > 200 {
+                kept.pop_front();
+            }
+        }
+    };
+    let flooded = thread::scope(|scope| {
+        let _over = Over(&over);
+        let flood = &flood;
+        (0..4).for_each(|thread| _ = scope.spawn(move || flood(thread)));
+        while connects.load(Ordering::SeqCst) < 400 {
+            thread::yield_now();
+        }
+        median(usual(&node, 2, 60))
+    });
     assert!(flooded < calm * 50 + Duration::from_millis(200), "{flooded:?}, calm {calm:?}");
     assert!(served.load(Ordering::SeqCst) > 20, "the flooder is served where there is room");
 }
