Test the log's bound in bytes, and that its thread is woken for what was held

Two changes of the code went unnoticed by the tests: the queue without its bound in bytes (short lines filled its places first), and no wake for the thread that writes (a line came along anyway). Long lines go first now, and the thread has nothing left to do before lines are held. Both changes make the tests fail now.

--- a/crates/log/tests/storm.rs
+++ b/crates/log/tests/storm.rs
@@ -4,9 +4,11 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tracing::{Level, dispatcher, error, info, warn};
 
+/// Longer than anything here takes, on any machine.
+const WIDE: Duration = Duration::from_secs(60);
 const BOUNDS: Bounds = Bounds { window: 1_000_000, repeats: 3, lines: 10 };
 const SETTINGS: Settings = Settings { level: Level::INFO, format: Format::Text, bounds: BOUNDS };
 
@@ -30,8 +32,10 @@
 
     /// Waits until a line has this in it.
     fn await_line(&self, part: &str) {
+        let began = Instant::now();
         while !self.lines().iter().any(|l| l.contains(part)) {
-            std::thread::yield_now();
+            assert!(began.elapsed() < WIDE, "{part} is not told");
+            std::thread::sleep(Duration::from_millis(1));
         }
     }
 }
@@ -94,10 +98,14 @@
 #[test]
 fn what_was_held_is_told_when_its_window_is_over_though_nothing_more_happens() {
     let (log, stream, time) = log(SETTINGS);
-    dispatcher::with_default(log.dispatch(), || (0..10).for_each(|_| info!("again")));
+    let tell =
+        |times: usize| dispatcher::with_default(log.dispatch(), || (0..times).for_each(|_| info!("again")));
+    tell(3);
+    stream.await_line("again");
+    // The thread that writes has nothing left to do: it must be told that there is something to tell of.
+    std::thread::sleep(Duration::from_millis(50));
+    tell(7);
     time.store(1_000_000, Ordering::SeqCst);
-    // On a clock that is turned by hand the thread only looks when there is a line to write.
-    dispatcher::with_default(log.dispatch(), || info!("other"));
     stream.await_line("INFO lapisrudder_log: more lines were held back held=7 like=\"again\"");
 }
 
@@ -107,8 +115,8 @@
     let (log, stream, _) = log(Settings { bounds, ..SETTINGS });
     stream.shut(true);
     dispatcher::with_default(log.dispatch(), || {
-        (0..20_000).for_each(|n| info!("line {n}"));
         (0..2_000).for_each(|n| info!("{n}{}", " long".repeat(1_000)));
+        (0..20_000).for_each(|n| info!("line {n}"));
     });
     stream.shut(false);
     stream.await_line("lines were dropped");
