Log connects that fail, answers that cannot be read, and accepts that the system refuses

Need: operators had no word of members in trouble or of descriptors that ran out.

An unset EDGE_CONFIG is told without a colon in between.

--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -98,9 +98,10 @@
         let Problem { place, key, fault } = self;
         // Guards the promise of one line: messages of parsers may have more.
         let fault = fault.to_string().replace(['\n', '\r'], " ");
-        match key.is_empty() || fault.starts_with(key.as_str()) {
-            true => write!(f, "{place}: {fault}"),
-            false => write!(f, "{place}: {key}: {fault}"),
+        match (place, key.is_empty() || fault.starts_with(key.as_str())) {
+            (Place::Variable(_), true) if matches!(self.fault, Fault::Unset) => write!(f, "{place} {fault}"),
+            (_, true) => write!(f, "{place}: {fault}"),
+            (_, false) => write!(f, "{place}: {key}: {fault}"),
         }
     }
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -10,6 +10,7 @@
 use std::io::IoSlice;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tracing::warn;
 
 /// Buffers larger than this are given back once empty.
 const KEPT: usize = 4 << 10;
@@ -179,7 +180,13 @@
             Ok(None) => return None,
         };
         let buffer = &scratch[..held + read];
-        let Ok((taken, keep)) = self.take_answers(buffer, ended, answered) else { return Some(false) };
+        let (taken, keep) = match self.take_answers(buffer, ended, answered) {
+            Ok(done) => done,
+            Err(what) => {
+                warn!(about = %self.endpoint, "an answer cannot be read: {what}");
+                return Some(false);
+            }
+        };
         self.input.clear();
         self.input.extend_from_slice(&buffer[taken..]);
         self.input.shrink_to(KEPT);
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -19,7 +19,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tracing::info;
+use tracing::{debug, info};
 
 /// A transaction that has no final answer this long after its time gets one from the node itself.
 const OVERDUE: Micros = 10_000;
@@ -381,6 +381,7 @@
             self.pool.list(t.listed.server, t.endpoint, origin, t.listed.stage, &mut self.deadlines);
         }
         self.server.limit = self.sockets - self.pool.reserve();
+        debug!(?scope, members = targets.len(), "list of members");
         let list = targets.into_iter().map(|t| t.listed).collect();
         self.transactions.events.push_back(Event::Servers { scope, list });
     }
--- a/src/net/pool_member.rs
+++ b/src/net/pool_member.rs
@@ -8,6 +8,7 @@
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use tracing::warn;
 
 struct PoolMember {
     endpoint: SocketAddr,
@@ -182,7 +183,13 @@
         let id = self.next;
         self.next += 1;
         let socket = Socket::connect(member.endpoint, &self.handle, move |_, node| node.member_ready(id));
-        let Ok(socket) = socket else { return false };
+        let socket = match socket {
+            Ok(socket) => socket,
+            Err(e) => {
+                warn!(about = %member.endpoint, "cannot connect: {e}");
+                return false;
+            }
+        };
         let mut connection = Connection::new(server, member.endpoint, member.origin, socket);
         let at = now + self.limits.connect_timeout;
         connection.deadline = Some(deadlines.add(at, Deadline::Connection(id)));
@@ -253,7 +260,10 @@
             match c.comes_up() {
                 Ok(true) => self.freed(id, now, deadlines),
                 Ok(false) => return,
-                Err(_) => return self.close(id, now, deadlines),
+                Err(e) => {
+                    warn!(about = %c.endpoint, "cannot connect: {e}");
+                    return self.close(id, now, deadlines);
+                }
             }
         }
         self.unwritten.push(id);
@@ -285,6 +295,9 @@
     pub fn on_deadline(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
         if let Some(c) = self.connections.get_mut(&id) {
             c.deadline = None;
+            if !c.up {
+                warn!(about = %c.endpoint, "cannot connect: no answer in time");
+            }
             self.close(id, now, deadlines);
         }
     }
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -13,6 +13,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use tracing::warn;
 
 /// Under want of descriptors, a connection that was never used makes room for others after this long, and one
 /// that was used after the other time. Guards usual clients against hundreds of connections that say nothing, or
@@ -144,7 +145,8 @@
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
                 // Guards against a loop that spins on EMFILE: the listener stays readable all the while.
-                Err(_) => {
+                Err(e) => {
+                    warn!("cannot accept: {e}");
                     self.make_room(now, deadlines);
                     self.pause();
                     return true;
