Test the operators' file without naming keys of sections that are still to come

Need: two cases held the wording for a section that takes no keys yet; they would fail with the first key it gets.

--- a/crates/config/tests/problems.rs
+++ b/crates/config/tests/problems.rs
@@ -129,10 +129,6 @@
             "[log]\nlevel = \"loud\"\n",
             &["o.toml:2: log.level: \"loud\" is none of error, warn, info, debug, trace"],
         ),
-        (
-            "[limits]\nanything = 1\n",
-            &["o.toml:2: limits.anything: unknown field `anything`, there are no fields"],
-        ),
         (
             "[log]\nlevel = \"info\"\nlevel = \"warn\"\n",
             &["o.toml:3: bad TOML: duplicate key in `level = \"warn\"`"],
@@ -140,13 +136,13 @@
         ("[log\nlevel = \"info\"\n", &["o.toml:1: bad TOML: unclosed table, expected `]` in `[log`"]),
         ("[log]\nlevel = info\n", &["o.toml:2: bad TOML: invalid float, expected `inf` in `level = info`"]),
         (
-            "[log]\nwindow_ms = 5\n\nrepeats = 1.5\nlines = 0\ncolour = { a = 1 }\n[limits]\nx.y = 1\n",
+            "[log]\nwindow_ms = 5\n\nrepeats = 1.5\nlines = 0\ncolour = { a = 1 }\n[logs]\nx.y = 1\n",
             &[
                 "o.toml:2: log.window_ms: 5 is not within 100 to 86400000",
                 "o.toml:4: log.repeats: invalid type: floating point `1.5`, expected u32",
                 "o.toml:5: log.lines: 0 is not within 1 to 10000",
                 "o.toml:6: log.colour: unknown field `colour`, expected one of `level`, `format`, `window_ms`, `repeats`, `lines`",
-                "o.toml:8: limits.x: unknown field `x`, there are no fields",
+                "o.toml:7: logs: unknown field `logs`, expected `limits` or `log`",
             ],
         ),
     ];
