Tell whether requests of a class may be repeated

Need: who turns requests away must know which may be refused at any time; the effect is a word of the platform's file.

Change: RequestClass::may_repeat, with the wording kept in crates/config.

--- a/crates/config/src/options.rs
+++ b/crates/config/src/options.rs
@@ -227,6 +227,13 @@
     })
 }
 
+impl RequestClass {
+    /// A request of the class may run more than once, and be refused at any time.
+    pub fn may_repeat(&self) -> bool {
+        self.effect == "free"
+    }
+}
+
 impl From<&RequestClass> for Class {
     fn from(c: &RequestClass) -> Class {
         Class {
