--- a/crates/limits/src/admission/mod.rs
+++ b/crates/limits/src/admission/mod.rs
@@ -495,7 +495,7 @@
         self.tick(now);
         let Some(found) = self.books.get_mut(conn).filter(|c| c.watched) else { return };
         found.watched = false;
-        self.worth.closed(now);
+        self.worth.closed();
         self.worth.crossing(now);
         let source = self.source_of(conn);
         self.spells.note(now, EventKind::Crossed, source);
@@ -508,7 +508,7 @@
         if let Some(old) = self.books.remove(conn)
             && old.watched
         {
-            self.worth.closed(now);
+            self.worth.closed();
         }
     }
 
--- a/crates/limits/src/admission/orders_due.rs
+++ b/crates/limits/src/admission/orders_due.rs
@@ -2,7 +2,8 @@
 
 use super::Admission;
 use crate::Micros;
-use crate::keep::{CLASSES, ONCE, UNUSED, micros};
+use crate::books::IDLE;
+use crate::keep::{ONCE, UNUSED, micros};
 use crate::orders::{Activity, ConnId, EventKind, Order, Why};
 
 /// Whom to close early is looked at this often, while there is reason to.
@@ -13,8 +14,6 @@
 const SOONEST: Micros = 100_000;
 /// While something runs short, one that is less likely than this to be used soon is closed early.
 const LEAN: f64 = 0.5;
-/// Idle connections at the head of each list that are looked at.
-const HEADS: usize = 4;
 
 impl Admission {
     /// When to [`poll`](Admission::poll) again, if nothing happens until then.
@@ -28,12 +27,12 @@
         idle.chain(unfinished).chain(self.next_look).min()
     }
 
-    /// The longest idle of each class whose time can come.
+    /// The longest idle of each kind whose time can come, with its class.
     fn heads_of_classes(&self) -> impl Iterator<Item = (usize, ConnId, Micros)> {
-        let classes = if self.stopping { UNUSED..UNUSED + 1 } else { UNUSED..CLASSES };
-        let heads =
-            [false, true].into_iter().flat_map(move |side| self.books.heads(side, classes.clone(), 1));
-        heads.map(|(class, name, conn)| (class, name, conn.since))
+        let heads = [false, true].into_iter().flat_map(|side| self.books.heads(side, 0..IDLE, 1));
+        heads
+            .map(|(_, name, conn)| (conn.class(), name, conn.since))
+            .filter(|(class, ..)| !self.stopping || *class == UNUSED)
     }
 
     /// The next thing to do; `None` when there is nothing (more) now.
@@ -94,7 +93,8 @@
         let (books, worth, stopping) = (&self.books, &self.worth, self.stopping);
         let sides = [false, true].into_iter().filter(|side| known || !side);
         let (_, conn) = sides
-            .flat_map(|side| books.heads(side, 0..CLASSES, 1))
+            .flat_map(|side| books.heads(side, 0..IDLE, 1))
+            .map(|(_, name, conn)| (conn.class(), name, conn))
             .filter(|(class, _, conn)| {
                 (!stopping || *class == UNUSED) && now - conn.since >= worth.earliest(*class)
             })
@@ -137,11 +137,12 @@
         let sides = [false, true].into_iter().filter(|side| known || !side);
         let (books, worth) = (&self.books, &self.worth);
         let (_, conn) = sides
-            .flat_map(|side| books.heads(side, ONCE..CLASSES, HEADS))
-            .filter_map(|(class, name, conn)| {
-                let age = now - conn.since;
-                let sure = age >= worth.room_after(class)
-                    || !conn.probe && age >= worth.earliest(class) && worth.is_learnt(now, class, age);
+            .flat_map(|side| books.heads(side, ONCE..IDLE, 1))
+            .filter(|(_, _, conn)| conn.class() != UNUSED)
+            .filter_map(|(_, name, conn)| {
+                let (class, age) = (conn.class(), now - conn.since);
+                let learnt = !conn.probe && worth.is_learnt(now, class, age);
+                let sure = age >= worth.earliest(class) && (learnt || age >= worth.room_after(class));
                 let worth = worth.of(class, age);
                 (sure && worth < too_little).then_some((worth, name))
             })
--- a/crates/limits/src/admission/victims.rs
+++ b/crates/limits/src/admission/victims.rs
@@ -6,13 +6,13 @@
 
 use super::Admission;
 use crate::Micros;
-use crate::books::{Conn, OVER, UNFINISHED};
-use crate::keep::{CLASSES, NEXT_TO_NOTHING, Newcomer, UNUSED, micros};
+use crate::books::{Conn, IDLE, OVER, UNFINISHED};
+use crate::keep::{NEXT_TO_NOTHING, Newcomer, UNUSED, micros};
 use crate::orders::ConnId;
 use std::ops::ControlFlow;
 
-/// Connections of each list that are looked at: those ahead may be there to learn from, and stay.
-const LOOKED_AT: usize = 3;
+/// Connections of each list that are looked at: the one ahead may be the newcomer itself.
+const LOOKED_AT: usize = 2;
 /// Sources over their share that are looked at.
 const SOURCES: usize = 8;
 /// What one is worth that has not finished its command in the time that it may take under want.
@@ -27,8 +27,9 @@
             return (may && HALF_A_COMMAND < newcomer.worth).then_some(HALF_A_COMMAND);
         }
         // The clients of a stopping node have only the connections that stay open.
-        let strict = conn.probe || self.stopping && kind != UNUSED;
-        self.worth.may_go(now, kind, now - conn.since, strict, newcomer)
+        let class = conn.class();
+        let strict = conn.probe || self.stopping && class != UNUSED;
+        self.worth.may_go(now, class, now - conn.since, strict, newcomer)
     }
 
     /// The one worth least among heads of lists.
@@ -116,11 +117,9 @@
 
     /// The idle connection of other than known clients that is worth least, however short it has been idle.
     fn lent(&self) -> Option<ConnId> {
-        let heads = (0..CLASSES).filter_map(|kind| {
-            let (name, conn) = self.books.first(false, kind, 1).next()?;
-            Some((self.worth.of(kind, self.now - conn.since), name))
-        });
-        let idle = heads.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name);
+        let heads = self.books.heads(false, 0..IDLE, 1);
+        let worth = heads.map(|(_, name, conn)| (self.worth.of(conn.class(), self.now - conn.since), name));
+        let idle = worth.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name);
         idle.or_else(|| Some(self.books.first(false, UNFINISHED, 1).next()?.0))
     }
 
@@ -129,8 +128,8 @@
         let sooner = |kind: usize, conn: &Conn| match kind {
             UNFINISHED => conn.begun.unwrap_or(conn.since) + micros(self.settings.keep.unfinished_room_ms),
             _ => {
-                let earliest = conn.since + self.worth.earliest(kind);
-                if earliest > now { earliest } else { conn.since + self.worth.room_after(kind) }
+                let earliest = conn.since + self.worth.earliest(conn.class());
+                if earliest > now { earliest } else { conn.since + self.worth.room_after(conn.class()) }
             }
         };
         let heads = [false, true].into_iter().flat_map(|side| self.heads(side));
--- a/crates/limits/src/books.rs
+++ b/crates/limits/src/books.rs
@@ -12,12 +12,18 @@
 use std::collections::{BTreeSet, HashMap};
 
 const NIL: u32 = u32::MAX;
-/// Kinds of lists: one for each class of idle ones, and these two.
-pub(crate) const KINDS: usize = CLASSES + 2;
+/// Kinds of lists: one for each class of idle ones, and these.
+pub(crate) const KINDS: usize = CLASSES + 4;
+/// Idle, never used, and there to learn from. Guards the lists of classes: their heads must be such as can go.
+pub(crate) const PROBES_UNUSED: usize = CLASSES;
+/// Idle, used, and there to learn from.
+pub(crate) const PROBES_USED: usize = CLASSES + 1;
+/// Kinds below this are idle.
+pub(crate) const IDLE: usize = CLASSES + 2;
 /// Part of a command has come.
-pub(crate) const UNFINISHED: usize = CLASSES;
+pub(crate) const UNFINISHED: usize = CLASSES + 2;
 /// Only the close remains.
-pub(crate) const OVER: usize = CLASSES + 1;
+pub(crate) const OVER: usize = CLASSES + 3;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Link {
@@ -440,7 +446,9 @@
         let conn = &self.conns[slot as usize];
         let kind = match conn.activity {
             _ if !conn.counted => return,
-            Activity::Idle => conn.class(),
+            Activity::Idle if !conn.probe => conn.class(),
+            Activity::Idle if conn.asked == 0 => PROBES_UNUSED,
+            Activity::Idle => PROBES_USED,
             Activity::Unfinished => UNFINISHED,
             Activity::Over => OVER,
             Activity::Owed => return,
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -142,7 +142,7 @@
     /// Default 0.375.
     pub early_from: f64,
     /// At most this share of early closes may cross a request; beyond it the earliest time is doubled, up to
-    /// `used_room_ms`. Default 0.02.
+    /// `idle_close_ms` (then none is closed early), and halved again every 30 s. Default 0.02.
     pub crossing_most: f64,
     /// How soon, in ms, the next request must be likely for a connection to be worth its place. Default 1000.
     pub soon_ms: u32,
