--- a/crates/limits/src/admission/orders_due.rs
+++ b/crates/limits/src/admission/orders_due.rs
@@ -2,7 +2,9 @@
 
 use super::Admission;
 use crate::Micros;
-use crate::keep::{CLASSES, ONCE, UNUSED, micros};
+use crate::books::IDLE;
+use crate::flights::Flight;
+use crate::keep::{ONCE, UNUSED, micros};
 use crate::orders::{Activity, ConnId, EventKind, Order, Why};
 
 /// Whom to close early is looked at this often, while there is reason to.
@@ -11,10 +13,10 @@
 const WALK: usize = 64;
 /// The shortest time within which a next request must be likely.
 const SOONEST: Micros = 100_000;
+/// Requests given up in one look.
+const GIVEN_UP: usize = 32;
 /// While something runs short, one that is less likely than this to be used soon is closed early.
 const LEAN: f64 = 0.5;
-/// Idle connections at the head of each list that are looked at.
-const HEADS: usize = 4;
 
 impl Admission {
     /// When to [`poll`](Admission::poll) again, if nothing happens until then.
@@ -28,12 +30,12 @@
         idle.chain(unfinished).chain(self.next_look).min()
     }
 
-    /// The longest idle of each class whose time can come.
+    /// The longest idle of each kind whose time can come, with its class.
     fn heads_of_classes(&self) -> impl Iterator<Item = (usize, ConnId, Micros)> {
-        let classes = if self.stopping { UNUSED..UNUSED + 1 } else { UNUSED..CLASSES };
-        let heads =
-            [false, true].into_iter().flat_map(move |side| self.books.heads(side, classes.clone(), 1));
-        heads.map(|(class, name, conn)| (class, name, conn.since))
+        let heads = [false, true].into_iter().flat_map(|side| self.books.heads(side, 0..IDLE, 1));
+        heads
+            .map(|(_, name, conn)| (conn.class(), name, conn.since))
+            .filter(|(class, ..)| !self.stopping || *class == UNUSED)
     }
 
     /// The next thing to do; `None` when there is nothing (more) now.
@@ -78,8 +80,11 @@
 
     fn order(&mut self, now: Micros, conn: ConnId, why: Why, watched: bool) {
         self.observe_rest(now, conn);
-        let source = self.source_of(conn);
-        self.spells.note(now, EventKind::Closed(why), source);
+        // Those whose time is over are no news.
+        if !matches!(why, Why::Silent | Why::Idle) {
+            let source = self.source_of(conn);
+            self.spells.note(now, EventKind::Closed(why), source);
+        }
         self.books.update(conn, |c| {
             (c.activity, c.ordered, c.watched) = (Activity::Over, true, watched);
         });
@@ -94,7 +99,8 @@
         let (books, worth, stopping) = (&self.books, &self.worth, self.stopping);
         let sides = [false, true].into_iter().filter(|side| known || !side);
         let (_, conn) = sides
-            .flat_map(|side| books.heads(side, 0..CLASSES, 1))
+            .flat_map(|side| books.heads(side, 0..IDLE, 1))
+            .map(|(_, name, conn)| (conn.class(), name, conn))
             .filter(|(class, _, conn)| {
                 (!stopping || *class == UNUSED) && now - conn.since >= worth.earliest(*class)
             })
@@ -137,11 +143,12 @@
         let sides = [false, true].into_iter().filter(|side| known || !side);
         let (books, worth) = (&self.books, &self.worth);
         let (_, conn) = sides
-            .flat_map(|side| books.heads(side, ONCE..CLASSES, HEADS))
-            .filter_map(|(class, name, conn)| {
-                let age = now - conn.since;
-                let sure = age >= worth.room_after(class)
-                    || !conn.probe && age >= worth.earliest(class) && worth.is_learnt(now, class, age);
+            .flat_map(|side| books.heads(side, ONCE..IDLE, 1))
+            .filter(|(_, _, conn)| conn.class() != UNUSED)
+            .filter_map(|(_, name, conn)| {
+                let (class, age) = (conn.class(), now - conn.since);
+                let learnt = !conn.probe && worth.is_learnt(now, class, age);
+                let sure = age >= worth.earliest(class) && (learnt || age >= worth.room_after(class));
                 let worth = worth.of(class, age);
                 (sure && worth < too_little).then_some((worth, name))
             })
@@ -183,19 +190,22 @@
 
     /// Requests in hand that are worth less than what their places could serve.
     fn give_up(&mut self, now: Micros) {
-        let places = self.clients_room().unwrap_or(u64::MAX).min(self.slots.most.max(1));
+        // What idle connections hold of the clients' room is nobody's to work in.
+        let [others, known] = self.books.sides;
+        let idle = self.books.used().saturating_sub(others.working + known.working);
+        let room = self.clients_room().map_or(u64::MAX, |room| room.saturating_sub(idle).max(1));
+        let places = room.min(self.slots.most.max(1));
         let earns = self.overload.place_earns(now, places as usize);
         if earns <= 0.0 {
             return;
         }
-        let late: Vec<_> = self
-            .flights
-            .oldest()
-            .filter(|(_, flight)| !flight.known && self.overload.is_past_use(now, flight, earns))
-            .map(|(ticket, _)| ticket)
-            .collect();
-        for ticket in late {
-            self.recall(now, ticket, Why::PastUse);
+        for _ in 0..GIVEN_UP {
+            let past_use = |flight: &Flight| !flight.known && self.overload.is_past_use(now, flight, earns);
+            let late = self.flights.oldest().find(|(_, flight)| past_use(flight)).map(|(ticket, _)| ticket);
+            let Some(ticket) = late else { return };
+            if let Some(flight) = self.recall(now, ticket, Why::PastUse) {
+                self.overload.gave_up(now, &flight);
+            }
         }
     }
 }
