Close under want after 0.3 s where nothing is learnt yet

Cause: a fresh node knows nothing of its clients' gaps, and kept idle connections for 2 s until it had learnt; in the incident its clients ask once and keep their connections, and nodes are restarted within seconds. Change: a time of its own for early closes (keep.early_ms) is the prior of those that had an answer.

--- a/crates/limits/src/admission/orders_due.rs
+++ b/crates/limits/src/admission/orders_due.rs
@@ -148,7 +148,7 @@
             .filter_map(|(_, name, conn)| {
                 let (class, age) = (conn.class(), now - conn.since);
                 let learnt = !conn.probe && worth.is_learnt(now, class, age);
-                let sure = age >= worth.earliest(class) && (learnt || age >= worth.room_after(class));
+                let sure = age >= worth.earliest(class) && (learnt || age >= worth.early_after());
                 let worth = worth.of(class, age);
                 (sure && worth < too_little).then_some((worth, name))
             })
--- a/crates/limits/src/keep.rs
+++ b/crates/limits/src/keep.rs
@@ -81,7 +81,8 @@
 }
 
 fn prior(keep: &Keep, class: usize) -> impl Fn(Micros) -> f64 + use<> {
-    let until = micros(if class == UNUSED { keep.silent_room_ms } else { keep.used_room_ms });
+    // Guards against a fresh node that learns too late that its clients ask once and keep their connections.
+    let until = micros(if class == UNUSED { keep.silent_room_ms } else { keep.early_ms });
     move |age| match age {
         _ if age >= until => PRIOR_LATER,
         _ if class == UNUSED && age < until / 5 => PRIOR_NEW,
@@ -160,6 +161,11 @@
         micros(if class == UNUSED { self.keep.silent_room_ms } else { self.keep.used_room_ms })
     }
 
+    /// From this age on, a used one goes early under want of the clients' room, whatever was learnt of its age.
+    pub fn early_after(&self) -> Micros {
+        micros(self.keep.early_ms).max(self.earliest)
+    }
+
     /// The earliest age at which what is learnt may end one of a class.
     pub fn earliest(&self, class: usize) -> Micros {
         if class == UNUSED { micros(self.keep.silent_earliest_ms) } else { self.earliest }
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -147,6 +147,9 @@
     pub silent_room_ms: u32,
     /// The same for one that had an answer. Default 2000.
     pub used_room_ms: u32,
+    /// While much of the clients' room is taken, one that had an answer is closed after this many idle ms, as long
+    /// as nothing is learnt. Default 300.
+    pub early_ms: u32,
     /// Under want, one that brought but a part of a command makes room after this many ms. Default 1000.
     pub unfinished_room_ms: u32,
     /// What is learnt never lets one that had no request make room sooner than this many ms. Default 20.
@@ -266,6 +269,7 @@
             idle_close_ms: 2050,
             silent_room_ms: 100,
             used_room_ms: 2000,
+            early_ms: 300,
             unfinished_room_ms: 1000,
             silent_earliest_ms: 20,
             earliest_ms: 100,
@@ -336,6 +340,7 @@
             ("keep.idle_close_ms", keep.idle_close_ms),
             ("keep.silent_room_ms", keep.silent_room_ms),
             ("keep.used_room_ms", keep.used_room_ms),
+            ("keep.early_ms", keep.early_ms),
             ("keep.unfinished_room_ms", keep.unfinished_room_ms),
             ("keep.soon_ms", keep.soon_ms),
             ("keep.memory_ms", keep.memory_ms),
@@ -350,6 +355,7 @@
             ("keep.used_room_ms", keep.used_room_ms, "keep.idle_close_ms", keep.idle_close_ms),
             ("keep.silent_earliest_ms", keep.silent_earliest_ms, "keep.silent_room_ms", keep.silent_room_ms),
             ("keep.earliest_ms", keep.earliest_ms, "keep.used_room_ms", keep.used_room_ms),
+            ("keep.early_ms", keep.early_ms, "keep.used_room_ms", keep.used_room_ms),
             (
                 "overload.again_least_ms",
                 overload.again_least_ms,
