--- a/crates/limits/src/admission/tests.rs
+++ b/crates/limits/src/admission/tests.rs
@@ -414,6 +414,19 @@
     assert_eq!(still, 15, "none at work for good was closed or refused");
 }
 
+#[test]
+fn nobody_else_takes_a_known_clients_place_within_the_reserve() {
+    let settings = "[known]\nprefixes = ['10.9.0.0/16']\nconnections = 3";
+    let mut host = Host::new(settings, 10, 20);
+    let known: Vec<ConnId> = (0..4).map(|i| host.connect(&format!("10.9.0.{i}"), false).unwrap()).collect();
+    let stay = |host: &Host| known.iter().filter(|c| host.open.contains_key(c)).count();
+    for i in 0..200 {
+        host.pass(5);
+        let _ = host.connect(&format!("192.0.2.{i}"), true);
+    }
+    assert_eq!(stay(&host), 3, "the fourth is one of all");
+}
+
 #[test]
 fn a_reload_with_smaller_limits_drops_nobody_with_work() {
     let mut host = Host::new("", 30, 30);
