--- a/crates/limits/src/admission/mod.rs
+++ b/crates/limits/src/admission/mod.rs
@@ -101,6 +101,8 @@
     cursor: usize,
     /// Connections that brought their first request.
     newly_used: Meter,
+    /// The same, over a shorter time: a burst must be seen before it has taken all places.
+    burst: Meter,
     /// The latest time that was told.
     now: Micros,
 }
@@ -139,6 +141,7 @@
             next_look: None,
             cursor: 0,
             newly_used: Meter::new(now, 2_000_000),
+            burst: Meter::new(now, 500_000),
             now,
             settings,
         };
--- a/crates/limits/src/admission/orders_due.rs
+++ b/crates/limits/src/admission/orders_due.rs
@@ -13,6 +13,8 @@
 const WALK: usize = 64;
 /// The shortest time within which a next request must be likely.
 const SOONEST: Micros = 100_000;
+/// Places for clients are to last so long, in s, at the rate at which they are taken.
+const AHEAD: f64 = 0.3;
 /// Requests given up in one look.
 const GIVEN_UP: usize = 32;
 /// While something runs short, one that is less likely than this to be used soon is closed early.
@@ -117,13 +119,17 @@
         }
     }
 
-    /// What worth is too little for a used connection to stay, now.
+    /// What worth is too little for a used connection to stay, now. Guards clients that keep asking on what they
+    /// have: while places last for longer than [`AHEAD`] at the rate at which they are taken, nobody wants more.
     fn too_little(&self) -> f64 {
         if self.stopping {
             return 0.0;
         }
-        let taken = self.clients_room().map_or(0.0, |room| self.books.used() as f64 / room as f64);
-        let too_little = self.worth.too_little(taken);
+        let too_little = self.clients_room().map_or(0.0, |room| {
+            let (room, used) = (room as f64, self.books.used() as f64);
+            let wanted = self.burst.per_s(self.now) * AHEAD / (room - used).max(1.0);
+            self.worth.too_little(used / room) * wanted.min(1.0)
+        });
         if self.stages.stage() > 0 { too_little.max(LEAN) } else { too_little }
     }
 
--- a/crates/limits/src/admission/requests.rs
+++ b/crates/limits/src/admission/requests.rs
@@ -31,6 +31,7 @@
         }
         if c.asked == 0 {
             self.newly_used.add(now, 1.0);
+            self.burst.add(now, 1.0);
         }
         if c.spoke {
             self.worth.spoke(now, true);
--- a/crates/limits/src/keep.rs
+++ b/crates/limits/src/keep.rs
@@ -204,10 +204,10 @@
     }
 
     /// What worth is too little, while so large a share of the clients' room is taken by used connections: 0 up to
-    /// the settings' share, rising with the square of what is left above it, 1 when all is taken.
+    /// the settings' share, rising with what is left above it, 1 when all is taken.
     pub fn too_little(&self, taken: f64) -> f64 {
         let above = (taken - self.keep.early_from) / (1.0 - self.keep.early_from).max(1e-9);
-        above.clamp(0.0, 1.0).powi(2)
+        above.clamp(0.0, 1.0)
     }
 
     /// An early close was watched for a request that crosses it.
