Play clients as a machine: connections, retries, give-ups, stories, a front that deals

Load needs clients that behave: that reuse connections or not, give up, come back, and are dealt to nodes by a front that notices deaths late.

--- /dev/null
+++ b/crates/model/src/clients/habits.rs
@@ -0,0 +1,104 @@
+//! What clients do, as written down before a run.
+
+use crate::Micros;
+use crate::mix::Spread;
+
+/// What becomes of a connection after its answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Keep {
+    /// It is kept and used again; another is opened only when all are busy.
+    #[default]
+    Reuse,
+    /// It is closed: one connection for each request.
+    One,
+    /// It is kept and never used again: clients that ask once and keep their connection for good.
+    Forever,
+}
+
+/// How fast a client takes its answers in. The driver keeps to it with a [`Pace`](super::Pace).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Reader {
+    /// As they come.
+    #[default]
+    Full,
+    /// So many bytes a second.
+    Slow(u64),
+    /// Not at all for this long after each connect, then as they come.
+    Late(Micros),
+}
+
+/// When a client asks again after a try that did not serve it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Retry {
+    /// Tries in all, the first included.
+    pub tries: u8,
+    /// The wait before the second try.
+    pub wait: Spread,
+    /// Each further wait is this many times as long.
+    pub growth: f64,
+    /// No wait is longer, unless a `busy` asks for it.
+    pub most: Micros,
+    /// Waits as long as a `busy MS` asks, up to this; `None` takes no notice of it.
+    pub heeds_busy: Option<Micros>,
+}
+
+impl Default for Retry {
+    fn default() -> Self {
+        Self {
+            tries: 3,
+            wait: Spread::Exponential(1e5),
+            growth: 2.0,
+            most: 2_000_000,
+            heeds_busy: Some(2_000_000),
+        }
+    }
+}
+
+/// How the clients of one population behave.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Habits {
+    /// What becomes of connections.
+    pub keep: Keep,
+    /// Connections of one client at most: all of them for [`Keep::Reuse`], else those with a request.
+    pub most: u32,
+    /// Requests on one connection at most, written one behind the other. 1 waits for each answer.
+    pub pipeline: u32,
+    /// A connection that has been idle for so long is closed.
+    pub idle: Option<Micros>,
+    /// A connection that is not open by then has failed.
+    pub connect_limit: Micros,
+    /// A connection that has brought an answer before and is closed so soon after a request was written, with no
+    /// byte of its answer, closed across it: the request is sent once more on a new connection. `None` never does.
+    pub resend: Option<Micros>,
+    /// A try is given up after a share of the class's `give_up`, even between these two, and its connection closed.
+    pub patience: (f64, f64),
+    /// Share of the requests whose client leaves early, without another try.
+    pub leaves: f64,
+    /// It does so after a share of the class's `give_up`, even between these two.
+    pub leaves_after: (f64, f64),
+    /// When it asks again.
+    pub retry: Retry,
+    /// Further tries carry `r=1`.
+    pub marks_retry: bool,
+    /// How fast it reads.
+    pub reader: Reader,
+}
+
+impl Default for Habits {
+    fn default() -> Self {
+        Self {
+            keep: Keep::Reuse,
+            most: 4,
+            pipeline: 1,
+            idle: None,
+            connect_limit: 1_000_000,
+            resend: Some(50_000),
+            patience: (1.0, 1.0),
+            leaves: 0.0,
+            leaves_after: (0.1, 0.5),
+            retry: Retry::default(),
+            marks_retry: false,
+            reader: Reader::Full,
+        }
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,7 +6,7 @@
 #![warn(missing_docs, unreachable_pub)]
 
 pub mod arrivals;
-//pub mod clients;
+pub mod clients;
 //pub mod discovery;
 pub mod draw;
 pub mod keys;
