--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod draw;
 pub mod keys;
 pub mod mix;
-//pub mod network;
+pub mod network;
 pub mod profile;
 
 /// Microseconds, as a point on the caller's clock or as a length.
--- /dev/null
+++ b/crates/model/src/network/links.rs
@@ -0,0 +1,274 @@
+//! What holds between two hosts now: delays, and which faults are on.
+
+use crate::Micros;
+use crate::mix::{Spread, spot, unit};
+use rand::RngCore;
+
+/// A machine on the network, by number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Host(pub u32);
+
+/// One or more hosts, as one end of a fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Which {
+    /// Every host.
+    Any,
+    /// This one.
+    Host(Host),
+    /// All of a zone.
+    Zone(u16),
+}
+
+/// What becomes of open connections when a cut ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heal {
+    /// What was sent meanwhile arrives after all, as TCP sends again.
+    Resume,
+    /// A connection on which something was sent meanwhile stays silent for good; connects then under way never
+    /// come up.
+    Stay,
+    /// The machine is back without memory: whatever is sent on a connection from before is answered by a reset, and
+    /// so are connects then under way.
+    Reset,
+}
+
+/// A fault from one end to the other.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// Bytes vanish without a word. New connections do not come up.
+    Cut(Heal),
+    /// New connections are refused.
+    Refuse,
+    /// New connections never come up, though open ones work.
+    NeverOpens,
+    /// New connections are reset as soon as they are up.
+    ResetNew,
+    /// This share of the new connections, 0 to 1, never comes up.
+    LoseNew(f64),
+    /// This much is added to the delay of each byte.
+    Slow(Spread),
+}
+
+/// The name of a fault that is on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FaultId(u64);
+
+/// What a new connection comes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It opens.
+    Opens,
+    /// It is refused.
+    Refused,
+    /// It opens and is reset.
+    Reset,
+    /// Nothing is heard of it.
+    Never,
+}
+
+/// The delay one way between hosts of two zones.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Delay {
+    /// Always.
+    pub base: Micros,
+    /// On top, drawn for each write.
+    pub jitter: Spread,
+}
+
+/// Where hosts are and how far apart zones are.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LinksPlan {
+    /// The zone of each host.
+    pub zones: Vec<u16>,
+    /// Delay between hosts of one zone.
+    pub near: Delay,
+    /// Delay between hosts of different zones.
+    pub far: Delay,
+    /// Delays of pairs of zones, from and to, that differ from `far`.
+    pub pairs: Vec<(u16, u16, Delay)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Active {
+    id: FaultId,
+    from: Which,
+    to: Which,
+    both: bool,
+    pub(super) fault: Fault,
+}
+
+/// The state of all links. By itself it is the oracle that a stand-in on real sockets asks: a socket cannot be cut
+/// silently without privileges, so the stand-in does not read or write while [`Links::passes`] says no.
+#[derive(Clone, Debug)]
+pub struct Links {
+    plan: LinksPlan,
+    seed: u64,
+    active: Vec<Active>,
+    made: u64,
+}
+
+impl Links {
+    /// No fault is on.
+    pub fn new(plan: LinksPlan, seed: u64) -> Self {
+        Self { plan, seed, active: Vec::new(), made: 0 }
+    }
+
+    /// One more host.
+    pub fn add_host(&mut self, zone: u16) -> Host {
+        self.plan.zones.push(zone);
+        Host(self.plan.zones.len() as u32 - 1)
+    }
+
+    /// The zone of a host; 0 where there is no such host.
+    pub fn zone(&self, host: Host) -> u16 {
+        self.plan.zones.get(host.0 as usize).copied().unwrap_or(0)
+    }
+
+    /// Switches a fault on, from one end to the other or in both directions. For faults of new connections the
+    /// direction is that of the connect.
+    pub fn begin(&mut self, from: Which, to: Which, both: bool, fault: Fault) -> FaultId {
+        let id = FaultId(self.made);
+        self.made += 1;
+        self.active.push(Active { id, from, to, both, fault });
+        id
+    }
+
+    /// Switches a fault off.
+    pub fn end(&mut self, id: FaultId) -> Option<Fault> {
+        self.take(id).map(|active| active.fault)
+    }
+
+    pub(super) fn take(&mut self, id: FaultId) -> Option<Active> {
+        let at = self.active.iter().position(|active| active.id == id)?;
+        Some(self.active.remove(at))
+    }
+
+    pub(super) fn covers(&self, active: &Active, from: Host, to: Host) -> bool {
+        (self.of(active.from, from) && self.of(active.to, to))
+            || (active.both && self.of(active.from, to) && self.of(active.to, from))
+    }
+
+    pub(super) fn of(&self, which: Which, host: Host) -> bool {
+        match which {
+            Which::Any => true,
+            Which::Host(this) => this == host,
+            Which::Zone(zone) => self.zone(host) == zone,
+        }
+    }
+
+    fn faults(&self, from: Host, to: Host) -> impl Iterator<Item = Fault> {
+        self.active.iter().filter(move |active| self.covers(active, from, to)).map(|active| active.fault)
+    }
+
+    /// The cut on the way from one host to another, if there is one.
+    pub fn cut(&self, from: Host, to: Host) -> Option<Heal> {
+        self.faults(from, to).find_map(|fault| if let Fault::Cut(heal) = fault { Some(heal) } else { None })
+    }
+
+    /// A byte sent now from one host to another gets there.
+    pub fn passes(&self, from: Host, to: Host) -> bool {
+        self.cut(from, to).is_none()
+    }
+
+    /// What a connect from one host to another comes to now. `number` tells connections apart: the same one has the
+    /// same luck each time.
+    pub fn connect(&self, number: u64, from: Host, to: Host) -> Fate {
+        if !self.passes(from, to) || !self.passes(to, from) {
+            return Fate::Never;
+        }
+        let luck = unit(&mut spot(self.seed, "lose", number, 0));
+        let mut fate = Fate::Opens;
+        for fault in self.faults(from, to) {
+            match fault {
+                Fault::Refuse => return Fate::Refused,
+                Fault::NeverOpens => return Fate::Never,
+                Fault::LoseNew(share) if luck < share => return Fate::Never,
+                Fault::ResetNew => fate = Fate::Reset,
+                _ => {}
+            }
+        }
+        fate
+    }
+
+    /// How long a byte sent now takes from one host to another.
+    pub fn delay(&self, from: Host, to: Host, draws: &mut impl RngCore) -> Micros {
+        let (a, b) = (self.zone(from), self.zone(to));
+        let pair = self.plan.pairs.iter().find(|pair| (pair.0, pair.1) == (a, b)).map(|pair| pair.2);
+        let usual = pair.unwrap_or(if a == b { self.plan.near } else { self.plan.far });
+        let mut delay = usual.base.max(0) + usual.jitter.draw(draws);
+        for fault in self.faults(from, to) {
+            if let Fault::Slow(more) = fault {
+                delay += more.draw(draws);
+            }
+        }
+        delay
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn links() -> Links {
+        let delay = |base| Delay { base, jitter: Spread::Fixed(0) };
+        let plan = LinksPlan {
+            zones: vec![0, 0, 1, 2],
+            near: delay(100),
+            far: delay(900),
+            pairs: vec![(0, 2, delay(5000))],
+        };
+        Links::new(plan, 3)
+    }
+
+    #[test]
+    fn faults_hold_where_and_while_they_are_on() {
+        use Fate::{Never, Opens, Refused, Reset};
+        let (h0, h1, h2) = (Host(0), Host(1), Host(2));
+        let cases = [
+            // from, to, both, fault; then the fates 0 to 1, 0 to 2, 2 to 0; then whether 0 to 2 and 2 to 0 pass.
+            (
+                Which::Zone(0),
+                Which::Zone(1),
+                false,
+                Fault::Cut(Heal::Stay),
+                [Opens, Never, Never],
+                [false, true],
+            ),
+            (
+                Which::Zone(0),
+                Which::Zone(1),
+                true,
+                Fault::Cut(Heal::Stay),
+                [Opens, Never, Never],
+                [false, false],
+            ),
+            (Which::Any, Which::Host(h2), false, Fault::Refuse, [Opens, Refused, Opens], [true, true]),
+            (Which::Any, Which::Host(h2), false, Fault::NeverOpens, [Opens, Never, Opens], [true, true]),
+            (Which::Host(h0), Which::Any, false, Fault::ResetNew, [Reset, Reset, Opens], [true, true]),
+            (Which::Any, Which::Any, false, Fault::LoseNew(1.0), [Never, Never, Never], [true, true]),
+        ];
+        for (from, to, both, fault, fates, passes) in cases {
+            let mut links = links();
+            let id = links.begin(from, to, both, fault);
+            let pairs = [(h0, h1), (h0, h2), (h2, h0)];
+            assert_eq!(pairs.map(|(a, b)| links.connect(7, a, b)), fates, "{fault:?}");
+            assert_eq!([links.passes(h0, h2), links.passes(h2, h0)], passes, "{fault:?}");
+            assert_eq!(links.end(id), Some(fault));
+            assert_eq!(links.connect(7, h0, h2), Opens);
+        }
+    }
+
+    #[test]
+    fn zones_have_their_delays_and_shares_are_lost() {
+        let mut links = links();
+        let mut draws = crate::draw::stream(1, "delay", 0);
+        let mut delay = |links: &Links, a, b| links.delay(Host(a), Host(b), &mut draws);
+        assert_eq!([(0, 1), (0, 2), (0, 3), (3, 0)].map(|(a, b)| delay(&links, a, b)), [100, 900, 5000, 900]);
+        links.begin(Which::Host(Host(2)), Which::Any, true, Fault::Slow(Spread::Fixed(50)));
+        assert_eq!([(0, 1), (0, 2), (2, 0)].map(|(a, b)| delay(&links, a, b)), [100, 950, 950]);
+        links.begin(Which::Any, Which::Any, false, Fault::LoseNew(0.25));
+        let lost = (0..10_000).filter(|&n| links.connect(n, Host(0), Host(1)) == Fate::Never).count();
+        // 4 deviations of a binomial share of 0.25 in 10,000.
+        assert!(lost.abs_diff(2500) < 174, "{lost}");
+    }
+}
