Model discovery: list, watch, work in turn, outages, views, moves, and who was told what

Nodes live by the list that they are told, and the check on drains needs books of when each node counts as told.

--- a/crates/model/src/clients/machine.rs
+++ b/crates/model/src/clients/machine.rs
@@ -183,6 +183,8 @@
 
     /// Something happened.
     pub fn handle(&mut self, now: Micros, event: Event) {
+        // Guards against a driver that comes late: what was due before comes before.
+        while self.advance(now - 1, now) {}
         match event {
             Event::Opened(conn) => self.opened(now, conn),
             Event::OpenFailed(conn, _) => self.ended(now, conn),
@@ -206,18 +208,26 @@
             if let Some(order) = self.orders.pop_front() {
                 return Some(order);
             }
-            let timer = self.timers.peek().map(|timer| timer.0.0).filter(|at| *at <= now);
-            let coming = self.next_arrival().filter(|at| *at <= now);
-            match (timer, coming) {
-                (Some(at), coming) if coming.is_none_or(|coming| at <= coming) => {
-                    if let Some(Reverse((at, _, timer))) = self.timers.pop() {
-                        self.fire(now, at, timer);
-                    }
+            if !self.advance(now, now) {
+                return self.front.poll(now).map(Order::Probe);
+            }
+        }
+    }
+
+    /// Does the first thing due by a time, if there is one. It is now somewhat later.
+    fn advance(&mut self, by: Micros, now: Micros) -> bool {
+        let timer = self.timers.peek().map(|timer| timer.0.0).filter(|at| *at <= by);
+        let coming = self.next_arrival().filter(|at| *at <= by);
+        match (timer, coming) {
+            (Some(at), coming) if coming.is_none_or(|coming| at <= coming) => {
+                if let Some(Reverse((at, _, timer))) = self.timers.pop() {
+                    self.fire(now, at, timer);
                 }
-                (_, Some(at)) => self.arrive(now, at),
-                _ => return self.front.poll(now).map(Order::Probe),
             }
+            (_, Some(at)) => self.arrive(now, at),
+            _ => return false,
         }
+        true
     }
 
     /// When to poll again if nothing happens before; a time long past if there are orders to take.
--- /dev/null
+++ b/crates/model/src/discovery/machine.rs
@@ -0,0 +1,482 @@
+//! The service: calls worked through in turn, watches that wait, outages, views and moves.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+use rand_chacha::ChaCha8Rng;
+
+use super::books::Books;
+use super::catalog::Catalog;
+use super::{Address, Ask, CallId, Event, How, Limits, Listing, Member, Order, Telling};
+use crate::Micros;
+use crate::clients::NodeId;
+use crate::draw::stream;
+use crate::mix::Spread;
+
+/// How discovery fails while it is down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// Calls are answered with 503.
+    Unavailable,
+    /// Calls end with a reset.
+    Reset,
+    /// Nothing is heard until it is back; then the calls that waited end with a reset.
+    Silent,
+}
+
+/// Which list it serves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum View {
+    /// The present one.
+    #[default]
+    Live,
+    /// The one of so long ago.
+    Lag(Micros),
+    /// The one of that version, whatever happens.
+    Frozen(u64),
+}
+
+/// How discovery behaves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DiscoveryPlan {
+    /// The version at the start.
+    pub rev: u64,
+    /// The members at the start.
+    pub members: Vec<Member>,
+    /// From when an answer is worked out to when it is to be written.
+    pub latency: Spread,
+    /// Work for each call and each answer to a watch that waited.
+    pub per_call: Micros,
+    /// Work for each line of an answer.
+    pub per_line: Micros,
+    /// A call that would wait longer than this for its turn is answered with 503.
+    pub patience: Micros,
+    /// No watch waits longer.
+    pub longest_hold: Micros,
+    /// How many changes it remembers; a node that lacks more gets the whole list.
+    pub remember: usize,
+    /// The old address closes open connections so long after a move.
+    pub close_after_move: Micros,
+    /// When nodes count as told.
+    pub limits: Limits,
+}
+
+impl Default for DiscoveryPlan {
+    fn default() -> Self {
+        Self {
+            rev: 1,
+            members: Vec::new(),
+            latency: Spread::Fixed(1000),
+            per_call: 100,
+            per_line: 2,
+            patience: 2_000_000,
+            longest_hold: 60_000_000,
+            remember: 1000,
+            close_after_move: 1_500_000,
+            limits: Limits::default(),
+        }
+    }
+}
+
+/// Where a call is.
+#[derive(Clone, Debug)]
+enum Stage {
+    /// It waits for its turn.
+    Queued,
+    /// A watch waits for something new.
+    Waiting,
+    /// The answer is worked out and on its way.
+    Answering(Listing),
+    /// The driver has been told to write the version.
+    Writing(u64),
+    /// Discovery is silent; nothing comes of it.
+    Hung,
+}
+
+#[derive(Clone, Debug)]
+struct Call {
+    node: NodeId,
+    address: Address,
+    ask: Ask,
+    stage: Stage,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    /// A call's turn is over.
+    Worked(CallId),
+    /// A watch has waited long enough.
+    HoldOver(CallId),
+    /// An answer is to be written.
+    Answer(CallId),
+    /// A call is to be answered with 503.
+    Unavailable(CallId),
+    /// A call is to be reset.
+    Reset(CallId),
+    /// What the answer to a call brings counts as told.
+    Late(CallId),
+    /// The node counts as told if it has not asked since.
+    Unasked(NodeId),
+    /// The node counts as told after a new configuration.
+    Reloaded(NodeId),
+    /// A lagging view may show more.
+    Visible,
+    /// The old address closes what is open.
+    CloseAll(Address),
+}
+
+/// Discovery. See the [module](super) for how to drive it.
+#[derive(Debug)]
+pub struct Discovery {
+    plan: DiscoveryPlan,
+    catalog: Catalog,
+    view: View,
+    /// Nodes were last shown this version.
+    shown: u64,
+    down: Option<Outage>,
+    address: Address,
+    /// Addresses that have closed for good.
+    closed: Vec<Address>,
+    busy_until: Micros,
+    calls: BTreeMap<CallId, Call>,
+    timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
+    timers_made: u64,
+    orders: VecDeque<Order>,
+    books: Books,
+    draws: ChaCha8Rng,
+}
+
+impl Discovery {
+    /// Up, at one address.
+    pub fn new(plan: DiscoveryPlan, address: Address, seed: u64) -> Self {
+        Self {
+            catalog: Catalog::new(plan.rev, plan.members.clone(), plan.remember),
+            view: View::Live,
+            shown: plan.rev,
+            down: None,
+            address,
+            closed: Vec::new(),
+            busy_until: Micros::MIN,
+            calls: BTreeMap::new(),
+            timers: BinaryHeap::new(),
+            timers_made: 0,
+            orders: VecDeque::from([Order::Listen(address)]),
+            books: Books::new(plan.limits),
+            draws: stream(seed, "discovery", 0),
+            plan,
+        }
+    }
+
+    /// Something happened.
+    pub fn handle(&mut self, now: Micros, event: Event) {
+        // Guards against a driver that comes late: what was due before comes before.
+        self.advance(now - 1);
+        match event {
+            Event::Call(id, node, address, ask) => self.call(now, id, node, address, ask),
+            Event::Gone(id) => {
+                self.end_call(now, id, false);
+            }
+            Event::Written(id) => self.written(now, id),
+            Event::Change(members) => {
+                self.catalog.change(now, members);
+                if let View::Lag(lag) = self.view {
+                    self.timer(now + lag, Timer::Visible);
+                }
+                self.show(now);
+            }
+            Event::Down(outage) => self.go_down(now, outage),
+            Event::Up => {
+                if self.down.take() == Some(Outage::Silent) {
+                    self.fail_all(now, Timer::Reset);
+                }
+                self.show(now);
+            }
+            Event::View(view) => {
+                self.view = view;
+                if let View::Lag(lag) = view {
+                    let changes = self.catalog.changes(0, u64::MAX).map(|change| change.at + lag);
+                    let later: Vec<Micros> = changes.filter(|at| *at > now).collect();
+                    later.into_iter().for_each(|at| self.timer(at, Timer::Visible));
+                }
+                self.show(now);
+            }
+            Event::Move(to) => self.move_to(now, to),
+            Event::NodeStarted(node, known) => {
+                let silent = self.books.started(now, node, known);
+                silent.into_iter().for_each(|at| self.timer(at, Timer::Unasked(node)));
+            }
+            Event::NodeReloaded(node) => self.timer(now + self.plan.limits.reload, Timer::Reloaded(node)),
+        }
+    }
+
+    /// The next order due by now.
+    pub fn poll(&mut self, now: Micros) -> Option<Order> {
+        self.advance(now);
+        self.orders.pop_front()
+    }
+
+    fn advance(&mut self, now: Micros) {
+        while let Some(Reverse((at, _, timer))) = self.timers.peek().copied().filter(|timer| timer.0.0 <= now)
+        {
+            self.timers.pop();
+            self.fire(at, timer);
+        }
+    }
+
+    /// When to poll again if nothing happens before; a time long past if there are orders to take.
+    pub fn next(&self) -> Option<Micros> {
+        if !self.orders.is_empty() {
+            return Some(Micros::MIN);
+        }
+        self.timers.peek().map(|timer| timer.0.0)
+    }
+
+    /// Who counts as told of what since the last call of this. A `told` or `due` may lie before earlier entries'.
+    pub fn take_tellings(&mut self) -> Vec<Telling> {
+        std::mem::take(&mut self.books.tellings)
+    }
+
+    /// The whole list as it is, whatever is served: what a node's configuration holds at its start.
+    pub fn list(&self) -> Listing {
+        self.catalog.full(self.catalog.rev())
+    }
+
+    /// Where it answers.
+    pub fn address(&self) -> Address {
+        self.address
+    }
+
+    /// Calls that are open.
+    pub fn open_calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    fn timer(&mut self, at: Micros, timer: Timer) {
+        self.timers.push(Reverse((at, self.timers_made, timer)));
+        self.timers_made += 1;
+    }
+
+    /// The version that it serves now.
+    fn visible(&self, now: Micros) -> u64 {
+        match self.view {
+            View::Live => self.catalog.rev(),
+            View::Lag(lag) => self.catalog.rev_at(now - lag),
+            View::Frozen(rev) => rev.min(self.catalog.rev()),
+        }
+    }
+
+    fn call(&mut self, now: Micros, id: CallId, node: NodeId, address: Address, ask: Ask) {
+        let known = if let Ask::Watch { from, .. } = ask { from } else { 0 };
+        self.books.call_begins(now, node, known);
+        self.calls.insert(id, Call { node, address, ask, stage: Stage::Queued });
+        let latency = self.plan.latency.draw(&mut self.draws);
+        if self.closed.contains(&address) {
+            return self.timer(now + latency, Timer::Reset(id));
+        }
+        match self.down {
+            Some(Outage::Unavailable) => return self.timer(now + latency, Timer::Unavailable(id)),
+            Some(Outage::Reset) => return self.timer(now + latency, Timer::Reset(id)),
+            Some(Outage::Silent) => return self.hang(id),
+            None => {}
+        }
+        if self.busy_until.saturating_sub(now) > self.plan.patience {
+            return self.timer(now + latency, Timer::Unavailable(id));
+        }
+        if ask == Ask::Full {
+            self.timer(now + self.plan.limits.call, Timer::Late(id));
+        }
+        let done = self.work(now, 0);
+        self.timer(done, Timer::Worked(id));
+    }
+
+    /// When work for that many lines, put behind what is there, is done.
+    fn work(&mut self, now: Micros, lines: usize) -> Micros {
+        self.busy_until =
+            self.busy_until.max(now) + self.plan.per_call + self.plan.per_line * lines as Micros;
+        self.busy_until
+    }
+
+    fn fire(&mut self, now: Micros, timer: Timer) {
+        match timer {
+            Timer::Worked(id) => self.worked(now, id),
+            Timer::HoldOver(id) => {
+                if self.calls.get(&id).is_some_and(|call| matches!(call.stage, Stage::Waiting)) {
+                    let rev = self.visible(now);
+                    let from = self.from(id).unwrap_or(rev);
+                    self.answer(now, id, Listing { rev: from.max(rev), all: false, targets: Vec::new() });
+                }
+            }
+            Timer::Answer(id) => {
+                if let Some(call) = self.calls.get_mut(&id)
+                    && let Stage::Answering(listing) = &call.stage
+                {
+                    let listing = listing.clone();
+                    call.stage = Stage::Writing(listing.rev);
+                    self.orders.push_back(Order::Answer(id, listing));
+                }
+            }
+            Timer::Unavailable(id) => self.fail(now, id, Order::Unavailable(id)),
+            Timer::Reset(id) => self.fail(now, id, Order::Reset(id)),
+            Timer::Late(id) => {
+                if let Some(call) = self.calls.get(&id) {
+                    let rev = match &call.stage {
+                        Stage::Answering(listing) => listing.rev,
+                        Stage::Writing(rev) => *rev,
+                        Stage::Queued | Stage::Waiting => self.visible(now),
+                        Stage::Hung => return,
+                    };
+                    self.books.tell(now, call.node, &self.catalog, rev, How::Late);
+                }
+            }
+            Timer::Unasked(node) => {
+                let visible = self.visible(now);
+                self.books.silent_from(now, node, &self.catalog, visible);
+            }
+            Timer::Reloaded(node) => {
+                let visible = self.visible(now);
+                self.books.tell(now, node, &self.catalog, visible, How::Reloaded);
+            }
+            Timer::Visible => self.show(now),
+            Timer::CloseAll(address) if address == self.address => {}
+            Timer::CloseAll(address) => {
+                self.closed.push(address);
+                let there: Vec<CallId> = self
+                    .calls
+                    .iter()
+                    .filter(|(_, call)| call.address == address)
+                    .map(|(id, _)| *id)
+                    .collect();
+                for id in there {
+                    self.end_call(now, id, false);
+                }
+                self.orders.push_back(Order::CloseAll(address));
+            }
+        }
+    }
+
+    fn from(&self, id: CallId) -> Option<u64> {
+        match self.calls.get(&id)?.ask {
+            Ask::Watch { from, .. } => Some(from),
+            Ask::Full => None,
+        }
+    }
+
+    fn worked(&mut self, now: Micros, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id).filter(|call| matches!(call.stage, Stage::Queued)) else {
+            return;
+        };
+        match call.ask {
+            Ask::Full => {
+                let listing = self.catalog.full(self.visible(now));
+                self.answer(now, id, listing);
+            }
+            Ask::Watch { hold, .. } => {
+                call.stage = Stage::Waiting;
+                let hold = hold.clamp(0, self.plan.longest_hold);
+                self.timer(now + hold, Timer::HoldOver(id));
+                self.wake(now, id);
+            }
+        }
+    }
+
+    /// Answers a watch that waits, if there is something new.
+    fn wake(&mut self, now: Micros, id: CallId) {
+        let visible = self.visible(now);
+        let waits = self.calls.get(&id).is_some_and(|call| matches!(call.stage, Stage::Waiting));
+        if let Some(from) = self.from(id).filter(|from| waits && *from < visible) {
+            let listing = self.catalog.since(from, visible);
+            self.answer(now, id, listing);
+        }
+    }
+
+    /// The answer is known; its lines are worked through in turn.
+    fn answer(&mut self, now: Micros, id: CallId, listing: Listing) {
+        let waited = self.from(id).is_some();
+        let done = self.work(now, listing.targets.len());
+        let at = done + self.plan.latency.draw(&mut self.draws);
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.stage = Stage::Answering(listing);
+        }
+        self.timer(at, Timer::Answer(id));
+        if waited {
+            self.timer(now + self.plan.limits.wait, Timer::Late(id));
+        }
+    }
+
+    /// More may be visible.
+    fn show(&mut self, now: Micros) {
+        let visible = self.visible(now);
+        if visible > self.shown {
+            self.books.visible(now, &self.catalog, visible);
+        }
+        self.shown = visible;
+        let waiting: Vec<CallId> = self.calls.keys().copied().collect();
+        for id in waiting {
+            self.wake(now, id);
+        }
+    }
+
+    fn written(&mut self, now: Micros, id: CallId) {
+        if let Some(call) = self.calls.get(&id)
+            && let Stage::Writing(rev) = call.stage
+        {
+            self.books.tell(now, call.node, &self.catalog, rev, How::Written);
+            self.end_call(now, id, true);
+        }
+    }
+
+    fn end_call(&mut self, now: Micros, id: CallId, answered: bool) -> Option<Call> {
+        let call = self.calls.remove(&id)?;
+        if let Some(silent) = self.books.call_ends(now, call.node, answered) {
+            self.timer(silent, Timer::Unasked(call.node));
+        }
+        Some(call)
+    }
+
+    fn fail(&mut self, now: Micros, id: CallId, order: Order) {
+        if self.end_call(now, id, false).is_some() {
+            self.orders.push_back(order);
+        }
+    }
+
+    fn fail_all(&mut self, now: Micros, how: fn(CallId) -> Timer) {
+        let open: Vec<CallId> = self.calls.keys().copied().collect();
+        for id in open {
+            self.fire(now, how(id));
+        }
+    }
+
+    fn go_down(&mut self, now: Micros, outage: Outage) {
+        self.down = Some(outage);
+        self.busy_until = now;
+        match outage {
+            Outage::Unavailable => self.fail_all(now, Timer::Unavailable),
+            Outage::Reset => self.fail_all(now, Timer::Reset),
+            Outage::Silent => {
+                let open: Vec<CallId> = self.calls.keys().copied().collect();
+                open.into_iter().for_each(|id| self.hang(id));
+            }
+        }
+    }
+
+    fn hang(&mut self, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&id)
+            && !matches!(call.stage, Stage::Writing(_))
+        {
+            call.stage = Stage::Hung;
+        }
+    }
+
+    fn move_to(&mut self, now: Micros, to: Address) {
+        let old = std::mem::replace(&mut self.address, to);
+        if old == to {
+            return;
+        }
+        self.closed.retain(|closed| *closed != to);
+        self.orders.extend([Order::Listen(to), Order::Unlisten(old)]);
+        self.timer(now + self.plan.close_after_move, Timer::CloseAll(old));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub mod arrivals;
 pub mod clients;
-//pub mod discovery;
+pub mod discovery;
 pub mod draw;
 pub mod keys;
 pub mod mix;
