Hold clients' retries, give-ups, crossings and connection habits by tables

Tables play scripted nodes on a virtual clock and compare every order and end to the millisecond. Given arrivals can be replayed, so that a part of a plan plays as it did in the whole.

--- a/crates/model/src/clients/machine.rs
+++ b/crates/model/src/clients/machine.rs
@@ -52,6 +52,9 @@
         /// What is wrong with it.
         fault: &'static str,
     },
+    /// A given arrival names a population or class that there is not, or comes before the one before it.
+    #[error("arrival {0} does not fit the load")]
+    Arrival(u64),
     /// Nobody to ask.
     #[error("there are no nodes")]
     NoNodes,
@@ -133,12 +136,28 @@
     trying: bool,
 }
 
+/// Where requests come from.
+#[derive(Debug)]
+enum Source {
+    Drawn(Box<Arrivals>),
+    Given(std::vec::IntoIter<Arrival>),
+}
+
+impl Source {
+    fn next(&mut self) -> Option<Arrival> {
+        match self {
+            Self::Drawn(arrivals) => arrivals.next(),
+            Self::Given(arrivals) => arrivals.next(),
+        }
+    }
+}
+
 /// All clients of a load. See the [module](super) for how to drive it.
 #[derive(Debug)]
 pub struct Clients {
     plan: ClientsPlan,
     seed: u64,
-    arrivals: Arrivals,
+    arrivals: Source,
     /// The next request, not yet due.
     coming: Option<Arrival>,
     /// The plan's time 0.
@@ -153,14 +172,36 @@
 }
 
 impl Clients {
-    /// Ready to begin.
+    /// Ready to begin, with the requests that the load draws under the seed.
     ///
     /// # Errors
     /// The first field of the plan that cannot be used.
     pub fn new(plan: ClientsPlan, seed: u64) -> Result<Self, ClientsError> {
         plan.check()?;
-        let mut arrivals = Arrivals::new(&plan.load, seed)?;
-        Ok(Self {
+        let arrivals = Arrivals::new(&plan.load, seed)?;
+        Ok(Self::with(plan, seed, Source::Drawn(Box::new(arrivals))))
+    }
+
+    /// The same with these requests instead, each number once: a part of a plan plays as it did in the whole.
+    ///
+    /// # Errors
+    /// The first field of the plan or the first arrival that cannot be used.
+    pub fn replay(plan: ClientsPlan, seed: u64, arrivals: Vec<Arrival>) -> Result<Self, ClientsError> {
+        plan.check()?;
+        let (classes, populations) = (plan.load.classes.len(), plan.load.populations.len());
+        let mut last = 0;
+        for arrival in &arrivals {
+            let known = usize::from(arrival.class) < classes && usize::from(arrival.population) < populations;
+            if !known || arrival.at < last {
+                return Err(ClientsError::Arrival(arrival.number));
+            }
+            last = arrival.at;
+        }
+        Ok(Self::with(plan, seed, Source::Given(arrivals.into_iter())))
+    }
+
+    fn with(plan: ClientsPlan, seed: u64, mut arrivals: Source) -> Self {
+        Self {
             coming: arrivals.next(),
             arrivals,
             seed,
@@ -173,7 +214,7 @@
             orders: VecDeque::new(),
             tally: Tally::default(),
             plan,
-        })
+        }
     }
 
     /// The plan's time 0 is at this time. Before that only nodes are asked whether they are there.
@@ -673,3 +714,6 @@
 fn part(draws: &mut impl RngCore, (low, high): (f64, f64), of: Micros) -> Micros {
     ((low + (high - low) * unit(draws)) * of as f64 + 0.5) as Micros
 }
+
+#[cfg(test)]
+mod tests;
