Play bad clients: fourteen kinds by name, what each connection was owed and got

Bad clients must be answered with an error or a close in time, never served, and may not harm the others. The bytes are test data by kind; a machine paces them, comes again where the kind does, and gives a verdict for each connection.

--- a/crates/model/src/clients/mod.rs
+++ b/crates/model/src/clients/mod.rs
@@ -12,6 +12,8 @@
 //! free connection hides it (no coordinated omission).
 
 mod ask;
+mod bad;
+mod bad_bytes;
 mod front;
 mod habits;
 mod machine;
@@ -20,6 +22,8 @@
 mod story;
 
 pub use ask::Ask;
+pub use bad::{BadClients, BadError, BadEvent, BadOrder, BadPlan, Verdict};
+pub use bad_bytes::{BadKind, Chunk, Context, bad_bytes};
 pub use front::{Deal, Front, FrontPlan, Health};
 pub use habits::{Habits, Keep, Reader, Retry};
 pub use machine::{Clients, ClientsError, ClientsPlan};
