--- a/crates/model/src/clients/bad/tests.rs
+++ b/crates/model/src/clients/bad/tests.rs
@@ -50,7 +50,8 @@
 #[test]
 fn verdicts_by_table() {
     let (error, close, serve) = (BadEvent::Error, BadEvent::Closed, BadEvent::Served);
-    let cases: [(BadKind, Vec<Does>, Option<Micros>, bool, bool); 9] = [
+    type Case = (BadKind, Vec<Does>, Option<Micros>, bool, bool);
+    let cases: [Case; 9] = [
         // The kind, what the node does; when its due was met, whether it was missed, whether it was served.
         (BadKind::Noise, vec![(10, error)], Some(1010), false, false),
         (BadKind::Noise, vec![(20, close)], Some(1020), false, false),
--- a/crates/model/src/clients/habits.rs
+++ b/crates/model/src/clients/habits.rs
@@ -102,3 +102,26 @@
         }
     }
 }
+
+impl Habits {
+    /// The first field that cannot be used, and what is wrong with it.
+    pub(super) fn fault(&self) -> Option<(&'static str, &'static str)> {
+        let span = |(low, high): (f64, f64)| low >= 0.0 && low <= high && high <= 1.0;
+        let faults = [
+            (self.most == 0, "most", "must be above 0"),
+            (self.pipeline == 0, "pipeline", "must be above 0"),
+            (self.connect_limit <= 0, "connect_limit", "must be above 0"),
+            (!span(self.patience) || self.patience.0 <= 0.0, "patience", "must be a span of shares above 0"),
+            (!span(self.leaves_after), "leaves_after", "must be a span of shares from 0 to 1"),
+            (!(0.0..=1.0).contains(&self.leaves), "leaves", "must be from 0 to 1"),
+            (self.retry.tries == 0, "retry.tries", "must be above 0"),
+            (
+                !(self.retry.growth.is_finite() && self.retry.growth >= 0.0),
+                "retry.growth",
+                "must be 0 or more",
+            ),
+            (self.retry.wait.fault().is_some(), "retry.wait", "is no law for a length of time"),
+        ];
+        faults.into_iter().find(|fault| fault.0).map(|(_, field, fault)| (field, fault))
+    }
+}
--- a/crates/model/src/clients/machine.rs
+++ b/crates/model/src/clients/machine.rs
@@ -5,112 +5,16 @@
 
 use rand::RngCore;
 use rustc_hash::FxHashMap;
-use thiserror::Error;
 
 use super::pool::{Pool, Sent, TryRef};
 use super::{
-    Ask, ConnId, End, Event, Front, FrontPlan, Habits, Keep, NodeId, Order, Origin, Reply, Story, Tally, Try,
+    Ask, ClientsError, ClientsPlan, ConnId, End, Event, Front, Habits, Keep, NodeId, Order, Origin, Reply,
+    Story, Tally, Try,
 };
 use crate::Micros;
-use crate::arrivals::{Arrival, Arrivals, Class, Effect, Load, LoadError, RequestId};
+use crate::arrivals::{Arrival, Arrivals, Class, Effect, RequestId};
 use crate::mix::{spot, unit};
 
-/// What clients there are and how they behave.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ClientsPlan {
-    /// What they ask for.
-    pub load: Load,
-    /// How each population behaves, in the order of the load.
-    pub habits: Vec<Habits>,
-    /// The layer before the nodes.
-    pub front: FrontPlan,
-    /// Connections that all clients may hold to one node.
-    pub room: Option<u32>,
-}
-
-/// What is wrong with a plan.
-#[derive(Clone, Debug, Error, PartialEq)]
-pub enum ClientsError {
-    /// The load cannot be drawn.
-    #[error(transparent)]
-    Load(#[from] LoadError),
-    /// Habits are missing, or are there for no population.
-    #[error("{habits} habits for {populations} populations")]
-    Habits {
-        /// How many habits there are.
-        habits: usize,
-        /// How many populations.
-        populations: usize,
-    },
-    /// A habit cannot be used.
-    #[error("habits of population {population:?}: {field} {fault}")]
-    Habit {
-        /// The population's name.
-        population: String,
-        /// The field.
-        field: &'static str,
-        /// What is wrong with it.
-        fault: &'static str,
-    },
-    /// A given arrival names a population or class that there is not, or comes before the one before it.
-    #[error("arrival {0} does not fit the load")]
-    Arrival(u64),
-    /// Nobody to ask.
-    #[error("there are no nodes")]
-    NoNodes,
-    /// No connection could be opened.
-    #[error("room must be above 0")]
-    NoRoom,
-}
-
-impl ClientsPlan {
-    /// Whether it can be played.
-    ///
-    /// # Errors
-    /// The first field that cannot be used.
-    pub fn check(&self) -> Result<(), ClientsError> {
-        self.load.check()?;
-        let (habits, populations) = (self.habits.len(), self.load.populations.len());
-        if habits != populations {
-            return Err(ClientsError::Habits { habits, populations });
-        }
-        if self.front.zones.is_empty() {
-            return Err(ClientsError::NoNodes);
-        }
-        if self.room == Some(0) {
-            return Err(ClientsError::NoRoom);
-        }
-        for (habits, population) in self.habits.iter().zip(&self.load.populations) {
-            if let Some((field, fault)) = habits.fault() {
-                return Err(ClientsError::Habit { population: population.name.clone(), field, fault });
-            }
-        }
-        Ok(())
-    }
-}
-
-impl Habits {
-    fn fault(&self) -> Option<(&'static str, &'static str)> {
-        let span = |(low, high): (f64, f64)| low >= 0.0 && low <= high && high <= 1.0;
-        let faults = [
-            (self.most == 0, "most", "must be above 0"),
-            (self.pipeline == 0, "pipeline", "must be above 0"),
-            (self.connect_limit <= 0, "connect_limit", "must be above 0"),
-            (!span(self.patience) || self.patience.0 <= 0.0, "patience", "must be a span of shares above 0"),
-            (!span(self.leaves_after), "leaves_after", "must be a span of shares from 0 to 1"),
-            (!(0.0..=1.0).contains(&self.leaves), "leaves", "must be from 0 to 1"),
-            (self.retry.tries == 0, "retry.tries", "must be above 0"),
-            (
-                !(self.retry.growth.is_finite() && self.retry.growth >= 0.0),
-                "retry.growth",
-                "must be 0 or more",
-            ),
-            (self.retry.wait.fault().is_some(), "retry.wait", "is no law for a length of time"),
-        ];
-        faults.into_iter().find(|fault| fault.0).map(|(_, field, fault)| (field, fault))
-    }
-}
-
 /// What comes due at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
--- a/crates/model/src/clients/mod.rs
+++ b/crates/model/src/clients/mod.rs
@@ -18,6 +18,7 @@
 mod habits;
 mod machine;
 mod pace;
+mod plan;
 mod pool;
 mod story;
 
@@ -26,8 +27,9 @@
 pub use bad_bytes::{BadKind, Chunk, Context, bad_bytes};
 pub use front::{Deal, Front, FrontPlan, Health};
 pub use habits::{Habits, Keep, Reader, Retry};
-pub use machine::{Clients, ClientsError, ClientsPlan};
+pub use machine::Clients;
 pub use pace::Pace;
+pub use plan::{ClientsError, ClientsPlan};
 pub use story::{End, Story, Tally, Try};
 
 use crate::Micros;
--- a/crates/model/src/discovery/machine/tests.rs
+++ b/crates/model/src/discovery/machine/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::discovery::State;
+use crate::discovery::{Member, State};
 
 const NODE: NodeId = NodeId(1);
 const HOME: Address = Address(0);
--- a/crates/model/src/discovery/mod.rs
+++ b/crates/model/src/discovery/mod.rs
@@ -7,9 +7,11 @@
 mod books;
 mod catalog;
 mod machine;
+mod plan;
 
 pub use books::{How, Limits, Telling};
-pub use machine::{Discovery, DiscoveryPlan, Outage, View};
+pub use machine::Discovery;
+pub use plan::{DiscoveryPlan, Outage, View};
 
 use serde::Serialize;
 
--- a/crates/model/src/network/mod.rs
+++ b/crates/model/src/network/mod.rs
@@ -7,6 +7,7 @@
 //! of the other; bytes that were under way when a cut began arrive; there is no congestion control.
 
 mod links;
+mod pipe;
 mod streams;
 
 pub use links::{Delay, Fate, Fault, FaultId, Heal, Host, Links, LinksPlan, Which};
--- a/crates/model/src/network/streams.rs
+++ b/crates/model/src/network/streams.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
 
+use super::pipe::{Pipe, Stage, What};
 use super::{Conn, Delivery, Fate, Fault, FaultId, Heal, Host, Links, LinksPlan, Side, Which};
 use crate::Micros;
 use crate::draw::stream;
@@ -39,86 +40,6 @@
     pub bandwidth: Option<u64>,
 }
 
-/// What travels one way of a connection, in order.
-#[derive(Clone, Debug)]
-enum What {
-    /// The answer to a connect.
-    Opened,
-    Refused,
-    Data(Bytes),
-    Fin,
-    Reset,
-}
-
-/// One direction of a connection.
-#[derive(Debug, Default)]
-struct Way {
-    /// Under way, in order, with the time of arrival.
-    coming: VecDeque<(Micros, What)>,
-    /// Nothing sent from now on arrives before this.
-    last: Micros,
-    /// A wake-up for the first of them is in the heap.
-    scheduled: bool,
-    /// Something was sent into a cut, which does this when it ends.
-    cut: Option<Heal>,
-    /// What was sent into a cut that resumes.
-    held: VecDeque<What>,
-    /// Bytes that take up buffers.
-    bytes: usize,
-    /// The last write was short.
-    wants_room: bool,
-    /// The sender has sent its end.
-    ended: bool,
-    /// The end has arrived.
-    end_came: bool,
-    /// The receiver does not read.
-    paused: bool,
-    /// The receiver has closed: what arrives is answered by a reset.
-    closed: bool,
-    /// The receiver has reset the connection or got a reset.
-    gone: bool,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// The first packet is under way; what becomes of it is known.
-    Connecting(Fate),
-    /// The server has heard of it.
-    Up,
-    /// A connect that does not come up: into a cut that does this at its end, or for another reason.
-    Lost(Option<Heal>),
-}
-
-#[derive(Debug)]
-struct Pipe {
-    from: Host,
-    to: Host,
-    stage: Stage,
-    /// A machine has lost its memory: what is sent is answered by a reset.
-    forgotten: bool,
-    to_server: Way,
-    to_client: Way,
-}
-
-impl Pipe {
-    /// The direction that ends at a side.
-    fn way(&mut self, to: Side) -> &mut Way {
-        if to == Side::Server { &mut self.to_server } else { &mut self.to_client }
-    }
-
-    /// Hosts of the direction that ends at a side.
-    fn hosts(&self, to: Side) -> (Host, Host) {
-        if to == Side::Server { (self.from, self.to) } else { (self.to, self.from) }
-    }
-
-    /// Both sides are done with it, and nothing is under way.
-    fn over(&self) -> bool {
-        let (a, b) = (&self.to_server, &self.to_client);
-        let done = |here: &Way, there: &Way| here.gone || here.closed || (here.end_came && there.ended);
-        done(a, b) && done(b, a) && a.coming.is_empty() && b.coming.is_empty()
-    }
-}
-
 /// What is due in the heap.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
