--- a/crates/model/src/clients/habits.rs
+++ b/crates/model/src/clients/habits.rs
@@ -1,7 +1,7 @@
 //! What clients do, as written down before a run.
 
+use super::Retry;
 use crate::Micros;
-use crate::mix::Spread;
 
 /// What becomes of a connection after its answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,33 +27,6 @@
     Late(Micros),
 }
 
-/// When a client asks again after a try that did not serve it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Retry {
-    /// Tries in all, the first included.
-    pub tries: u8,
-    /// The wait before the second try.
-    pub wait: Spread,
-    /// Each further wait is this many times as long.
-    pub growth: f64,
-    /// No wait is longer, unless a `busy` asks for it.
-    pub most: Micros,
-    /// Waits as long as a `busy MS` asks, up to this; `None` takes no notice of it.
-    pub heeds_busy: Option<Micros>,
-}
-
-impl Default for Retry {
-    fn default() -> Self {
-        Self {
-            tries: 3,
-            wait: Spread::Exponential(1e5),
-            growth: 2.0,
-            most: 2_000_000,
-            heeds_busy: Some(2_000_000),
-        }
-    }
-}
-
 /// How the clients of one population behave.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Habits {
--- a/crates/model/src/clients/machine.rs
+++ b/crates/model/src/clients/machine.rs
@@ -6,18 +6,17 @@
 use rand::RngCore;
 use rustc_hash::FxHashMap;
 
-use super::pool::{Pool, Sent, TryRef};
+use super::pool::{Pool, TryRef};
 use super::{
-    Ask, ClientsError, ClientsPlan, ConnId, End, Event, Front, Habits, Keep, NodeId, Order, Origin, Reply,
-    Story, Tally, Try,
+    ClientsError, ClientsPlan, ConnId, End, Event, Front, Habits, NodeId, Order, Origin, Story, Tally, Try,
 };
 use crate::Micros;
-use crate::arrivals::{Arrival, Arrivals, Class, Effect, RequestId};
+use crate::arrivals::{Arrival, Arrivals, Class, RequestId};
 use crate::mix::{spot, unit};
 
 /// What comes due at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
+pub(super) enum Timer {
     /// The next try of a request.
     Again(u64),
     /// A try's time is up.
@@ -32,10 +31,10 @@
 
 /// A request that is not over.
 #[derive(Debug)]
-struct Request {
-    arrival: Arrival,
-    due: Micros,
-    tries: Vec<Try>,
+pub(super) struct Request {
+    pub(super) arrival: Arrival,
+    pub(super) due: Micros,
+    pub(super) tries: Vec<Try>,
     /// The last try is out; else the request waits to try again.
     trying: bool,
 }
@@ -59,19 +58,19 @@
 /// All clients of a load. See the [module](super) for how to drive it.
 #[derive(Debug)]
 pub struct Clients {
-    plan: ClientsPlan,
-    seed: u64,
+    pub(super) plan: ClientsPlan,
+    pub(super) seed: u64,
     arrivals: Source,
     /// The next request, not yet due.
     coming: Option<Arrival>,
     /// The plan's time 0.
     start: Option<Micros>,
-    front: Front,
-    pool: Pool,
+    pub(super) front: Front,
+    pub(super) pool: Pool,
     requests: FxHashMap<u64, Request>,
     timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
     timers_made: u64,
-    orders: VecDeque<Order>,
+    pub(super) orders: VecDeque<Order>,
     tally: Tally,
 }
 
@@ -223,12 +222,12 @@
         Some(self.start? + self.coming?.at)
     }
 
-    fn timer(&mut self, at: Micros, timer: Timer) {
+    pub(super) fn timer(&mut self, at: Micros, timer: Timer) {
         self.timers.push(Reverse((at, self.timers_made, timer)));
         self.timers_made += 1;
     }
 
-    fn habits(&self, population: u16) -> Option<&Habits> {
+    pub(super) fn habits(&self, population: u16) -> Option<&Habits> {
         self.plan.habits.get(usize::from(population))
     }
 
@@ -236,7 +235,7 @@
         self.plan.load.classes.get(usize::from(arrival.class))
     }
 
-    fn origin(&self, arrival: &Arrival) -> Option<Origin> {
+    pub(super) fn origin(&self, arrival: &Arrival) -> Option<Origin> {
         let population = self.plan.load.populations.get(usize::from(arrival.population))?;
         Some(Origin {
             population: arrival.population,
@@ -312,218 +311,17 @@
         self.place(now, TryRef { number, attempt }, false);
     }
 
-    /// Finds a connection for a try, or has it wait for one.
-    fn place(&mut self, now: Micros, of: TryRef, fresh: bool) {
-        let Some(arrival) = self.live(of).map(|request| request.arrival) else { return };
-        let (Some(from), Some(habits)) = (self.origin(&arrival), self.habits(arrival.population)) else {
-            return;
-        };
-        let (keep, most, pipeline, limit) = (habits.keep, habits.most, habits.pipeline, habits.connect_limit);
-        let reader = habits.reader;
-        if !fresh
-            && keep == Keep::Reuse
-            && let Some(conn) = self.pool.take_idle(from)
-        {
-            return self.put(now, of, conn);
-        }
-        if !fresh && self.pool.held(from) >= most {
-            return match self.pool.least_full(from, keep, pipeline) {
-                Some(conn) => self.put(now, of, conn),
-                None => self.pool.wait_for_client(from, of),
-            };
-        }
-        let draw =
-            spot(self.seed, "deal", of.number, u64::from(of.attempt) << 1 | u64::from(fresh)).next_u64();
-        let Some(node) = self.front.deal(now, from.zone, from.source, draw) else {
-            return self.end_try(now, of, End::Unreachable);
-        };
-        if self.plan.room.is_some_and(|room| self.pool.count(node) >= room) {
-            // Clients close what they have kept for longest before they go without.
-            match self.pool.longest_idle(node) {
-                Some(oldest) => {
-                    self.pool.remove(oldest);
-                    self.orders.push_back(Order::Close(oldest));
-                }
-                None => return self.pool.wait_for_node(node, of),
-            }
-        }
-        let conn = self.pool.add(from, node);
-        self.timer(now + limit, Timer::Connect(conn));
-        self.orders.push_back(Order::Open { conn, node, from, reader });
-        self.put(now, of, conn);
-    }
-
     /// The request of a try that is still out.
-    fn live(&self, of: TryRef) -> Option<&Request> {
+    pub(super) fn live(&self, of: TryRef) -> Option<&Request> {
         let request = self.requests.get(&of.number)?;
         (request.trying && request.tries.len() == usize::from(of.attempt) + 1).then_some(request)
     }
 
-    fn live_try(&mut self, of: TryRef) -> Option<&mut Try> {
+    pub(super) fn live_try(&mut self, of: TryRef) -> Option<&mut Try> {
         self.live(of)?;
         self.requests.get_mut(&of.number)?.tries.last_mut()
     }
 
-    /// Puts a try on a connection, behind what is there.
-    fn put(&mut self, now: Micros, of: TryRef, id: ConnId) {
-        let Some(conn) = self.pool.get_mut(id) else { return };
-        conn.sent.push_back(Sent { of, over: false, began: false });
-        let (node, open, first) = (conn.node, conn.open, conn.sent.len() == 1);
-        if let Some(this) = self.live_try(of) {
-            this.node = Some(node);
-            this.conn = Some(id);
-            this.first = first.then_some(now);
-        }
-        if open {
-            self.ask(now, of, id);
-        }
-    }
-
-    fn ask(&mut self, now: Micros, of: TryRef, conn: ConnId) {
-        let Some(request) = self.live(of) else { return };
-        let arrival = request.arrival;
-        let marks = self.habits(arrival.population).is_some_and(|habits| habits.marks_retry);
-        let Some(this) = self.live_try(of) else { return };
-        this.ordered = Some(now);
-        let again = marks && of.attempt > 0;
-        let ask = Ask { id: this.id, arrival, attempt: of.attempt, wait: (this.until - now).max(0), again };
-        self.orders.push_back(Order::Ask(conn, ask));
-    }
-
-    fn opened(&mut self, now: Micros, id: ConnId) {
-        let Some(conn) = self.pool.get_mut(id) else { return };
-        conn.open = true;
-        let sent: Vec<TryRef> = conn.sent.iter().filter(|sent| !sent.over).map(|sent| sent.of).collect();
-        // What was given up before anything could be written is not written.
-        conn.sent.retain(|sent| !sent.over);
-        for of in sent {
-            self.ask(now, of, id);
-        }
-    }
-
-    fn written(&mut self, now: Micros, conn: ConnId, id: RequestId) {
-        let Some(conn) = self.pool.get(conn) else { return };
-        let sent: Vec<TryRef> = conn.sent.iter().map(|sent| sent.of).collect();
-        for of in sent {
-            if let Some(this) = self.live_try(of).filter(|this| this.id == id) {
-                this.written = Some(now);
-            }
-        }
-    }
-
-    fn answered(&mut self, now: Micros, id: ConnId, name: Option<RequestId>, reply: Reply) {
-        let Some(conn) = self.pool.get_mut(id) else { return };
-        let Some(sent) = conn.sent.pop_front() else {
-            self.orders.push_back(Order::Unasked(id, name));
-            return self.close(now, id);
-        };
-        conn.used = true;
-        let next = conn.sent.front().map(|sent| sent.of);
-        if let Some(this) = next.and_then(|of| self.live_try(of)) {
-            this.first = Some(now);
-        }
-        let own = RequestId::of(self.seed, sent.of.number, sent.of.attempt);
-        let foreign = name.is_some_and(|name| name != own);
-        let reply = if foreign { Reply::Spoilt } else { reply };
-        if reply == Reply::Spoilt
-            && let Some(conn) = self.pool.get_mut(id)
-        {
-            // What comes behind another's answer cannot be trusted to be anyone's.
-            conn.doomed = true;
-        }
-        self.settle(now, id);
-        if sent.over {
-            self.orders.push_back(Order::Late(id, own));
-        } else {
-            let end = match reply {
-                Reply::Served => End::Served,
-                Reply::Spoilt => End::Spoilt,
-                Reply::Busy(after) => End::Refused(after),
-                Reply::Failed => End::Failed,
-            };
-            self.end_try(now, sent.of, end);
-        }
-    }
-
-    /// Closes a connection that is done, or has it wait for its next request, and serves who waits for one.
-    fn settle(&mut self, now: Micros, id: ConnId) {
-        let Some(conn) = self.pool.get(id) else { return };
-        let (from, node, empty) = (conn.from, conn.node, conn.sent.iter().all(|sent| sent.over));
-        let doomed = conn.doomed;
-        let Some(habits) = self.habits(from.population) else { return };
-        let (keep, idle) = (habits.keep, habits.idle);
-        if doomed || keep == Keep::One {
-            if empty {
-                self.close(now, id);
-            }
-            return;
-        }
-        if conn.sent.is_empty() {
-            self.pool.set_idle(now, id, keep == Keep::Reuse);
-            if let Some(idle) = idle {
-                self.timer(now + idle, Timer::Idle(id, now));
-            }
-        }
-        self.serve_waiting(now, from, node);
-    }
-
-    /// A connection has become free, or there is room for one.
-    fn serve_waiting(&mut self, now: Micros, from: Origin, node: NodeId) {
-        let Some(habits) = self.habits(from.population) else { return };
-        let (keep, most, pipeline) = (habits.keep, habits.most, habits.pipeline);
-        while self.pool.may_take(from, keep, most, pipeline)
-            && let Some(of) = self.pool.next_of_client(from)
-        {
-            if self.live(of).is_some() {
-                self.place(now, of, false);
-                break;
-            }
-        }
-        let room = |this: &Self| {
-            this.plan.room.is_none_or(|room| this.pool.count(node) < room)
-                || this.pool.longest_idle(node).is_some()
-        };
-        while room(self)
-            && let Some(of) = self.pool.next_of_node(node)
-        {
-            if self.live(of).is_some() {
-                self.place(now, of, false);
-                break;
-            }
-        }
-    }
-
-    fn close(&mut self, now: Micros, id: ConnId) {
-        if self.pool.get(id).is_some() {
-            self.orders.push_back(Order::Close(id));
-            self.ended(now, id);
-        }
-    }
-
-    /// A connection is no more.
-    fn ended(&mut self, now: Micros, id: ConnId) {
-        let Some(conn) = self.pool.remove(id) else { return };
-        let window = self.habits(conn.from.population).and_then(|habits| habits.resend);
-        for sent in &conn.sent {
-            if sent.over {
-                continue;
-            }
-            let Some(this) = self.live_try(sent.of) else { continue };
-            let soon = this.ordered.zip(window).is_some_and(|(at, window)| now - at <= window);
-            if !conn.open {
-                self.end_try(now, sent.of, End::Unreachable);
-            } else if conn.used && !sent.began && soon && this.resent.is_none() {
-                this.resent = Some(now);
-                this.ordered = None;
-                this.written = None;
-                self.place(now, sent.of, true);
-            } else {
-                self.end_try(now, sent.of, End::Broken);
-            }
-        }
-        self.serve_waiting(now, conn.from, conn.node);
-    }
-
     fn leave(&mut self, now: Micros, number: u64) {
         let Some(request) = self.requests.get(&number) else { return };
         if request.trying {
@@ -551,11 +349,11 @@
     }
 
     /// A try has ended: the request is over or tries again after a wait.
-    fn end_try(&mut self, now: Micros, of: TryRef, end: End) {
+    pub(super) fn end_try(&mut self, now: Micros, of: TryRef, end: End) {
         let Some(this) = self.live_try(of) else { return };
         this.over = Some(now);
         this.end = Some(end);
-        match self.again_at(now, of, end) {
+        match self.next_try(now, of.number, end) {
             Some(at) => {
                 if let Some(request) = self.requests.get_mut(&of.number) {
                     request.trying = false;
@@ -566,35 +364,12 @@
         }
     }
 
-    /// When the next try is due, if there is one.
-    fn again_at(&self, now: Micros, of: TryRef, end: End) -> Option<Micros> {
-        let request = self.requests.get(&of.number)?;
+    fn next_try(&self, now: Micros, number: u64, end: End) -> Option<Micros> {
+        let request = self.requests.get(&number)?;
         let (class, habits) = (self.class(&request.arrival)?, self.habits(request.arrival.population)?);
-        let retry = &habits.retry;
-        let asked = match end {
-            End::Served | End::Spoilt | End::Left => return None,
-            End::Refused(after) => retry.heeds_busy.and_then(|most| after.map(|after| after.min(most))),
-            _ => None,
-        };
-        if request.tries.len() >= usize::from(retry.tries) {
-            return None;
-        }
-        let growth = libm::pow(retry.growth, f64::from(of.attempt));
-        let drawn =
-            retry.wait.draw(&mut spot(self.seed, "retry", of.number, of.attempt.into())) as f64 * growth;
-        let at = now + (drawn as Micros).clamp(0, retry.most).max(asked.unwrap_or(0));
-        // The first try that may have run: guarded requests are repeated only within the window after it.
-        let maybe_ran = |this: &&Try| {
-            let sent = this.ordered.is_some() || this.resent.is_some();
-            sent && !matches!(this.end, Some(End::Refused(_) | End::Unreachable))
-        };
-        let since = request.tries.iter().find(maybe_ran).map(|this| this.ordered.unwrap_or(this.due));
-        let allowed = match (class.effect, since) {
-            (Effect::Free, _) | (_, None) => true,
-            (Effect::Guarded, Some(since)) => class.dropped_by_all && at < since + class.window,
-            (Effect::SingleShot, Some(_)) => false,
-        };
-        (allowed && at < request.due + class.give_up).then_some(at)
+        let mut draws = spot(self.seed, "retry", number, request.tries.len() as u64);
+        let at = habits.retry.next(class, &request.tries, now, end, &mut draws)?;
+        (at < request.due + class.give_up).then_some(at)
     }
 
     fn finish(&mut self, now: Micros, number: u64, end: End) {
--- a/crates/model/src/clients/machine/tests.rs
+++ b/crates/model/src/clients/machine/tests.rs
@@ -1,8 +1,8 @@
 use std::collections::BTreeMap;
 
 use super::*;
-use crate::arrivals::{Load, Population};
-use crate::clients::{Deal, FrontPlan, NotOpen, Retry};
+use crate::arrivals::{Effect, Load, Population};
+use crate::clients::{Deal, FrontPlan, Keep, NotOpen, Reply, Retry};
 use crate::keys::Key;
 use crate::mix::Spread;
 
--- a/crates/model/src/clients/mod.rs
+++ b/crates/model/src/clients/mod.rs
@@ -14,22 +14,25 @@
 mod ask;
 mod bad;
 mod bad_bytes;
+mod exchange;
 mod front;
 mod habits;
 mod machine;
 mod pace;
 mod plan;
 mod pool;
+mod retry;
 mod story;
 
 pub use ask::Ask;
 pub use bad::{BadClients, BadError, BadEvent, BadOrder, BadPlan, Verdict};
 pub use bad_bytes::{BadKind, Chunk, Context, bad_bytes};
 pub use front::{Deal, Front, FrontPlan, Health};
-pub use habits::{Habits, Keep, Reader, Retry};
+pub use habits::{Habits, Keep, Reader};
 pub use machine::Clients;
 pub use pace::Pace;
 pub use plan::{ClientsError, ClientsPlan};
+pub use retry::Retry;
 pub use story::{End, Story, Tally, Try};
 
 use crate::Micros;
--- /dev/null
+++ b/crates/model/src/clients/retry.rs
@@ -0,0 +1,71 @@
+//! When a client asks again.
+
+use rand::RngCore;
+
+use super::{End, Try};
+use crate::Micros;
+use crate::arrivals::{Class, Effect};
+use crate::mix::Spread;
+
+/// When a client asks again after a try that did not serve it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Retry {
+    /// Tries in all, the first included.
+    pub tries: u8,
+    /// The wait before the second try.
+    pub wait: Spread,
+    /// Each further wait is this many times as long.
+    pub growth: f64,
+    /// No wait is longer, unless a `busy` asks for it.
+    pub most: Micros,
+    /// Waits as long as a `busy MS` asks, up to this; `None` takes no notice of it.
+    pub heeds_busy: Option<Micros>,
+}
+
+impl Default for Retry {
+    fn default() -> Self {
+        Self {
+            tries: 3,
+            wait: Spread::Exponential(1e5),
+            growth: 2.0,
+            most: 2_000_000,
+            heeds_busy: Some(2_000_000),
+        }
+    }
+}
+
+impl Retry {
+    /// When the try after these is due, the last of which has just ended; `None` if there is to be none.
+    pub(super) fn next(
+        &self,
+        class: &Class,
+        tries: &[Try],
+        now: Micros,
+        end: End,
+        draws: &mut impl RngCore,
+    ) -> Option<Micros> {
+        let asked = match end {
+            End::Served | End::Spoilt | End::Left => return None,
+            End::Refused(after) => self.heeds_busy.and_then(|most| after.map(|after| after.min(most))),
+            _ => None,
+        };
+        if tries.len() >= usize::from(self.tries) {
+            return None;
+        }
+        let growth = libm::pow(self.growth, tries.len() as f64 - 1.0);
+        let drawn = self.wait.draw(draws) as f64 * growth;
+        let at = now + (drawn as Micros).clamp(0, self.most).max(asked.unwrap_or(0));
+        // The first try that may have run: guarded requests are repeated only within the window after it.
+        let maybe_ran = |this: &&Try| {
+            let sent = this.ordered.is_some() || this.resent.is_some();
+            sent && !matches!(this.end, Some(End::Refused(_) | End::Unreachable))
+        };
+        let since = tries.iter().find(maybe_ran).map(|this| this.ordered.unwrap_or(this.due));
+        let allowed = match (class.effect, since) {
+            (Effect::Free, _) | (_, None) => true,
+            (Effect::Guarded, Some(since)) => class.dropped_by_all && at < since + class.window,
+            (Effect::SingleShot, Some(_)) => false,
+        };
+        allowed.then_some(at)
+    }
+}
