--- /dev/null
+++ b/crates/model/examples/speed.rs
@@ -0,0 +1,97 @@
+//! How many arrivals a second are drawn, how many requests a second clients play against nodes that answer in
+//! 1 ms, and how many writes a second the network carries: `cargo run --release -p lapisrudder-model --example speed`.
+
+use std::collections::VecDeque;
+use std::error::Error;
+use std::time::Instant;
+
+use lapisrudder_model::arrivals::{Arrivals, Class, Load, OnOff, Population};
+use lapisrudder_model::clients::{
+    Clients, ClientsPlan, Deal, Event, FrontPlan, Habits, NodeId, Order, Reply, Tally,
+};
+use lapisrudder_model::keys::Keys;
+use lapisrudder_model::mix::Spread;
+use lapisrudder_model::network::{Delay, Delivery, Host, LinksPlan, Network, NetworkPlan, Side, Split};
+use lapisrudder_model::profile::Profile;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let read =
+        Class { name: "read".into(), give_up: 2_500_000, aim: 750_000, worth: 5.0, ..Class::default() };
+    let keys = Keys { population: 1_000_000, exponent: 0.9, ..Keys::default() };
+    let even =
+        Population { keys, sources: 10_000, rate: Profile::constant(50_000.0), ..Population::default() };
+    let on_off = OnOff { on: Spread::Exponential(1e6), off: Spread::Exponential(1e6) };
+    let turns = Population { on_off: Some(on_off), ..even.clone() };
+    let few = Population { sources: 500, ..even.clone() };
+    for (name, population) in [("Poisson", even), ("10,000 clients in turns", turns)] {
+        let load = Load { span: 60_000_000, classes: vec![read.clone()], populations: vec![population] };
+        let begun = Instant::now();
+        tell(name, Arrivals::new(&load, 1)?.count() as u64, begun);
+    }
+    let load = Load { span: 20_000_000, classes: vec![read], populations: vec![few] };
+    let begun = Instant::now();
+    tell("clients, 500 with up to 4 connections", play(load)?.requests, begun);
+    let begun = Instant::now();
+    tell("network, writes of 100 bytes on 1,000 connections", carry(), begun);
+    Ok(())
+}
+
+fn tell(name: &str, count: u64, begun: Instant) {
+    println!("{name}: {count}, {:.2} million a second", count as f64 / begun.elapsed().as_secs_f64() / 1e6);
+}
+
+fn play(load: Load) -> Result<Tally, Box<dyn Error>> {
+    let front = FrontPlan { zones: vec![0; 3], deal: Deal::Any, health: None, linger: Spread::Fixed(0) };
+    let plan = ClientsPlan { load, habits: vec![Habits::default()], front, room: None };
+    let mut clients = Clients::new(plan, 1)?;
+    (0..3).for_each(|node| clients.handle(0, Event::Probed(NodeId(node), true)));
+    clients.begin(0);
+    // All events come 1 ms after their orders, so that a queue keeps them in order.
+    let mut events = VecDeque::new();
+    let mut now = 0;
+    while !clients.done() {
+        while let Some(order) = clients.poll(now) {
+            match order {
+                Order::Open { conn, .. } => events.push_back((now + 1000, Event::Opened(conn))),
+                Order::Ask(conn, ask) => {
+                    events.push_back((now + 1000, Event::Answered(conn, Some(ask.id), Reply::Served)));
+                }
+                _ => {}
+            }
+        }
+        let event = events.front().map(|event| event.0);
+        let Some(next) = event.into_iter().chain(clients.next()).min() else { break };
+        now = next.max(now);
+        while let Some((_, event)) = events.pop_front_if(|event| event.0 <= now) {
+            clients.handle(now, event);
+        }
+    }
+    Ok(clients.tally())
+}
+
+fn carry() -> u64 {
+    let delay = Delay { base: 500, jitter: Spread::Exponential(100.0) };
+    let links = LinksPlan { zones: vec![0; 2], near: delay, far: delay, pairs: Vec::new() };
+    let plan =
+        NetworkPlan { links, split: Split::Whole, buffer: 65_536, short_writes: false, bandwidth: None };
+    let mut net = Network::new(plan, 1);
+    for _ in 0..1000 {
+        net.connect(0, Host(0), Host(1));
+    }
+    let mut carried = 0;
+    while let Some(now) = net.next().filter(|now| *now < 2_000_000) {
+        while let Some(delivery) = net.poll(now) {
+            match delivery {
+                Delivery::Opened(conn) => {
+                    net.send(now, conn, Side::Client, &[1; 100]);
+                }
+                Delivery::Data(conn, side, bytes) => {
+                    carried += 1;
+                    net.send(now, conn, side, &bytes);
+                }
+                _ => {}
+            }
+        }
+    }
+    carried
+}
--- /dev/null
+++ b/crates/model/tests/world.rs
@@ -0,0 +1,221 @@
+//! Clients and network together on a virtual clock, with nodes that answer everything: the shape of a driver.
+
+use std::collections::{BTreeMap, HashMap};
+
+use lapisrudder_model::Micros;
+use lapisrudder_model::arrivals::{Class, Digest, Load, Population, RequestId};
+use lapisrudder_model::clients::{
+    Clients, ClientsPlan, ConnId, Deal, End, Event, FrontPlan, Habits, Health, NodeId, NotOpen, Order, Reply,
+    Story, Tally,
+};
+use lapisrudder_model::mix::Spread;
+use lapisrudder_model::network::{
+    Conn, Delay, Delivery, Fate, Fault, FaultId, Heal, Host, LinksPlan, Network, NetworkPlan, Side, Split,
+    Which,
+};
+use lapisrudder_model::profile::Profile;
+
+const S: Micros = 1_000_000;
+const CLIENTS: Host = Host(0);
+
+/// What the world does at a time of its own.
+enum Do {
+    /// A node writes these bytes.
+    Answer(Conn, Vec<u8>),
+    Begin(Which, Fault),
+    End,
+    Kill(Host),
+}
+
+struct World {
+    clients: Clients,
+    net: Network,
+    /// Names of the clients' connections on the network and back.
+    conns: HashMap<ConnId, Conn>,
+    names: HashMap<Conn, ConnId>,
+    /// Bytes that came and are not whole yet, by connection and side.
+    came: HashMap<(Conn, Side), Vec<u8>>,
+    agenda: BTreeMap<(Micros, u64), Do>,
+    made: u64,
+    faults: Vec<FaultId>,
+    stories: Vec<Story>,
+}
+
+fn world(split: Split, seed: u64) -> World {
+    let class = Class { name: "read".into(), give_up: S, aim: S / 4, worth: 1.0, ..Class::default() };
+    let population = Population { sources: 50, rate: Profile::constant(400.0), ..Population::default() };
+    let delay = |base| Delay { base, jitter: Spread::Exponential(200.0) };
+    let health = Some(Health { every: S / 2, notice: 3 * S / 2 });
+    let plan = ClientsPlan {
+        load: Load { span: 10 * S, classes: vec![class], populations: vec![population] },
+        habits: vec![Habits { patience: (0.3, 0.3), connect_limit: S / 5, ..Habits::default() }],
+        front: FrontPlan { zones: vec![0, 0], deal: Deal::Any, health, linger: Spread::Fixed(0) },
+        room: Some(100),
+    };
+    let links = LinksPlan { zones: vec![0; 3], near: delay(300), far: delay(2000), pairs: Vec::new() };
+    let net = NetworkPlan { links, split, buffer: 4096, short_writes: false, bandwidth: None };
+    World {
+        clients: Clients::new(plan, seed).unwrap(),
+        net: Network::new(net, seed),
+        conns: HashMap::new(),
+        names: HashMap::new(),
+        came: HashMap::new(),
+        agenda: BTreeMap::new(),
+        made: 0,
+        faults: Vec::new(),
+        stories: Vec::new(),
+    }
+}
+
+impl World {
+    fn plan(&mut self, at: Micros, what: Do) {
+        self.made += 1;
+        self.agenda.insert((at, self.made), what);
+    }
+
+    fn order(&mut self, now: Micros, order: Order) {
+        match order {
+            Order::Open { conn, node, .. } => {
+                let on = self.net.connect(now, CLIENTS, Host(node.0 + 1));
+                self.conns.insert(conn, on);
+                self.names.insert(on, conn);
+            }
+            Order::Ask(conn, ask) => {
+                let line = ask.line(&self.clients.classes()[0]);
+                assert_eq!(self.net.send(now, self.conns[&conn], Side::Client, &line), line.len());
+                self.clients.handle(now, Event::Written(conn, ask.id));
+            }
+            Order::Close(conn) => {
+                if let Some(on) = self.conns.remove(&conn) {
+                    self.net.close(now, on, Side::Client);
+                }
+            }
+            Order::Probe(node) => {
+                let up = self.net.links().connect(0, CLIENTS, Host(node.0 + 1)) == Fate::Opens;
+                self.clients.handle(now, Event::Probed(node, up));
+            }
+            Order::Over(story) => self.stories.push(*story),
+            Order::Late(..) | Order::Unasked(..) => panic!("{order:?}: no request shares a connection here"),
+        }
+    }
+
+    fn delivery(&mut self, now: Micros, delivery: Delivery) {
+        let over = |this: &mut Self, conn: Conn, event: fn(ConnId) -> Event| {
+            if let Some(name) = this.names.remove(&conn)
+                && this.conns.remove(&name).is_some()
+            {
+                this.clients.handle(now, event(name));
+            }
+        };
+        match delivery {
+            Delivery::Opened(conn) => self.clients.handle(now, Event::Opened(self.names[&conn])),
+            Delivery::Refused(conn) => over(self, conn, |name| Event::OpenFailed(name, NotOpen::Refused)),
+            Delivery::Data(conn, side, bytes) => {
+                let mut came = self.came.remove(&(conn, side)).unwrap_or_default();
+                came.extend_from_slice(&bytes);
+                while let Some(end) = came.windows(2).position(|pair| pair == b"\r\n") {
+                    let line: Vec<u8> = came.drain(..end + 2).collect();
+                    self.line(now, conn, side, &String::from_utf8(line).unwrap());
+                }
+                self.came.insert((conn, side), came);
+            }
+            Delivery::End(conn, Side::Client) | Delivery::Reset(conn, Side::Client) => {
+                over(self, conn, Event::Closed);
+            }
+            Delivery::End(conn, Side::Server) => self.net.close(now, conn, Side::Server),
+            _ => {}
+        }
+    }
+
+    /// A whole line: a node answers it 5 ms later with a line that holds the id, a client takes that as its answer.
+    fn line(&mut self, now: Micros, conn: Conn, side: Side, line: &str) {
+        let id = line.split(' ').find_map(|word| word.strip_prefix('O')).unwrap().trim_end();
+        if side == Side::Server {
+            self.plan(now + 5000, Do::Answer(conn, format!("HD O{id}\r\n").into_bytes()));
+        } else {
+            let id = RequestId(u64::from_str_radix(id, 16).unwrap());
+            self.clients.handle(now, Event::Answered(self.names[&conn], Some(id), Reply::Served));
+        }
+    }
+
+    fn act(&mut self, now: Micros, what: Do) {
+        match what {
+            Do::Answer(conn, bytes) => {
+                self.net.send(now, conn, Side::Server, &bytes);
+            }
+            Do::Begin(to, fault) => {
+                let id = self.net.begin(Which::Any, to, true, fault);
+                self.faults.push(id);
+            }
+            Do::End => self.faults.drain(..).for_each(|id| self.net.end(now, id)),
+            Do::Kill(host) => self.net.kill(now, host),
+        }
+    }
+
+    /// Plays to the end: the stories and their digest.
+    fn play(mut self) -> (Vec<Story>, Digest, usize) {
+        let node = |n| Which::Host(Host(n));
+        self.plan(2 * S, Do::Begin(node(1), Fault::Cut(Heal::Stay)));
+        self.plan(4 * S, Do::End);
+        self.plan(6 * S, Do::Kill(Host(2)));
+        self.plan(6 * S, Do::Begin(node(2), Fault::Refuse));
+        self.plan(7 * S, Do::End);
+        self.clients.begin(S / 10);
+        let mut now = 0;
+        while now < 20 * S {
+            loop {
+                if let Some(order) = self.clients.poll(now) {
+                    self.order(now, order);
+                } else if let Some(delivery) = self.net.poll(now) {
+                    self.delivery(now, delivery);
+                } else if let Some(due) = self.agenda.first_entry().filter(|due| due.key().0 <= now) {
+                    let what = due.remove();
+                    self.act(now, what);
+                } else {
+                    break;
+                }
+            }
+            let agenda = self.agenda.first_key_value().map(|due| due.0.0);
+            let next = [agenda, self.clients.next(), self.net.next()].into_iter().flatten().min();
+            now = next.map_or(20 * S, |next| next.max(now));
+        }
+        assert!(self.clients.done(), "every request has an end");
+        let mut digest = Digest::default();
+        self.stories.iter().for_each(|story| digest.update(format!("{story:?}").as_bytes()));
+        let left = self.net.connections() - self.clients.connections();
+        (self.stories, digest, left)
+    }
+}
+
+#[test]
+fn a_day_is_the_same_each_time_and_only_faults_hurt() {
+    for split in [Split::Whole, Split::Random(20)] {
+        let (stories, digest, left) = world(split, 3).play();
+        assert_eq!(digest, world(split, 3).play().1);
+        assert_ne!(digest, world(split, 4).play().1);
+        // In a cut, either end may be left with a connection of which the other heard nothing more.
+        assert!(left <= 250, "{left} connections that no client holds");
+        let mut tally = Tally::default();
+        stories.iter().for_each(|story| tally.add(story));
+        // 400 a second for 10 s, within 4 deviations.
+        assert!(tally.requests.abs_diff(4000) < 253 && tally.goodput() > 0.9, "{tally:?}");
+        // A request that meets no fault takes one try; those of the cut and of the killed node more, or fail.
+        let hurt = |story: &&Story| story.tries.len() > 1 || story.end != End::Served;
+        let seconds: Vec<Micros> = stories.iter().filter(hurt).map(|story| story.due / S).collect();
+        let in_second = |n| seconds.iter().filter(|second| **second == n).count();
+        assert!(in_second(2) > 20 && in_second(6) > 1, "{seconds:?}");
+        assert_eq!([0, 4, 8, 9].map(in_second), [0; 4]);
+        assert!(stories.iter().all(|story| story.over - story.due <= S));
+    }
+}
+
+#[test]
+fn a_node_is_used_again_once_it_answers() {
+    let (stories, ..) = world(Split::Whole, 5).play();
+    let by = |node, from: Micros, to: Micros| {
+        let first =
+            |story: &&Story| (from..to).contains(&story.due) && story.tries[0].node == Some(NodeId(node));
+        stories.iter().filter(first).count()
+    };
+    assert!(by(0, 0, 2 * S) > 100 && by(0, 37 * S / 10, 4 * S) == 0 && by(0, 6 * S, 7 * S) > 100);
+}
