--- a/crates/model/src/clients/retry.rs
+++ b/crates/model/src/clients/retry.rs
@@ -55,12 +55,10 @@
         let growth = libm::pow(self.growth, tries.len() as f64 - 1.0);
         let drawn = self.wait.draw(draws) as f64 * growth;
         let at = now + (drawn as Micros).clamp(0, self.most).max(asked.unwrap_or(0));
-        // The first try that may have run: guarded requests are repeated only within the window after it.
-        let maybe_ran = |this: &&Try| {
-            let sent = this.ordered.is_some() || this.resent.is_some();
-            sent && !matches!(this.end, Some(End::Refused(_) | End::Unreachable))
-        };
-        let since = tries.iter().find(maybe_ran).map(|this| this.ordered.unwrap_or(this.due));
+        // The first try that may have run: guarded requests are repeated only within the window after it. One that a
+        // close crossed was sent again because it had not been read.
+        let maybe_ran = |this: &&Try| this.ordered.is_some() && !matches!(this.end, Some(End::Refused(_)));
+        let since = tries.iter().find(maybe_ran).and_then(|this| this.ordered);
         let allowed = match (class.effect, since) {
             (Effect::Free, _) | (_, None) => true,
             (Effect::Guarded, Some(since)) => class.dropped_by_all && at < since + class.window,
--- a/crates/model/src/network/streams/tests.rs
+++ b/crates/model/src/network/streams/tests.rs
@@ -93,7 +93,8 @@
                     waiting[i].drain(..taken);
                 }
                 let Some(at) = net.next().filter(|at| *at <= end) else { break };
-                now = now.max(at);
+                prop_assert!(at >= now, "nothing is due before what has come");
+                now = at;
                 while let Some(delivery) = net.poll(now) {
                     if let Delivery::Data(_, side, bytes) = delivery {
                         prop_assert!(now >= last);
