Keep books of each change however few an answer may bring; one idle timer a connection

With few changes remembered, nodes that got the whole list had no entry in the books for the changes between; a test holds it now. A timer for each time that a connection went idle would have grown with the load (at 50,000 requests a second and 60 s, 3 million); a connection now has one.

--- a/crates/model/src/clients/exchange.rs
+++ b/crates/model/src/clients/exchange.rs
@@ -147,8 +147,9 @@
         }
         if conn.sent.is_empty() {
             self.pool.set_idle(now, id, keep == Keep::Reuse);
-            if let Some(idle) = idle {
-                self.timer(now + idle, Timer::Idle(id, now));
+            let timer = self.pool.get_mut(id).map(|conn| std::mem::replace(&mut conn.idle_timer, true));
+            if let (Some(idle), Some(false)) = (idle, timer) {
+                self.timer(now + idle, Timer::Idle(id));
             }
         }
         self.serve_waiting(now, from, node);
@@ -180,6 +181,20 @@
         }
     }
 
+    /// A connection's timer: it has been idle for long enough, or will be later, or is in use.
+    pub(super) fn idle(&mut self, now: Micros, id: ConnId) {
+        let Some(conn) = self.pool.get_mut(id) else { return };
+        conn.idle_timer = false;
+        let limit = self.pool.get(id).and_then(|conn| self.habits(conn.from.population)?.idle);
+        let Some((since, limit)) = self.pool.idle_since(id).zip(limit) else { return };
+        if since + limit <= now {
+            self.close(now, id);
+        } else if let Some(conn) = self.pool.get_mut(id) {
+            conn.idle_timer = true;
+            self.timer(since + limit, Timer::Idle(id));
+        }
+    }
+
     pub(super) fn close(&mut self, now: Micros, id: ConnId) {
         if self.pool.get(id).is_some() {
             self.orders.push_back(Order::Close(id));
--- a/crates/model/src/clients/machine.rs
+++ b/crates/model/src/clients/machine.rs
@@ -25,8 +25,8 @@
     Leave(u64),
     /// A connection must be up.
     Connect(ConnId),
-    /// A connection has been idle for long enough, if still since then.
-    Idle(ConnId, Micros),
+    /// A connection may have been idle for long enough.
+    Idle(ConnId),
 }
 
 /// A request that is not over.
@@ -272,11 +272,7 @@
                     self.ended(now, conn);
                 }
             }
-            Timer::Idle(conn, since) => {
-                if self.pool.idle_since(conn) == Some(since) {
-                    self.close(now, conn);
-                }
-            }
+            Timer::Idle(conn) => self.idle(now, conn),
         }
     }
 
--- a/crates/model/src/clients/pool.rs
+++ b/crates/model/src/clients/pool.rs
@@ -37,6 +37,8 @@
     /// Takes no further request.
     pub(super) doomed: bool,
     idle_since: Option<Micros>,
+    /// A timer for its being idle is set.
+    pub(super) idle_timer: bool,
 }
 
 /// One client's connections and the tries that wait for one.
@@ -137,6 +139,7 @@
             used: false,
             doomed: false,
             idle_since: None,
+            idle_timer: false,
         };
         self.conns.insert(id, conn);
         id
--- a/crates/model/src/discovery/catalog.rs
+++ b/crates/model/src/discovery/catalog.rs
@@ -22,16 +22,21 @@
     log: VecDeque<Change>,
     /// Entries of each member by version, as far back as the log.
     entries: BTreeMap<String, Vec<(u64, Member)>>,
-    /// How many changes are kept.
+    /// How many changes an answer may bring.
     remember: usize,
-    /// Changes of this version and older are forgotten.
+    /// Who has this version or an older one gets the whole list.
     horizon: u64,
+    /// The oldest version that is known.
+    oldest: u64,
 }
 
+/// Changes that are kept at least: the books tell nodes of them one by one, however few answers may bring.
+const KEPT: usize = 65_536;
+
 impl Catalog {
     pub(super) fn new(rev: u64, members: Vec<Member>, remember: usize) -> Self {
         let entries = members.into_iter().map(|member| (member.uid.clone(), vec![(rev, member)])).collect();
-        Self { rev, log: VecDeque::new(), entries, remember, horizon: rev }
+        Self { rev, log: VecDeque::new(), entries, remember, horizon: rev, oldest: rev }
     }
 
     pub(super) fn rev(&self) -> u64 {
@@ -41,7 +46,7 @@
     /// The version that was current at a time; the oldest known one for times before.
     pub(super) fn rev_at(&self, at: Micros) -> u64 {
         let later = self.log.partition_point(|change| change.at <= at);
-        later.checked_sub(1).and_then(|i| self.log.get(i)).map_or(self.horizon, |change| change.rev)
+        later.checked_sub(1).and_then(|i| self.log.get(i)).map_or(self.oldest, |change| change.rev)
     }
 
     pub(super) fn change(&mut self, at: Micros, members: Vec<Member>) {
@@ -51,10 +56,12 @@
             self.entries.entry(uid.clone()).or_default().push((self.rev, member));
             self.log.push_back(Change { rev: self.rev, at, uid, state });
         }
-        while self.log.len() > self.remember
+        let forgotten = self.log.len().checked_sub(self.remember + 1).and_then(|last| self.log.get(last));
+        self.horizon = forgotten.map_or(self.horizon, |change| change.rev);
+        while self.log.len() > self.remember.max(KEPT)
             && let Some(old) = self.log.pop_front()
         {
-            self.horizon = old.rev;
+            self.oldest = old.rev;
             if let Some(entries) = self.entries.get_mut(&old.uid) {
                 let newer = entries.partition_point(|entry| entry.0 <= old.rev);
                 entries.drain(..newer.saturating_sub(1));
--- a/crates/model/src/discovery/machine/tests.rs
+++ b/crates/model/src/discovery/machine/tests.rs
@@ -95,6 +95,22 @@
     Event::Call(CallId(id), NODE, HOME, ask)
 }
 
+/// The books are kept change by change, also where an answer brings the whole list.
+#[test]
+fn a_whole_list_tells_of_each_change() {
+    let events = [
+        (0, Event::NodeStarted(NODE, 10)),
+        (100, drain("s1")),
+        (200, drain("s2")),
+        (300, Event::Change(vec![member("s1", State::Removed)])),
+        (400, call(1, watch(10))),
+    ];
+    let (orders, told) = play(DiscoveryPlan { remember: 1, ..plan() }, &events, 1000);
+    assert_eq!(orders[1..], ["403ms 1: all to 13 [s2 Draining]"]);
+    let uids: Vec<&str> = told.iter().filter_map(|line| line.split(':').next()).collect();
+    assert_eq!(uids, ["s1 Draining 11", "s2 Draining 12", "s1 Removed 13"]);
+}
+
 fn cases() -> Vec<Case> {
     let start = (0, Event::NodeStarted(NODE, 10));
     vec![
