Give the model's servers their messages, settings, self-describing values and parts

Stand-ins, the simulator and the checks need one typed language towards cache servers and the origin, and bytes that a checker can trace to the server and request they were made for.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,8 @@
 #![warn(missing_docs, unreachable_pub)]
 
 pub mod draw;
+pub mod server;
+pub mod value;
 
 /// Microseconds, as a point on the caller's clock or as a length.
 pub type Micros = i64;
--- /dev/null
+++ b/crates/model/src/server/records.rs
@@ -0,0 +1,177 @@
+//! Writes: versions of objects, repeats of keyed writes, and the ledger of what was carried out.
+
+use std::collections::VecDeque;
+
+use rustc_hash::FxHashMap;
+
+use super::config::Class;
+use super::message::{Effect, Request};
+use super::time::{Nanos, from_micros};
+use crate::value::{IdempotencyKey, Key, Maker, Receipt};
+
+/// Receipts of keyed writes, each kept for a window from when the write was carried out.
+#[derive(Debug, Clone, Default)]
+struct Window {
+    kept: FxHashMap<IdempotencyKey, (Nanos, Receipt)>,
+    /// By the order in which they were kept. A longer window may hold back a shorter one behind it; what is over is
+    /// not found all the same.
+    order: VecDeque<(Nanos, IdempotencyKey)>,
+}
+
+impl Window {
+    fn find(&self, now: Nanos, keyed: IdempotencyKey) -> Option<Receipt> {
+        self.kept.get(&keyed).filter(|(until, _)| now < *until).map(|(_, receipt)| *receipt)
+    }
+
+    fn keep(&mut self, now: Nanos, length: Nanos, keyed: IdempotencyKey, receipt: Receipt) {
+        while let Some((_, old)) = self.order.pop_front_if(|(until, _)| *until <= now) {
+            // Guards against dropping a receipt that was kept anew under the same key.
+            if self.kept.get(&old).is_some_and(|(until, _)| *until <= now) {
+                self.kept.remove(&old);
+            }
+        }
+        let until = now.saturating_add(length);
+        self.kept.insert(keyed, (until, receipt));
+        self.order.push_back((until, keyed));
+    }
+}
+
+/// What was carried out here, over the whole run (also before a restart): for checks. Grows with keyed writes.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    times: FxHashMap<IdempotencyKey, u32>,
+    effects: u64,
+    repeats: u64,
+}
+
+impl Ledger {
+    /// How often a keyed write was carried out. Over 1: repeated.
+    pub fn times(&self, keyed: IdempotencyKey) -> u32 {
+        self.times.get(&keyed).copied().unwrap_or(0)
+    }
+
+    /// Writes carried out.
+    pub fn effects(&self) -> u64 {
+        self.effects
+    }
+
+    /// Keyed writes that came again within their window and were given the receipt that there was.
+    pub fn repeats(&self) -> u64 {
+        self.repeats
+    }
+}
+
+/// The state of objects as writes leave it.
+#[derive(Debug, Clone)]
+pub(crate) struct Records {
+    windows: Vec<Nanos>,
+    /// Version, and the size that the last write brought (0: none did).
+    objects: FxHashMap<Key, (u64, u32)>,
+    window: Window,
+    ledger: Ledger,
+}
+
+impl Records {
+    pub(crate) fn new(classes: &[Class]) -> Self {
+        let windows = classes.iter().map(|class| from_micros(class.keyed_window_us)).collect();
+        Self { windows, objects: FxHashMap::default(), window: Window::default(), ledger: Ledger::default() }
+    }
+
+    /// Version and size of an object; version 0, size 0: never written.
+    pub(crate) fn object(&self, key: Key) -> (u64, u32) {
+        self.objects.get(&key).copied().unwrap_or_default()
+    }
+
+    /// The object changes by itself; its version now.
+    pub(crate) fn change(&mut self, key: Key) -> u64 {
+        let (version, _) = self.objects.entry(key).or_default();
+        *version += 1;
+        *version
+    }
+
+    /// Carries out a write, unless it is a repeat. The effect, if there is one, and the receipt.
+    pub(crate) fn write(&mut self, now: Nanos, request: &Request, maker: Maker) -> (Option<Effect>, Receipt) {
+        let Request { key, keyed, class, id, .. } = *request;
+        if let Some(receipt) = keyed.and_then(|keyed| self.window.find(now, keyed)) {
+            self.ledger.repeats += 1;
+            return (None, receipt);
+        }
+        let version = self.change(key);
+        if request.size > 0 {
+            self.objects.insert(key, (version, request.size));
+        }
+        let receipt = Receipt { key, version, maker };
+        self.ledger.effects += 1;
+        if let Some(keyed) = keyed {
+            *self.ledger.times.entry(keyed).or_default() += 1;
+            self.learn(now, keyed, receipt, class);
+        }
+        (Some(Effect { request: id, keyed, receipt, class }), receipt)
+    }
+
+    /// A keyed write was carried out now, here or elsewhere.
+    pub(crate) fn learn(&mut self, now: Nanos, keyed: IdempotencyKey, receipt: Receipt, class: u8) {
+        let length =
+            self.windows.get(usize::from(class)).or(self.windows.last()).copied().unwrap_or_default();
+        self.window.keep(now, length, keyed, receipt);
+    }
+
+    /// A process that kept its receipts in memory begins anew.
+    pub(crate) fn forget_receipts(&mut self) {
+        self.window = Window::default();
+    }
+
+    pub(crate) fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::message::{ConnId, Kind};
+    use super::*;
+    use crate::value::{RequestId, Uid};
+
+    #[test]
+    fn a_keyed_write_is_carried_out_once_in_its_window() {
+        let class = |keyed_window_us| Class { keyed_window_us, ..Class::default() };
+        let mut records = Records::new(&[class(10), class(1000)]);
+        let maker = Maker::Origin(Uid(1));
+        let mut write = |now: Nanos, class: u8, keyed: Option<u64>| {
+            let request = Request {
+                conn: ConnId(1),
+                id: RequestId(now as u64),
+                key: Key(5),
+                kind: Kind::Write,
+                class,
+                size: 100,
+                keyed: keyed.map(IdempotencyKey),
+                left_us: None,
+                work_us: None,
+            };
+            let (effect, receipt) = records.write(now, &request, maker);
+            (effect.is_some(), receipt.version)
+        };
+        // Time, class, key of the write; carried out, version on the receipt.
+        let cases = [
+            (0, 0, Some(1), true, 1),
+            (9_999, 0, Some(1), false, 1),
+            (10_000, 0, Some(1), true, 2),
+            (10_001, 1, Some(2), true, 3),
+            (10_002, 0, None, true, 4),
+            (10_002, 0, None, true, 5),
+            (19_999, 0, Some(1), false, 2),
+            (500_000, 0, Some(2), false, 3),
+            (500_000, 0, Some(1), true, 6),
+            (1_010_001, 1, Some(2), true, 7),
+        ];
+        for (now, class, keyed, carried_out, version) in cases {
+            assert_eq!(write(now, class, keyed), (carried_out, version), "{now} {keyed:?}");
+        }
+        let ledger = records.ledger();
+        assert_eq!((ledger.times(IdempotencyKey(1)), ledger.times(IdempotencyKey(2))), (3, 2));
+        assert_eq!((ledger.effects(), ledger.repeats()), (7, 3));
+        assert_eq!(records.object(Key(5)), (7, 100));
+        assert!(records.window.kept.len() <= 2, "what is over is dropped");
+    }
+}
--- /dev/null
+++ b/crates/model/src/server/warmth.rs
@@ -0,0 +1,100 @@
+//! The share of its capacity that a server has after a start, and whether it is sent too much for it.
+
+use std::collections::VecDeque;
+
+use super::config::{Tip, WarmUp};
+use super::time::{Nanos, from_micros};
+
+/// The warm-up curve.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Warmth {
+    start: f64,
+    full_after: f64,
+    full_after_work: f64,
+    since: Nanos,
+    done_at_start: f64,
+    warm: bool,
+}
+
+impl Warmth {
+    /// A server that has run for long.
+    pub(crate) fn warm(curve: &WarmUp) -> Self {
+        Self {
+            start: curve.start,
+            full_after: from_micros(curve.full_after_us) as f64,
+            full_after_work: curve.full_after_work_us.map_or(f64::INFINITY, |us| us * 1e3),
+            since: 0,
+            done_at_start: 0.0,
+            warm: true,
+        }
+    }
+
+    /// It starts now; `done`: the work that it has done so far.
+    pub(crate) fn restart(&mut self, now: Nanos, done: f64) {
+        (self.since, self.done_at_start, self.warm) = (now, done, self.start >= 1.0);
+    }
+
+    /// The share of the full capacity; `done`: the work that it has done so far.
+    pub(crate) fn share(&mut self, now: Nanos, done: f64) -> f64 {
+        if self.warm {
+            return 1.0;
+        }
+        let by_time = (now - self.since) as f64 / self.full_after;
+        let by_work = (done - self.done_at_start) / self.full_after_work;
+        let way = by_time.max(by_work).max(0.0);
+        self.warm = way >= 1.0;
+        self.start + (1.0 - self.start) * way.min(1.0)
+    }
+
+    pub(crate) fn is_warm(&self) -> bool {
+        self.warm
+    }
+
+    /// How often to look at the curve while there is work: 1,024 steps over its time.
+    pub(crate) fn step(&self) -> Nanos {
+        (self.full_after as Nanos / 1024).max(1)
+    }
+}
+
+/// The work sent within a window, against a multiple of the present capacity.
+#[derive(Debug, Clone)]
+pub(crate) struct Pressure {
+    multiple: f64,
+    window: Nanos,
+    sent: VecDeque<(Nanos, Nanos)>,
+    /// Whole numbers: guards against a sum that drifts.
+    sum: i128,
+}
+
+impl Pressure {
+    pub(crate) fn new(tip: &Tip) -> Self {
+        let window = from_micros(tip.window_us);
+        Self { multiple: tip.multiple, window, sent: VecDeque::new(), sum: 0 }
+    }
+
+    fn forget(&mut self, now: Nanos) {
+        let over = now.saturating_sub(self.window);
+        while let Some((_, work)) = self.sent.pop_front_if(|(at, _)| *at <= over) {
+            self.sum -= i128::from(work);
+        }
+    }
+
+    /// Work arrives. Whether all that came within the last window is now over the multiple of what that capacity
+    /// (work in 1 ns) can do in a window.
+    pub(crate) fn sent(&mut self, now: Nanos, work: Nanos, capacity: f64) -> bool {
+        self.forget(now);
+        self.sent.push_back((now, work));
+        self.sum += i128::from(work);
+        self.level(now, capacity) > 1.0
+    }
+
+    /// The same as a share: over 1 it is too much.
+    pub(crate) fn level(&mut self, now: Nanos, capacity: f64) -> f64 {
+        self.forget(now);
+        self.sum as f64 / (self.multiple * capacity * self.window as f64)
+    }
+
+    pub(crate) fn clear(&mut self) {
+        (self.sent, self.sum) = (VecDeque::new(), 0);
+    }
+}
