Join the cache server and the origin of the model as state machines over time

Server<K> takes events with their time, gives orders out with theirs, and says when it is due. Cores are an egalitarian processor-sharing station, so slots as many as cores give first come first served. The cache server keeps copies by LRU or FIFO, warms up and falls over when sent too much; the origin holds versions and stops when overdriven. Faults are events.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs, unreachable_pub)]
 
 pub mod draw;
+pub mod origin;
 pub mod server;
 pub mod value;
 
--- /dev/null
+++ b/crates/model/src/server/cache.rs
@@ -0,0 +1,169 @@
+//! The contents of a cache server: copies of objects, and who was told to fetch what.
+
+use super::books::Books;
+use super::config::{CacheConfig, Writes};
+use super::error::ConfigError;
+use super::expiring::Expiring;
+use super::host::{Overload, Server};
+use super::keeper::{Found, Keeper, Outbox};
+use super::message::{Answer, Event, Kind, Note, Request};
+use super::objects::Objects;
+use super::records::{Ledger, Records};
+use super::time::{Nanos, from_micros};
+use super::warmth::{Pressure, Warmth};
+use crate::Micros;
+use crate::value::{Key, MIN_SIZE, Made, Maker, Receipt, Uid};
+
+/// A cache server.
+pub type CacheServer = Server<Cache>;
+
+/// What a cache server keeps.
+#[derive(Debug, Clone)]
+pub struct Cache {
+    objects: Objects,
+    records: Records,
+    /// Keys that a request was told to fetch lately.
+    fetches: Expiring<Key, ()>,
+    lease: Nanos,
+    life: Option<Nanos>,
+    miss_share: f64,
+    per_byte: f64,
+    tells: bool,
+    writes: Writes,
+    stored: u64,
+}
+
+impl Server<Cache> {
+    /// A cache server that is up and empty. `warm`: it has run for long (give it its copies by [`Event::Fill`]); else
+    /// it starts now. All its draws come from the seed and its id.
+    pub fn new(
+        config: &CacheConfig,
+        uid: Uid,
+        seed: u64,
+        warm: bool,
+        now: Micros,
+    ) -> Result<Self, ConfigError> {
+        config.check()?;
+        let keeper = Cache {
+            objects: Objects::new(config.memory, config.per_object, config.eviction),
+            records: Records::new(&config.machine.classes),
+            fetches: Expiring::default(),
+            lease: from_micros(config.lease_us),
+            life: config.ttl_us.map(from_micros),
+            miss_share: config.miss_share,
+            per_byte: config.machine.per_kib_us * 1e3 / 1024.0,
+            tells: config.tells,
+            writes: config.writes,
+            stored: 0,
+        };
+        let tip = config.warm_up.tip.as_ref();
+        let overload = tip.map_or(Overload::Bears, |tip| Overload::Falls(Pressure::new(tip)));
+        Server::join(
+            &config.machine,
+            (uid, seed),
+            now,
+            keeper,
+            (Warmth::warm(&config.warm_up), warm),
+            overload,
+        )
+    }
+}
+
+impl Cache {
+    fn put(&mut self, now: Nanos, key: Key, version: u64, size: u32) {
+        self.stored += 1;
+        self.objects.put(now, key, version, size.max(MIN_SIZE), self.life);
+        self.fetches.remove(key);
+    }
+
+    fn sized(&self, work: Nanos, size: u32) -> Nanos {
+        work.saturating_add((self.per_byte * f64::from(size)) as Nanos)
+    }
+}
+
+impl Keeper for Cache {
+    fn begin(&mut self, now: Nanos, request: &Request, work: Nanos) -> (Nanos, Found) {
+        let key = request.key;
+        let miss = (work as f64 * self.miss_share) as Nanos;
+        match request.kind {
+            Kind::Read => {
+                if let Some((version, size)) = self.objects.get(now, key) {
+                    return (self.sized(work, size), Found::Copy { version, size });
+                }
+                let others_fetch = self.fetches.find(now, key).is_some();
+                if !others_fetch && self.lease > 0 {
+                    self.fetches.keep(now, self.lease, key, ());
+                }
+                (miss, Found::Missing { others_fetch })
+            }
+            Kind::Write if self.writes == Writes::Miss => (miss, Found::Missing { others_fetch: false }),
+            Kind::Write | Kind::Store { .. } => (self.sized(work, request.size), Found::Change),
+        }
+    }
+
+    fn finish(
+        &mut self,
+        now: Nanos,
+        request: &Request,
+        found: Found,
+        uid: Uid,
+        out: &mut Outbox,
+    ) -> (Answer, Option<Note>) {
+        let (key, maker) = (request.key, Maker::Cache(uid));
+        let (answer, note) = match (found, request.kind) {
+            (Found::Copy { version, size }, _) => {
+                let value = Made { key, version, maker, request: Some(request.id), size };
+                (Answer::Hit { value }, Some(Note::Hit))
+            }
+            (Found::Missing { others_fetch }, kind) => {
+                let note = if others_fetch { Note::MissOthersFetch } else { Note::Miss };
+                (Answer::Miss { others_fetch }, (kind == Kind::Read).then_some(note))
+            }
+            (Found::Change, Kind::Store { version }) => {
+                self.put(now, key, version, request.size);
+                (Answer::Receipt(Receipt { key, version, maker }), None)
+            }
+            (Found::Change, _) => {
+                let (effect, receipt) = self.records.write(now, request, maker);
+                if let Some(effect) = effect {
+                    self.put(now, key, receipt.version, request.size);
+                    out.tell_effect(now, effect);
+                }
+                (Answer::Receipt(receipt), None)
+            }
+        };
+        (answer, note.filter(|_| self.tells))
+    }
+
+    fn tell(&mut self, now: Nanos, event: &Event, up: bool, _: &mut Outbox) {
+        match *event {
+            Event::Fill { key, version, size } if up => self.put(now, key, version, size),
+            Event::Void { key, version } => self.objects.void(key, version),
+            Event::Learn { keyed, receipt, class } if up => self.records.learn(now, keyed, receipt, class),
+            _ => {}
+        }
+    }
+
+    fn flush(&mut self, share: f64, salt: u64) {
+        self.objects.flush(share, salt);
+    }
+
+    /// Copies and receipts were in memory. Versions go on, so that none is given twice.
+    fn restart(&mut self) {
+        self.objects.clear();
+        self.fetches = Expiring::default();
+        self.records.forget_receipts();
+    }
+
+    fn book(&self, books: &mut Books) {
+        let removals = self.objects.removals();
+        (books.evicted, books.expired, books.voided) = (removals.evicted, removals.expired, removals.voided);
+        (books.objects, books.memory, books.stored) =
+            (self.objects.len() as u64, self.objects.bytes(), self.stored);
+        (books.effects, books.repeats) = (self.records.ledger().effects(), self.records.ledger().repeats());
+    }
+
+    fn ledger(&self) -> &Ledger {
+        self.records.ledger()
+    }
+}
--- /dev/null
+++ b/crates/model/src/server/flow.rs
@@ -0,0 +1,351 @@
+//! The way of connections and requests through a server.
+
+use super::config::Abandoned;
+use super::host::{Job, Server};
+use super::keeper::Keeper;
+use super::message::{Act, Answer, Answered, BusyReason, CloseKind, ConnId, Noise, Request, State};
+use super::table::{Call, NONE, Stage};
+use super::time::{Nanos, from_micros, nanos};
+
+impl<K: Keeper> Server<K> {
+    pub(super) fn connect(&mut self, id: ConnId) {
+        let table = &self.machine.connections;
+        let full = self.troubles.full_table || self.table.conns.len() >= table.cap as usize;
+        let act = match self.state {
+            State::Vanished => Act::Ignored(id),
+            State::Down => Act::Refused(id),
+            _ if full && table.ignore_beyond => Act::Ignored(id),
+            _ if full => Act::Refused(id),
+            State::Up | State::Draining => Act::Accepted(id),
+        };
+        if act != Act::Accepted(id) {
+            self.books.not_accepted += 1;
+            return self.out.push(self.now, act);
+        }
+        let (work, wait) = (self.handshake_work(), table.handshake_wait_us);
+        // Guards against a driver that uses a number twice: the first connection holds.
+        let Some(conn) = self.table.open(self.now, id, work == 0 && wait == 0) else {
+            return self.out.push(self.now, Act::Refused(id));
+        };
+        self.books.accepted += 1;
+        self.out.push(self.now, act);
+        self.watch_idle(conn);
+        if work > 0 {
+            self.station.start(self.now, work, Job::Handshake(id));
+            self.sent(work);
+        } else {
+            self.books.handshakes += 1;
+            if wait > 0 {
+                self.ready_later(id);
+            }
+        }
+    }
+
+    /// The work of a handshake is done.
+    pub(super) fn shaken(&mut self, id: ConnId) {
+        self.books.handshakes += 1;
+        if self.machine.connections.handshake_wait_us > 0 {
+            self.ready_later(id);
+        } else {
+            self.ready(id);
+        }
+    }
+
+    pub(super) fn ready(&mut self, id: ConnId) {
+        if let Some(conn) = self.table.find(id) {
+            self.table.conns[conn as usize].ready = true;
+            self.pump(conn);
+        }
+    }
+
+    /// A request's last byte has come.
+    pub(super) fn take(&mut self, request: Request) {
+        let Some(conn) = self.table.find(request.conn) else {
+            return self.out.push(self.now, Act::Close(request.conn, CloseKind::Rst));
+        };
+        let work = self.work(&request);
+        self.count_held();
+        self.books.requests += 1;
+        self.books.bytes_in += u64::from(request.size);
+        self.table.push(conn, self.now, request, work);
+        self.sent(work);
+        // Guards against going on with what went down just now.
+        if self.table.find(request.conn).is_some() {
+            self.pump(conn);
+        }
+    }
+
+    /// What its class and its own draw say, with the difference between attempts.
+    fn work(&mut self, request: &Request) -> Nanos {
+        let draws = &mut self.draws;
+        let class = usize::from(request.class).min(draws.classes.len() - 1);
+        let work = match request.work_us {
+            Some(us) => nanos(us),
+            None => draws.classes[class].draw(&mut draws.rng),
+        };
+        match &draws.attempt {
+            Some(factor) => (work as f64 * factor.draw(&mut draws.rng) as f64 / 1e6) as Nanos,
+            None => work,
+        }
+    }
+
+    /// Begins what may begin on a connection and lets out the answers that are next, until neither is left.
+    fn pump(&mut self, conn: u32) {
+        loop {
+            while let Some(at) = self.table.begin(conn, self.machine.connections.at_once) {
+                if self.paused() {
+                    self.table.calls[at as usize].stage = Stage::Inbox;
+                    self.inbox.push(&mut self.table.calls, at);
+                } else {
+                    self.enter(at);
+                }
+            }
+            let mut went_out = false;
+            loop {
+                self.count_held();
+                let Some((call, answer, note)) = self.table.take_done(conn) else { break };
+                went_out = true;
+                let last = self.table.conns[conn as usize].is_idle();
+                let noise = self.troubles.noise(&answer, last);
+                let Request { conn: id, id: request, key, .. } = call.request;
+                self.book_answer(&call, &answer);
+                self.books.noisy += u64::from(noise.is_some());
+                self.out
+                    .push(self.now, Act::Answer(Answered { conn: id, request, key, answer, note, noise }));
+                if noise == Some(Noise::Cut) {
+                    return self.close(conn, CloseKind::Fin);
+                }
+                // Guards against serving on where the other side can make no sense of what follows.
+                if answer == Answer::Nothing || noise.is_some_and(Noise::spoils) {
+                    self.table.conns[conn as usize].stuck = true;
+                }
+            }
+            if !went_out {
+                break;
+            }
+        }
+        if self.table.conns[conn as usize].is_idle() {
+            self.table.conns[conn as usize].idle_since = self.now;
+            if self.state == State::Draining && self.machine.drain_closes_idle {
+                return self.close(conn, CloseKind::Fin);
+            }
+            self.watch_idle(conn);
+        }
+    }
+
+    fn book_answer(&mut self, call: &Call, answer: &Answer) {
+        let books = &mut self.books;
+        books.answered += 1;
+        books.stayed_us += (self.now - call.arrived) as f64 / 1e3;
+        match answer {
+            Answer::Hit { value } => {
+                books.hits += 1;
+                books.bytes_out += u64::from(value.size());
+            }
+            Answer::Miss { others_fetch } => {
+                books.misses += 1;
+                books.misses_others_fetch += u64::from(*others_fetch);
+            }
+            Answer::Receipt(_) => books.receipts += 1,
+            Answer::Busy(BusyReason::Full) => books.busy_full += 1,
+            Answer::Busy(BusyReason::Draining) => books.busy_draining += 1,
+            Answer::Busy(BusyReason::Over) => books.busy_over += 1,
+            Answer::Failed => books.failed += 1,
+            Answer::Nothing => books.swallowed += 1,
+        }
+    }
+
+    /// A request that was read gets a slot, a place in the waiting room, or is turned away.
+    fn enter(&mut self, at: u32) {
+        if self.state == State::Draining {
+            self.refuse(at, BusyReason::Draining);
+        } else if self.in_work < self.machine.slots && self.waiting.len() == 0 {
+            self.start(at);
+        } else if self.waiting.len() < self.machine.waiting_room {
+            self.table.calls[at as usize].stage = Stage::Waiting;
+            self.waiting.push(&mut self.table.calls, at);
+        } else {
+            self.refuse(at, BusyReason::Full);
+        }
+    }
+
+    fn refuse(&mut self, at: u32, reason: BusyReason) {
+        let work = nanos(self.machine.busy_work_us);
+        let call = &mut self.table.calls[at as usize];
+        if work > 0 {
+            call.stage = Stage::Refusing(reason);
+            self.station.start(self.now, work, Job::Refusal(at));
+        } else {
+            call.stage = Stage::Done(Answer::Busy(reason), None);
+        }
+    }
+
+    /// Gives a slot to a request, unless its time is over. The caller sees to its connection.
+    fn start(&mut self, at: u32) {
+        let call = &mut self.table.calls[at as usize];
+        let waited = self.now - call.arrived;
+        if self.machine.drops_expired && call.request.left_us.is_some_and(|left| waited >= from_micros(left))
+        {
+            return self.refuse(at, BusyReason::Over);
+        }
+        let (work, found) = self.keeper.begin(self.now, &call.request, call.work);
+        call.stage = Stage::InWork(found);
+        self.books.begun += 1;
+        self.books.waited_us += waited as f64 / 1e3;
+        self.in_work += 1;
+        self.station.start(self.now, work, Job::Request(at));
+    }
+
+    /// Fills free slots from the waiting room.
+    fn fill_slots(&mut self) {
+        while self.in_work < self.machine.slots {
+            let Some(at) = self.waiting.pop(&mut self.table.calls) else { break };
+            self.start(at);
+            self.settle(at);
+        }
+    }
+
+    /// What came in the pause is read.
+    pub(super) fn read_inbox(&mut self) {
+        while let Some(at) = self.inbox.pop(&mut self.table.calls) {
+            self.enter(at);
+            self.settle(at);
+        }
+    }
+
+    /// Lets the answer of a request out if it is done, or ends the request if nobody waits.
+    fn settle(&mut self, at: u32) {
+        let call = &self.table.calls[at as usize];
+        if !matches!(call.stage, Stage::Done(..)) {
+            return;
+        }
+        match call.conn {
+            NONE => {
+                self.books.unheard += 1;
+                self.end(at);
+            }
+            conn => self.pump(conn),
+        }
+    }
+
+    /// A request's work is done.
+    pub(super) fn finish(&mut self, at: u32) {
+        self.in_work -= 1;
+        let Call { request, stage, conn, .. } = self.table.calls[at as usize];
+        let Stage::InWork(found) = stage else { return };
+        let fails = self.troubles.strikes(self.troubles.fail + self.machine.fail_share);
+        let mut told = (Answer::Failed, None);
+        if !fails || self.troubles.strikes(self.machine.failed_writes_ran) {
+            told = self.keeper.finish(self.now, &request, found, self.uid(), &mut self.out);
+        }
+        if fails {
+            told = (Answer::Failed, None);
+        } else if self.troubles.strikes(self.troubles.swallow) {
+            told = (Answer::Nothing, None);
+        }
+        self.table.calls[at as usize].stage = Stage::Done(told.0, told.1);
+        if conn == NONE {
+            self.settle(at);
+        }
+        // Who waits goes before what its connection brings next, and may close that connection.
+        self.fill_slots();
+        if self.table.conns.get(conn as usize).is_some_and(|c| c.id == request.conn) {
+            self.pump(conn);
+        }
+    }
+
+    /// A request was turned away.
+    pub(super) fn turned_away(&mut self, at: u32) {
+        if let Stage::Refusing(reason) = self.table.calls[at as usize].stage {
+            self.table.calls[at as usize].stage = Stage::Done(Answer::Busy(reason), None);
+        }
+        self.settle(at);
+    }
+
+    /// A request ends here without an answer.
+    fn end(&mut self, at: u32) {
+        self.count_held();
+        let call = self.table.calls.remove(at as usize);
+        self.books.stayed_us += (self.now - call.arrived) as f64 / 1e3;
+    }
+
+    pub(super) fn hangup(&mut self, id: ConnId) {
+        if let Some(conn) = self.table.find(id) {
+            self.abandon(conn, false);
+        }
+    }
+
+    /// Closes a connection from this side.
+    fn close(&mut self, conn: u32, kind: CloseKind) {
+        let id = self.abandon(conn, true);
+        self.out.push(self.now, Act::Close(id, kind));
+    }
+
+    /// A connection is gone; `ours`: from this side. What was not read is dropped with it; what was goes the way that
+    /// the settings say.
+    fn abandon(&mut self, conn: u32, ours: bool) -> ConnId {
+        let (id, mut at) = self.table.close(conn);
+        let abandoned = self.machine.abandoned;
+        let mut freed = false;
+        while at != NONE {
+            let next = self.table.next(at);
+            let call = &mut self.table.calls[at as usize];
+            call.conn = NONE;
+            let goes_on = match call.stage {
+                Stage::Unread | Stage::Done(..) => false,
+                Stage::Inbox | Stage::Waiting => abandoned == Abandoned::GoesOn,
+                Stage::InWork(_) => abandoned != Abandoned::Drop,
+                Stage::Refusing(_) => true,
+            };
+            if !goes_on {
+                let done = matches!(call.stage, Stage::Done(..));
+                match call.stage {
+                    Stage::Inbox => self.inbox.remove(&mut self.table.calls, at),
+                    Stage::Waiting => self.waiting.remove(&mut self.table.calls, at),
+                    Stage::InWork(_) => {
+                        self.station.remove(self.now, Job::Request(at));
+                        self.in_work -= 1;
+                        freed = true;
+                    }
+                    _ => {}
+                }
+                match () {
+                    _ if ours => self.books.lost += 1,
+                    _ if done => self.books.unheard += 1,
+                    _ => self.books.dropped += 1,
+                }
+                self.end(at);
+            }
+            at = next;
+        }
+        if freed {
+            self.fill_slots();
+        }
+        id
+    }
+
+    /// A connection may have been idle for too long.
+    pub(super) fn look_idle(&mut self, id: ConnId) {
+        let Some(at) = self.table.find(id) else { return };
+        let conn = &mut self.table.conns[at as usize];
+        conn.armed = false;
+        if !conn.is_idle() {
+            return;
+        }
+        let idle = self.machine.connections.idle_us.map_or(Nanos::MAX, from_micros);
+        if conn.idle_since.saturating_add(idle) > self.now {
+            return self.watch_idle(at);
+        }
+        self.books.idle_closed += 1;
+        self.close(at, self.machine.connections.idle_close);
+    }
+
+    /// Closes the connections that no request is on.
+    pub(super) fn close_idle(&mut self) {
+        let idle = self.table.conns.iter().filter(|(_, conn)| conn.is_idle());
+        let idle: Vec<u32> = idle.map(|(at, _)| at as u32).collect();
+        for at in idle {
+            self.close(at, CloseKind::Fin);
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/server/host.rs
@@ -0,0 +1,482 @@
+//! A server as a state machine: what happens goes in, what it does comes out, and time is the caller's.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use rand_chacha::ChaCha8Rng;
+
+use super::books::Books;
+use super::config::{Machine, Overdriven};
+use super::dist::{Dist, Sampler};
+use super::error::ConfigError;
+use super::keeper::{Keeper, Outbox};
+use super::message::{Act, CloseKind, ConnId, Event, Fault, Order, State};
+use super::records::Ledger;
+use super::station::Station;
+use super::table::{Line, Table};
+use super::time::{NEVER, Nanos, from_micros, nanos, to_micros};
+use super::troubles::{Troubles, as_share};
+use super::warmth::{Pressure, Warmth};
+use crate::value::Uid;
+use crate::{Micros, draw};
+
+/// What runs on the cores.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Job {
+    /// A request, by its place.
+    Request(u32),
+    /// Turning a request away.
+    Refusal(u32),
+    /// Taking a connection.
+    Handshake(ConnId),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Ready(ConnId),
+    Idle(ConnId),
+}
+
+/// What happens when too much is sent.
+#[derive(Debug, Clone)]
+pub(crate) enum Overload {
+    /// Nothing more than queues.
+    Bears,
+    /// Falls over while cold.
+    Falls(Pressure),
+    /// Stops for a while.
+    Stops { pressure: Pressure, down: Sampler, resets: bool, left: u32 },
+}
+
+impl Overload {
+    pub(crate) fn stops(over: &Overdriven) -> Result<Self, ConfigError> {
+        let (resets, left) = (over.resets, over.most);
+        let down = over.down.sampler("overdriven.down")?;
+        Ok(Self::Stops { pressure: Pressure::new(&over.tip), down, resets, left })
+    }
+}
+
+#[derive(Debug, Clone)]
+struct OwnPauses {
+    every: Sampler,
+    length: Sampler,
+    grow: f64,
+    rng: ChaCha8Rng,
+    next: Nanos,
+}
+
+/// Settings made ready to draw from.
+#[derive(Debug, Clone)]
+pub(super) struct Draws {
+    pub(super) classes: Vec<Sampler>,
+    /// A factor with mean 1 (drawn as a length with a mean of 1 ms), if attempts differ.
+    pub(super) attempt: Option<Sampler>,
+    pub(super) rng: ChaCha8Rng,
+}
+
+/// A server: a cache server ([`super::CacheServer`]) or the origin ([`crate::origin::Origin`]).
+///
+/// Call [`Self::handle`] with what happens; then take orders by [`Self::poll`] until there are none; call again at
+/// [`Self::next`] at the latest.
+#[derive(Debug, Clone)]
+pub struct Server<K> {
+    pub(super) machine: Machine,
+    uid: Uid,
+    pub(crate) keeper: K,
+    pub(super) now: Nanos,
+    pub(super) state: State,
+    pub(super) station: Station<Job>,
+    pub(super) table: Table,
+    pub(super) waiting: Line,
+    pub(super) inbox: Line,
+    pub(super) in_work: u32,
+    timers: BinaryHeap<Reverse<(Nanos, Timer)>>,
+    warmth: Warmth,
+    warm_due: Nanos,
+    overload: Overload,
+    paused_until: Option<Nanos>,
+    back_at: Nanos,
+    own_pauses: Option<OwnPauses>,
+    pub(super) troubles: Troubles,
+    pub(super) draws: Draws,
+    pub(super) out: Outbox,
+    pub(super) books: Books,
+    held_area: u128,
+    held_since: Nanos,
+    told_drained: bool,
+}
+
+impl<K: Keeper> Server<K> {
+    /// Joins the parts; `warm`: it has run for long.
+    pub(crate) fn join(
+        machine: &Machine,
+        (uid, seed): (Uid, u64),
+        now: Micros,
+        keeper: K,
+        (mut warmth, warm): (Warmth, bool),
+        overload: Overload,
+    ) -> Result<Self, ConfigError> {
+        let now = from_micros(now);
+        let class = |c: &super::config::Class| c.work.sampler("classes.work");
+        let classes = machine.classes.iter().map(class).collect::<Result<_, _>>()?;
+        let spread = Dist::LogNormal { mean_us: 1000.0, cv: machine.attempt_cv };
+        let attempt = spread.sampler("attempt_cv")?;
+        let mut own_pauses = None;
+        if let Some(pauses) = &machine.pauses {
+            let (every, length) =
+                (pauses.every.sampler("pauses.every")?, pauses.length.sampler("pauses.length")?);
+            let mut rng = draw::stream(seed, "server pauses", uid.0);
+            let next = now.saturating_add(every.draw(&mut rng).max(1));
+            own_pauses = Some(OwnPauses { every, length, grow: pauses.grow, rng, next });
+        }
+        if !warm {
+            warmth.restart(now, 0.0);
+        }
+        let mut server = Self {
+            uid,
+            keeper,
+            now,
+            state: State::Up,
+            station: Station::new(machine.cores, now),
+            table: Table::default(),
+            waiting: Line::new(),
+            inbox: Line::new(),
+            in_work: 0,
+            timers: BinaryHeap::new(),
+            warmth,
+            warm_due: NEVER,
+            overload,
+            paused_until: None,
+            back_at: NEVER,
+            own_pauses,
+            troubles: Troubles::new(draw::stream(seed, "server troubles", uid.0)),
+            draws: Draws {
+                classes,
+                attempt: (machine.attempt_cv > 0.0).then_some(attempt),
+                rng: draw::stream(seed, "server work", uid.0),
+            },
+            out: Outbox::default(),
+            books: Books::default(),
+            held_area: 0,
+            held_since: now,
+            told_drained: false,
+            machine: machine.clone(),
+        };
+        server.refresh();
+        Ok(server)
+    }
+
+    /// Takes what happens at that time.
+    pub fn handle(&mut self, now: Micros, event: Event) {
+        self.advance(from_micros(now));
+        match event {
+            Event::Connect(id) => self.connect(id),
+            Event::Hangup(id) => self.hangup(id),
+            Event::Request(request) => match self.state {
+                State::Vanished => {}
+                State::Down => self.out.push(self.now, Act::Close(request.conn, CloseKind::Rst)),
+                State::Up | State::Draining => self.take(request),
+            },
+            Event::Fault(fault) => self.fault(fault),
+            Event::Fill { .. } | Event::Void { .. } | Event::Change(_) | Event::Learn { .. } => {
+                let up = self.runs();
+                self.keeper.tell(self.now, &event, up, &mut self.out);
+            }
+        }
+        self.refresh();
+    }
+
+    /// What it does by that time, in order; `None`: nothing more.
+    pub fn poll(&mut self, now: Micros) -> Option<Order> {
+        self.advance(from_micros(now));
+        self.out.orders.pop_front()
+    }
+
+    /// When something is due, if nothing else happens before; a time that has passed while orders wait. It may be
+    /// early: then nothing comes out.
+    pub fn next(&self) -> Option<Micros> {
+        if !self.out.orders.is_empty() {
+            return Some(to_micros(self.now));
+        }
+        match self.due() {
+            NEVER => None,
+            due => Some(to_micros(due)),
+        }
+    }
+
+    /// The id that it has now.
+    pub fn uid(&self) -> Uid {
+        self.uid
+    }
+
+    /// Whether it runs.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Until when it stands still, if it does.
+    pub fn paused_until(&self) -> Option<Micros> {
+        self.paused_until.map(to_micros)
+    }
+
+    /// The writes that were carried out here.
+    pub fn ledger(&self) -> &Ledger {
+        self.keeper.ledger()
+    }
+
+    /// What it has done and how it stands, by that time.
+    pub fn books(&mut self, now: Micros) -> Books {
+        self.advance(from_micros(now));
+        self.count_held();
+        let mut books = self.books;
+        let done = self.station.done(self.now);
+        books.work_done_us = done / 1e3;
+        books.held_area_us = self.held_area as f64 / 1e3;
+        books.held = self.table.calls.len() as u32;
+        (books.in_work, books.waiting) = (self.in_work, self.waiting.len());
+        books.load = f64::from(self.in_work) / f64::from(self.machine.slots);
+        books.connections = self.table.conns.len() as u32;
+        books.warm_share = self.warmth.share(self.now, done);
+        let capacity = self.capacity();
+        books.pressure = match &mut self.overload {
+            Overload::Bears => 0.0,
+            Overload::Falls(_) if self.warmth.is_warm() => 0.0,
+            Overload::Falls(pressure) | Overload::Stops { pressure, .. } => {
+                pressure.level(self.now, capacity)
+            }
+        };
+        books.at = to_micros(self.now);
+        self.keeper.book(&mut books);
+        books
+    }
+
+    pub(super) fn runs(&self) -> bool {
+        matches!(self.state, State::Up | State::Draining)
+    }
+
+    pub(super) fn paused(&self) -> bool {
+        self.paused_until.is_some()
+    }
+
+    /// Work that all cores can do in 1 ns, less what warm-up leaves out.
+    fn capacity(&mut self) -> f64 {
+        let share = self.warmth.share(self.now, self.station.done(self.now));
+        f64::from(self.machine.cores) * self.machine.speed * share
+    }
+
+    fn due(&self) -> Nanos {
+        // A process that stands still closes nothing.
+        let timer = match self.timers.peek() {
+            Some(Reverse((at, _))) if !self.paused() => *at,
+            _ => NEVER,
+        };
+        let own = self.own_pauses.as_ref().map_or(NEVER, |own| own.next);
+        let resume = self.paused_until.unwrap_or(NEVER);
+        self.station.due().min(timer).min(own).min(resume).min(self.warm_due).min(self.back_at)
+    }
+
+    /// Carries out all that fell due by now, each at its own time.
+    fn advance(&mut self, now: Nanos) {
+        loop {
+            let due = self.due();
+            if due > now {
+                break;
+            }
+            self.now = self.now.max(due);
+            self.step();
+            self.refresh();
+        }
+        // Guards against a caller whose clock steps back.
+        self.now = self.now.max(now);
+    }
+
+    /// Carries out the one thing that is due; where several are due at one time, in the order written here.
+    fn step(&mut self) {
+        let now = self.now;
+        if self.back_at <= now {
+            self.back_at = NEVER;
+            self.state = State::Up;
+        } else if self.paused_until.is_some_and(|until| until <= now) {
+            self.paused_until = None;
+            self.read_inbox();
+        } else if self.own_pauses.as_ref().is_some_and(|own| own.next <= now) {
+            self.begin_own_pause();
+        } else if let Some(job) = self.station.finish(now) {
+            match job {
+                Job::Request(at) => self.finish(at),
+                Job::Refusal(at) => self.turned_away(at),
+                Job::Handshake(id) => self.shaken(id),
+            }
+        } else if let Some(Reverse((_, timer))) = self.timers.peek().copied().filter(|t| t.0.0 <= now) {
+            self.timers.pop();
+            match timer {
+                Timer::Ready(id) => self.ready(id),
+                Timer::Idle(id) => self.look_idle(id),
+            }
+        }
+        // Otherwise the warm-up curve is due: the refresh that follows looks at it.
+    }
+
+    /// Brings the speed of the cores up to how things stand.
+    fn refresh(&mut self) {
+        let machine = &self.machine;
+        let done = self.station.done(self.now);
+        let warm = self.warmth.share(self.now, done);
+        let held = f64::from(self.in_work + self.waiting.len()) / f64::from(machine.cores);
+        let crowded = 1.0 + machine.choke.loss * (held - machine.choke.at).max(0.0);
+        let full = self.table.conns.len() as f64 / f64::from(machine.connections.cap.max(1));
+        let left = 1.0 - machine.connections.full_loss * full.min(1.0);
+        let stands = self.paused() || !self.runs();
+        let speed = if stands { 0.0 } else { machine.speed * self.troubles.slow * warm * left / crowded };
+        self.station.set_speed(self.now, speed);
+        let looks = !self.warmth.is_warm() && !self.station.is_empty() && speed > 0.0;
+        self.warm_due = if looks { self.now.saturating_add(self.warmth.step()) } else { NEVER };
+        if self.state == State::Draining && !self.told_drained && self.table.calls.is_empty() {
+            self.told_drained = true;
+            self.out.push(self.now, Act::Drained);
+        }
+    }
+
+    /// Brings the integral of held requests up to now; to be called before their number changes.
+    pub(super) fn count_held(&mut self) {
+        self.held_area += (self.now - self.held_since) as u128 * self.table.calls.len() as u128;
+        self.held_since = self.now;
+    }
+
+    /// Work reaches it. Whether that was too much: then it is down or stands still from here on.
+    pub(super) fn sent(&mut self, work: Nanos) {
+        self.books.work_sent_us += work as f64 / 1e3;
+        let capacity = self.capacity();
+        let now = self.now;
+        match &mut self.overload {
+            Overload::Bears => {}
+            Overload::Falls(pressure) => {
+                if !self.warmth.is_warm() && pressure.sent(now, work, capacity) {
+                    self.books.falls += 1;
+                    self.out.push(now, Act::Fell);
+                    self.go_down(State::Down);
+                }
+            }
+            Overload::Stops { pressure, down, resets, left } => {
+                let stopped = self.paused_until.is_some();
+                if *left == 0 || stopped || !pressure.sent(now, work, capacity) {
+                    return;
+                }
+                pressure.clear();
+                *left -= 1;
+                let until = now.saturating_add(down.draw(&mut self.draws.rng).max(1));
+                let resets = *resets;
+                self.books.stops += 1;
+                self.out.push(now, Act::Stopped { until: to_micros(until) });
+                if resets {
+                    self.go_down(State::Down);
+                    self.back_at = until;
+                } else {
+                    self.paused_until = Some(until);
+                }
+            }
+        }
+    }
+
+    fn begin_own_pause(&mut self) {
+        let busy = f64::from(self.in_work) / f64::from(self.machine.slots);
+        let Some(own) = &mut self.own_pauses else { return };
+        let length = own.length.draw(&mut own.rng) as f64 * (1.0 + own.grow * busy);
+        let until = self.now.saturating_add(length as Nanos);
+        own.next = until.saturating_add(own.every.draw(&mut own.rng).max(1));
+        if matches!(self.state, State::Up | State::Draining) && length >= 1.0 {
+            self.books.pauses += 1;
+            self.paused_until = Some(self.paused_until.map_or(until, |old| old.max(until)));
+        }
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Pause { until } => {
+                let until = from_micros(until);
+                if self.runs() && until > self.now {
+                    self.books.pauses += 1;
+                    self.paused_until = Some(until);
+                } else if self.paused() {
+                    self.paused_until = Some(self.now);
+                }
+            }
+            Fault::Slow(factor) => {
+                self.troubles.slow = if factor.is_finite() { factor.max(0.0) } else { 1.0 }
+            }
+            Fault::Fail(share) => self.troubles.fail = as_share(share),
+            Fault::Spoil { share, kinds } => self.troubles.set_spoil(share, kinds),
+            Fault::Swallow(share) => self.troubles.swallow = as_share(share),
+            Fault::FullTable(on) => self.troubles.full_table = on,
+            Fault::Drain => {
+                if self.state == State::Up {
+                    self.state = State::Draining;
+                    self.told_drained = false;
+                    if self.machine.drain_closes_idle {
+                        self.close_idle();
+                    }
+                }
+            }
+            Fault::Kill { silent } => {
+                if self.state != State::Vanished {
+                    self.go_down(if silent { State::Vanished } else { State::Down });
+                }
+            }
+            Fault::Restart { uid } => {
+                if self.runs() {
+                    self.go_down(State::Down);
+                }
+                self.uid = uid.unwrap_or(self.uid);
+                self.state = State::Up;
+                self.back_at = NEVER;
+                self.warmth.restart(self.now, self.station.done(self.now));
+                self.keeper.restart();
+            }
+            Fault::Flush { share, salt } => self.keeper.flush(as_share(share), salt),
+        }
+    }
+
+    /// The process ends: nothing of it stays but its books.
+    fn go_down(&mut self, state: State) {
+        let now = self.now;
+        self.count_held();
+        let lost = self.table.calls.iter();
+        self.books.stayed_us += lost.map(|(_, call)| (now - call.arrived) as f64 / 1e3).sum::<f64>();
+        self.books.lost += self.table.calls.len() as u64;
+        for id in self.table.clear() {
+            if state != State::Vanished {
+                self.out.push(now, Act::Close(id, CloseKind::Rst));
+            }
+        }
+        self.station.clear(now);
+        (self.waiting, self.inbox, self.in_work) = (Line::new(), Line::new(), 0);
+        self.timers.clear();
+        (self.paused_until, self.back_at) = (None, NEVER);
+        if let Overload::Falls(pressure) | Overload::Stops { pressure, .. } = &mut self.overload {
+            pressure.clear();
+        }
+        self.state = state;
+    }
+
+    /// In a while the first request on a connection may begin.
+    pub(super) fn ready_later(&mut self, id: ConnId) {
+        let at = self.now.saturating_add(from_micros(self.machine.connections.handshake_wait_us));
+        self.timers.push(Reverse((at, Timer::Ready(id))));
+    }
+
+    /// Looks at a connection again when it may have been idle for too long.
+    pub(super) fn watch_idle(&mut self, conn: u32) {
+        let Some(idle) = self.machine.connections.idle_us else { return };
+        let conn = &mut self.table.conns[conn as usize];
+        if !conn.armed {
+            conn.armed = true;
+            let at = conn.idle_since.saturating_add(from_micros(idle));
+            self.timers.push(Reverse((at, Timer::Idle(conn.id))));
+        }
+    }
+
+    /// Work of a handshake, ns.
+    pub(super) fn handshake_work(&self) -> Nanos {
+        nanos(self.machine.connections.handshake_work_us)
+    }
+}
--- a/crates/model/src/server/message.rs
+++ b/crates/model/src/server/message.rs
@@ -273,6 +273,8 @@
     pub conn: ConnId,
     /// The request that it belongs to.
     pub request: RequestId,
+    /// The key that the request named.
+    pub key: Key,
     /// How it ended.
     pub answer: Answer,
     /// For reads that were looked up, where the settings say that servers tell.
--- a/crates/model/src/server/mod.rs
+++ b/crates/model/src/server/mod.rs
@@ -9,26 +9,34 @@
 //! What it is *not*: a codec (requests and answers are typed; a driver reads and writes bytes), a network (a connect
 //! or an answer takes no time on the way), or a fault plan (somebody else sends [`Fault`]s).
 
-#![allow(dead_code)] // Until the server that joins them is in.
-
 mod books;
+mod cache;
 mod config;
 mod dist;
 mod error;
+mod expiring;
+mod flow;
+pub(crate) mod host;
+mod keeper;
 mod message;
 mod objects;
-mod records;
+pub(crate) mod records;
 mod station;
-mod time;
-mod warmth;
+mod table;
+pub(crate) mod time;
+mod troubles;
+pub(crate) mod warmth;
 
 pub use books::Books;
+pub use cache::{Cache, CacheServer};
 pub use config::{
     Abandoned, CacheConfig, Choke, Class, Connections, Eviction, Machine, OriginConfig, Overdriven, Pauses,
     Sizes, Tip, WarmUp, Writes,
 };
 pub use dist::Dist;
 pub use error::ConfigError;
+pub use host::Server;
+pub use keeper::{Found, Keeper, Outbox};
 pub use message::{
     Act, Answer, Answered, BusyReason, CloseKind, ConnId, Effect, Event, Fault, Kind, Noise, NoiseSet, Note,
     Order, Request, State,
--- a/crates/model/src/server/records.rs
+++ b/crates/model/src/server/records.rs
@@ -1,41 +1,13 @@
 //! Writes: versions of objects, repeats of keyed writes, and the ledger of what was carried out.
 
-use std::collections::VecDeque;
-
 use rustc_hash::FxHashMap;
 
 use super::config::Class;
+use super::expiring::Expiring;
 use super::message::{Effect, Request};
 use super::time::{Nanos, from_micros};
 use crate::value::{IdempotencyKey, Key, Maker, Receipt};
 
-/// Receipts of keyed writes, each kept for a window from when the write was carried out.
-#[derive(Debug, Clone, Default)]
-struct Window {
-    kept: FxHashMap<IdempotencyKey, (Nanos, Receipt)>,
-    /// By the order in which they were kept. A longer window may hold back a shorter one behind it; what is over is
-    /// not found all the same.
-    order: VecDeque<(Nanos, IdempotencyKey)>,
-}
-
-impl Window {
-    fn find(&self, now: Nanos, keyed: IdempotencyKey) -> Option<Receipt> {
-        self.kept.get(&keyed).filter(|(until, _)| now < *until).map(|(_, receipt)| *receipt)
-    }
-
-    fn keep(&mut self, now: Nanos, length: Nanos, keyed: IdempotencyKey, receipt: Receipt) {
-        while let Some((_, old)) = self.order.pop_front_if(|(until, _)| *until <= now) {
-            // Guards against dropping a receipt that was kept anew under the same key.
-            if self.kept.get(&old).is_some_and(|(until, _)| *until <= now) {
-                self.kept.remove(&old);
-            }
-        }
-        let until = now.saturating_add(length);
-        self.kept.insert(keyed, (until, receipt));
-        self.order.push_back((until, keyed));
-    }
-}
-
 /// What was carried out here, over the whole run (also before a restart): for checks. Grows with keyed writes.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
@@ -67,14 +39,20 @@
     windows: Vec<Nanos>,
     /// Version, and the size that the last write brought (0: none did).
     objects: FxHashMap<Key, (u64, u32)>,
-    window: Window,
+    /// Receipts of keyed writes, from when each was carried out.
+    window: Expiring<IdempotencyKey, Receipt>,
     ledger: Ledger,
 }
 
 impl Records {
     pub(crate) fn new(classes: &[Class]) -> Self {
         let windows = classes.iter().map(|class| from_micros(class.keyed_window_us)).collect();
-        Self { windows, objects: FxHashMap::default(), window: Window::default(), ledger: Ledger::default() }
+        Self {
+            windows,
+            objects: FxHashMap::default(),
+            window: Expiring::default(),
+            ledger: Ledger::default(),
+        }
     }
 
     /// Version and size of an object; version 0, size 0: never written.
@@ -118,7 +96,7 @@
 
     /// A process that kept its receipts in memory begins anew.
     pub(crate) fn forget_receipts(&mut self) {
-        self.window = Window::default();
+        self.window = Expiring::default();
     }
 
     pub(crate) fn ledger(&self) -> &Ledger {
@@ -172,6 +150,6 @@
         assert_eq!((ledger.times(IdempotencyKey(1)), ledger.times(IdempotencyKey(2))), (3, 2));
         assert_eq!((ledger.effects(), ledger.repeats()), (7, 3));
         assert_eq!(records.object(Key(5)), (7, 100));
-        assert!(records.window.kept.len() <= 2, "what is over is dropped");
+        assert!(records.window.len() <= 2, "what is over is dropped");
     }
 }
