--- a/crates/model/tests/servers/rules.rs
+++ b/crates/model/tests/servers/rules.rs
@@ -127,6 +127,18 @@
     }
 }
 
+#[test]
+fn nobody_overtakes_the_waiting_room() {
+    let mut rig = cache(&single(|m| (m.drops_expired, m.connections.at_once) = (true, 1)));
+    rig.connect(0..3);
+    ask(&mut rig, 0, 0, 1, 100.0);
+    rig.at(0, Event::Request(Request { left_us: Some(50), ..read(1, 2, 2, 100.0) }));
+    // Unread behind the second, and read when that is turned away: then there is a free slot, and the fourth waits.
+    ask(&mut rig, 0, 1, 3, 100.0);
+    ask(&mut rig, 0, 2, 4, 100.0);
+    assert_eq!(when(&rig.run_to(1000)), [(100, 1), (100, 2), (200, 4), (300, 3)]);
+}
+
 #[test]
 fn work_that_nobody_waits_for_goes_on_or_is_dropped() {
     // One in work, one waiting, both given up at 10; when a third of 100 µs ends, and the books.
