--- a/crates/model/src/server/config.rs
+++ b/crates/model/src/server/config.rs
@@ -367,7 +367,7 @@
         share(self.fail_share, "fail_share")?;
         share(self.failed_writes_ran, "failed_writes_ran")?;
         if let Some(pauses) = &self.pauses {
-            ensure(pauses.every.mean_us() > 0.0, "pauses.every", "must be above 0")?;
+            ensure(pauses.every.mean_us() >= 1.0, "pauses.every", "must be 1 µs or above")?;
             figure(pauses.grow, "pauses.grow")?;
         }
         let table = &self.connections;
--- a/crates/model/src/server/host.rs
+++ b/crates/model/src/server/host.rs
@@ -346,6 +346,9 @@
     /// Work reaches it. Whether that was too much: then it is down or stands still from here on.
     pub(super) fn sent(&mut self, work: Nanos) {
         self.books.work_sent_us += work as f64 / 1e3;
+        if matches!(self.overload, Overload::Bears) {
+            return;
+        }
         let capacity = self.capacity();
         let now = self.now;
         match &mut self.overload {
--- a/crates/model/src/server/mod.rs
+++ b/crates/model/src/server/mod.rs
@@ -6,6 +6,32 @@
 //! Times never go back; an earlier one is taken as the last. Whatever fell due between two calls is carried out at
 //! its own time, and [`Order::at`] tells it: a late caller does not change the history.
 //!
+//! ```
+//! use lapisrudder_model::server::{Act, Answer, CacheConfig, CacheServer, ConnId, Event, Kind, Request};
+//! use lapisrudder_model::value::{self, Key, RequestId, Uid};
+//!
+//! let mut server = CacheServer::new(&CacheConfig::default(), Uid(7), 1, true, 0)?;
+//! let conn = ConnId(1);
+//! server.handle(0, Event::Connect(conn));
+//! assert_eq!(server.poll(0).map(|order| order.act), Some(Act::Accepted(conn)));
+//!
+//! let key = Key::of(b"teacher-12");
+//! server.handle(10, Event::Fill { key, version: 3, size: 2000 });
+//! server.handle(20, Event::Request(Request {
+//!     conn, key, id: RequestId(5), kind: Kind::Read, class: 0, size: 0, keyed: None, left_us: None,
+//!     work_us: Some(150.0),
+//! }));
+//! assert_eq!((server.poll(20), server.next()), (None, Some(170)));
+//!
+//! // The caller is late; the answer was not.
+//! let order = server.poll(500).unwrap();
+//! let Act::Answer(answered) = order.act else { panic!() };
+//! let Answer::Hit { value } = answered.answer else { panic!() };
+//! assert_eq!((order.at, value.version, value.request), (170, 3, Some(RequestId(5))));
+//! assert_eq!(value::check(&value::make(&value), key), Ok(value));
+//! # Ok::<(), lapisrudder_model::server::ConfigError>(())
+//! ```
+//!
 //! What it is *not*: a codec (requests and answers are typed; a driver reads and writes bytes), a network (a connect
 //! or an answer takes no time on the way), or a fault plan (somebody else sends [`Fault`]s).
 
