--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,8 +5,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
+pub mod arrivals;
+pub mod clients;
 pub mod draw;
+pub mod keys;
+pub mod mix;
 pub mod origin;
+pub mod profile;
 pub mod server;
 pub mod value;
 
