Begin the lab: types of experiment files and of the ledgers of both ends

Need: stand-ins, load, faults and checks are written by several people at once and must agree on what an experiment says and on what each side writes down. Change: crates/lab with documented types of an experiment file (world, load, faults, what must hold) and append-only records of clients, servers, discovery, nodes and the lab itself.

--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,25 @@
+//! The load and experiment tool for lapisrudder nodes: what an experiment is, what both ends of it wrote down, which
+//! rules the books show to be broken, and what the run was worth.
+//!
+//! - [`experiment`]: files in TOML to checked, documented types; a seed to the same plan of faults each time.
+//! - [`ledger`]: append-only records of clients, servers, origin, discovery and nodes, with times.
+//!
+//! Nothing in these modules opens a socket, reads a clock or starts a thread, so that real-time runs and runs on a
+//! virtual clock share them.
+#![forbid(unsafe_code)]
+#![warn(missing_docs, unreachable_pub)]
+
+pub mod experiment;
+pub mod ledger;
+
+pub use lapisrudder_model::Micros;
+
+/// A length in seconds, as files have it, in microseconds.
+pub fn seconds(s: f64) -> Micros {
+    (s * 1e6).round() as Micros
+}
+
+/// A length in milliseconds, as files have it, in microseconds.
+pub fn millis(ms: f64) -> Micros {
+    (ms * 1e3).round() as Micros
+}
