--- a/crates/lab/src/experiment/fault.rs
+++ b/crates/lab/src/experiment/fault.rs
@@ -273,6 +273,69 @@
     Hup(SignalSet),
 }
 
+impl What {
+    /// As files name it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            What::Pauses { .. } => "pauses",
+            What::Slow { .. } => "slow",
+            What::Errors { .. } => "errors",
+            What::Spoil { .. } => "spoil",
+            What::Drain { .. } => "drain",
+            What::Kill { .. } => "kill",
+            What::Vanish => "vanish",
+            What::Flush { .. } => "flush",
+            What::Refuse => "refuse",
+            What::Outage => "outage",
+            What::Stale => "stale",
+            What::Move { .. } => "move",
+            What::Delay { .. } => "delay",
+            What::Cut => "cut",
+            What::Resets { .. } => "resets",
+            What::ShortWrites { .. } => "short-writes",
+            What::Surge { .. } => "surge",
+            What::HotCaller { .. } => "hot-caller",
+            What::Flood { .. } => "flood",
+            What::SlowReaders { .. } => "slow-readers",
+            What::Term => "term",
+            What::Hup(_) => "hup",
+        }
+    }
+
+    /// On whom it can be, as [`Who::name`] has it.
+    pub fn parties(&self) -> &'static [&'static str] {
+        match self {
+            What::Pauses { .. } | What::Errors { .. } | What::Spoil { .. } | What::Refuse => {
+                &["servers", "origin"]
+            }
+            What::Slow { .. } => &["servers", "origin", "discovery"],
+            What::Kill { .. } => &["servers", "origin", "discovery", "nodes"],
+            What::Drain { .. } | What::Vanish | What::Flush { .. } => &["servers"],
+            What::Outage => &["origin", "discovery"],
+            What::Stale | What::Move { .. } => &["discovery"],
+            What::Delay { .. } | What::Cut | What::Resets { .. } | What::ShortWrites { .. } => &["network"],
+            What::Surge { .. } | What::HotCaller { .. } | What::Flood { .. } | What::SlowReaders { .. } => {
+                &["clients"]
+            }
+            What::Term | What::Hup(_) => &["nodes"],
+        }
+    }
+
+    /// It happens at one instant, and needs no length; a `for_s` of 0 for the others makes no sense. What is killed
+    /// with a length of 0 is back at once.
+    pub fn instant(&self) -> bool {
+        matches!(
+            self,
+            What::Flush { .. }
+                | What::Kill { .. }
+                | What::Term
+                | What::Hup(_)
+                | What::Move { .. }
+                | What::Drain { .. }
+        )
+    }
+}
+
 /// What changes in a node's configuration file before a SIGHUP.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -1,17 +1,28 @@
 //! Experiments as files: a question, a world, load, faults, seeds, sweeps, and what must hold.
 //!
-//! [`Experiment::parse`] takes the text of a file, fills in defaults and checks it; a bad file ends in one
+//! [`ExperimentFile::parse`] takes the text of a file, fills in defaults and checks it; a bad file ends in one
 //! [`FileError`] that names file, line and key. Lengths of time end in `_s` (seconds) or `_ms` (milliseconds),
 //! shares lie between 0 and 1. All keys are explained in `docs/operate/lab.md` and on the types here.
 
+mod check;
+mod check_fault;
 mod class;
+mod error;
 mod fault;
+mod file;
+mod hold;
 mod load;
+mod locate;
+mod schedule;
 mod world;
 
 pub use class::{Class, Effect, Group, Spread};
+pub use error::FileError;
 pub use fault::{Fault, Pick, RandomTimes, SeenMetric, Side, SignalSet, Spoil, What, When, Who};
+pub use file::{ExperimentFile, Point};
+pub use hold::{Better, Condition, Metric, Op};
 pub use load::{BadClient, BadKind, Connections, Habit, Keys, Load, Rate, Retries};
+pub use schedule::{Machine, Occurrence, Schedule, occurrence, schedule, servers};
 pub use world::{
     Cancel, Discovery, Eviction, IdleClose, Nodes, Origin, OwnPauses, Rules, ServerConnections, ServerKind,
     WarmBy, World, Zones,
--- /dev/null
+++ b/crates/lab/tests/experiment_files.rs
@@ -0,0 +1,182 @@
+//! Experiment files: good ones with their defaults, bad ones with one clear line, and plans that a seed fixes.
+
+use lapisrudder_lab::experiment::{ExperimentFile, schedule};
+use toml::Value;
+
+const GOOD: &str = r#"question = "Does it hold?"
+duration_s = 20
+seeds = [1, 2]
+rivals = ["random"]
+
+[world.nodes]
+count = 2
+
+[[world.servers]]
+name = "big"
+count = 4
+cores = 2
+
+[[load]]
+rate = { steady = { per_s = 300 } }
+
+[[fault]]
+name = "half of them pause"
+who = { servers = { share = 0.5 } }
+what = { pauses = { ms = 300, every_s = 1 } }
+when = { at = [5] }
+for_s = 5
+
+[[fault]]
+name = "now and then one is killed"
+who = { servers = { count = 1 } }
+what = { kill = { new_ids = true } }
+when = { random = { per_min = 20 } }
+for_s = 2
+
+[[hold]]
+that = "goodput >= 1.1 * random"
+from_s = 5
+"#;
+
+/// Replace the first text by the second (or, if the first is empty, append); expect that line and key, and a text
+/// that contains the last.
+const BAD: &[(&str, &str, usize, &str, &str)] = &[
+    ("[world.nodes]", "[world.nodes", 6, "", "unclosed table"),
+    ("count = 2", "cuont = 2", 7, "world.nodes.cuont", "unknown field `cuont`"),
+    ("count = 2", "count = \"two\"", 7, "world.nodes.count", "invalid type"),
+    ("count = 2", "count = 0", 7, "world.nodes.count", "1 to 300"),
+    ("question = \"Does it hold?\"", "question = \" \"", 1, "question", "empty"),
+    ("question = \"Does it hold?\"\n", "", 1, "", "missing field `question`"),
+    ("duration_s = 20", "duration_s = nan", 2, "duration_s", "must be 0.5 to"),
+    ("duration_s = 20", "duration_s = 20\nwarmup_s = 20", 3, "warmup_s", "end before"),
+    ("seeds = [1, 2]", "seeds = [1, -2]", 3, "seeds.1", "invalid value"),
+    ("seeds = [1, 2]", "seeds = [7, 7]", 3, "seeds", "differ"),
+    ("rivals = [\"random\"]", "rivals = [\"magic\"]", 4, "rivals.0", "unknown variant `magic`"),
+    ("rivals = [\"random\"]", "rivals = []", 32, "hold.0.that", "not among `rivals`"),
+    ("name = \"big\"", "name = \"origin\"", 10, "world.servers.0.name", "taken"),
+    ("cores = 2", "cores = 0", 12, "world.servers.0.cores", "1 to 1024"),
+    ("cores = 2", "cold_from = 0.01", 12, "world.servers.0.cold_from", "colder"),
+    ("cores = 2", "zones = [\"a\", \"x\"]", 12, "world.servers.0.zones.1", "no zone `x`"),
+    (
+        "{ steady = { per_s = 300 } }",
+        "{ steady = { per_s = 300, swing = 1 } }",
+        15,
+        "load.0.rate.steady.swing",
+        "unexpected keys in table: swing",
+    ),
+    (
+        "{ steady = { per_s = 300 } }",
+        "{ wobbly = { per_s = 300 } }",
+        15,
+        "load.0.rate.wobbly",
+        "unknown variant `wobbly`",
+    ),
+    ("{ steady = { per_s = 300 } }", "{ steady = { per_s = 0 } }", 15, "load.0.rate.steady.per_s", "is 0"),
+    (
+        "{ steady = { per_s = 300 } }",
+        "{ points = { points = [[5, 1], [2, 1]] } }",
+        15,
+        "load.0.rate.points.points",
+        "rise in time",
+    ),
+    ("[[fault]]", "mix = { raed = 1 }\n[[fault]]", 17, "load.0.mix.raed", "no class"),
+    ("[[load]]", "[load]", 14, "load", "expected a sequence"),
+    ("share = 0.5", "share = 1.5", 19, "fault.0.who.servers.share", "must be 0 to 1"),
+    ("share = 0.5", "names = [\"s4\"]", 19, "fault.0.who.servers.names.0", "`s0` to `s3`"),
+    (
+        "who = { servers = { share = 0.5 } }",
+        "who = \"discovery\"",
+        20,
+        "fault.0.what",
+        "can be on servers, origin",
+    ),
+    ("when = { at = [5] }", "when = { at = [25] }", 21, "fault.0.when.at", "must be 0 to 20"),
+    (
+        "when = { at = [5] }",
+        "when = { once = { metric = \"goodput\" } }",
+        21,
+        "fault.0.when.once.above",
+        "either `above` or `below`",
+    ),
+    ("for_s = 5\n", "", 17, "fault.0.for_s", "how long"),
+    ("goodput >= 1.1 * random", "goodput > = 1", 32, "hold.0.that", "METRIC OP NUMBER"),
+    ("goodput >= 1.1 * random", "godput >= 1", 32, "hold.0.that", "no metric `godput`"),
+    ("goodput >= 1.1 * random", "rules_broken == 0", 32, "hold.0.that", "whole run"),
+    ("from_s = 5", "class = \"write\"", 33, "hold.0.class", "no class"),
+    ("", "[sweep]\n\"world.nodes.count\" = []\n", 35, "sweep.world.nodes.count", "at least one value"),
+    (
+        "",
+        "[sweep]\n\"world.nodes.count\" = [1, 0]\n",
+        35,
+        "sweep.world.nodes.count",
+        "at world.nodes.count=0",
+    ),
+    (
+        "",
+        "[sweep]\n\"world.servers.small.count\" = [1]\n",
+        35,
+        "sweep.world.servers.small.count",
+        "no entry `small`",
+    ),
+    ("", "[sweep]\n\"world.nodes.cuont\" = [1]\n", 35, "sweep.world.nodes.cuont", "unknown field `cuont`"),
+    ("", "[[class]]\nname = \"a b\"\n", 35, "class.0.name", "letters, digits"),
+    ("", "[[class]]\nname = \"a\"\neffect = \"unsafe\"\n", 36, "class.0.effect", "of a read"),
+];
+
+#[test]
+fn each_bad_file_gives_one_clear_line() {
+    assert!(
+        ExperimentFile::parse("x.toml", GOOD).is_ok(),
+        "{:?}",
+        ExperimentFile::parse("x.toml", GOOD).err()
+    );
+    let mut wrong = Vec::new();
+    for (old, new, line, key, text) in BAD {
+        let bad = if old.is_empty() { format!("{GOOD}{new}") } else { GOOD.replacen(old, new, 1) };
+        assert_ne!(bad, GOOD, "`{old}` is not in the good file");
+        let said = match ExperimentFile::parse("x.toml", &bad) {
+            Ok(_) => "nothing".to_owned(),
+            Err(e) => e.to_string(),
+        };
+        let key = if key.is_empty() { String::new() } else { format!("{key}: ") };
+        if !said.starts_with(&format!("x.toml:{line}: {key}")) || !said.contains(text) || said.contains('\n')
+        {
+            wrong.push(format!("`{new}`: wanted line {line}, `{key}`, `{text}`; got: {said}"));
+        }
+    }
+    assert!(wrong.is_empty(), "\n{}", wrong.join("\n"));
+}
+
+#[test]
+fn sweeps_and_changes_reach_named_entries_and_defaults() {
+    let swept = format!(
+        "{GOOD}[sweep]\n\"world.servers.big.cores\" = [1, 4]\n\"world.zones.cross_ms\" = [1, 2, 3]\n"
+    );
+    let file = ExperimentFile::parse("x.toml", &swept).unwrap();
+    let all = file.experiments().unwrap();
+    let points: Vec<_> = all.iter().map(|(p, _)| p.to_string()).collect();
+    assert_eq!(points.len(), 6);
+    assert_eq!(points[5], "world.servers.big.cores=4,world.zones.cross_ms=3");
+    assert_eq!((all[5].1.world.servers[0].cores, all[5].1.world.zones.cross_ms), (4, 3.0));
+    let changed = file.with(&[("load.0.rate.steady.per_s".into(), Value::Integer(50))]).unwrap();
+    assert_eq!(changed.experiment.loads[0].rate.peak(), 50.0);
+    assert!(file.with(&[("load.usual.keys.zpif".into(), Value::Float(1.0))]).is_err());
+}
+
+#[test]
+fn a_seed_fixes_the_plan_of_faults() {
+    let e = ExperimentFile::parse("x.toml", GOOD).unwrap().experiment;
+    let plan = schedule(&e, 7);
+    assert_eq!(format!("{plan:?}"), format!("{:?}", schedule(&e, 7)));
+    assert_ne!(plan, schedule(&e, 8));
+    let of = |fault| plan.occurrences.iter().filter(move |o| o.fault == fault);
+    let pause: Vec<_> = of(0).collect();
+    assert_eq!((pause.len(), pause[0].from, pause[0].until), (1, 5_000_000, 10_000_000));
+    assert_eq!(pause[0].servers.len(), 2, "half of four");
+    assert!(of(1).count() > 1 && of(1).all(|o| o.servers.len() == 1 && o.from < 20_000_000));
+    // A fault more leaves the draws of the others as they are.
+    let mut more = e.clone();
+    more.faults.push(e.faults[0].clone());
+    let kept = schedule(&more, 7).occurrences.into_iter().filter(|o| o.fault < 2).collect::<Vec<_>>();
+    assert_eq!(kept, plan.occurrences);
+}
