--- a/src/net/http.rs
+++ b/crates/codec/src/http.rs
@@ -1,18 +1,21 @@
 //! HTTP/1.1 as the origin and discovery speak it: an incremental parser of responses, and writers of requests.
 
-use super::memcache::{Parsed, Request, decimal};
+use crate::memcache::{Parsed, Request, decimal};
 use std::borrow::Cow;
 use std::net::SocketAddr;
 
 const MAX_HEAD: usize = 16 << 10;
 
+/// A response, behind whatever interim ones came before it.
 #[derive(Debug, PartialEq)]
 pub struct Response<'a> {
+    /// The status code.
     pub status: u16,
     /// `Srv-Declined: 1`: it never ran.
     pub declined: bool,
     /// The connection may carry another request.
     pub keep: bool,
+    /// The body; owned where it came in chunks.
     pub body: Cow<'a, [u8]>,
 }
 
@@ -108,14 +111,15 @@
     out.extend_from_slice(r.value);
 }
 
+/// A `GET` of a path, without a body.
 pub fn write_get(path: &str, host: SocketAddr, out: &mut Vec<u8>) {
     out.extend_from_slice(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n").as_bytes());
 }
 
 #[cfg(test)]
 mod tests {
-    use super::super::memcache::{Command, parse_command};
     use super::*;
+    use crate::memcache::{Command, parse_command};
 
     #[test]
     fn responses_are_taken_whole() {
--- a/src/net/memcache.rs
+++ b/crates/codec/src/memcache.rs
@@ -1,10 +1,10 @@
 //! The memcache meta commands: parsers over byte slices that may hold a part of a message, and writers.
 
-use lapisrudder::CacheNote;
-use lapisrudder::wire::cache_note;
-
+/// Bytes of a command or answer line at the most, its end included.
 pub const MAX_LINE: usize = 2048;
+/// Bytes of a key at the most.
 pub const MAX_KEY: usize = 250;
+/// Bytes of a value at the most.
 pub const MAX_VALUE: usize = 64 * 1024;
 
 /// What a parser makes of a buffer: a message and the bytes it took, or nothing yet, or lost framing.
@@ -13,33 +13,69 @@
 /// A client's request as slices of the buffer that it was read into.
 #[derive(Debug, PartialEq)]
 pub struct Request<'a> {
+    /// `ms`, not `mg`.
     pub write: bool,
+    /// The key, 1 to [`MAX_KEY`] bytes.
     pub key: &'a [u8],
+    /// The request's id, at least a byte.
     pub id: &'a [u8],
     /// The list of names and values.
     pub extra: &'a [u8],
     /// The command line, without its end.
     line: &'a [u8],
+    /// The value of a write.
     pub value: &'a [u8],
 }
 
+/// What a client says.
 #[derive(Debug, PartialEq)]
 pub enum Command<'a> {
+    /// `mg` or `ms`
     Request(Request<'a>),
     /// `mn`
     Ready,
+    /// `quit`
     Quit,
     /// Not a command that is understood, but its end is known.
     Bad(&'static str),
 }
 
+/// How a read went, as a cache server tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadNote {
+    /// `h1`
+    Hit,
+    /// `h0`: a miss.
+    Fetched,
+    /// `h0 Z`: a miss while another fetch of the key is out.
+    OthersFetch,
+}
+
 /// A pool member's answer.
 #[derive(Debug, PartialEq)]
 pub enum Answer<'a> {
-    Value { value: &'a [u8], note: Option<CacheNote> },
-    Receipt { receipt: &'a [u8], note: Option<CacheNote> },
-    Miss { note: Option<CacheNote> },
+    /// `VA`: a read was served.
+    Value {
+        /// The value.
+        value: &'a [u8],
+        /// How the read went, where it was told.
+        note: Option<ReadNote>,
+    },
+    /// `HD`: a write was served.
+    Receipt {
+        /// What [`is_receipt`] takes.
+        receipt: &'a [u8],
+        /// How it went, where it was told.
+        note: Option<ReadNote>,
+    },
+    /// `EN`: the server lacks the key.
+    Miss {
+        /// How the read went, where it was told.
+        note: Option<ReadNote>,
+    },
+    /// `SERVER_ERROR busy`: turned away, never run.
     Busy,
+    /// Any other answer that can be read.
     Failed,
 }
 
@@ -56,6 +92,7 @@
     line.split(|b| *b == b' ').filter(|w| !w.is_empty())
 }
 
+/// Digits alone, as a number that the type holds.
 pub fn decimal<T: std::str::FromStr>(digits: &[u8]) -> Option<T> {
     let plain = digits.iter().all(u8::is_ascii_digit);
     std::str::from_utf8(digits).ok().filter(|_| plain)?.parse().ok()
@@ -70,6 +107,7 @@
     }
 }
 
+/// The command at the start of a buffer. An error means that framing is lost.
 pub fn parse_command(buffer: &[u8]) -> Parsed<Command<'_>> {
     let Some((line, used)) = line(buffer)? else { return Ok(None) };
     let mut rest = words(line);
@@ -114,6 +152,7 @@
         self.extra.split(|b| *b == b',').find_map(pair)
     }
 
+    /// How long the client waits for the answer, counted from when it sent the request.
     pub fn wait_ms(&self) -> Option<u64> {
         self.named(b"d").and_then(decimal)
     }
@@ -175,9 +214,9 @@
         return Err("answer to another request");
     }
     let note = match flag(b'h') {
-        Some(b"1") => cache_note(1),
-        Some(b"0") if flags().any(|w| w == b"Z") => cache_note(3),
-        Some(b"0") => cache_note(2),
+        Some(b"1") => Some(ReadNote::Hit),
+        Some(b"0") if flags().any(|w| w == b"Z") => Some(ReadNote::OthersFetch),
+        Some(b"0") => Some(ReadNote::Fetched),
         _ => None,
     };
     let answer = match name {
@@ -249,7 +288,7 @@
 
     #[test]
     fn answers_of_members_are_told_apart() {
-        let hit = Some(CacheNote::Hit);
+        let hit = Some(ReadNote::Hit);
         let cases: Vec<(&str, Parsed<Answer>)> = vec![
             ("VA 2 O9 h1\r\nab", Ok(None)),
             ("VA 2 O9 h1\r\nab\r\nEN", Ok(Some((Answer::Value { value: b"ab", note: hit }, 16)))),
@@ -265,8 +304,8 @@
             ("VA x O9\r\n", Err("bad value length")),
             ("VA 1 O9\r\nabc", Err("bad data chunk")),
             ("VA 2 O9 l\x01?\r\nab\r\n", Ok(Some((Answer::Value { value: b"ab", note: None }, 17)))),
-            ("EN O9 h0\r\n", Ok(Some((Answer::Miss { note: Some(CacheNote::Fetched) }, 10)))),
-            ("EN O9 h0 Z\r\n", Ok(Some((Answer::Miss { note: Some(CacheNote::OthersFetch) }, 12)))),
+            ("EN O9 h0\r\n", Ok(Some((Answer::Miss { note: Some(ReadNote::Fetched) }, 10)))),
+            ("EN O9 h0 Z\r\n", Ok(Some((Answer::Miss { note: Some(ReadNote::OthersFetch) }, 12)))),
             ("SERVER_ERROR busy\r\n", Ok(Some((Answer::Busy, 19)))),
             ("SERVER_ERROR failed\r\n", Ok(Some((Answer::Failed, 21)))),
             ("CLIENT_ERROR no\r\n", Ok(Some((Answer::Failed, 17)))),
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,9 +1,9 @@
 //! A client's connection: commands come in, answers go out in their order.
 
 use super::deadlines::Key;
-use super::memcache::{MAX_LINE, MAX_VALUE};
 use super::socket::Socket;
 use lapisrudder::{Micros, RequestId};
+use lapisrudder_codec::memcache::{MAX_LINE, MAX_VALUE};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,10 +1,10 @@
 //! A connection to a pool member and the server-side flows on it.
 
 use super::deadlines::{FlowId, Key};
-use super::http;
-use super::memcache::{self, Answer, Command, MAX_VALUE, Request};
 use super::socket::Socket;
 use lapisrudder::{Micros, Outcome, ServerId};
+use lapisrudder_codec::http;
+use lapisrudder_codec::memcache::{self, Answer, Command, MAX_VALUE, Request};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::io::IoSlice;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,10 +2,10 @@
 
 use super::config::{Target, decode_list};
 use super::deadlines::{Deadline, Deadlines, Key};
-use super::http;
 use super::socket::{Handle, Socket};
 use lapisrudder::wire::Options;
 use lapisrudder::{Micros, Scope};
+use lapisrudder_codec::http;
 use std::io::IoSlice;
 use std::net::SocketAddr;
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,8 +5,6 @@
 mod connection;
 mod deadlines;
 mod discovery;
-mod http;
-mod memcache;
 mod node;
 mod pool_member;
 mod socket;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -5,7 +5,6 @@
 use super::connection::{Call, Flow};
 use super::deadlines::{Deadline, Deadlines, FlowId, Key};
 use super::discovery::{self, Discovery};
-use super::memcache::{Answer, Request};
 use super::pool_member::{Limits, Pool};
 use super::socket::Handle;
 use super::virtual_server::{self, VirtualServer};
@@ -14,6 +13,7 @@
     Action, Balancer, CacheNote, Ended, Event, Micros, NewRequest, Outcome, RequestId, Scope, ServerId,
     Settings,
 };
+use lapisrudder_codec::memcache::{Answer, ReadNote, Request};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -505,9 +505,16 @@
 
 /// What an answer means for a flow.
 fn judge(answer: &Answer) -> (Outcome, Option<CacheNote>) {
+    let told = |note: &Option<ReadNote>| {
+        note.map(|note| match note {
+            ReadNote::Hit => CacheNote::Hit,
+            ReadNote::Fetched => CacheNote::Fetched,
+            ReadNote::OthersFetch => CacheNote::OthersFetch,
+        })
+    };
     match answer {
-        Answer::Value { note, .. } | Answer::Receipt { note, .. } => (Outcome::Served, *note),
-        Answer::Miss { note } => (Outcome::Miss, *note),
+        Answer::Value { note, .. } | Answer::Receipt { note, .. } => (Outcome::Served, told(note)),
+        Answer::Miss { note } => (Outcome::Miss, told(note)),
         Answer::Busy => (Outcome::Full, None),
         Answer::Failed => (Outcome::Error, None),
     }
--- a/src/net/pool_member.rs
+++ b/src/net/pool_member.rs
@@ -2,9 +2,9 @@
 
 use super::connection::{Connection, Flow};
 use super::deadlines::{Deadline, Deadlines, FlowId};
-use super::memcache::{Answer, Request};
 use super::socket::{Handle, Socket};
 use lapisrudder::{Micros, Outcome, ServerId, Stage};
+use lapisrudder_codec::memcache::{Answer, Request};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -2,11 +2,11 @@
 
 use super::client::{Client, Slot};
 use super::deadlines::{Deadline, Deadlines};
-use super::memcache::{self, Command};
 use super::socket::{Handle, Socket};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use lapisrudder::{Micros, RequestId};
+use lapisrudder_codec::memcache::{self, Command};
 use rustc_hash::FxHashMap;
 use socket2::{Domain, Protocol, Type};
 use std::collections::VecDeque;
