--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,9 +1,9 @@
 //! Discovery: one watch after another on one connection, as long as it answers.
 
 use super::deadlines::{Deadline, Deadlines, Key};
-use super::http;
 use super::socket::{Handle, Socket};
 use lapisrudder::{Micros, Scope};
+use lapisrudder_codec::http;
 use lapisrudder_config::{MemberList, Options, Target};
 use std::io::IoSlice;
 use std::net::SocketAddr;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,8 +4,6 @@
 mod connection;
 mod deadlines;
 mod discovery;
-mod http;
-mod memcache;
 mod node;
 mod pool_member;
 mod socket;
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -3,11 +3,11 @@
 
 use super::client::{Client, Drained, Slot};
 use super::deadlines::{Deadline, Deadlines, Key};
-use super::memcache::{self, Command};
 use super::socket::{Handle, Socket};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use lapisrudder::{Micros, RequestId};
+use lapisrudder_codec::memcache::{self, Command};
 use lapisrudder_limits::{
     Accepting, Admission, ConnId, EventKind, Facts, Intake, Order, Resources, SettingsError, Shortage,
     Ticket, Verdict,
