--- a/crates/model/src/clients/machine.rs
+++ b/crates/model/src/clients/machine.rs
@@ -52,6 +52,9 @@
         /// What is wrong with it.
         fault: &'static str,
     },
+    /// A given arrival names a population or class that there is not, or comes before the one before it.
+    #[error("arrival {0} does not fit the load")]
+    Arrival(u64),
     /// Nobody to ask.
     #[error("there are no nodes")]
     NoNodes,
@@ -133,12 +136,28 @@
     trying: bool,
 }
 
+/// Where requests come from.
+#[derive(Debug)]
+enum Source {
+    Drawn(Box<Arrivals>),
+    Given(std::vec::IntoIter<Arrival>),
+}
+
+impl Source {
+    fn next(&mut self) -> Option<Arrival> {
+        match self {
+            Self::Drawn(arrivals) => arrivals.next(),
+            Self::Given(arrivals) => arrivals.next(),
+        }
+    }
+}
+
 /// All clients of a load. See the [module](super) for how to drive it.
 #[derive(Debug)]
 pub struct Clients {
     plan: ClientsPlan,
     seed: u64,
-    arrivals: Arrivals,
+    arrivals: Source,
     /// The next request, not yet due.
     coming: Option<Arrival>,
     /// The plan's time 0.
@@ -153,14 +172,36 @@
 }
 
 impl Clients {
-    /// Ready to begin.
+    /// Ready to begin, with the requests that the load draws under the seed.
     ///
     /// # Errors
     /// The first field of the plan that cannot be used.
     pub fn new(plan: ClientsPlan, seed: u64) -> Result<Self, ClientsError> {
         plan.check()?;
-        let mut arrivals = Arrivals::new(&plan.load, seed)?;
-        Ok(Self {
+        let arrivals = Arrivals::new(&plan.load, seed)?;
+        Ok(Self::with(plan, seed, Source::Drawn(Box::new(arrivals))))
+    }
+
+    /// The same with these requests instead, each number once: a part of a plan plays as it did in the whole.
+    ///
+    /// # Errors
+    /// The first field of the plan or the first arrival that cannot be used.
+    pub fn replay(plan: ClientsPlan, seed: u64, arrivals: Vec<Arrival>) -> Result<Self, ClientsError> {
+        plan.check()?;
+        let (classes, populations) = (plan.load.classes.len(), plan.load.populations.len());
+        let mut last = 0;
+        for arrival in &arrivals {
+            let known = usize::from(arrival.class) < classes && usize::from(arrival.population) < populations;
+            if !known || arrival.at < last {
+                return Err(ClientsError::Arrival(arrival.number));
+            }
+            last = arrival.at;
+        }
+        Ok(Self::with(plan, seed, Source::Given(arrivals.into_iter())))
+    }
+
+    fn with(plan: ClientsPlan, seed: u64, mut arrivals: Source) -> Self {
+        Self {
             coming: arrivals.next(),
             arrivals,
             seed,
@@ -173,7 +214,7 @@
             orders: VecDeque::new(),
             tally: Tally::default(),
             plan,
-        })
+        }
     }
 
     /// The plan's time 0 is at this time. Before that only nodes are asked whether they are there.
@@ -183,6 +224,8 @@
 
     /// Something happened.
     pub fn handle(&mut self, now: Micros, event: Event) {
+        // Guards against a driver that comes late: what was due before comes before.
+        while self.advance(now - 1, now) {}
         match event {
             Event::Opened(conn) => self.opened(now, conn),
             Event::OpenFailed(conn, _) => self.ended(now, conn),
@@ -206,18 +249,26 @@
             if let Some(order) = self.orders.pop_front() {
                 return Some(order);
             }
-            let timer = self.timers.peek().map(|timer| timer.0.0).filter(|at| *at <= now);
-            let coming = self.next_arrival().filter(|at| *at <= now);
-            match (timer, coming) {
-                (Some(at), coming) if coming.is_none_or(|coming| at <= coming) => {
-                    if let Some(Reverse((at, _, timer))) = self.timers.pop() {
-                        self.fire(now, at, timer);
-                    }
+            if !self.advance(now, now) {
+                return self.front.poll(now).map(Order::Probe);
+            }
+        }
+    }
+
+    /// Does the first thing due by a time, if there is one. It is now somewhat later.
+    fn advance(&mut self, by: Micros, now: Micros) -> bool {
+        let timer = self.timers.peek().map(|timer| timer.0.0).filter(|at| *at <= by);
+        let coming = self.next_arrival().filter(|at| *at <= by);
+        match (timer, coming) {
+            (Some(at), coming) if coming.is_none_or(|coming| at <= coming) => {
+                if let Some(Reverse((at, _, timer))) = self.timers.pop() {
+                    self.fire(now, at, timer);
                 }
-                (_, Some(at)) => self.arrive(now, at),
-                _ => return self.front.poll(now).map(Order::Probe),
             }
+            (_, Some(at)) => self.arrive(now, at),
+            _ => return false,
         }
+        true
     }
 
     /// When to poll again if nothing happens before; a time long past if there are orders to take.
@@ -663,3 +714,6 @@
 fn part(draws: &mut impl RngCore, (low, high): (f64, f64), of: Micros) -> Micros {
     ((low + (high - low) * unit(draws)) * of as f64 + 0.5) as Micros
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,9 +7,11 @@
 
 pub mod arrivals;
 pub mod clients;
+pub mod discovery;
 pub mod draw;
 pub mod keys;
 pub mod mix;
+pub mod network;
 pub mod origin;
 pub mod profile;
 pub mod server;
