Check eleven rules over the ledgers of both ends, and tell a broken one with its story

Need: whether a node kept its rules must be decided from what both ends wrote down, and a violation must be readable. Change: one module a rule (one answer, in time, lost, genuine, effects, attempts, drains, cold by all nodes together, limits, alive, crossings), lateness of the lab itself, an index into the books, stories as tables, JSON lines.

--- /dev/null
+++ b/crates/lab/src/check/crossing.rs
@@ -0,0 +1,33 @@
+//! **Crossings.** A node may close a connection between requests. A request that this close crosses is sent once
+//! more on a new connection, which costs the client time but is no loss, as long as
+//!
+//! - the node had not read it: nothing of it reached a server before the client saw the close;
+//! - it happens once: the new connection had no idle time after which it could be closed.
+
+use super::context::Context;
+use super::{Rule, Violation};
+use crate::ledger::{ClientEvent, ServerEvent};
+
+pub(super) fn check(cx: &Context<'_>, out: &mut Vec<Violation>) {
+    for t in cx.tries() {
+        let crossed = cx.index.client(t.id).filter(|r| matches!(r.event, ClientEvent::Crossed { .. }));
+        for (number, r) in crossed.enumerate() {
+            if number > 0 {
+                out.push(cx.broken(
+                    Rule::Crossing,
+                    r.at,
+                    t,
+                    "closed on twice, the second time on a new connection".into(),
+                ));
+                continue;
+            }
+            let reached = |e: &ServerEvent| matches!(e, ServerEvent::FirstByte { .. });
+            let sent_on = cx.index.server(t.id).find(|s| s.at < r.at && reached(&s.event));
+            if let Some(s) = sent_on {
+                let server = cx.ledger.names.server(s.event.server());
+                let text = format!("the node closed on it as if unread, having sent it on to {server}");
+                out.push(cx.broken(Rule::Crossing, r.at, t, text));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/check/day.rs
@@ -0,0 +1,543 @@
+//! A day of a small node, as both ends would write it down: honest, or wrong in just one way. Checks are tested on it.
+
+use super::{Rule, Violation, check_ledger};
+use crate::Micros;
+use crate::experiment::{Experiment, ExperimentFile};
+use crate::ledger::*;
+use std::collections::BTreeSet;
+
+const ORIGIN: u16 = 4;
+const COLD: u16 = 3;
+const DRAINED: u16 = 2;
+const MS: Micros = 1000;
+const S: Micros = 1_000_000;
+
+/// In which way the node is wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wrong {
+    Nothing,
+    AnswersTwice,
+    AnswersLate,
+    AnswersBehindTooLate,
+    SaysNothing,
+    LosesRequest,
+    LosesAtStop,
+    ServesAnothersBytes,
+    ServesFromNowhere,
+    ServesBeforeMade,
+    PassesOnSpoilt,
+    GarblesBytes,
+    RepeatsBooking,
+    RefusesAfterRun,
+    RepeatsPastWindow,
+    TriesTooOften,
+    SendsToDraining,
+    SendsToGoneUntold,
+    FloodsCold,
+    HoldsDescriptors,
+    HoldsMemory,
+    Crashes,
+    CrashesOnHup,
+    NeverReady,
+    ClosesOnTaken,
+    ClosesTwice,
+}
+
+struct Day {
+    wrong: Wrong,
+    ledger: Ledger,
+    conn: u32,
+    req: u64,
+}
+
+fn experiment() -> Experiment {
+    let text = "question = 'q'\nduration_s = 20\n[[class]]\nname = 'read'\naim_ms = 100\ndeadline_ms = 400\n\
+                [[class]]\nname = 'put'\nwrite = true\neffect = 'keyed'\nwindow_s = 2\n\
+                [[class]]\nname = 'pay'\nwrite = true\neffect = 'unsafe'\n[[load]]\nrate = { steady = { per_s = 100 } }\n";
+    ExperimentFile::parse("day", text).unwrap().experiment
+}
+
+impl Day {
+    fn play(wrong: Wrong) -> (Ledger, Experiment) {
+        let server = |n: u16| ServerInfo {
+            name: if n == ORIGIN { "origin".into() } else { format!("s{n}") },
+            kind: "cache".into(),
+            zone: ZoneNo(0),
+            origin: n == ORIGIN,
+            capacity: 2e6,
+        };
+        let names = Names {
+            nodes: vec!["n0".into(), "n1".into(), "n2".into()],
+            servers: (0..5).map(server).collect(),
+            classes: vec!["read".into(), "put".into(), "pay".into()],
+            ..Names::default()
+        };
+        let mut day = Day { wrong, ledger: Ledger { names, ..Ledger::default() }, conn: 0, req: 0 };
+        day.fleet();
+        day.nodes();
+        for n in 0..2000 {
+            day.request(n, n as Micros * 10 * MS);
+        }
+        (day.ledger, experiment())
+    }
+
+    /// A server drains and goes, another starts cold.
+    fn fleet(&mut self) {
+        use Listed::*;
+        let (drained, cold) = (ServerNo(DRAINED), ServerNo(COLD));
+        let told = [(drained, Draining, 4), (cold, Up, 6), (drained, Removed, 8)];
+        let says_nothing = self.wrong == Wrong::SendsToGoneUntold;
+        for (rev, (server, state, at)) in (1..).zip(told) {
+            let at = at * S + S / 2;
+            self.ledger.discovery.push(at, DiscoveryEvent::Changed { server, state, rev });
+            for node in (0..3).filter(|_| !(says_nothing && server == drained)) {
+                let at = at + (1 + Micros::from(node)) * 100 * MS;
+                self.ledger
+                    .discovery
+                    .push(at, DiscoveryEvent::Told { node: NodeNo(node), server, state, rev });
+            }
+        }
+        self.state(4 * S, drained, ServerState::Draining);
+        self.state(8 * S, drained, ServerState::Gone);
+        self.state(6 * S, cold, ServerState::Cold);
+        for tenth in 0..=120 {
+            let per_s = 2e6 * (0.25 + 0.75 * tenth as f32 / 120.0);
+            self.ledger.servers.push(6 * S + tenth * 100 * MS, ServerEvent::Capacity { server: cold, per_s });
+        }
+        self.state(18 * S, cold, ServerState::Warm);
+    }
+
+    fn state(&mut self, at: Micros, server: ServerNo, state: ServerState) {
+        self.ledger.servers.push(at, ServerEvent::State { server, state });
+    }
+
+    /// Node 2 is killed at 10 s and back at 11 s; node 1 is told to read its file at 12 s, and to stop at 15 s.
+    fn nodes(&mut self) {
+        let nodes = &mut self.ledger.nodes;
+        for n in 0..3 {
+            let node = NodeNo(n);
+            nodes.push(-2 * S, NodeEvent::Started { node, pid: 100 });
+            if !(self.wrong == Wrong::NeverReady && n == 0) {
+                nodes.push(-S, NodeEvent::Ready { node });
+            }
+            for s in 0..20 {
+                let fds = if self.wrong == Wrong::HoldsDescriptors && s > 10 { 1500 } else { 200 };
+                let rss_kib = if self.wrong == Wrong::HoldsMemory && s > 10 { 200 * 1024 } else { 40 * 1024 };
+                nodes.push(s * S, NodeEvent::Sampled { node, cpu_us: s as u64 * 50_000, rss_kib, fds });
+            }
+        }
+        let (n0, n1, n2) = (NodeNo(0), NodeNo(1), NodeNo(2));
+        nodes.push(10 * S, NodeEvent::Signalled { node: n2, signal: Signal::Kill });
+        nodes.push(10 * S + MS, NodeEvent::Ended { node: n2, status: None });
+        nodes.push(11 * S, NodeEvent::Started { node: n2, pid: 101 });
+        nodes.push(11 * S + 200 * MS, NodeEvent::Ready { node: n2 });
+        nodes.push(12 * S, NodeEvent::Signalled { node: n1, signal: Signal::Hup });
+        if self.wrong == Wrong::CrashesOnHup {
+            nodes.push(12 * S + 10 * MS, NodeEvent::Ended { node: n1, status: Some(101) });
+            nodes.push(12 * S + 20 * MS, NodeEvent::Started { node: n1, pid: 102 });
+            nodes.push(12 * S + 30 * MS, NodeEvent::Ready { node: n1 });
+        }
+        if self.wrong == Wrong::Crashes {
+            nodes.push(19 * S + 900 * MS, NodeEvent::Ended { node: n0, status: Some(101) });
+        }
+        nodes.push(15 * S, NodeEvent::Signalled { node: n1, signal: Signal::Term });
+        nodes.push(16 * S, NodeEvent::Ended { node: n1, status: Some(0) });
+        nodes.push(16 * S + 100 * MS, NodeEvent::Started { node: n1, pid: 103 });
+        nodes.push(16 * S + 300 * MS, NodeEvent::Ready { node: n1 });
+    }
+
+    /// The n-th request of the day. Most are reads that hit; some take the other ways there are.
+    fn request(&mut self, n: usize, at: Micros) {
+        let node = n as u16 % 3;
+        let cold_known = (7 * S..18 * S).contains(&at);
+        let home = if cold_known && n % 5 == 0 { COLD } else { (n % 2) as u16 };
+        // Wrong once, in the middle of the day.
+        let wrong = if n == 1300 { self.wrong } else { Wrong::Nothing };
+        if self.wrong == Wrong::FloodsCold && (7 * S..9 * S).contains(&at) {
+            for _ in 0..10 {
+                self.read(at, node, COLD, 6000);
+            }
+        }
+        match wrong {
+            Wrong::Nothing => self.honest(n, at, node, home),
+            Wrong::FloodsCold | Wrong::HoldsDescriptors | Wrong::HoldsMemory | Wrong::Crashes => {}
+            Wrong::CrashesOnHup | Wrong::NeverReady => {}
+            Wrong::AnswersTwice => {
+                let (req, conn, digest) = self.read(at, node, home, 4000);
+                self.answered(req, conn, at + 30 * MS, Answer::Value, digest);
+            }
+            Wrong::AnswersLate | Wrong::AnswersBehindTooLate => {
+                let (req, conn) = self.sent(at, node, 0);
+                let before = wrong == Wrong::AnswersBehindTooLate;
+                if before {
+                    // An answer to an earlier request on the connection came at 450 ms; this one had 70 ms from there.
+                    let earlier = ReqId(self.req - 1);
+                    self.ledger.clients.push(at - MS, ClientEvent::Sent { req: earlier, conn });
+                    self.ledger.clients.push(at + 450 * MS, ClientEvent::Broken { req: earlier, conn });
+                }
+                let (_, digest) = self.attempt(req, node, home, at + MS, 4000, Some(Answer::Value));
+                let late = if before { 521 } else { 471 };
+                self.answered(req, conn, at + late * MS, Answer::Value, digest);
+                self.closed(conn, at + 600 * MS, Closer::Us);
+            }
+            Wrong::SaysNothing => {
+                let (req, conn) = self.sent(at, node, 0);
+                self.ledger.clients.push(at + 400 * MS, ClientEvent::GivenUp { req, early: false });
+                self.closed(conn, at + 600 * MS, Closer::Us);
+            }
+            Wrong::LosesRequest => {
+                let (req, conn) = self.sent(at, node, 0);
+                self.attempt(req, node, home, at + MS, 4000, None);
+                self.closed(conn, at + 50 * MS, Closer::Them);
+            }
+            Wrong::LosesAtStop => {
+                let (req, conn) = self.sent(16 * S - 20 * MS, 1, 0);
+                self.attempt(req, 1, home, 16 * S - 19 * MS, 4000, None);
+                self.closed(conn, 16 * S, Closer::Reset);
+            }
+            Wrong::ServesAnothersBytes => {
+                let (_, _, other) = self.read(at - MS, node, home, 4000);
+                self.served(at, node, home, |_, digest| (other, digest, 5));
+            }
+            Wrong::ServesFromNowhere => self.served(at, node, home, |_, digest| (digest ^ 1, digest, 5)),
+            Wrong::ServesBeforeMade => self.served(at, node, home, |_, digest| (digest, digest, 1)),
+            Wrong::PassesOnSpoilt => {
+                let (req, conn) = self.sent(at, node, 0);
+                let (_, digest) = self.attempt(req, node, home, at + MS, 4000, None);
+                self.server_answers(req, home, at + 5 * MS, Answer::Value, true);
+                self.answered(req, conn, at + 6 * MS, Answer::Value, digest);
+                self.closed(conn, at + 10 * MS, Closer::Us);
+            }
+            Wrong::GarblesBytes => {
+                let (req, conn) = self.sent(at, node, 0);
+                let (_, digest) = self.attempt(req, node, home, at + MS, 4000, Some(Answer::Value));
+                let answer = Answer::Value;
+                let event = ClientEvent::Answered { req, conn, answer, retry_ms: 0, digest, fits: false };
+                self.ledger.clients.push(at + 10 * MS, event);
+                self.closed(conn, at + 11 * MS, Closer::Us);
+            }
+            Wrong::RepeatsBooking | Wrong::RefusesAfterRun => {
+                let (req, conn) = self.sent(at, node, 2);
+                self.attempt(req, node, ORIGIN, at + MS, 4000, None);
+                if wrong == Wrong::RepeatsBooking {
+                    let (_, digest) =
+                        self.attempt(req, node, ORIGIN, at + 40 * MS, 4000, Some(Answer::Receipt));
+                    self.answered(req, conn, at + 60 * MS, Answer::Receipt, digest);
+                } else {
+                    self.answered(req, conn, at + 60 * MS, Answer::Busy, 0);
+                }
+                self.closed(conn, at + 70 * MS, Closer::Us);
+            }
+            Wrong::RepeatsPastWindow => {
+                let (req, conn) = self.sent(at, node, 1);
+                self.attempt(req, node, ORIGIN, at + MS, 4000, None);
+                self.attempt(req, node, ORIGIN, at + 2100 * MS, 4000, Some(Answer::Receipt));
+                self.ledger.clients.push(at + 100 * MS, ClientEvent::GivenUp { req, early: true });
+                self.closed(conn, at + 100 * MS, Closer::Us);
+            }
+            Wrong::TriesTooOften => {
+                let (req, conn) = self.sent(at, node, 0);
+                for (nth, server) in [0, 1, 0, 1].into_iter().enumerate() {
+                    self.attempt(
+                        req,
+                        node,
+                        server,
+                        at + (1 + 10 * nth as Micros) * MS,
+                        4000,
+                        Some(Answer::Busy),
+                    );
+                }
+                self.answered(req, conn, at + 50 * MS, Answer::Busy, 0);
+                self.closed(conn, at + 60 * MS, Closer::Us);
+            }
+            // Told at 4.6 to 4.8 s; 0.55 s are allowed. Counted as told at 10.5 s where nothing was said.
+            Wrong::SendsToDraining => drop(self.read(4 * S + 1500 * MS, 0, DRAINED, 4000)),
+            Wrong::SendsToGoneUntold => drop(self.read(11 * S + 100 * MS, 0, DRAINED, 4000)),
+            Wrong::ClosesOnTaken | Wrong::ClosesTwice => {
+                self.crossed(
+                    at,
+                    node,
+                    home,
+                    wrong == Wrong::ClosesOnTaken,
+                    1 + usize::from(wrong == Wrong::ClosesTwice),
+                );
+            }
+        }
+    }
+
+    fn honest(&mut self, n: usize, at: Micros, node: u16, home: u16) {
+        match n % 50 {
+            // Reads that miss, and go to the origin.
+            1 | 11 => {
+                let (req, conn) = self.sent(at, node, 0);
+                self.attempt(req, node, home, at + MS, 4000, Some(Answer::Miss));
+                let (_, digest) = self.attempt(req, node, ORIGIN, at + 10 * MS, 4000, Some(Answer::Value));
+                self.answered(req, conn, at + 40 * MS, Answer::Value, digest);
+                self.closed(conn, at + 50 * MS, Closer::Us);
+            }
+            // A write that may have run and is repeated in its window; a booking that was turned away and then taken.
+            2 | 12 => {
+                let class = if n % 50 == 2 { 1 } else { 2 };
+                let (req, conn) = self.sent(at, node, class);
+                let first = if class == 1 { None } else { Some(Answer::Busy) };
+                self.attempt(req, node, ORIGIN, at + MS, 4000, first);
+                let (_, digest) = self.attempt(req, node, ORIGIN, at + 40 * MS, 4000, Some(Answer::Receipt));
+                self.answered(req, conn, at + 60 * MS, Answer::Receipt, digest);
+                self.closed(conn, at + 70 * MS, Closer::Us);
+            }
+            // Refused, by the node's own words and by a server's; a booking too, where nothing can have run.
+            3 | 13 => {
+                let (req, conn) = self.sent(at, node, if n % 50 == 3 { 0 } else { 2 });
+                if n % 50 == 13 {
+                    self.attempt(req, node, ORIGIN, at + MS, 4000, Some(Answer::Busy));
+                }
+                self.answered(req, conn, at + 12 * MS, Answer::Busy, 0);
+                self.closed(conn, at + 20 * MS, Closer::Us);
+            }
+            // A booking that may have run, failed at its last moment; nothing comes from its server in time.
+            4 => {
+                let (req, conn) = self.sent(at, node, 2);
+                self.attempt(req, node, ORIGIN, at + MS, 4000, None);
+                self.answered(req, conn, at + 460 * MS, Answer::Failed, 0);
+                self.closed(conn, at + 470 * MS, Closer::Us);
+            }
+            // The client leaves; the answer comes after.
+            5 => {
+                let (req, conn) = self.sent(at, node, 0);
+                self.attempt(req, node, home, at + MS, 4000, Some(Answer::Value));
+                self.ledger.clients.push(at + 20 * MS, ClientEvent::GivenUp { req, early: true });
+                self.closed(conn, at + 20 * MS, Closer::Us);
+            }
+            // An answer that breaks off in a way that the client can tell.
+            6 => {
+                let (req, conn) = self.sent(at, node, 0);
+                self.attempt(req, node, home, at + MS, 4000, None);
+                self.ledger.clients.push(at + 20 * MS, ClientEvent::Broken { req, conn });
+                self.closed(conn, at + 20 * MS, Closer::Them);
+            }
+            7 => self.crossed(at, node, home, false, 1),
+            // A quick answer behind a slow one, which holds it back past its own time.
+            8 => {
+                let (slow, conn) = self.sent(at, node, 0);
+                let quick = self.try_due(at + 300 * MS, node, 0);
+                self.ledger.clients.push(at + MS, ClientEvent::Sent { req: quick, conn });
+                let (_, digest) = self.attempt(quick, node, home, at + 2 * MS, 4000, Some(Answer::Value));
+                self.answered(slow, conn, at + 460 * MS, Answer::Failed, 0);
+                self.answered(quick, conn, at + 520 * MS, Answer::Value, digest);
+                self.closed(conn, at + 600 * MS, Closer::Us);
+            }
+            // The first on a connection that the node closes with nothing sent on; and one as node 2 is killed.
+            9 => {
+                let (_, conn) = self.sent(at, node, 0);
+                self.closed(conn, at + 20 * MS, Closer::Them);
+                let (req, conn) = self.sent(10 * S - 5 * MS, 2, 0);
+                self.attempt(req, 2, 0, 10 * S - 4 * MS, 4000, None);
+                self.closed(conn, 10 * S + MS, Closer::Reset);
+            }
+            // In its grace, a node still sends to what drains.
+            10 => drop(self.read(4 * S + 1100 * MS, 0, DRAINED, 4000)),
+            _ => drop(self.read(at, node, home, 4000)),
+        }
+    }
+
+    fn try_due(&mut self, due: Micros, node: u16, class: u8) -> ReqId {
+        self.req += 1;
+        let id = ReqId(self.req);
+        let flags = TryFlags { write: class > 0, ..TryFlags::default() };
+        let (class, node) = (ClassNo(class), NodeNo(node));
+        let t = Try {
+            id,
+            first: id,
+            due,
+            first_due: due,
+            patience_us: 400_000,
+            class,
+            node,
+            flags,
+            ..Try::default()
+        };
+        self.ledger.tries.push(t);
+        id
+    }
+
+    fn sent(&mut self, at: Micros, node: u16, class: u8) -> (ReqId, ConnNo) {
+        let req = self.try_due(at, node, class);
+        let conn = self.opened(at - MS, node);
+        self.ledger.clients.push(at, ClientEvent::Sent { req, conn });
+        (req, conn)
+    }
+
+    fn opened(&mut self, at: Micros, node: u16) -> ConnNo {
+        self.conn += 1;
+        let conn = ConnNo(self.conn);
+        self.ledger.clients.push(at, ClientEvent::Opened { conn, node: NodeNo(node), bad: false });
+        conn
+    }
+
+    fn closed(&mut self, conn: ConnNo, at: Micros, by: Closer) {
+        self.ledger.clients.push(at, ClientEvent::Closed { conn, by });
+    }
+
+    fn answered(&mut self, req: ReqId, conn: ConnNo, at: Micros, answer: Answer, digest: u64) {
+        let event = ClientEvent::Answered { req, conn, answer, retry_ms: 0, digest, fits: true };
+        self.ledger.clients.push(at, event);
+    }
+
+    /// A whole attempt on a connection of its own, and the digest of its answer.
+    fn attempt(
+        &mut self,
+        req: ReqId,
+        node: u16,
+        server: u16,
+        at: Micros,
+        work_us: u32,
+        answer: Option<Answer>,
+    ) -> (ConnNo, u64) {
+        self.conn += 1;
+        let (no, conn) = (ServerNo(server), ConnNo(self.conn));
+        let servers = &mut self.ledger.servers;
+        servers.push(at - 50, ServerEvent::Opened { server: no, conn, node: NodeNo(node) });
+        servers.push(at, ServerEvent::FirstByte { server: no, conn, req });
+        servers.push(at + 40, ServerEvent::LastByte { server: no, conn, req, work_us });
+        servers.push(at + 60, ServerEvent::Begun { server: no, req });
+        if let Some(answer) = answer {
+            self.server_answers(req, server, at + 2 * MS, answer, false);
+        }
+        self.ledger.servers.push(at + 3 * MS, ServerEvent::Closed { server: no, conn, by: Closer::Them });
+        (conn, digest_of(req, server))
+    }
+
+    /// On the connection of the last attempt.
+    fn server_answers(&mut self, req: ReqId, server: u16, at: Micros, answer: Answer, spoilt: bool) {
+        let digest = if answer.served() { digest_of(req, server) } else { 0 };
+        let (server, conn) = (ServerNo(server), ConnNo(self.conn));
+        self.ledger.servers.push(at, ServerEvent::Answered { server, conn, req, answer, spoilt, digest });
+        if answer == Answer::Receipt {
+            self.ledger.servers.push(at, ServerEvent::Effect { server, req, repeat: false });
+        }
+    }
+
+    /// A read that hits.
+    fn read(&mut self, at: Micros, node: u16, server: u16, work_us: u32) -> (ReqId, ConnNo, u64) {
+        let (req, conn) = self.sent(at, node, 0);
+        let (_, digest) = self.attempt(req, node, server, at + MS, work_us, Some(Answer::Value));
+        self.answered(req, conn, at + 10 * MS, Answer::Value, digest);
+        self.closed(conn, at + 40 * MS, Closer::Us);
+        (req, conn, digest)
+    }
+
+    /// A read that hits, served with another digest or at another moment.
+    fn served(&mut self, at: Micros, node: u16, home: u16, with: impl Fn(ReqId, u64) -> (u64, u64, Micros)) {
+        let (req, conn) = self.sent(at, node, 0);
+        let (_, made) = self.attempt(req, node, home, at + MS, 4000, Some(Answer::Value));
+        let (digest, _, after) = with(req, made);
+        self.answered(req, conn, at + after * MS, Answer::Value, digest);
+        self.closed(conn, at + 40 * MS, Closer::Us);
+    }
+
+    /// A close between requests crosses a request `times` times; `taken`: it had been sent on.
+    fn crossed(&mut self, at: Micros, node: u16, home: u16, taken: bool, times: usize) {
+        let (req, mut conn) = self.sent(at, node, 0);
+        let mut now = at;
+        for _ in 0..times {
+            if taken {
+                self.attempt(req, node, home, now + MS, 4000, None);
+            }
+            now += 5 * MS;
+            self.ledger.clients.push(now, ClientEvent::Crossed { req, conn });
+            self.closed(conn, now, Closer::Them);
+            conn = self.opened(now + MS, node);
+            now += 2 * MS;
+            self.ledger.clients.push(now, ClientEvent::Sent { req, conn });
+        }
+        let (_, digest) = self.attempt(req, node, home, now + MS, 4000, Some(Answer::Value));
+        self.answered(req, conn, now + 10 * MS, Answer::Value, digest);
+        self.closed(conn, now + 40 * MS, Closer::Us);
+    }
+}
+
+fn digest_of(req: ReqId, server: u16) -> u64 {
+    digest(format!("{req} by {server}").as_bytes())
+}
+
+fn rules(found: &[Violation]) -> BTreeSet<Rule> {
+    found.iter().map(|v| v.rule).collect()
+}
+
+#[test]
+fn each_wrong_node_breaks_just_its_rule_and_an_honest_one_none() {
+    use Wrong::*;
+    let cases = [
+        (AnswersTwice, Rule::OneAnswer),
+        (AnswersLate, Rule::InTime),
+        (AnswersBehindTooLate, Rule::InTime),
+        (SaysNothing, Rule::InTime),
+        (LosesRequest, Rule::Lost),
+        (LosesAtStop, Rule::Lost),
+        (ServesAnothersBytes, Rule::Genuine),
+        (ServesFromNowhere, Rule::Genuine),
+        (ServesBeforeMade, Rule::Genuine),
+        (PassesOnSpoilt, Rule::Genuine),
+        (GarblesBytes, Rule::Genuine),
+        (RepeatsBooking, Rule::Effects),
+        (RefusesAfterRun, Rule::Effects),
+        (RepeatsPastWindow, Rule::Effects),
+        (TriesTooOften, Rule::Attempts),
+        (SendsToDraining, Rule::Drains),
+        (SendsToGoneUntold, Rule::Drains),
+        (FloodsCold, Rule::Cold),
+        (HoldsDescriptors, Rule::Limits),
+        (HoldsMemory, Rule::Limits),
+        (Crashes, Rule::Alive),
+        (CrashesOnHup, Rule::Alive),
+        (NeverReady, Rule::Alive),
+        (ClosesOnTaken, Rule::Crossing),
+        (ClosesTwice, Rule::Crossing),
+    ];
+    let mut wrong = Vec::new();
+    for (how, rule) in [(Nothing, None)].into_iter().chain(cases.map(|(how, rule)| (how, Some(rule)))) {
+        let (mut ledger, e) = Day::play(how);
+        let found = check_ledger(&mut ledger, &e);
+        if rules(&found) != rule.into_iter().collect() {
+            let first = found.first().map(|v| v.tell(&Index::of(&ledger))).unwrap_or_default();
+            wrong.push(format!("{how:?}: wanted {rule:?}, found {:?}\n{first}", rules(&found)));
+        }
+    }
+    assert!(wrong.is_empty(), "\n{}", wrong.join("\n"));
+}
+
+#[test]
+fn a_story_has_both_ends_in_order() {
+    let (mut ledger, e) = Day::play(Wrong::RepeatsBooking);
+    let found = check_ledger(&mut ledger, &e);
+    let text = found.first().map(|v| v.tell(&Index::of(&ledger))).unwrap_or_default();
+    let parts = [
+        "rule effects broken at 13.040 s",
+        "class pay",
+        "client  last byte",
+        "origin  first byte",
+        "origin  first byte",
+        "client  answered a receipt",
+    ];
+    let mut rest = text.as_str();
+    for part in parts {
+        rest = rest
+            .split_once(part)
+            .unwrap_or_else(|| panic!("`{part}` is missing, or out of order:\n{text}"))
+            .1;
+    }
+}
+
+#[test]
+fn a_ledger_comes_back_from_json_lines() {
+    let (ledger, _) = Day::play(Wrong::Nothing);
+    let mut text = Vec::new();
+    write_jsonl(&ledger, &mut text).unwrap();
+    assert_eq!(read_jsonl(&text[..]).unwrap(), ledger);
+    text.extend(b"{\"side\":\"client\",\"at\":1}\n");
+    let error = read_jsonl(&text[..]).unwrap_err().to_string();
+    assert!(
+        error.starts_with(&format!("line {}: ", text.iter().filter(|b| **b == b'\n').count())),
+        "{error}"
+    );
+}
--- /dev/null
+++ b/crates/lab/src/check/drains.rs
@@ -0,0 +1,81 @@
+//! **Drains.** A node sends nothing new to a server later than the grace (and the slack for sockets) after it was
+//! told that the server drains or has gone. The time of a send is that of its first byte at the server.
+//!
+//! A node is told once discovery has written the entry to it, and counts as told `told_within_s` after discovery's
+//! list changed, whether or not anything arrived. A process that was started later counts from its start. The time
+//! ends when discovery lists the server as up again.
+
+use super::context::Context;
+use super::{Rule, Violation};
+use crate::ledger::{DiscoveryEvent, Listed, NodeNo, Record, ServerEvent, ServerNo};
+use crate::{Micros, millis, seconds};
+use std::collections::BTreeMap;
+
+pub(super) fn check(cx: &Context<'_>, out: &mut Vec<Violation>) {
+    let stretches = out_of_service(cx.ledger.discovery.records());
+    if stretches.is_empty() {
+        return;
+    }
+    let grace = millis(cx.rules.drain_grace_ms) + cx.slack();
+    for r in cx.ledger.servers.records() {
+        let ServerEvent::FirstByte { server, conn, req } = r.event else { continue };
+        let Some(all) = stretches.get(&server) else { continue };
+        let Some(stretch) = all.iter().find(|s| s.from <= r.at && r.at < s.until) else { continue };
+        let Some(node) = cx.index.server_conn(server, conn).map(|c| c.node) else { continue };
+        let (told, how) = told(cx, node, server, stretch, r.at);
+        if r.at <= told + grace {
+            continue;
+        }
+        let text = format!(
+            "{} sent to {} {:.0} ms after it {how} that it drains or has gone",
+            cx.ledger.names.node(node),
+            cx.ledger.names.server(server),
+            (r.at - told) as f64 / 1e3,
+        );
+        let req = (req != crate::ledger::ReqId::NONE).then_some(req);
+        out.push(Violation {
+            rule: Rule::Drains,
+            at: r.at,
+            req,
+            node: Some(node),
+            server: Some(server),
+            text,
+        });
+    }
+}
+
+/// A stretch in which discovery has a server as draining or removed.
+struct Stretch {
+    from: Micros,
+    until: Micros,
+}
+
+fn out_of_service(records: &[Record<DiscoveryEvent>]) -> BTreeMap<ServerNo, Vec<Stretch>> {
+    let mut all: BTreeMap<ServerNo, Vec<Stretch>> = BTreeMap::new();
+    for r in records {
+        let DiscoveryEvent::Changed { server, state, .. } = r.event else { continue };
+        let of = all.entry(server).or_default();
+        let open = of.last_mut().filter(|s| s.until == Micros::MAX);
+        match (state, open) {
+            (Listed::Up, Some(open)) => open.until = r.at,
+            (Listed::Draining | Listed::Removed, None) => of.push(Stretch { from: r.at, until: Micros::MAX }),
+            _ => {}
+        }
+    }
+    all.retain(|_, stretches| !stretches.is_empty());
+    all
+}
+
+/// When a node was told of a stretch, or counts as told, as of a send at that time.
+fn told(cx: &Context<'_>, node: NodeNo, server: ServerNo, s: &Stretch, at: Micros) -> (Micros, &'static str) {
+    let from = s.from.max(cx.process_start(node, at).unwrap_or(Micros::MIN));
+    let deemed = from + seconds(cx.rules.told_within_s);
+    let records = cx.ledger.discovery.records();
+    let first = records.partition_point(|r| r.at < from);
+    let mut since = records.get(first..).unwrap_or_default().iter().take_while(|r| r.at <= deemed);
+    let written = since.find(|r| {
+        matches!(r.event, DiscoveryEvent::Told { node: n, server: s, state, .. }
+            if n == node && s == server && state != Listed::Up)
+    });
+    written.map_or((deemed, "counted as told"), |r| (r.at, "was told"))
+}
--- /dev/null
+++ b/crates/lab/src/check/lost.rs
@@ -0,0 +1,67 @@
+//! **Lost requests.** A node has taken a request once its last byte is written to a connection that the node's
+//! machine accepted. It loses the request if it ends that connection with no whole answer before the request's time
+//! is up. Not lost are:
+//!
+//! - what its client had left, and what had an answer begun that the client can tell is not whole;
+//! - the first request on a connection when nothing was sent on for it;
+//! - what a close between requests crossed: that is the rule of [`super::crossing`];
+//! - what a node held that the lab killed outright. Being told to stop excuses nothing: it has time to finish.
+
+use super::context::Context;
+use super::{Rule, Violation};
+use crate::Micros;
+use crate::ledger::{ClientEvent, Closer, ConnNo, NodeNo, ReqId, ServerEvent};
+
+pub(super) fn check(cx: &Context<'_>, out: &mut Vec<Violation>) {
+    for r in cx.ledger.clients.records() {
+        let ClientEvent::Closed { conn, by: by @ (Closer::Them | Closer::Reset) } = r.event else { continue };
+        let (node, first, open) = open_on(cx, conn, r.at);
+        for (req, sent) in open {
+            // A request may be written, and the end be seen, some time after the kill.
+            let from = sent.min(r.at - 1_000_000);
+            if node.is_some_and(|node| cx.killed(node, from, r.at)) {
+                continue;
+            }
+            let Some(t) = cx.index.find(req).filter(|t| !t.flags.bad) else { continue };
+            let over = r.at >= sent + Micros::from(t.patience_us);
+            let sent_on = cx.index.server(req).any(|r| matches!(r.event, ServerEvent::FirstByte { .. }));
+            if over || (first == Some(req) && !sent_on) || cx.excused_by_client(t, sent, r.at) {
+                continue;
+            }
+            let how = if by == Closer::Reset { "reset" } else { "closed" };
+            let waited = (r.at - sent) as f64 / 1e3;
+            let text = format!("the node {how} the connection {waited:.1} ms after it had taken the request");
+            out.push(cx.broken(Rule::Lost, r.at, t, text));
+        }
+    }
+}
+
+/// Of a connection that ended then: its node, the first request on it, and what was open with the time it was sent.
+fn open_on(
+    cx: &Context<'_>,
+    conn: ConnNo,
+    at: Micros,
+) -> (Option<NodeNo>, Option<ReqId>, Vec<(ReqId, Micros)>) {
+    let (mut node, mut first, mut open) = (None, None, Vec::new());
+    for r in cx.index.client_conn(conn) {
+        match r.event {
+            ClientEvent::Opened { node: n, .. } => node = Some(n),
+            // Guards against calling lost what was written after the end: nobody has taken it.
+            ClientEvent::Sent { req, .. } if r.at <= at => {
+                first = first.or(Some(req));
+                open.push((req, r.at));
+            }
+            ClientEvent::Answered { req, .. }
+            | ClientEvent::Broken { req, .. }
+            | ClientEvent::Crossed { req, .. } => {
+                open.retain(|o| o.0 != req);
+            }
+            _ => {}
+        }
+    }
+    let left = |req: ReqId| {
+        cx.index.client(req).any(|r| r.at <= at && matches!(r.event, ClientEvent::GivenUp { .. }))
+    };
+    open.retain(|o| !left(o.0));
+    (node, first, open)
+}
--- a/crates/lab/src/ledger/client.rs
+++ b/crates/lab/src/ledger/client.rs
@@ -19,8 +19,10 @@
     /// When the first try was due: aims count from here.
     pub first_due: Micros,
     /// The key's number.
+    #[serde(with = "super::hex")]
     pub key: u64,
     /// The idempotency key of a keyed write; 0 for none.
+    #[serde(with = "super::hex")]
     pub idem: u64,
     /// How long the client waits, from when the last byte of the request is written (`d` on the wire).
     pub patience_us: u32,
@@ -120,7 +122,10 @@
         /// For `busy MS`: come again after this long (ms).
         retry_ms: u16,
         /// Digest of the value or receipt ([`digest`](crate::ledger::digest)); 0 without.
+        #[serde(with = "super::hex")]
         digest: u64,
+        /// The bytes say of themselves that they were made for this key and this try; true where there are none.
+        fits: bool,
     },
     /// An answer was begun and not finished, or cannot be read: the client can tell that it is not whole.
     Broken {
--- a/crates/lab/src/ledger/mod.rs
+++ b/crates/lab/src/ledger/mod.rs
@@ -8,22 +8,30 @@
 //! Parties are small numbers; [`Names`] tells what they are called, where they are and how large.
 
 mod client;
+mod hex;
+mod index;
+mod jsonl;
 mod names;
 mod node;
 mod server;
+mod story;
+mod words;
 
 pub use client::{Answer, ClientBook, ClientEvent, Closer, Try, TryFlags};
+pub use index::{Index, ServerConn};
+pub use jsonl::{JsonlError, read_jsonl, write_jsonl};
 pub use names::{ClassNo, LoadNo, Names, NodeNo, ServerInfo, ServerNo, ZoneNo};
 pub use node::{DiscoveryEvent, LabEvent, Listed, NodeEvent, Signal};
 pub use server::{CancelledIn, RefusedWhy, ServerEvent, ServerState};
+pub use story::story;
+pub use words::Told;
 
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 
 /// A client's try, as `O` has it on the wire. Never used twice. 0 stands for none: what had no id that could be read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct ReqId(pub u64);
+pub struct ReqId(#[serde(with = "hex")] pub u64);
 
 impl ReqId {
     /// No id.
--- a/crates/lab/src/ledger/node.rs
+++ b/crates/lab/src/ledger/node.rs
@@ -19,7 +19,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "kebab-case")]
 pub enum DiscoveryEvent {
-    /// Its list changed: from now on it has this to tell.
+    /// Its list changed: from now on it has this to tell. Also when a server is listed as up with a new start. While
+    /// a fault has it tell an old list, nothing changes until that ends.
     Changed {
         /// The server.
         server: ServerNo,
--- a/crates/lab/src/ledger/server.rs
+++ b/crates/lab/src/ledger/server.rs
@@ -118,6 +118,7 @@
         /// It was spoilt on purpose: nothing that a client may be served.
         spoilt: bool,
         /// Digest of the value or receipt ([`digest`](crate::ledger::digest)); 0 without.
+        #[serde(with = "super::hex")]
         digest: u64,
     },
     /// The node closed the connection or ended its sending with this request open.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
+pub mod check;
 pub mod cli;
 pub mod experiment;
 pub mod ledger;
