--- a/crates/lab/src/check/day.rs
+++ b/crates/lab/src/check/day.rs
@@ -150,7 +150,7 @@
     fn request(&mut self, n: usize, at: Micros) {
         let node = n as u16 % 3;
         let cold_known = (7 * S..18 * S).contains(&at);
-        let home = if cold_known && n % 5 == 0 { COLD } else { (n % 2) as u16 };
+        let home = if cold_known && n.is_multiple_of(5) { COLD } else { (n % 2) as u16 };
         // Wrong once, in the middle of the day.
         let wrong = if n == 1300 { self.wrong } else { Wrong::Nothing };
         if self.wrong == Wrong::FloodsCold && (7 * S..9 * S).contains(&at) {
