Put the model's servers, origin and discovery on loopback sockets

The model's server tells which requests it has begun, where somebody watches: the ledger names them.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,7 +4,9 @@
 //! - [`experiment`]: files in TOML to checked, documented types; a seed to the same plan of faults each time.
 //! - [`ledger`]: append-only records of clients, servers, origin, discovery and nodes, with times.
 //!
-//! Nothing in these modules opens a socket, reads a clock or starts a thread, so that real-time runs and runs on a
+//! - [`stand`]: stand-ins of cache servers, origin and discovery on loopback sockets.
+//!
+//! Nothing but the stand-ins opens a socket, reads a clock or starts a thread, so that real-time runs and runs on a
 //! virtual clock share them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
@@ -13,6 +15,7 @@
 pub mod cli;
 pub mod experiment;
 pub mod ledger;
+pub mod stand;
 
 pub use lapisrudder_model::Micros;
 
--- a/crates/model/src/server/flow.rs
+++ b/crates/model/src/server/flow.rs
@@ -189,6 +189,7 @@
             return self.refuse(at, BusyReason::Over);
         }
         let (work, found) = self.keeper.begin(self.now, &call.request, call.work);
+        self.out.tell_begun(self.now, &call.request);
         call.stage = Stage::InWork(found);
         self.books.begun += 1;
         self.books.waited_us += waited as f64 / 1e3;
--- a/crates/model/src/server/host.rs
+++ b/crates/model/src/server/host.rs
@@ -9,7 +9,7 @@
 use super::config::{Machine, Overdriven};
 use super::dist::{Dist, Sampler};
 use super::error::ConfigError;
-use super::keeper::{Keeper, Outbox};
+use super::keeper::{Begun, Keeper, Outbox};
 use super::message::{Act, CloseKind, ConnId, Event, Fault, Order, State};
 use super::records::Ledger;
 use super::station::Station;
@@ -192,6 +192,16 @@
         self.out.orders.pop_front()
     }
 
+    /// From now on [`Self::poll_begun`] tells of each request that leaves the waiting room.
+    pub fn watch_begun(&mut self) {
+        self.out.begun.get_or_insert_default();
+    }
+
+    /// The next request that was begun by the last call of [`Self::handle`] or [`Self::poll`].
+    pub fn poll_begun(&mut self) -> Option<Begun> {
+        self.out.begun.as_mut()?.pop_front()
+    }
+
     /// When something is due, if nothing else happens before; a time that has passed while orders wait. It may be
     /// early: then nothing comes out.
     pub fn next(&self) -> Option<Micros> {
--- a/crates/model/src/server/keeper.rs
+++ b/crates/model/src/server/keeper.rs
@@ -3,10 +3,11 @@
 use std::collections::VecDeque;
 
 use super::books::Books;
-use super::message::{Act, Answer, Effect, Event, Note, Order, Request};
+use super::message::{Act, Answer, ConnId, Effect, Event, Note, Order, Request};
 use super::records::Ledger;
 use super::time::{Nanos, to_micros};
-use crate::value::Uid;
+use crate::Micros;
+use crate::value::{RequestId, Uid};
 
 /// What a request found when it was begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +32,19 @@
 #[derive(Debug, Clone, Default)]
 pub struct Outbox {
     pub(crate) orders: VecDeque<Order>,
+    /// Requests that were begun, where somebody watches.
+    pub(crate) begun: Option<VecDeque<Begun>>,
+}
+
+/// A request that has left the waiting room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Begun {
+    /// When.
+    pub at: Micros,
+    /// Connection that it came on.
+    pub conn: ConnId,
+    /// Its id.
+    pub request: RequestId,
 }
 
 impl Outbox {
@@ -38,6 +52,12 @@
         self.orders.push_back(Order { at: to_micros(now), act });
     }
 
+    pub(crate) fn tell_begun(&mut self, now: Nanos, request: &Request) {
+        if let Some(begun) = &mut self.begun {
+            begun.push_back(Begun { at: to_micros(now), conn: request.conn, request: request.id });
+        }
+    }
+
     /// Tells of a write that was carried out.
     pub(crate) fn tell_effect(&mut self, now: Nanos, effect: Effect) {
         self.push(now, Act::Effect(effect));
--- a/crates/model/src/server/mod.rs
+++ b/crates/model/src/server/mod.rs
@@ -36,7 +36,7 @@
 pub use dist::Dist;
 pub use error::ConfigError;
 pub use host::Server;
-pub use keeper::{Found, Keeper, Outbox};
+pub use keeper::{Begun, Found, Keeper, Outbox};
 pub use message::{
     Act, Answer, Answered, BusyReason, CloseKind, ConnId, Effect, Event, Fault, Kind, Noise, NoiseSet, Note,
     Order, Request, State,
