Measure and judge runs, and compare two sides with a confidence interval

Need: figures must come from due times and count silence, verdicts must be mechanical, and A against B needs to say how sure it is. Change: stats (ends of tries, 24 metrics by part and class, a row a second, verdicts against bounds and rivals, the last JSON line with its exit status) and compare (interleaved pairs, Student's t interval, sign-flip test).

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,8 +11,10 @@
 
 pub mod check;
 pub mod cli;
+pub mod compare;
 pub mod experiment;
 pub mod ledger;
+pub mod stats;
 
 pub use lapisrudder_model::Micros;
 
