--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,9 +13,11 @@
 
 pub mod check;
 pub mod cli;
+pub mod compare;
 pub mod experiment;
 pub mod ledger;
 pub mod stand;
+pub mod stats;
 
 pub use lapisrudder_model::Micros;
 
