Let other packages' tests take the stand-ins without the lab's heavy libraries

The node's tests are to run on the stand-ins. The lab's statistics bring nalgebra by way of statrs, and reports will bring plots; a test build of the node needs neither.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,7 +3,6 @@
 //!
 //! - [`experiment`]: files in TOML to checked, documented types; a seed to the same plan of faults each time.
 //! - [`ledger`]: append-only records of clients, servers, origin, discovery and nodes, with times.
-//!
 //! - [`stand`]: stand-ins of cache servers, origin and discovery on loopback sockets.
 //!
 //! Nothing but the stand-ins opens a socket, reads a clock or starts a thread, so that real-time runs and runs on a
@@ -11,12 +10,16 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
+#[cfg(feature = "tool")]
 pub mod check;
+#[cfg(feature = "tool")]
 pub mod cli;
+#[cfg(feature = "tool")]
 pub mod compare;
 pub mod experiment;
 pub mod ledger;
 pub mod stand;
+#[cfg(feature = "tool")]
 pub mod stats;
 
 pub use lapisrudder_model::Micros;
