Run the node's tests on the lab's stand-ins; the toy servers go

The toy servers answered fixed lines, so a test could not tell a right value from another's. The node's tests now stand between the model's servers and discovery on sockets: a value is told by its maker only if each byte is as that server made it for this very request and key. Peers that need a fixed word are `Scripted`.

--- /dev/null
+++ b/tests/harness/mod.rs
@@ -0,0 +1,263 @@
+//! The shared helper of the node's tests: the real program between stand-ins of members, origin and discovery.
+
+use lapisrudder_lab::ledger::{ServerEvent, ServerNo};
+use lapisrudder_lab::stand::{Books, Clock, Notice, Reply, Scripted, ServerSpec, Spec, World};
+use lapisrudder_model::server::{Class, Dist};
+use lapisrudder_model::value::{Key, Maker, RequestId, Uid, check};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::{Arc, Mutex, atomic::AtomicUsize, atomic::Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes, on any machine.
+pub const WIDE: Duration = Duration::from_secs(60);
+
+pub const SETTINGS: &str = r#"{"az":0,"zones":["z"],"host-types":["cache","origin"],"siblings":1,
+"discovery":"subscribe","family-info":{"mode":"aside","origin-kind":1},"bounds":{"attempts-cap":3,"cancel":true,
+"conn-idle-s":60.0,"connect-timeout-s":0.25,"max-retry-after-s":2.0,"most-held":20000,"multiplex":32,
+"second-copies":true},"request-classes":[{"effect":"free","give-up-s":2.5,"group":"all","name":"read",
+"slo-s":0.75,"window-s":5.0,"worth":5.0},{"effect":"guarded","give-up-s":5.0,"group":"all","name":"put",
+"slo-s":1.5,"window-s":10.0,"worth":15.0}],"rules":{"ask-within-s":10.0,"cold-s":24.0,"drain-grace-s":0.5,
+"fall-s":2.0,"start-capacity":0.13,"tip-multiple":3.0}}"#;
+
+/// A world with these cache servers, warm and quick, and no origin.
+pub fn spec(servers: &[&str]) -> Spec {
+    let class = Class { work: Dist::Fixed(100.0), ..Class::default() };
+    let server = |uid: &&str| {
+        let mut server = ServerSpec::new(uid, 0);
+        server.config.machine.classes = vec![class.clone(); 2];
+        server
+    };
+    let servers = servers.iter().map(server).collect();
+    let mut spec = Spec { zones: vec!["z".into()], servers, origin: None, ..Spec::default() };
+    spec.discovery.notice = Notice { gone: 0, silent: 0, started: 0 };
+    spec
+}
+
+/// Starts a world whose servers hold the key of each id that is asked for by [`Client::read`].
+pub fn world(spec: Spec, ids: impl Iterator<Item = String>) -> World<Books> {
+    let servers: Vec<String> = spec.servers.iter().map(|server| server.uid.clone()).collect();
+    let world = World::start(spec, Clock::default(), Books::default(), 1).expect("a world");
+    let keys: Vec<Key> = ids.map(|id| Key::of(format!("k{id}").as_bytes())).collect();
+    for server in servers {
+        world.control().fill(no(&world, &server), keys.clone()).expect("filled");
+    }
+    world
+}
+
+/// Ids from 0 up.
+pub fn ids(count: usize) -> impl Iterator<Item = String> {
+    (0..count).map(|id| id.to_string())
+}
+
+pub fn no(world: &World<Books>, uid: &str) -> ServerNo {
+    world.server(uid).expect("a server of that name")
+}
+
+/// How many requests have come to a server.
+pub fn asked(world: &World<Books>, uid: &str) -> usize {
+    let no = no(world, uid);
+    let came = |e: &ServerEvent| matches!(e, ServerEvent::LastByte { server, .. } if *server == no);
+    world.look(|books| books.servers.records().iter().filter(|r| came(&r.event)).count()).expect("books")
+}
+
+/// Waits for what comes to pass.
+pub fn until(mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < WIDE, "it does not come to pass");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+pub fn http(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Discovery that tells any text.
+pub struct List {
+    peer: Scripted,
+    shared: Arc<Mutex<Texts>>,
+}
+
+#[derive(Default)]
+struct Texts {
+    next: Option<String>,
+    /// A call that waits for the next text.
+    waits: Option<Reply>,
+}
+
+impl Texts {
+    fn send(&mut self) {
+        if let Some(reply) = self.waits.take() {
+            match self.next.take() {
+                Some(text) => reply.send(http(&text)),
+                None => self.waits = Some(reply),
+            }
+        }
+    }
+}
+
+impl List {
+    pub fn start(first: &str) -> List {
+        let shared: Arc<Mutex<Texts>> = Arc::default();
+        shared.lock().expect("a lock").next = Some(first.into());
+        let theirs = shared.clone();
+        let peer = Scripted::start(move |_, reply| {
+            let mut texts = theirs.lock().expect("a lock");
+            texts.waits = Some(reply);
+            texts.send();
+        });
+        List { peer: peer.expect("a peer"), shared }
+    }
+
+    /// Answers the next call with it, and waits until that has been asked for again.
+    pub fn tell(&self, text: &str) {
+        {
+            let mut texts = self.shared.lock().expect("a lock");
+            texts.next = Some(text.into());
+            texts.send();
+        }
+        until(|| {
+            let texts = self.shared.lock().expect("a lock");
+            texts.next.is_none() && texts.waits.is_some()
+        });
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.peer.address()
+    }
+}
+
+pub struct Node {
+    pub child: Child,
+    pub address: SocketAddr,
+    config: String,
+    _output: BufReader<ChildStdout>,
+}
+
+/// The program on a configuration file; what is not in `variables` is in the file.
+pub fn program(config: &str, variables: &[(&str, &str)]) -> Command {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let count = COUNT.fetch_add(1, Ordering::SeqCst);
+    let file = format!("{}/node-{}-{count}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&file, config).expect("a file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lapisrudder"));
+    command.arg("serve").env("EDGE_CONFIG", file).envs(variables.iter().copied());
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+impl Node {
+    /// Starts a node in a world.
+    pub fn start(world: &World<Books>) -> Node {
+        Node::limited(world, 1024)
+    }
+
+    pub fn limited(world: &World<Books>, sockets: u32) -> Node {
+        Node::told_by(world.addresses().discovery(0).expect("discovery"), sockets)
+    }
+
+    /// Starts a node that asks for its list there.
+    pub fn told_by(discovery: SocketAddr, sockets: u32) -> Node {
+        let config = format!(
+            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{SETTINGS}}}"#
+        );
+        let mut program = program(&config, &[("EDGE_DISCOVERY", &discovery.to_string())]);
+        let config = program.get_envs().find(|(name, _)| *name == "EDGE_CONFIG").and_then(|(_, file)| file);
+        let config = config.expect("a file").to_string_lossy().into_owned();
+        let mut child = program.spawn().expect("the program starts");
+        let mut output = BufReader::new(child.stdout.take().expect("its output"));
+        let mut line = String::new();
+        output.read_line(&mut line).expect("a line");
+        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        let node = Node { child, address, config, _output: output };
+        assert_eq!(node.client().ask("mn\r\n"), "MN\r\n");
+        node
+    }
+
+    /// Changes the configuration file and tells the node.
+    pub fn reload(&self, change: impl Fn(&str) -> String) {
+        let text = std::fs::read_to_string(&self.config).expect("the file");
+        std::fs::write(&self.config, change(&text)).expect("written");
+        self.signal("-HUP");
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill").success());
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("a connection");
+        stream.set_read_timeout(Some(WIDE)).expect("a time limit");
+        Client(BufReader::new(stream))
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn send(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).expect("written");
+    }
+
+    /// Sends on the side, as far as the peer takes it.
+    pub fn flood(&self, text: &str) {
+        let (mut stream, text) = (self.0.get_ref().try_clone().expect("a stream"), text.to_string());
+        thread::spawn(move || stream.write_all(text.as_bytes()));
+    }
+
+    /// One answer; nothing at the end of the stream. A value that a stand-in made for this very request is told by its
+    /// maker ([`by`]), any other stands behind its line.
+    pub fn answer(&mut self) -> String {
+        self.try_answer().expect("an answer in time")
+    }
+
+    pub fn try_answer(&mut self) -> std::io::Result<String> {
+        let mut line = String::new();
+        self.0.read_line(&mut line)?;
+        if line.starts_with("VA ") {
+            let length: usize = line.split(' ').nth(1).and_then(|l| l.parse().ok()).expect("a length");
+            let mut value = vec![0; length + 2];
+            self.0.read_exact(&mut value)?;
+            let id = line.split_whitespace().find_map(|w| w.strip_prefix('O')).unwrap_or_default();
+            match maker(&value[..length], id) {
+                Some(uid) => return Ok(by(uid, id)),
+                None => line.push_str(&String::from_utf8_lossy(&value)),
+            }
+        }
+        Ok(line)
+    }
+
+    pub fn ask(&mut self, text: &str) -> String {
+        self.send(text);
+        self.answer()
+    }
+
+    pub fn read(&mut self, id: &str, wait_ms: u64) -> String {
+        self.ask(&format!("mg k{id} v O{id} Pc=read,d={wait_ms}\r\n"))
+    }
+}
+
+/// The answer that a server of that name made for a read of that id.
+pub fn by(uid: &str, id: &str) -> String {
+    format!("value of {uid} for {id}")
+}
+
+/// Who made a value, if every byte of it is as that server made it for this request and the key of [`Client::read`].
+fn maker(value: &[u8], id: &str) -> Option<&'static str> {
+    let made = check(value, Key::of(format!("k{id}").as_bytes())).ok()?;
+    let names = ["a", "b", "bad", "good", "gone"].into_iter();
+    let named = |name: &&str| made.maker == Maker::Cache(Uid::of(name.as_bytes()));
+    names.filter(|_| made.request == Some(RequestId::of(id.as_bytes()))).find(named)
+}
