--- a/crates/lab/src/stand/discovery.rs
+++ b/crates/lab/src/stand/discovery.rs
@@ -214,7 +214,7 @@
         if there == 0
             && let Err(e) = self.add_doors(place, site)
         {
-            self.trouble.push(format!("discovery's address {site} cannot be listened at: {e}"));
+            self.has_trouble(format!("discovery's address {site} cannot be listened at: {e}"));
         }
         if let Some(catalog) = self.catalog() {
             catalog.sites = catalog.sites.max(site);
@@ -299,9 +299,11 @@
     }
 
     /// A server has started: discovery knows after a while.
-    pub(super) fn note_started(&mut self, no: ServerNo, now: Micros) {
+    pub(super) fn note_started(&mut self, place: usize) {
+        let Some(Role::Server(host)) = self.parties.get(place).map(|party| &party.role) else { return };
+        let (no, started) = (host.no, host.started);
         if let Some(notice) = self.catalog().map(|catalog| catalog.notice) {
-            self.deadlines.add(now + notice.started, Due::Notice(no));
+            self.deadlines.add(started + notice.started, Due::Notice(no));
         }
     }
 
--- a/crates/lab/src/stand/run.rs
+++ b/crates/lab/src/stand/run.rs
@@ -291,6 +291,13 @@
         self.sink.lock().unwrap_or_else(PoisonError::into_inner).lab(at, event);
     }
 
+    /// Something that the lab itself could not do; told once.
+    pub(super) fn has_trouble(&mut self, what: String) {
+        if !self.trouble.contains(&what) {
+            self.trouble.push(what);
+        }
+    }
+
     /// The host of a view's node.
     pub(super) fn node_host(view: usize) -> lapisrudder_model::network::Host {
         lapisrudder_model::network::Host(u32::try_from(view).unwrap_or(u32::MAX))
@@ -349,7 +356,8 @@
         for (id, want) in wants {
             let Some(door) = self.doors.get_mut(&id) else { continue };
             if let Err(e) = door.set(want, &self.handle) {
-                self.trouble.push(format!("{} cannot be listened at: {e}", door.at));
+                let what = format!("{} cannot be listened at: {e}", door.at);
+                self.has_trouble(what);
             }
         }
     }
@@ -381,7 +389,7 @@
                 Ok(None) => return,
                 Err(e) => {
                     // Guards the loop against turning without end when descriptors have run out.
-                    self.trouble.push(format!("cannot accept: {e}"));
+                    self.has_trouble(format!("cannot accept: {e}"));
                     if let Some(door) = self.doors.get(&id) {
                         door.rest(true, &self.handle);
                     }
@@ -408,7 +416,7 @@
                 stand.touch_peer(number);
             }
         }) else {
-            return self.trouble.push("a connection could not be watched".into());
+            return self.has_trouble("a connection could not be watched".into());
         };
         if matches!(fate, Fate::Refused | Fate::Reset) {
             socket.reset();
--- a/crates/lab/src/stand/server.rs
+++ b/crates/lab/src/stand/server.rs
@@ -626,6 +626,7 @@
         let now = self.clock.now();
         self.serve_server(place, now);
         self.hand(place, now, Event::Fault(Fault::Restart { uid }));
+        self.began(place, now, false);
         self.serve_server(place, now);
         for number in
             self.peers_where(|peer| peer.party == place && matches!(peer.conn.life, Life::Deaf { .. }))
