--- a/crates/lab/src/stand/run.rs
+++ b/crates/lab/src/stand/run.rs
@@ -469,7 +469,9 @@
         self.deliver(number, now);
         self.write(number, now);
         let Some(peer) = self.peers.get_mut(&number) else { return };
-        let next = if peer.conn.has_more(now) { Some(now) } else { peer.conn.next(now) };
+        // Who sends into a cut waits for its end.
+        let more = peer.conn.has_more(now) && !peer.conn.inbound.is_full();
+        let next = if more { Some(now) } else { peer.conn.next(now) };
         peer.conn.armed.arm(next, &mut self.deadlines, Due::Conn(number));
     }
 
@@ -478,6 +480,9 @@
         let Some(peer) = self.peers.get_mut(&number) else { return };
         let mut end = None;
         for _ in 0..peer.conn.reads() {
+            if peer.conn.inbound.is_full() {
+                break;
+            }
             let Some(came) = peer.conn.read(now, &mut self.scratch) else { break };
             let Some(party) = self.parties.get(peer.party) else { return };
             end = match came {
--- a/crates/lab/src/stand/way.rs
+++ b/crates/lab/src/stand/way.rs
@@ -4,6 +4,9 @@
 use lapisrudder_model::network::Heal;
 use std::collections::VecDeque;
 
+/// Pieces that are held for the end of a cut at the most: about what the buffers of both ends would hold.
+const HELD: usize = 64;
+
 /// What is sent one way, in order. The rules are those of the model's network, carried out on real sockets: what is
 /// sent into a cut vanishes, or arrives at its end, as the cut says; what was under way when it began arrives.
 #[derive(Debug)]
@@ -38,6 +41,11 @@
         }
     }
 
+    /// No more is to be sent until a cut ends.
+    pub(super) fn is_full(&self) -> bool {
+        self.held.len() >= HELD
+    }
+
     /// What the cut does that something was sent into.
     pub(super) fn is_cut(&self) -> Option<Heal> {
         self.cut
@@ -84,6 +92,22 @@
         assert_eq!(arrived(&mut way, 300), [(200, 'c')]);
     }
 
+    #[test]
+    fn a_cut_holds_so_much_and_no_more() {
+        let mut way = Way::default();
+        let sent = (0..1000).take_while(|_| {
+            let room = !way.is_full();
+            if room {
+                way.send(0, Some(Heal::Resume), 0, 'x');
+            }
+            room
+        });
+        assert_eq!(sent.count(), HELD);
+        way.resume(5, 0);
+        assert!(!way.is_full());
+        assert_eq!(arrived(&mut way, 5).len(), HELD);
+    }
+
     #[test]
     fn what_is_sent_into_a_cut_vanishes_or_arrives_at_its_end() {
         for (heal, after) in [
