Hold the store guard and what a whole list leaves out by tests

Two of the stand-ins' rules had no test that could fail: a value that a write has overtaken is not stored, and a whole list tells servers that it leaves out as removed.

--- a/crates/lab/tests/stand/lists.rs
+++ b/crates/lab/tests/stand/lists.rs
@@ -138,4 +138,6 @@
     let books = finish(world).sink;
     let failed = told(&books).iter().filter(|e| matches!(e, DiscoveryEvent::Failed { .. })).count();
     assert_eq!(failed, 2);
+    let left_out = |e: &DiscoveryEvent| matches!(e, DiscoveryEvent::Told { server, state: Listed::Removed, .. } if *server == s0);
+    assert!(told(&books).iter().any(left_out), "a whole list without it tells that it has gone");
 }
--- a/crates/lab/tests/stand/serving.rs
+++ b/crates/lab/tests/stand/serving.rs
@@ -5,7 +5,7 @@
 use lapisrudder_lab::stand::NodeSpec;
 use lapisrudder_model::mix::Spread;
 use lapisrudder_model::network::Delay;
-use lapisrudder_model::server::Abandoned;
+use lapisrudder_model::server::{Abandoned, Dist};
 use lapisrudder_model::value::{Key, Maker, Receipt, RequestId, Uid};
 
 #[test]
@@ -190,3 +190,26 @@
     let seen = about(&books, 2);
     assert!(seen[1].0 - seen[0].0 >= 30_000, "the last byte arrives later than it was sent: {seen:?}");
 }
+
+#[test]
+fn a_value_that_a_write_has_overtaken_is_not_stored() {
+    let mut spec = spec(0.0);
+    spec.origin.as_mut().unwrap().config.machine.classes[0].work = Dist::Fixed(200_000.0);
+    let world = start(spec);
+    let (mut s0, mut reader, mut writer) =
+        (Client::of(&world, "s0"), Client::of(&world, "origin"), Client::of(&world, "origin"));
+    assert_eq!(s0.ask(1, 7), format!("EN O{} h0\r\n", key(1)));
+    reader.send(&format!("GET /{} HTTP/1.1\r\nReq-Id: {}\r\nReq-Extra: c=read\r\n\r\n", key(7), key(1)));
+    until(|| {
+        world.look(|books| (about(books, 1).iter().any(|(_, e)| matches!(e, ServerEvent::Begun { server, .. } if *server == no(&world, "origin")))).then_some(())).flatten()
+    });
+    writer.send(&format!(
+        "PUT /{} HTTP/1.1\r\nReq-Id: {}\r\nReq-Extra: c=put\r\nContent-Length: 2\r\n\r\nhi",
+        key(7),
+        key(2)
+    ));
+    assert_eq!((writer.response().0, reader.response().0), (200, 200));
+    assert_eq!(s0.ask(3, 7).get(..2), Some("EN"), "the old version is not kept");
+    let books = finish(world).sink;
+    assert_eq!(count(&books, |e| matches!(e, ServerEvent::Stored { .. })), 0);
+}
