Make a report of a folder of results: JSON lines and one page that needs nothing else

Need: operators are to see at a glance whether it held, beside what they would use instead, and when the faults were.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line: each sub-command reads its arguments here and calls the module that does the work.
 
 use crate::experiment::{ExperimentFile, FileError, schedule};
+use crate::report;
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -18,6 +19,11 @@
 enum Command {
     /// Check an experiment file and print what a run of it would be.
     Check(CheckArgs),
+    /// Make the HTML page of a folder of results.
+    Report {
+        /// The folder, as `--out` named it.
+        dir: PathBuf,
+    },
 }
 
 #[derive(Args)]
@@ -57,17 +63,21 @@
 
 /// Reads the arguments and runs the sub-command. Errors are one line on standard error, and status 2 for bad input.
 pub fn main() -> ExitCode {
-    match Cli::parse().command {
-        Command::Check(args) => match check(&args) {
-            Ok(text) => {
-                print!("{text}");
-                ExitCode::SUCCESS
-            }
-            Err(e) => {
-                eprintln!("{e}");
-                ExitCode::from(2)
-            }
-        },
+    let done = match Cli::parse().command {
+        Command::Check(args) => check(&args).map_err(|e| e.to_string()),
+        Command::Report { dir } => {
+            report::write(&dir).map(|path| format!("{}\n", path.display())).map_err(|e| e.to_string())
+        }
+    };
+    match done {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(2)
+        }
     }
 }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod compare;
 pub mod experiment;
 pub mod ledger;
+pub mod report;
 pub mod stats;
 
 pub use lapisrudder_model::Micros;
--- a/crates/lab/src/stats/figures.rs
+++ b/crates/lab/src/stats/figures.rs
@@ -55,8 +55,8 @@
                 let answered = self.ends.tries.iter().filter(|t| t.answered && part.covers(t.over)).count();
                 Usage::of(self.index, part).cpu_us.map_or(f64::NAN, |cpu| cpu as f64 / answered as f64)
             }
-            Metric::MemoryMb => f64::from(Usage::of(self.index, part).most_rss_kib) / 1024.0,
-            Metric::Descriptors => f64::from(Usage::of(self.index, part).most_fds),
+            Metric::MemoryMb => or_nan(Usage::of(self.index, part).most_rss_kib) / 1024.0,
+            Metric::Descriptors => or_nan(Usage::of(self.index, part).most_fds),
             Metric::BadUnanswered => bad_unanswered(self.index, self.experiment, part),
             Metric::RecoveryS => self.recovery(),
             Metric::HitShare
@@ -149,6 +149,10 @@
     }
 }
 
+fn or_nan(n: Option<u32>) -> f64 {
+    n.map_or(f64::NAN, f64::from)
+}
+
 fn goodput<'a>(firsts: impl Iterator<Item = &'a FirstEnd>) -> f64 {
     let (earned, worth) = firsts.fold((0.0, 0.0), |(e, w), f| (e + f.earned, w + f.worth));
     earned / worth
--- a/crates/lab/src/stats/usage.rs
+++ b/crates/lab/src/stats/usage.rs
@@ -6,13 +6,13 @@
 use crate::{Micros, seconds};
 use std::collections::BTreeMap;
 
-/// What the nodes used in a part of a run.
+/// What the nodes used in a part of a run; none where nothing was sampled.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Usage {
-    /// User and system time (microseconds); none where nothing was sampled.
+    /// User and system time (microseconds).
     pub(super) cpu_us: Option<u64>,
-    pub(super) most_rss_kib: u32,
-    pub(super) most_fds: u32,
+    pub(super) most_rss_kib: Option<u32>,
+    pub(super) most_fds: Option<u32>,
 }
 
 impl Usage {
@@ -28,8 +28,8 @@
                     let since = cpu_us.saturating_sub(before.insert(node, cpu_us).unwrap_or(0));
                     if part.covers(r.at) {
                         *usage.cpu_us.get_or_insert(0) += since;
-                        usage.most_rss_kib = usage.most_rss_kib.max(rss_kib);
-                        usage.most_fds = usage.most_fds.max(fds);
+                        usage.most_rss_kib = usage.most_rss_kib.max(Some(rss_kib));
+                        usage.most_fds = usage.most_fds.max(Some(fds));
                     }
                 }
                 _ => {}
