--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -94,10 +94,10 @@
     let work = work_per_request_ms(e);
     let faults: usize = e.seeds.first().map_or(0, |seed| schedule(e, *seed).occurrences.len());
     Ok(format!(
-        "{}: sound\n  {}\n  {} nodes, {servers} servers with {cores:.1} standard cores, {} loads with at most {peak:.0} \
-         requests/s\n  at that rate about {:.0}% of the servers' cores, before retries and misses\n  {} faults, {faults} \
-         occurrences with the first seed; {} things must hold\n  {runs} runs of {} s ({points} points, {} seeds, {arms} \
-         arms): about {:.0} s\n",
+        "{}: sound\n  {}\n  nodes: {}, servers: {servers} with {cores:.1} standard cores, loads: {}, at most {peak:.0} \
+         requests/s\n  at that rate about {:.0}% of the servers' cores, before retries and misses\n  faults: {}, {faults} \
+         times with the first seed; conditions: {}\n  runs: {runs} of {} s (points: {points}, seeds: {}, arms: {arms}), \
+         about {:.0} s in all\n",
         file.name,
         e.question.trim(),
         e.world.nodes.count,
--- a/crates/lab/src/experiment/world.rs
+++ b/crates/lab/src/experiment/world.rs
@@ -105,6 +105,9 @@
     pub warm_by: WarmBy,
     /// Memory for values (MiB).
     pub memory_mb: f64,
+    /// Holds, when the run begins, what it would have been asked for lately; else it begins empty. Either way it begins
+    /// warm. What starts later is empty and cold.
+    pub filled: bool,
     /// What goes first when memory is full.
     pub evict: Eviction,
     /// How long a copy is good (seconds); 0 means for ever.
@@ -139,7 +142,8 @@
             cold_from: 0.25,
             cold_s: 12.0,
             warm_by: WarmBy::Requests,
-            memory_mb: 8.0,
+            memory_mb: 1.5,
+            filled: true,
             evict: Eviction::Lru,
             ttl_s: 0.0,
             pauses: OwnPauses::default(),
--- a/crates/lab/tests/experiment_files.rs
+++ b/crates/lab/tests/experiment_files.rs
@@ -1,6 +1,8 @@
 //! Experiment files: good ones with their defaults, bad ones with one clear line, and plans that a seed fixes.
 
 use lapisrudder_lab::experiment::{ExperimentFile, schedule};
+use std::fs;
+use std::path::Path;
 use toml::Value;
 
 const GOOD: &str = r#"question = "Does it hold?"
@@ -180,3 +182,24 @@
     let kept = schedule(&more, 7).occurrences.into_iter().filter(|o| o.fault < 2).collect::<Vec<_>>();
     assert_eq!(kept, plan.occurrences);
 }
+
+#[test]
+fn the_experiments_of_this_repository_are_sound() {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../experiments");
+    let mut names = Vec::new();
+    for entry in fs::read_dir(dir).unwrap() {
+        let path = entry.unwrap().path();
+        let file = ExperimentFile::read(&path).unwrap_or_else(|e| panic!("{e}"));
+        let e = &file.experiment;
+        assert!(!e.shows.is_empty(), "{}: says nothing of what it must show", file.name);
+        assert!(e.holds.iter().any(|h| h.that == "rules_broken == 0"), "{}: lets rules be broken", file.name);
+        let mut last = schedule(e, e.seeds[0]).occurrences.iter().map(|o| o.until).max().unwrap_or(0);
+        last -= (e.duration_s * 1e6) as i64;
+        assert!(last <= -5_000_000, "{}: leaves no time to recover", file.name);
+        names.push(path.file_stem().unwrap().to_string_lossy().into_owned());
+    }
+    names.sort();
+    let wanted = "all-at-once ask-once calm cold-restarts connection-flood flush hot-caller origin-overdriven pauses shrink";
+    let missing: Vec<_> = wanted.split(' ').filter(|n| !names.iter().any(|m| m == n)).collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
