Count a bad client that is served as a broken rule

Need: a client whose request cannot be read may not be served as though it had run; one that uses the id of another client's open request may not either. Change: a record for it on the clients' side, and the rule of genuine answers reads it. Measured: two more wrong nodes are caught by that rule alone; the id of a request that is over is let pass.

--- a/crates/lab/src/check/day.rs
+++ b/crates/lab/src/check/day.rs
@@ -27,6 +27,8 @@
     ServesBeforeMade,
     PassesOnSpoilt,
     GarblesBytes,
+    ServesBadClient,
+    ServesStolenId,
     RepeatsBooking,
     RefusesAfterRun,
     RepeatsPastWindow,
@@ -216,6 +218,14 @@
                 self.ledger.clients.push(at + 10 * MS, event);
                 self.closed(conn, at + 11 * MS, Closer::Us);
             }
+            Wrong::ServesBadClient => self.bad_client(at, node, ReqId::NONE, true),
+            Wrong::ServesStolenId => {
+                let (req, conn) = self.sent(at, node, 0);
+                self.bad_client(at + MS, node, req, true);
+                let (_, digest) = self.attempt(req, node, home, at + MS, 4000, Some(Answer::Value));
+                self.answered(req, conn, at + 100 * MS, Answer::Value, digest);
+                self.closed(conn, at + 110 * MS, Closer::Us);
+            }
             Wrong::RepeatsBooking | Wrong::RefusesAfterRun => {
                 let (req, conn) = self.sent(at, node, 2);
                 self.attempt(req, node, ORIGIN, at + MS, 4000, None);
@@ -334,6 +344,12 @@
                 self.attempt(req, 2, 0, 10 * S - 4 * MS, 4000, None);
                 self.closed(conn, 10 * S + MS, Closer::Reset);
             }
+            // Bad clients get errors; one that uses the id of a request that is over is a client like any other.
+            14 => self.bad_client(at, node, ReqId::NONE, false),
+            15 => {
+                let (over, ..) = self.read(at, node, home, 4000);
+                self.bad_client(at + 50 * MS, node, over, true);
+            }
             // In its grace, a node still sends to what drains.
             10 => drop(self.read(4 * S + 1100 * MS, 0, DRAINED, 4000)),
             _ => drop(self.read(at, node, home, 4000)),
@@ -374,6 +390,22 @@
         conn
     }
 
+    /// A bad client, with what may be another's id; served, or given an error and more bytes behind it.
+    fn bad_client(&mut self, at: Micros, node: u16, borrowed: ReqId, served: bool) {
+        self.conn += 1;
+        let conn = ConnNo(self.conn);
+        let clients = &mut self.ledger.clients;
+        clients.push(at, ClientEvent::Opened { conn, node: NodeNo(node), bad: true });
+        clients.push(at + MS, ClientEvent::BadSent { conn, kind: 0 });
+        if served {
+            clients.push(at + 20 * MS, ClientEvent::BadServed { conn, borrowed });
+        } else {
+            clients.push(at + 20 * MS, ClientEvent::BadError { conn });
+            clients.push(at + 21 * MS, ClientEvent::Unasked { conn, bytes: 40 });
+        }
+        self.closed(conn, at + 30 * MS, Closer::Them);
+    }
+
     fn closed(&mut self, conn: ConnNo, at: Micros, by: Closer) {
         self.ledger.clients.push(at, ClientEvent::Closed { conn, by });
     }
@@ -479,6 +511,8 @@
         (ServesBeforeMade, Rule::Genuine),
         (PassesOnSpoilt, Rule::Genuine),
         (GarblesBytes, Rule::Genuine),
+        (ServesBadClient, Rule::Genuine),
+        (ServesStolenId, Rule::Genuine),
         (RepeatsBooking, Rule::Effects),
         (RefusesAfterRun, Rule::Effects),
         (RepeatsPastWindow, Rule::Effects),
--- a/crates/lab/src/check/genuine.rs
+++ b/crates/lab/src/check/genuine.rs
@@ -1,6 +1,9 @@
 //! **Genuine answers.** A client may be served only what a server or the origin made for this request, byte by byte:
 //! for each value or receipt there is an answer of that kind with that id and that digest, unspoilt, written before.
 //! Besides, the bytes must say of themselves that they were made for this key and this request.
+//!
+//! A bad client may not be served as though its request had run. Where it used the id of another client's request,
+//! that holds only while that one was open, from when the bad client had written all until it was served.
 
 use super::context::Context;
 use super::{Rule, Violation};
@@ -9,6 +12,7 @@
 use rustc_hash::FxHashMap;
 
 pub(super) fn check(cx: &Context<'_>, out: &mut Vec<Violation>) {
+    bad_clients(cx, out);
     let mut made_for: Option<FxHashMap<u64, ReqId>> = None;
     for t in &cx.ledger.tries {
         for r in cx.index.client(t.id) {
@@ -34,6 +38,35 @@
     }
 }
 
+fn bad_clients(cx: &Context<'_>, out: &mut Vec<Violation>) {
+    for r in cx.ledger.clients.records() {
+        let ClientEvent::BadServed { conn, borrowed } = r.event else { continue };
+        let (mut node, mut sent) = (None, r.at);
+        for r in cx.index.client_conn(conn) {
+            match r.event {
+                ClientEvent::Opened { node: n, .. } => node = Some(n),
+                ClientEvent::BadSent { .. } => sent = r.at,
+                _ => {}
+            }
+        }
+        if borrowed != ReqId::NONE && !open_between(cx, borrowed, sent, r.at) {
+            continue;
+        }
+        let text = format!("a bad client was served on connection {}", conn.0);
+        let req = (borrowed != ReqId::NONE).then_some(borrowed);
+        out.push(Violation { rule: Rule::Genuine, at: r.at, req, node, server: None, text });
+    }
+}
+
+fn open_between(cx: &Context<'_>, req: ReqId, from: Micros, until: Micros) -> bool {
+    let begun = cx.sent(req).is_some_and(|(at, _)| at <= from);
+    let over = cx.index.client(req).find_map(|r| match r.event {
+        ClientEvent::Answered { .. } | ClientEvent::Broken { .. } | ClientEvent::GivenUp { .. } => Some(r.at),
+        _ => None,
+    });
+    begun && over.is_none_or(|at| at > until)
+}
+
 enum Source {
     Made,
     Spoilt,
--- a/crates/lab/src/ledger/client.rs
+++ b/crates/lab/src/ledger/client.rs
@@ -32,7 +32,7 @@
     pub class: ClassNo,
     /// The load that it is of.
     pub load: LoadNo,
-    /// The node that it was meant for. For a simple policy, always 0.
+    /// The node that it went to, the last one if it was sent once more. For a simple policy, always 0.
     pub node: NodeNo,
     /// What kind of try it is.
     pub flags: TryFlags,
@@ -174,6 +174,13 @@
         /// The connection.
         conn: ConnNo,
     },
+    /// A bad client was answered as though its request had run.
+    BadServed {
+        /// The connection.
+        conn: ConnNo,
+        /// The other client's id that it used; [`ReqId::NONE`] if it used none.
+        borrowed: ReqId,
+    },
 }
 
 impl ClientEvent {
@@ -200,7 +207,8 @@
             | Self::Closed { conn, .. }
             | Self::Unasked { conn, .. }
             | Self::BadSent { conn, .. }
-            | Self::BadError { conn, .. } => Some(conn),
+            | Self::BadError { conn, .. }
+            | Self::BadServed { conn, .. } => Some(conn),
             Self::ConnectFailed { .. } | Self::GivenUp { .. } => None,
         }
     }
--- a/crates/lab/src/ledger/words.rs
+++ b/crates/lab/src/ledger/words.rs
@@ -66,6 +66,7 @@
             Self::Closed { conn, by } => format!("connection {} {}", conn.0, closed(by)),
             Self::Unasked { conn, bytes } => format!("{bytes} bytes unasked on connection {}", conn.0),
             Self::BadSent { conn, .. } => format!("bad client has written all on connection {}", conn.0),
+            Self::BadServed { conn, .. } => format!("bad client was served on connection {}", conn.0),
             Self::BadError { conn } => format!("bad client was given an error on connection {}", conn.0),
         };
         told("client", what)
--- a/crates/lab/src/stats/usage.rs
+++ b/crates/lab/src/stats/usage.rs
@@ -59,6 +59,7 @@
         match r.event {
             ClientEvent::BadSent { kind, .. } if kind == BadKind::HugeValue as u8 => bad.within = 2 * owed,
             ClientEvent::BadError { .. }
+            | ClientEvent::BadServed { .. }
             | ClientEvent::Answered { .. }
             | ClientEvent::Closed { by: Closer::Them | Closer::Reset, .. } => {
                 bad.settled = bad.settled.or(Some(r.at));
