--- a/crates/lab/src/check/day.rs
+++ b/crates/lab/src/check/day.rs
@@ -35,6 +35,7 @@
     TriesTooOften,
     SendsToDraining,
     SendsToGoneUntold,
+    SendsToGoneUntoldAfterHold,
     FloodsCold,
     HoldsDescriptors,
     HoldsMemory,
@@ -88,7 +89,12 @@
         use Listed::*;
         let (drained, cold) = (ServerNo(DRAINED), ServerNo(COLD));
         let told = [(drained, Draining, 4), (cold, Up, 6), (drained, Removed, 8)];
-        let says_nothing = self.wrong == Wrong::SendsToGoneUntold;
+        let says_nothing = matches!(self.wrong, Wrong::SendsToGoneUntold | Wrong::SendsToGoneUntoldAfterHold);
+        if self.wrong == Wrong::SendsToGoneUntoldAfterHold {
+            self.ledger.discovery.push(4 * S, DiscoveryEvent::Called { node: NodeNo(0), hold_ms: 10_000 });
+            // Before that, it may.
+            self.read(15 * S - 100 * MS, 0, DRAINED, 4000);
+        }
         for (rev, (server, state, at)) in (1..).zip(told) {
             let at = at * S + S / 2;
             self.ledger.discovery.push(at, DiscoveryEvent::Changed { server, state, rev });
@@ -263,6 +269,8 @@
             // Told at 4.6 to 4.8 s; 0.55 s are allowed. Counted as told at 10.5 s where nothing was said.
             Wrong::SendsToDraining => drop(self.read(4 * S + 1500 * MS, 0, DRAINED, 4000)),
             Wrong::SendsToGoneUntold => drop(self.read(11 * S + 100 * MS, 0, DRAINED, 4000)),
+            // Its call is open until 14 s, and it counts as told at 16 s.
+            Wrong::SendsToGoneUntoldAfterHold => drop(self.read(16 * S + 600 * MS, 0, DRAINED, 4000)),
             Wrong::ClosesOnTaken | Wrong::ClosesTwice => {
                 self.crossed(
                     at,
@@ -519,6 +527,7 @@
         (TriesTooOften, Rule::Attempts),
         (SendsToDraining, Rule::Drains),
         (SendsToGoneUntold, Rule::Drains),
+        (SendsToGoneUntoldAfterHold, Rule::Drains),
         (FloodsCold, Rule::Cold),
         (HoldsDescriptors, Rule::Limits),
         (HoldsMemory, Rule::Limits),
--- a/crates/lab/src/experiment/check.rs
+++ b/crates/lab/src/experiment/check.rs
@@ -186,6 +186,7 @@
         within(&key(name), value, 0.0, 600_000.0)?;
     }
     within(&key("told_within_s"), r.told_within_s, 0.0, 3600.0)?;
+    within(&key("told_after_hold_s"), r.told_after_hold_s, 0.0, 3600.0)?;
     within(&key("ask_within_s"), r.ask_within_s, 0.1, 3600.0)?;
     within(&key("tip_multiple"), r.tip_multiple, 0.1, 1000.0)?;
     within(&key("fall_s"), r.fall_s, 0.05, 600.0)?;
--- a/crates/lab/src/experiment/world.rs
+++ b/crates/lab/src/experiment/world.rs
@@ -362,6 +362,8 @@
     pub drain_grace_ms: f64,
     /// What discovery has to tell counts as told this long after it has it, whether or not it arrived (seconds).
     pub told_within_s: f64,
+    /// Where a call of the node is held open then, not before this long after its wait is over (seconds).
+    pub told_after_hold_s: f64,
     /// A node that has neither watched nor asked for this long is treated as told (seconds).
     pub ask_within_s: f64,
     /// A cold server that is sent over this many times its present capacity ...
@@ -390,6 +392,7 @@
             silence_breaks: true,
             drain_grace_ms: 500.0,
             told_within_s: 6.0,
+            told_after_hold_s: 2.0,
             ask_within_s: 10.0,
             tip_multiple: 3.0,
             fall_s: 2.0,
--- a/crates/lab/src/ledger/node.rs
+++ b/crates/lab/src/ledger/node.rs
@@ -45,8 +45,8 @@
     Called {
         /// The node.
         node: NodeNo,
-        /// A watch; else the whole list.
-        watch: bool,
+        /// How long it may wait for a change (ms); 0 where the whole list is asked for.
+        hold_ms: u32,
     },
     /// A call ended in an error or a break.
     Failed {
--- a/crates/lab/src/ledger/words.rs
+++ b/crates/lab/src/ledger/words.rs
@@ -149,9 +149,8 @@
                     listed(state)
                 )
             }
-            Self::Called { node, watch } => {
-                format!("{} {}", names.node(node), if watch { "watches" } else { "asks" })
-            }
+            Self::Called { node, hold_ms: 0 } => format!("{} asks", names.node(node)),
+            Self::Called { node, hold_ms } => format!("{} watches for {hold_ms} ms", names.node(node)),
             Self::Failed { node } => format!("call of {} fails", names.node(node)),
         };
         told("discovery", what)
--- a/crates/lab/tests/experiment_files.rs
+++ b/crates/lab/tests/experiment_files.rs
@@ -1,9 +1,9 @@
 //! Experiment files: good ones with their defaults, bad ones with one clear line, and plans that a seed fixes.
 
-use lapisrudder_lab::experiment::{ExperimentFile, schedule};
+use lapisrudder_lab::experiment::{ExperimentFile, Metric, schedule};
 use std::fs;
 use std::path::Path;
-use toml::Value;
+use toml::{Table, Value};
 
 const GOOD: &str = r#"question = "Does it hold?"
 duration_s = 20
@@ -203,3 +203,43 @@
     let missing: Vec<_> = wanted.split(' ').filter(|n| !names.iter().any(|m| m == n)).collect();
     assert!(missing.is_empty(), "{missing:?}");
 }
+
+/// The reference in the docs, with every default written out, says what a file with none of them says.
+#[test]
+fn the_reference_names_each_key_with_its_default() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operate/lab.md");
+    let page = fs::read_to_string(page).unwrap();
+    let full = page.split("```toml\n").nth(1).and_then(|rest| rest.split("```").next()).unwrap();
+    let full =
+        ExperimentFile::parse("docs/operate/lab.md", full).unwrap_or_else(|e| panic!("{e}")).experiment;
+    let least =
+        "question = 'What is this about?'\nduration_s = 30\n[[load]]\nrate = { steady = { per_s = 1000 } }\n";
+    let least = ExperimentFile::parse("least", least).unwrap().experiment;
+    assert_eq!(full, least);
+    // And nothing is left out.
+    let all = Table::try_from(&least).unwrap();
+    let mut missing = Vec::new();
+    keys(&all, &mut |key| {
+        if !page.contains(&format!("{key} = "))
+            && !page.contains(&format!("{key}]"))
+            && !page.contains(&format!("[{key}."))
+        {
+            missing.push(key.to_owned());
+        }
+    });
+    assert!(missing.is_empty(), "{missing:?}");
+    for metric in Metric::ALL {
+        assert!(page.contains(&format!("`{metric}`")), "{metric}");
+    }
+}
+
+fn keys(table: &Table, each: &mut dyn FnMut(&str)) {
+    for (key, value) in table {
+        each(key);
+        match value {
+            Value::Table(t) => keys(t, each),
+            Value::Array(a) => a.iter().filter_map(Value::as_table).for_each(|t| keys(t, each)),
+            _ => {}
+        }
+    }
+}
