--- a/crates/lab/src/check/day.rs
+++ b/crates/lab/src/check/day.rs
@@ -27,12 +27,15 @@
     ServesBeforeMade,
     PassesOnSpoilt,
     GarblesBytes,
+    ServesBadClient,
+    ServesStolenId,
     RepeatsBooking,
     RefusesAfterRun,
     RepeatsPastWindow,
     TriesTooOften,
     SendsToDraining,
     SendsToGoneUntold,
+    SendsToGoneUntoldAfterHold,
     FloodsCold,
     HoldsDescriptors,
     HoldsMemory,
@@ -86,7 +89,12 @@
         use Listed::*;
         let (drained, cold) = (ServerNo(DRAINED), ServerNo(COLD));
         let told = [(drained, Draining, 4), (cold, Up, 6), (drained, Removed, 8)];
-        let says_nothing = self.wrong == Wrong::SendsToGoneUntold;
+        let says_nothing = matches!(self.wrong, Wrong::SendsToGoneUntold | Wrong::SendsToGoneUntoldAfterHold);
+        if self.wrong == Wrong::SendsToGoneUntoldAfterHold {
+            self.ledger.discovery.push(4 * S, DiscoveryEvent::Called { node: NodeNo(0), hold_ms: 10_000 });
+            // Before that, it may.
+            self.read(15 * S - 100 * MS, 0, DRAINED, 4000);
+        }
         for (rev, (server, state, at)) in (1..).zip(told) {
             let at = at * S + S / 2;
             self.ledger.discovery.push(at, DiscoveryEvent::Changed { server, state, rev });
@@ -216,6 +224,14 @@
                 self.ledger.clients.push(at + 10 * MS, event);
                 self.closed(conn, at + 11 * MS, Closer::Us);
             }
+            Wrong::ServesBadClient => self.bad_client(at, node, ReqId::NONE, true),
+            Wrong::ServesStolenId => {
+                let (req, conn) = self.sent(at, node, 0);
+                self.bad_client(at + MS, node, req, true);
+                let (_, digest) = self.attempt(req, node, home, at + MS, 4000, Some(Answer::Value));
+                self.answered(req, conn, at + 100 * MS, Answer::Value, digest);
+                self.closed(conn, at + 110 * MS, Closer::Us);
+            }
             Wrong::RepeatsBooking | Wrong::RefusesAfterRun => {
                 let (req, conn) = self.sent(at, node, 2);
                 self.attempt(req, node, ORIGIN, at + MS, 4000, None);
@@ -253,6 +269,8 @@
             // Told at 4.6 to 4.8 s; 0.55 s are allowed. Counted as told at 10.5 s where nothing was said.
             Wrong::SendsToDraining => drop(self.read(4 * S + 1500 * MS, 0, DRAINED, 4000)),
             Wrong::SendsToGoneUntold => drop(self.read(11 * S + 100 * MS, 0, DRAINED, 4000)),
+            // Its call is open until 14 s, and it counts as told at 16 s.
+            Wrong::SendsToGoneUntoldAfterHold => drop(self.read(16 * S + 600 * MS, 0, DRAINED, 4000)),
             Wrong::ClosesOnTaken | Wrong::ClosesTwice => {
                 self.crossed(
                     at,
@@ -334,6 +352,12 @@
                 self.attempt(req, 2, 0, 10 * S - 4 * MS, 4000, None);
                 self.closed(conn, 10 * S + MS, Closer::Reset);
             }
+            // Bad clients get errors; one that uses the id of a request that is over is a client like any other.
+            14 => self.bad_client(at, node, ReqId::NONE, false),
+            15 => {
+                let (over, ..) = self.read(at, node, home, 4000);
+                self.bad_client(at + 50 * MS, node, over, true);
+            }
             // In its grace, a node still sends to what drains.
             10 => drop(self.read(4 * S + 1100 * MS, 0, DRAINED, 4000)),
             _ => drop(self.read(at, node, home, 4000)),
@@ -374,6 +398,22 @@
         conn
     }
 
+    /// A bad client, with what may be another's id; served, or given an error and more bytes behind it.
+    fn bad_client(&mut self, at: Micros, node: u16, borrowed: ReqId, served: bool) {
+        self.conn += 1;
+        let conn = ConnNo(self.conn);
+        let clients = &mut self.ledger.clients;
+        clients.push(at, ClientEvent::Opened { conn, node: NodeNo(node), bad: true });
+        clients.push(at + MS, ClientEvent::BadSent { conn, kind: 0 });
+        if served {
+            clients.push(at + 20 * MS, ClientEvent::BadServed { conn, borrowed });
+        } else {
+            clients.push(at + 20 * MS, ClientEvent::BadError { conn });
+            clients.push(at + 21 * MS, ClientEvent::Unasked { conn, bytes: 40 });
+        }
+        self.closed(conn, at + 30 * MS, Closer::Them);
+    }
+
     fn closed(&mut self, conn: ConnNo, at: Micros, by: Closer) {
         self.ledger.clients.push(at, ClientEvent::Closed { conn, by });
     }
@@ -479,12 +519,15 @@
         (ServesBeforeMade, Rule::Genuine),
         (PassesOnSpoilt, Rule::Genuine),
         (GarblesBytes, Rule::Genuine),
+        (ServesBadClient, Rule::Genuine),
+        (ServesStolenId, Rule::Genuine),
         (RepeatsBooking, Rule::Effects),
         (RefusesAfterRun, Rule::Effects),
         (RepeatsPastWindow, Rule::Effects),
         (TriesTooOften, Rule::Attempts),
         (SendsToDraining, Rule::Drains),
         (SendsToGoneUntold, Rule::Drains),
+        (SendsToGoneUntoldAfterHold, Rule::Drains),
         (FloodsCold, Rule::Cold),
         (HoldsDescriptors, Rule::Limits),
         (HoldsMemory, Rule::Limits),
--- a/crates/lab/src/experiment/world.rs
+++ b/crates/lab/src/experiment/world.rs
@@ -105,6 +105,9 @@
     pub warm_by: WarmBy,
     /// Memory for values (MiB).
     pub memory_mb: f64,
+    /// Holds, when the run begins, what it would have been asked for lately; else it begins empty. Either way it begins
+    /// warm. What starts later is empty and cold.
+    pub filled: bool,
     /// What goes first when memory is full.
     pub evict: Eviction,
     /// How long a copy is good (seconds); 0 means for ever.
@@ -139,7 +142,8 @@
             cold_from: 0.25,
             cold_s: 12.0,
             warm_by: WarmBy::Requests,
-            memory_mb: 8.0,
+            memory_mb: 1.5,
+            filled: true,
             evict: Eviction::Lru,
             ttl_s: 0.0,
             pauses: OwnPauses::default(),
@@ -358,6 +362,8 @@
     pub drain_grace_ms: f64,
     /// What discovery has to tell counts as told this long after it has it, whether or not it arrived (seconds).
     pub told_within_s: f64,
+    /// Where a call of the node is held open then, not before this long after its wait is over (seconds).
+    pub told_after_hold_s: f64,
     /// A node that has neither watched nor asked for this long is treated as told (seconds).
     pub ask_within_s: f64,
     /// A cold server that is sent over this many times its present capacity ...
@@ -386,6 +392,7 @@
             silence_breaks: true,
             drain_grace_ms: 500.0,
             told_within_s: 6.0,
+            told_after_hold_s: 2.0,
             ask_within_s: 10.0,
             tip_multiple: 3.0,
             fall_s: 2.0,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod compare;
 pub mod experiment;
 pub mod ledger;
+#[cfg(feature = "tool")]
+pub mod report;
 pub mod stand;
 #[cfg(feature = "tool")]
 pub mod stats;
--- a/crates/lab/src/stand/discovery.rs
+++ b/crates/lab/src/stand/discovery.rs
@@ -150,7 +150,11 @@
             }
         };
         let node = Self::node(view);
-        self.tell_discovery(now, DiscoveryEvent::Called { node, watch: ask != Ask::Full });
+        let hold_ms = match call {
+            Call::Whole => 0,
+            Call::Watch { hold_ms, .. } => u32::try_from(hold_ms).unwrap_or(u32::MAX),
+        };
+        self.tell_discovery(now, DiscoveryEvent::Called { node, hold_ms });
         self.hand_discovery(now, Event::Call(id, NodeId(u32::from(node.0)), Address(site), ask));
     }
 
