--- a/crates/lab/src/stand/control.rs
+++ b/crates/lab/src/stand/control.rs
@@ -1,7 +1,8 @@
 //! Faults and questions while a world runs.
 
 use super::conn::{Life, Limp};
-use super::run::{Role, Stand, Talk};
+use super::peers::Talk;
+use super::run::{Role, Stand};
 use crate::Micros;
 use crate::ledger::{ServerInfo, ServerNo, ZoneNo};
 use lapisrudder_model::clients::NodeId;
--- a/crates/lab/src/stand/discovery.rs
+++ b/crates/lab/src/stand/discovery.rs
@@ -1,7 +1,8 @@
 //! Discovery on sockets: calls to the state machine, its answers to the wire, and what it learns of the servers.
 
 use super::conn::{Mark, Out};
-use super::run::{Due, Role, Stand, Talk};
+use super::peers::Talk;
+use super::run::{Due, Role, Stand};
 use super::spec::Notice;
 use crate::Micros;
 use crate::ledger::{DiscoveryEvent, Listed, NodeNo, ServerNo};
--- a/crates/lab/src/stand/mod.rs
+++ b/crates/lab/src/stand/mod.rs
@@ -22,6 +22,7 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod acts;
 mod asked;
 mod build;
 mod clock;
@@ -33,12 +34,14 @@
 mod lag;
 mod missed;
 mod of_experiment;
+mod peers;
 mod run;
 mod scripted;
 mod server;
 mod sink;
 mod socket;
 mod spec;
+mod watch;
 mod way;
 
 pub use build::{Addresses, Finished, StandError, World};
