--- a/crates/lab/src/stand/peers.rs
+++ b/crates/lab/src/stand/peers.rs
@@ -1,7 +1,7 @@
 //! Connections: taken at doors, read, handed to their party, written, closed, and cut or healed as the network has it.
 
 use super::conn::{Came, Conn, In, Life, Mark, Out, Wrote};
-use super::door::{self};
+use super::door;
 use super::run::{Due, Role, Stand};
 use super::server::Flows;
 use super::socket::Socket;
