Merge the lab's stand-ins; the node's tests run on them

Need: servers, origin and discovery that fail as real ones do, on loopback, from one seed. Change: crates/lab/src/stand drives the model's machines by sockets on one loop; tests/node.rs runs on them and tests/toy is gone; the lab's files, ledgers, checks and reports come with it.

--- a/crates/lab/src/ledger/client.rs
+++ b/crates/lab/src/ledger/client.rs
@@ -19,8 +19,10 @@
     /// When the first try was due: aims count from here.
     pub first_due: Micros,
     /// The key's number.
+    #[serde(with = "super::hex")]
     pub key: u64,
     /// The idempotency key of a keyed write; 0 for none.
+    #[serde(with = "super::hex")]
     pub idem: u64,
     /// How long the client waits, from when the last byte of the request is written (`d` on the wire).
     pub patience_us: u32,
@@ -30,7 +32,7 @@
     pub class: ClassNo,
     /// The load that it is of.
     pub load: LoadNo,
-    /// The node that it was meant for. For a simple policy, always 0.
+    /// The node that it went to, the last one if it was sent once more. For a simple policy, always 0.
     pub node: NodeNo,
     /// What kind of try it is.
     pub flags: TryFlags,
@@ -120,7 +122,10 @@
         /// For `busy MS`: come again after this long (ms).
         retry_ms: u16,
         /// Digest of the value or receipt ([`digest`](crate::ledger::digest)); 0 without.
+        #[serde(with = "super::hex")]
         digest: u64,
+        /// The bytes say of themselves that they were made for this key and this try; true where there are none.
+        fits: bool,
     },
     /// An answer was begun and not finished, or cannot be read: the client can tell that it is not whole.
     Broken {
@@ -169,6 +174,13 @@
         /// The connection.
         conn: ConnNo,
     },
+    /// A bad client was answered as though its request had run.
+    BadServed {
+        /// The connection.
+        conn: ConnNo,
+        /// The other client's id that it used; [`ReqId::NONE`] if it used none.
+        borrowed: ReqId,
+    },
 }
 
 impl ClientEvent {
@@ -195,7 +207,8 @@
             | Self::Closed { conn, .. }
             | Self::Unasked { conn, .. }
             | Self::BadSent { conn, .. }
-            | Self::BadError { conn, .. } => Some(conn),
+            | Self::BadError { conn, .. }
+            | Self::BadServed { conn, .. } => Some(conn),
             Self::ConnectFailed { .. } | Self::GivenUp { .. } => None,
         }
     }
--- a/crates/lab/src/ledger/node.rs
+++ b/crates/lab/src/ledger/node.rs
@@ -19,7 +19,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "kebab-case")]
 pub enum DiscoveryEvent {
-    /// Its list changed: from now on it has this to tell.
+    /// Its list changed: from now on it has this to tell. Also when a server is listed as up with a new start. While
+    /// a fault has it tell an old list, nothing changes until that ends.
     Changed {
         /// The server.
         server: ServerNo,
@@ -44,8 +45,8 @@
     Called {
         /// The node.
         node: NodeNo,
-        /// A watch; else the whole list.
-        watch: bool,
+        /// How long it may wait for a change (ms); 0 where the whole list is asked for.
+        hold_ms: u32,
     },
     /// A call ended in an error or a break.
     Failed {
--- a/tests/toy/mod.rs
+++ b/tests/harness/mod.rs
@@ -1,11 +1,15 @@
-//! The shared helper of the node's tests: the real program between toy members, origin and discovery.
+//! The shared helper of the node's tests: the real program between stand-ins of members, origin and discovery.
 
+use lapisrudder_lab::ledger::{ServerEvent, ServerNo};
+use lapisrudder_lab::stand::{Books, Clock, Notice, Reply, Scripted, ServerSpec, Spec, World};
+use lapisrudder_model::server::{Class, Dist};
+use lapisrudder_model::value::{Key, Maker, RequestId, Uid, check};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::{Arc, Mutex, atomic::AtomicUsize, atomic::Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longer than anything here takes, on any machine.
 pub const WIDE: Duration = Duration::from_secs(60);
@@ -18,110 +22,118 @@
 "slo-s":1.5,"window-s":10.0,"worth":15.0}],"rules":{"ask-within-s":10.0,"cold-s":24.0,"drain-grace-s":0.5,
 "fall-s":2.0,"start-capacity":0.13,"tip-multiple":3.0}}"#;
 
-/// One request as a toy server got it: its head, up to the empty line where it is HTTP.
-pub fn read_request(from: &mut impl BufRead) -> Option<String> {
-    let mut head = String::new();
-    from.read_line(&mut head).ok().filter(|n| *n > 0)?;
-    if head.starts_with("GET ") || head.starts_with("PUT ") {
-        while !head.ends_with("\r\n\r\n") {
-            from.read_line(&mut head).ok().filter(|n| *n > 0)?;
-        }
-        let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: "));
-        let mut body = vec![0; length.map_or(0, |l| l.parse().expect("a length"))];
-        from.read_exact(&mut body).ok()?;
-        head.push_str(&String::from_utf8_lossy(&body));
-    }
-    Some(head)
-}
-
-/// A toy server. What `answer` gives for a request is written; `None` stays silent.
-pub fn server(answer: impl Fn(&str) -> Option<String> + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let answer = Arc::new(answer);
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let answer = answer.clone();
-            thread::spawn(move || {
-                let mut reader = BufReader::new(&stream);
-                while let Some(request) = read_request(&mut reader) {
-                    let bytes = answer(&request).unwrap_or_default();
-                    if (&stream).write_all(bytes.as_bytes()).is_err() {
-                        break;
-                    }
-                }
-            });
-        }
-    });
-    address
+/// A world with these cache servers, warm and quick, and no origin.
+pub fn spec(servers: &[&str]) -> Spec {
+    let class = Class { work: Dist::Fixed(100.0), ..Class::default() };
+    let server = |uid: &&str| {
+        let mut server = ServerSpec::new(uid, 0);
+        server.config.machine.classes = vec![class.clone(); 2];
+        server
+    };
+    let servers = servers.iter().map(server).collect();
+    let mut spec = Spec { zones: vec!["z".into()], servers, origin: None, ..Spec::default() };
+    spec.discovery.notice = Notice { gone: 0, silent: 0, started: 0 };
+    spec
 }
 
-pub fn http(body: &str) -> Option<String> {
-    Some(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+/// Starts a world whose servers hold the key of each id that is asked for by [`Client::read`].
+pub fn world(spec: Spec, ids: impl Iterator<Item = String>) -> World<Books> {
+    let servers: Vec<String> = spec.servers.iter().map(|server| server.uid.clone()).collect();
+    let world = World::start(spec, Clock::default(), Books::default(), 1).expect("a world");
+    let keys: Vec<Key> = ids.map(|id| Key::of(format!("k{id}").as_bytes())).collect();
+    for server in servers {
+        world.control().fill(no(&world, &server), keys.clone()).expect("filled");
+    }
+    world
 }
 
-/// The word of a memcache command that begins with this letter, without it.
-pub fn flag(command: &str, letter: char) -> &str {
-    command.split_whitespace().skip(2).find_map(|w| w.strip_prefix(letter)).unwrap_or_default()
+/// Ids from 0 up.
+pub fn ids(count: usize) -> impl Iterator<Item = String> {
+    (0..count).map(|id| id.to_string())
 }
 
-/// A cache server that holds every key; its values name it and the request's id.
-pub fn holder(name: &'static str, asked: Arc<AtomicUsize>) -> SocketAddr {
-    server(move |command| {
-        asked.fetch_add(1, Ordering::SeqCst);
-        let (id, value) = (flag(command, 'O'), format!("{name}:{}", flag(command, 'O')));
-        Some(format!("VA {} O{id} h1\r\n{value}\r\n", value.len()))
-    })
+pub fn no(world: &World<Books>, uid: &str) -> ServerNo {
+    world.server(uid).expect("a server of that name")
 }
 
-pub fn entry(uid: &str, at: SocketAddr, model: &str, state: &str) -> String {
-    format!(
-        r#"{{"uid":"{uid}","endpoint":"{at}","az":"z","model":"{model}","pod_group":0,"state":"{state}"}}"#
-    )
+/// How many requests have come to a server.
+pub fn asked(world: &World<Books>, uid: &str) -> usize {
+    let no = no(world, uid);
+    let came = |e: &ServerEvent| matches!(e, ServerEvent::LastByte { server, .. } if *server == no);
+    world.look(|books| books.servers.records().iter().filter(|r| came(&r.event)).count()).expect("books")
 }
 
-/// Discovery. A watch waits until the text set here is another than the last that was sent.
-#[derive(Clone, Default)]
-pub struct List(Arc<Mutex<(u64, String)>>, Arc<AtomicUsize>);
+/// Waits for what comes to pass.
+pub fn until(mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < WIDE, "it does not come to pass");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
 
-impl List {
-    /// The answer to the next call.
-    pub fn set(&self, text: impl FnOnce(u64) -> String) {
-        let mut list = self.0.lock().expect("a lock");
-        list.0 += 1;
-        list.1 = text(list.0);
+pub fn http(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Discovery that tells any text.
+pub struct List {
+    peer: Scripted,
+    shared: Arc<Mutex<Texts>>,
+}
+
+#[derive(Default)]
+struct Texts {
+    next: Option<String>,
+    /// A call that waits for the next text.
+    waits: Option<Reply>,
+}
+
+impl Texts {
+    fn send(&mut self) {
+        if let Some(reply) = self.waits.take() {
+            match self.next.take() {
+                Some(text) => reply.send(http(&text)),
+                None => self.waits = Some(reply),
+            }
+        }
     }
+}
 
-    pub fn entries(&self, entries: &[String]) {
-        self.set(|rev| format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, entries.join(",")));
+impl List {
+    pub fn start(first: &str) -> List {
+        let shared: Arc<Mutex<Texts>> = Arc::default();
+        shared.lock().expect("a lock").next = Some(first.into());
+        let theirs = shared.clone();
+        let peer = Scripted::start(move |_, reply| {
+            let mut texts = theirs.lock().expect("a lock");
+            texts.waits = Some(reply);
+            texts.send();
+        });
+        List { peer: peer.expect("a peer"), shared }
     }
 
-    /// Waits until discovery has sent what was set last.
-    pub fn told(&self) {
-        while self.0.lock().expect("a lock").0 as usize != self.1.load(Ordering::SeqCst) {
-            thread::sleep(Duration::from_millis(5));
+    /// Answers the next call with it, and waits until that has been asked for again.
+    pub fn tell(&self, text: &str) {
+        {
+            let mut texts = self.shared.lock().expect("a lock");
+            texts.next = Some(text.into());
+            texts.send();
         }
+        until(|| {
+            let texts = self.shared.lock().expect("a lock");
+            texts.next.is_none() && texts.waits.is_some()
+        });
     }
 
-    pub fn serve(self) -> SocketAddr {
-        let sent = self.1.clone();
-        server(move |_| {
-            for _ in 0..200 {
-                let list = self.0.lock().expect("a lock").clone();
-                if list.0 as usize != sent.swap(list.0 as usize, Ordering::SeqCst) {
-                    return http(&list.1);
-                }
-                thread::sleep(Duration::from_millis(10));
-            }
-            http(&format!(r#"{{"rev":{},"all":false,"targets":[]}}"#, sent.load(Ordering::SeqCst)))
-        })
+    pub fn address(&self) -> SocketAddr {
+        self.peer.address()
     }
 }
 
 pub struct Node {
     pub child: Child,
     pub address: SocketAddr,
-    pub list: List,
     config: String,
     _output: BufReader<ChildStdout>,
 }
@@ -139,15 +151,17 @@
 }
 
 impl Node {
-    /// Starts a node that discovery tells of these entries.
-    pub fn start(entries: &[String]) -> Node {
-        Node::limited(entries, 1024)
+    /// Starts a node in a world.
+    pub fn start(world: &World<Books>) -> Node {
+        Node::limited(world, 1024)
+    }
+
+    pub fn limited(world: &World<Books>, sockets: u32) -> Node {
+        Node::told_by(world.addresses().discovery(0).expect("discovery"), sockets)
     }
 
-    pub fn limited(entries: &[String], sockets: u32) -> Node {
-        let list = List::default();
-        list.entries(entries);
-        let discovery = list.clone().serve();
+    /// Starts a node that asks for its list there.
+    pub fn told_by(discovery: SocketAddr, sockets: u32) -> Node {
         let config = format!(
             r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{SETTINGS}}}"#
         );
@@ -159,7 +173,7 @@
         let mut line = String::new();
         output.read_line(&mut line).expect("a line");
         let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-        let node = Node { child, address, list, config, _output: output };
+        let node = Node { child, address, config, _output: output };
         assert_eq!(node.client().ask("mn\r\n"), "MN\r\n");
         node
     }
@@ -216,7 +230,8 @@
         thread::spawn(move || stream.write_all(text.as_bytes()));
     }
 
-    /// One answer, its value behind its line; nothing at the end of the stream.
+    /// One answer; nothing at the end of the stream. A value that a stand-in made for this very request is told by its
+    /// maker ([`by`]), any other stands behind its line.
     pub fn answer(&mut self) -> String {
         self.try_answer().expect("an answer in time")
     }
@@ -228,7 +243,11 @@
             let length: usize = line.split(' ').nth(1).and_then(|l| l.parse().ok()).expect("a length");
             let mut value = vec![0; length + 2];
             self.0.read_exact(&mut value)?;
-            line.push_str(&String::from_utf8_lossy(&value));
+            let id = line.split_whitespace().find_map(|w| w.strip_prefix('O')).unwrap_or_default();
+            match maker(&value[..length], id) {
+                Some(uid) => return Ok(by(uid, id)),
+                None => line.push_str(&String::from_utf8_lossy(&value)),
+            }
         }
         Ok(line)
     }
@@ -248,3 +267,16 @@
         self.ask(&format!("mg k{id} v O{id} Pc=read,d={wait_ms}\r\n"))
     }
 }
+
+/// The answer that a server of that name made for a read of that id.
+pub fn by(uid: &str, id: &str) -> String {
+    format!("value of {uid} for {id}")
+}
+
+/// Who made a value, if every byte of it is as that server made it for this request and the key of [`Client::read`].
+fn maker(value: &[u8], id: &str) -> Option<&'static str> {
+    let made = check(value, Key::of(format!("k{id}").as_bytes())).ok()?;
+    let names = ["a", "b", "bad", "c", "good", "gone"].into_iter();
+    let named = |name: &&str| made.maker == Maker::Cache(Uid::of(name.as_bytes()));
+    names.filter(|_| made.request == Some(RequestId::of(id.as_bytes()))).find(named)
+}
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,15 +1,15 @@
 //! Who gets in and who keeps room, on real sockets. What decides is tested in `crates/limits`.
 
 #[allow(dead_code)]
-mod toy;
+mod harness;
 
+use harness::*;
+use lapisrudder_lab::stand::{Scripted, member};
 use std::collections::VecDeque;
 use std::io::ErrorKind;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
-use toy::*;
 
 const FLOODER: [u8; 4] = [127, 0, 0, 66];
 
@@ -52,7 +52,11 @@
 
 #[test]
 fn a_flood_from_one_address_keeps_nobody_else_out_and_gets_what_is_left() {
-    let node = Node::limited(&[entry("c", holder("c", Arc::default()), "cache", "up")], 160);
+    let holder = Scripted::answering(|asked| Some(format!("VA 4 O{} h1\r\nhere\r\n", asked.id))).unwrap();
+    let mut spec = spec(&[]);
+    spec.discovery.plan.members = vec![member("c", &holder.address().to_string(), "cache", "z")];
+    let world = world(spec, ids(0));
+    let node = Node::limited(&world, 160);
     let calm = median(usual(&node, 1, 60));
     let over = AtomicBool::new(false);
     let (connects, served) = (AtomicUsize::new(0), AtomicUsize::new(0));
@@ -87,36 +91,27 @@
 
 #[test]
 fn all_in_flight_are_answered_though_descriptors_run_out_and_all_is_well_afterwards() {
-    let released = Arc::new(AtomicBool::new(false));
-    let (asked, release) = (Arc::new(AtomicUsize::new(0)), released.clone());
-    let count = asked.clone();
-    let cache = server(move |command| {
-        count.fetch_add(1, Ordering::SeqCst);
-        while !release.load(Ordering::SeqCst) {
-            thread::sleep(Duration::from_millis(2));
-        }
-        Some(format!("VA 4 O{} h1\r\nlate\r\n", flag(command, 'O')))
-    });
-    let node = Node::limited(&[entry("c", cache, "cache", "up")], 96);
+    let held = (0..20).flat_map(|c| (0..8).map(move |n| format!("{c}x{n}")));
+    let world = world(spec(&["c"]), held.chain(ids(40)));
+    let (c, control) = (no(&world, "c"), world.control());
+    let node = Node::limited(&world, 96);
+    control.pause(c, 60_000_000).unwrap();
     // Eight requests in flight on each of twenty connections.
     let mut clients: Vec<Client> = (0..20).map(|_| node.client()).collect();
     for (c, client) in clients.iter_mut().enumerate() {
         client
             .send(&(0..8).map(|n| format!("mg k{c}x{n} v O{c}x{n} Pc=read,d=60000\r\n")).collect::<String>());
     }
-    while asked.load(Ordering::SeqCst) == 0 {
-        thread::yield_now();
-    }
+    until(|| asked(&world, "c") > 0);
     // Far more connects than there are descriptors; those that get in or are told so are usual too.
     let mut crowd: Vec<Client> =
         (0..300).filter_map(|n| node.client_from([127, 0, 3, n as u8]).ok()).collect();
     crowd.iter_mut().for_each(|c| _ = c.try_send("mn\r\n"));
-    released.store(true, Ordering::SeqCst);
+    control.pause(c, 0).unwrap();
     for (c, client) in clients.iter_mut().enumerate() {
         for n in 0..8 {
             let answer = client.answer();
-            let whole =
-                answer.starts_with(&format!("VA 4 O{c}x{n}\r\n")) || answer.starts_with("SERVER_ERROR ");
+            let whole = answer == by("c", &format!("{c}x{n}")) || answer.starts_with("SERVER_ERROR ");
             assert!(whole, "{c} {n}: {answer:?}");
         }
     }
