Name faults, bad clients and spoilt answers as the model does

Need: the stand-ins and the simulator carry experiment files out with the model's machines; what one can say and the other cannot do would be lost on the way. Change: bad clients' 14 kinds and 12 ways of spoiling take the model's names; faults swallow, full-table, lag, kinds of outage and of connects that fail; value lengths and changes move to the origin, keys gain fresh ones and a space. Measured: each of 27 kinds of fault parses on the parties that it can be on, is refused on others, and is on the reference page; the program's check ends with status 0 or with one line and 2.

--- a/crates/lab/src/experiment/check.rs
+++ b/crates/lab/src/experiment/check.rs
@@ -117,6 +117,9 @@
     let o = &w.origin;
     let key = |k: &str| format!("world.origin.{k}");
     zone(&key("zone"), o.zone.as_deref(), w)?;
+    ensure((64..=65_536).contains(&o.value_bytes), &key("value_bytes"), "must be 64 to 65536")?;
+    within(&key("value_sigma"), o.value_sigma, 0.0, 4.0)?;
+    share(&key("changes_per_s"), o.changes_per_s)?;
     within(&key("capacity_per_s"), o.capacity_per_s, 0.1, 1e6)?;
     within(&key("time_ms"), o.time_ms, 0.01, 60_000.0)?;
     within(&key("sigma"), o.sigma, 0.0, 4.0)?;
@@ -159,6 +162,7 @@
         within(&key("thrash_at"), s.thrash_at, 0.0, 100_000.0)?;
         within(&key("cold_from"), s.cold_from, 0.001, 1.0)?;
         within(&key("cold_s"), s.cold_s, 0.0, 3600.0)?;
+        within(&key("warm_work_s"), s.warm_work_s, 0.001, 3600.0)?;
         within(&key("memory_mb"), s.memory_mb, 0.0, 1_048_576.0)?;
         within(&key("ttl_s"), s.ttl_s, 0.0, 1e9)?;
         within(&key("pauses.every_s"), s.pauses.every_s, 0.0, 1e6)?;
@@ -254,11 +258,9 @@
     let k = &l.keys;
     ensure(k.count >= 1, &key("keys.count"), "must be at least 1")?;
     within(&key("keys.zipf"), k.zipf, 0.0, 5.0)?;
-    within(&key("keys.offset"), k.offset, 0.0, 1e9)?;
     share(&key("keys.drift_per_s"), k.drift_per_s)?;
-    share(&key("keys.changes_per_s"), k.changes_per_s)?;
-    within(&key("keys.value_sigma"), k.value_sigma, 0.0, 4.0)?;
-    ensure((1..=65_536).contains(&k.value_bytes), &key("keys.value_bytes"), "must be 1 to 65536")?;
+    share(&key("keys.fresh"), k.fresh)?;
+    ensure(k.space < 16_384, &key("keys.space"), "must be under 16384")?;
     ensure((1..=250).contains(&l.sources), &key("sources"), "must be 1 to 250")?;
     ensure(
         l.node_skew.is_empty() || l.node_skew.len() == e.world.nodes.count,
--- a/crates/lab/src/experiment/check_fault.rs
+++ b/crates/lab/src/experiment/check_fault.rs
@@ -72,7 +72,7 @@
             within(&key("every_s"), *every_s, 0.001, 3600.0)
         }
         What::Slow { times } => within(&key("times"), *times, 1.0, 10_000.0),
-        What::Errors { rate } => share(&key("rate"), *rate),
+        What::Errors { rate } | What::Swallow { rate } => share(&key("rate"), *rate),
         What::Spoil { rate, .. } => share(&key("rate"), *rate),
         What::Drain { drain_s, .. } => within(&key("drain_s"), *drain_s, 0.0, 600.0),
         What::Flush { share: s } => share(&key("share"), *s),
@@ -81,6 +81,8 @@
             within(&key("ms"), *ms, 0.0, 60_000.0)?;
             within(&key("jitter"), *jitter, 0.0, 5.0)
         }
+        What::Lag { s } => within(&key("s"), *s, 0.0, 3600.0),
+        What::LoseConnects { share: s } => share(&key("share"), *s),
         What::Resets { per_s } => within(&key("per_s"), *per_s, 0.0, 1000.0),
         What::ShortWrites { bytes } => {
             ensure((1..=65_536).contains(bytes), &key("bytes"), "must be 1 to 65536")
@@ -98,10 +100,12 @@
         }
         What::Kill { .. }
         | What::Vanish
-        | What::Refuse
-        | What::Outage
+        | What::FullTable
+        | What::Outage { .. }
         | What::Stale
-        | What::Cut
+        | What::Cut { .. }
+        | What::RefuseConnects
+        | What::ResetConnects
         | What::Term
         | What::Hup(_) => Ok(()),
     }
--- a/crates/lab/src/experiment/fault.rs
+++ b/crates/lab/src/experiment/fault.rs
@@ -205,12 +205,26 @@
         /// Share of the keys.
         share: f64,
     },
-    /// Servers, origin: new connections are refused.
-    Refuse,
-    /// Origin, discovery: answers 503 to everything.
-    Outage,
+    /// Servers, origin: this share of requests is carried out and never answered.
+    Swallow {
+        /// Share.
+        rate: f64,
+    },
+    /// Servers, origin: no new connection is taken, as if the table were full.
+    FullTable,
+    /// Discovery: is down.
+    Outage {
+        /// How calls end.
+        #[serde(default)]
+        how: OutageHow,
+    },
     /// Discovery: goes on telling what it knew when this began.
     Stale,
+    /// Discovery: tells what it knew so long ago.
+    Lag {
+        /// How long (seconds).
+        s: f64,
+    },
     /// Discovery: moves to another address. Nodes get a changed file and SIGHUP; the old address takes no new
     /// connection and closes the open ones after `close_s`.
     Move {
@@ -226,7 +240,20 @@
         jitter: f64,
     },
     /// Network: silent. What is open stays open, new connects never come up.
-    Cut,
+    Cut {
+        /// What becomes of open connections when it ends.
+        #[serde(default)]
+        heal: Heal,
+    },
+    /// Network: new connections are refused.
+    RefuseConnects,
+    /// Network: new connections are reset as soon as they are up.
+    ResetConnects,
+    /// Network: this share of the new connections never comes up.
+    LoseConnects {
+        /// Share; 1 for all.
+        share: f64,
+    },
     /// Network: this share of open connections is reset in each second.
     Resets {
         /// Share.
@@ -285,12 +312,17 @@
             What::Kill { .. } => "kill",
             What::Vanish => "vanish",
             What::Flush { .. } => "flush",
-            What::Refuse => "refuse",
-            What::Outage => "outage",
+            What::Swallow { .. } => "swallow",
+            What::FullTable => "full-table",
+            What::Outage { .. } => "outage",
             What::Stale => "stale",
+            What::Lag { .. } => "lag",
             What::Move { .. } => "move",
             What::Delay { .. } => "delay",
-            What::Cut => "cut",
+            What::Cut { .. } => "cut",
+            What::RefuseConnects => "refuse-connects",
+            What::ResetConnects => "reset-connects",
+            What::LoseConnects { .. } => "lose-connects",
             What::Resets { .. } => "resets",
             What::ShortWrites { .. } => "short-writes",
             What::Surge { .. } => "surge",
@@ -305,15 +337,22 @@
     /// On whom it can be, as [`Who::name`] has it.
     pub fn parties(&self) -> &'static [&'static str] {
         match self {
-            What::Pauses { .. } | What::Errors { .. } | What::Spoil { .. } | What::Refuse => {
-                &["servers", "origin"]
-            }
+            What::Pauses { .. }
+            | What::Errors { .. }
+            | What::Spoil { .. }
+            | What::Swallow { .. }
+            | What::FullTable => &["servers", "origin"],
             What::Slow { .. } => &["servers", "origin", "discovery"],
             What::Kill { .. } => &["servers", "origin", "discovery", "nodes"],
             What::Drain { .. } | What::Vanish | What::Flush { .. } => &["servers"],
-            What::Outage => &["origin", "discovery"],
-            What::Stale | What::Move { .. } => &["discovery"],
-            What::Delay { .. } | What::Cut | What::Resets { .. } | What::ShortWrites { .. } => &["network"],
+            What::Outage { .. } | What::Stale | What::Lag { .. } | What::Move { .. } => &["discovery"],
+            What::Delay { .. }
+            | What::Cut { .. }
+            | What::RefuseConnects
+            | What::ResetConnects
+            | What::LoseConnects { .. }
+            | What::Resets { .. }
+            | What::ShortWrites { .. } => &["network"],
             What::Surge { .. } | What::HotCaller { .. } | What::Flood { .. } | What::SlowReaders { .. } => {
                 &["clients"]
             }
@@ -346,24 +385,58 @@
     pub broken: bool,
 }
 
-/// How an answer is spoilt.
+/// How calls end while discovery is down.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OutageHow {
+    /// With 503.
+    #[default]
+    Unavailable,
+    /// With a reset.
+    Reset,
+    /// Not at all until it is back; then with a reset.
+    Silent,
+}
+
+/// What becomes of open connections when a cut ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Heal {
+    /// What was sent meanwhile arrives after all, as TCP sends again.
+    #[default]
+    Resend,
+    /// Where something was sent meanwhile, nothing is ever heard again.
+    Silent,
+    /// What is sent on them is answered by a reset.
+    Reset,
+}
+
+/// How an answer is spoilt, or what comes with it; the names are those of the model's `Noise`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Spoil {
-    /// Noise in place of an answer.
-    Noise,
-    /// A line without end.
+    /// Random bytes in the place of the answer.
+    Garbage,
+    /// A line that cannot be read.
+    BadLine,
+    /// A line that does not end.
     EndlessLine,
-    /// A length that does not fit.
-    BadLength,
+    /// A length that does not fit what follows.
+    WrongLength,
     /// A value said to have 3 GB that keeps coming.
-    HugeValue,
+    Huge,
     /// The id of another request.
     OtherId,
-    /// A good answer twice.
-    Twice,
-    /// A good answer with noise behind it.
+    /// A good head and another value's bytes.
+    OtherValue,
+    /// Part of the answer, then the end of the connection.
+    Cut,
+    /// A good answer with interim lines (1xx) ahead.
+    Interim,
+    /// A good answer with a load report that cannot be read.
+    BadReport,
+    /// A good answer and a second copy of it, if nothing else waits on the connection.
+    SecondCopy,
+    /// A good answer with noise right behind, if nothing else waits on the connection.
     NoiseBehind,
-    /// Cut off in the middle.
-    CutOff,
 }
--- a/crates/lab/src/experiment/load.rs
+++ b/crates/lab/src/experiment/load.rs
@@ -20,7 +20,7 @@
     /// Class names with their shares; the classes' own shares if empty.
     #[serde(default)]
     pub mix: BTreeMap<String, f64>,
-    /// Which keys, and how large their values are.
+    /// Which keys.
     #[serde(default)]
     pub keys: Keys,
     /// Client addresses on loopback that the connections come from.
@@ -93,40 +93,25 @@
     }
 }
 
-/// Keys and their values.
+/// Keys.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Keys {
-    /// How many there are.
-    pub count: u64,
+    /// How many there are at one time.
+    pub count: u32,
     /// Exponent of the Zipf law of their popularity; 0 means all alike.
     pub zipf: f64,
-    /// Added to a key's rank in the law: a larger one flattens the head.
-    pub offset: f64,
-    /// Share of the popularity that moves on to other keys each second.
+    /// Share of the ranks that go to a key never seen before each second.
     pub drift_per_s: f64,
-    /// First number of the keys, so that two loads share keys or do not.
-    pub first: u64,
-    /// Median length of a value (bytes).
-    pub value_bytes: u32,
-    /// Sigma of the log-normal length.
-    pub value_sigma: f64,
-    /// Share of keys that change at the origin each second.
-    pub changes_per_s: f64,
+    /// Share of the requests for a key that is asked for only once.
+    pub fresh: f64,
+    /// Loads with the same number ask for the same keys.
+    pub space: u16,
 }
 
 impl Default for Keys {
     fn default() -> Self {
-        Self {
-            count: 20_000,
-            zipf: 0.9,
-            offset: 4.0,
-            drift_per_s: 0.0,
-            first: 0,
-            value_bytes: 1024,
-            value_sigma: 0.6,
-            changes_per_s: 0.0,
-        }
+        Self { count: 20_000, zipf: 0.9, drift_per_s: 0.0, fresh: 0.0, space: 0 }
     }
 }
 
@@ -208,28 +193,36 @@
     pub connections: u32,
 }
 
-/// What a bad client does.
+/// What a bad client does; the names are those of the model's `BadKind`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum BadKind {
-    /// Bytes that cannot be read.
+    /// Bytes that are no command.
     Noise,
-    /// A line without end.
+    /// A line that does not end.
     EndlessLine,
-    /// A length that is wrong, negative or huge.
-    BadLength,
-    /// A value of 60 MB.
+    /// A value of another length than stated.
+    WrongLength,
+    /// A negative length.
+    NegativeLength,
+    /// A length beyond any number, or one that is none.
+    HugeLength,
+    /// A value of 60 MB, sent whole.
     HugeValue,
-    /// A class that does not exist, a deadline that is no number, or no id.
-    BadFields,
+    /// A class that does not exist.
+    NoClass,
+    /// A deadline that is no number.
+    BadDeadline,
+    /// No id.
+    NoId,
     /// The id of another client's open request.
-    StolenId,
-    /// Half a command, then the end.
-    HalfCommand,
+    ForeignId,
+    /// Half a command, then a close.
+    Half,
     /// Hundreds of commands at once.
-    ManyAtOnce,
-    /// The same again as soon as it is turned away.
-    Hammer,
-    /// Nothing at all.
+    Burst,
+    /// Something that cannot be used, and the same again as soon as it is turned away.
+    Again,
+    /// Says nothing, and connects by hundreds.
     Silent,
 }
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -18,7 +18,9 @@
 
 pub use class::{Class, Effect, Group, Spread};
 pub use error::FileError;
-pub use fault::{Fault, Pick, RandomTimes, SeenMetric, Side, SignalSet, Spoil, What, When, Who};
+pub use fault::{
+    Fault, Heal, OutageHow, Pick, RandomTimes, SeenMetric, Side, SignalSet, Spoil, What, When, Who,
+};
 pub use file::{ExperimentFile, Point};
 pub use hold::{Better, Condition, Metric, Op};
 pub use load::{BadClient, BadKind, Connections, Habit, Keys, Load, Rate, Retries};
--- a/crates/lab/src/experiment/world.rs
+++ b/crates/lab/src/experiment/world.rs
@@ -103,6 +103,8 @@
     pub cold_s: f64,
     /// What warms it.
     pub warm_by: WarmBy,
+    /// Work that warms it whole, in seconds of its full capacity (where requests do).
+    pub warm_work_s: f64,
     /// Memory for values (MiB).
     pub memory_mb: f64,
     /// Holds, when the run begins, what it would have been asked for lately; else it begins empty. Either way it begins
@@ -142,6 +144,7 @@
             cold_from: 0.25,
             cold_s: 12.0,
             warm_by: WarmBy::Requests,
+            warm_work_s: 4.0,
             memory_mb: 1.5,
             filled: true,
             evict: Eviction::Lru,
@@ -248,6 +251,12 @@
 pub struct Origin {
     /// Its zone; the first one if not named.
     pub zone: Option<String>,
+    /// Median length of a value (bytes).
+    pub value_bytes: u32,
+    /// Sigma of the log-normal length.
+    pub value_sigma: f64,
+    /// Share of the keys whose objects change by themselves each second.
+    pub changes_per_s: f64,
     /// Fetches that it can do in a second when not crowded.
     pub capacity_per_s: f64,
     /// Mean time of one fetch alone (ms).
@@ -278,6 +287,9 @@
     fn default() -> Self {
         Self {
             zone: None,
+            value_bytes: 1024,
+            value_sigma: 0.6,
+            changes_per_s: 0.0,
             capacity_per_s: 300.0,
             time_ms: 25.0,
             sigma: 0.4,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,10 @@
 //!
 //! - [`experiment`]: files in TOML to checked, documented types; a seed to the same plan of faults each time.
 //! - [`ledger`]: append-only records of clients, servers, origin, discovery and nodes, with times.
+//! - [`check`]: the rules that a node must keep, over the ledgers of both ends.
+//! - [`stats`]: figures, a row a second, verdicts: [`stats::judge`] takes ledgers and gives a result.
+//! - [`compare`]: two sides on the same seeds, with a confidence interval.
+//! - [`report`]: results as JSON lines, and one page from them.
 //!
 //! Nothing in these modules opens a socket, reads a clock or starts a thread, so that real-time runs and runs on a
 //! virtual clock share them.
--- a/crates/lab/tests/experiment_files.rs
+++ b/crates/lab/tests/experiment_files.rs
@@ -3,6 +3,7 @@
 use lapisrudder_lab::experiment::{ExperimentFile, Metric, schedule};
 use std::fs;
 use std::path::Path;
+use std::process::Command;
 use toml::{Table, Value};
 
 const GOOD: &str = r#"question = "Does it hold?"
@@ -233,6 +234,92 @@
     }
 }
 
+/// One fault of each kind, on each party that it can be on: all parse, and the reference has them.
+#[test]
+fn every_kind_of_fault_can_be_written_and_is_in_the_reference() {
+    let kinds = [
+        "{ pauses = { ms = 300, every_s = 1 } }",
+        "{ slow = { times = 3 } }",
+        "{ errors = { rate = 0.1 } }",
+        "{ spoil = { rate = 0.1, ways = ['garbage', 'bad-line', 'endless-line', 'wrong-length', 'huge', 'other-id', \
+         'other-value', 'cut', 'interim', 'bad-report', 'second-copy', 'noise-behind'] } }",
+        "{ swallow = { rate = 0.1 } }",
+        "'full-table'",
+        "{ drain = { drain_s = 2, new_ids = true } }",
+        "{ kill = {} }",
+        "'vanish'",
+        "{ flush = { share = 0.5 } }",
+        "{ outage = { how = 'silent' } }",
+        "'stale'",
+        "{ lag = { s = 5 } }",
+        "{ move = { close_s = 1.5 } }",
+        "{ delay = { ms = 5 } }",
+        "{ cut = { heal = 'reset' } }",
+        "'refuse-connects'",
+        "'reset-connects'",
+        "{ lose-connects = { share = 0.5 } }",
+        "{ resets = { per_s = 0.1 } }",
+        "{ short-writes = { bytes = 1 } }",
+        "{ surge = { times = 2 } }",
+        "{ hot-caller = { share = 0.5, keys = 3 } }",
+        "{ flood = { kind = 'silent', per_s = 100 } }",
+        "{ slow-readers = { bytes_per_s = 100, share = 0.5 } }",
+        "'term'",
+        "{ hup = { set = { discovery = '127.0.0.1:1' } } }",
+    ];
+    let parties = [
+        ("servers", "{ servers = { share = 0.3 } }"),
+        ("origin", "'origin'"),
+        ("discovery", "'discovery'"),
+        ("network", "{ network = { from = { nodes = {} }, to = { servers = { zone = 'a' } } } }"),
+        ("clients", "{ clients = { load = 'usual' } }"),
+        ("nodes", "{ nodes = { names = ['n0'] } }"),
+    ];
+    let page =
+        fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operate/lab.md")).unwrap();
+    for kind in kinds {
+        for (party, who) in parties {
+            let fault = format!(
+                "[[fault]]\nname = 'f'\nwho = {who}\nwhat = {kind}\nwhen = {{ at = [5] }}\nfor_s = 5\n"
+            );
+            let parsed = ExperimentFile::parse("x.toml", &format!("{GOOD}{fault}"));
+            match parsed {
+                Ok(file) => {
+                    let fault = file.experiment.faults.last().unwrap();
+                    assert!(fault.what.parties().contains(&party), "{kind} on {party}");
+                    assert!(
+                        page.contains(&format!("`{{ {} =", fault.what.name()))
+                            || page.contains(&format!("`\"{}\"`", fault.what.name()))
+                    );
+                }
+                Err(e) => {
+                    assert!(e.text.contains("cannot be on") && e.line == Some(37), "{kind} on {party}: {e}")
+                }
+            }
+        }
+    }
+}
+
+/// The program itself: what it prints and the status it ends with.
+#[test]
+fn check_prints_what_a_run_would_be_or_one_line_of_error() {
+    let run = |args: &[&str]| {
+        let out = Command::new(env!("CARGO_BIN_EXE_lapisrudder-lab")).args(args).output().unwrap();
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (out.status.code(), text(&out.stdout), text(&out.stderr))
+    };
+    let calm = concat!(env!("CARGO_MANIFEST_DIR"), "/../../experiments/calm.toml");
+    let (status, out, err) =
+        run(&["check", calm, "--set", "load.0.rate.wave.per_s=500", "--set", "question=Why?"]);
+    assert!(status == Some(0) && err.is_empty(), "{status:?} {err}");
+    assert!(out.contains(": sound\n  Why?\n") && out.contains("at most 650 requests/s"), "{out}");
+    let (status, out, err) = run(&["check", calm, "--set", "world.nodes.count=0"]);
+    assert_eq!((status, out.as_str(), err.lines().count()), (Some(2), "", 1), "{err}");
+    assert!(err.contains("calm.toml: world.nodes.count: must be 1 to 300"), "{err}");
+    let (status, _, err) = run(&["check", "no-such-file.toml"]);
+    assert!(status == Some(2) && err.starts_with("no-such-file.toml: cannot be read"), "{status:?} {err}");
+}
+
 fn keys(table: &Table, each: &mut dyn FnMut(&str)) {
     for (key, value) in table {
         each(key);
