Add the engine crate: transactions, flows and members without sockets, as an API

The code is that of node.rs, pool_member.rs, connection.rs and deadlines.rs, less their sockets; the daemon still runs on its own copy until it is a host. New beside it: a bound on bytes held for answers that are not whole, which was the read buffer's size before.

crates/codec gets OwnedRequest: a command parsed once, with offsets, and put together from parts by fronts of other protocols.

--- a/crates/codec/src/memcache.rs
+++ b/crates/codec/src/memcache.rs
@@ -1,8 +1,10 @@
 //! The memcache meta commands: parsers over byte slices that may hold a part of a message, and writers.
 
 mod answer;
+mod owned;
 
 pub use answer::write_not_stored;
+pub use owned::{OwnedRequest, Parts};
 
 /// Bytes of a command or answer line at the most, its end included.
 pub const MAX_LINE: usize = 2048;
@@ -102,6 +104,19 @@
     std::str::from_utf8(digits).ok().filter(|_| plain)?.parse().ok()
 }
 
+/// Appends a number in digits.
+pub(crate) fn write_decimal(mut number: u64, out: &mut Vec<u8>) {
+    let (mut digits, mut at) = ([0; 20], 20);
+    loop {
+        at -= 1;
+        digits[at] = b'0' + (number % 10) as u8;
+        number /= 10;
+        if number == 0 {
+            return out.extend_from_slice(&digits[at..]);
+        }
+    }
+}
+
 /// The block of `length` bytes and a line end behind the first `from` bytes.
 fn block(buffer: &[u8], from: usize, length: usize) -> Parsed<&[u8]> {
     match buffer.get(from..from + length + 2) {
@@ -172,7 +187,8 @@
                 out.push(b',');
             }
             if pair.starts_with(b"d=") {
-                out.extend_from_slice(format!("d={wait_ms}").as_bytes());
+                out.extend_from_slice(b"d=");
+                write_decimal(wait_ms, out);
             } else {
                 out.extend_from_slice(pair);
             }
--- /dev/null
+++ b/crates/engine/src/connection.rs
@@ -0,0 +1,265 @@
+//! A connection to a pool member and the server-side flows on it, as the protocol has them: no socket.
+
+use crate::deadlines::Key;
+use crate::flow::{Flow, FlowId};
+use lapisrudder_codec::http;
+use lapisrudder_codec::memcache::{self, Answer, MAX_LINE, MAX_VALUE};
+use lapisrudder_decisions::{Micros, Outcome, ServerId};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use tracing::warn;
+
+/// Buffers larger than this are given back once empty.
+const KEPT: usize = 4 << 10;
+/// Bytes of answers that are not whole at the most. Guards memory: a peer may send on and on where nothing is due.
+const HELD: usize = 2 * (MAX_LINE + MAX_VALUE + 2);
+/// So many bytes at first are put behind a part of an answer, to see whether it is whole with them.
+const STEP: usize = 4 << 10;
+
+/// A flow on a connection. Its answer comes after those of the flows before it.
+struct Place {
+    flow: Flow,
+    /// Its bytes, of which `written` are; empty once all are.
+    bytes: Vec<u8>,
+    written: usize,
+    /// Nobody waits for it any more; its answer is read and dropped.
+    abandoned: bool,
+    /// When it was put here.
+    put: Micros,
+}
+
+pub(crate) struct Connection {
+    pub server: ServerId,
+    pub endpoint: SocketAddr,
+    pub origin: bool,
+    pub up: bool,
+    /// The time to be up by, or the end of its idle time.
+    pub deadline: Option<Key>,
+    input: Vec<u8>,
+    places: VecDeque<Place>,
+    /// It has brought an answer.
+    proven: bool,
+    /// It is to be seen to at the end of the turn.
+    pub queued: bool,
+}
+
+impl Connection {
+    pub(crate) fn new(server: ServerId, endpoint: SocketAddr, origin: bool) -> Connection {
+        Connection {
+            server,
+            endpoint,
+            origin,
+            up: false,
+            deadline: None,
+            input: Vec::new(),
+            places: VecDeque::new(),
+            proven: false,
+            queued: false,
+        }
+    }
+
+    pub(crate) fn idle(&self) -> bool {
+        self.up && self.places.is_empty()
+    }
+
+    /// The flow whose turn it is was put here before that time.
+    pub(crate) fn stalls(&self, before: Micros) -> bool {
+        self.places.front().is_some_and(|p| p.put < before)
+    }
+
+    /// Flows on it, if another may go behind them, and how long the first has been here, negated. Guards against
+    /// a connection whose answers have stopped: where one stalls, or was given up, nothing new waits.
+    pub(crate) fn load(&self, most: usize, stalled: Micros) -> Option<(usize, Micros)> {
+        let takes = self.up && self.places.len() < most && self.places.iter().all(|p| !p.abandoned);
+        let first = self.places.front().map_or(0, |p| -p.put);
+        (takes && !self.stalls(stalled)).then_some((self.places.len(), first))
+    }
+
+    pub(crate) fn carries(&self, flow: FlowId) -> bool {
+        self.places.iter().any(|p| p.flow.id == flow)
+    }
+
+    /// Nobody waits for anything on it.
+    pub(crate) fn is_useless(&self) -> bool {
+        !self.places.is_empty() && self.places.iter().all(|p| p.abandoned)
+    }
+
+    /// Puts a flow behind the others; it is written at the end of the turn.
+    pub(crate) fn put(&mut self, flow: Flow, now: Micros) {
+        let command = &flow.call.request.command;
+        let mut bytes = Vec::with_capacity(command.bytes() + 128);
+        let wait_ms = ((flow.until - now) / 1000).max(1) as u64;
+        if self.origin {
+            http::write_request(&command.get(), self.endpoint, wait_ms, &mut bytes);
+        } else {
+            command.write(wait_ms, &mut bytes);
+        }
+        self.places.push_back(Place { flow, bytes, written: 0, abandoned: false, put: now });
+    }
+
+    /// Takes off what may not begin any more: a send counts from its first byte. Gives those that somebody
+    /// still waited for.
+    pub(crate) fn drop_unbegun(&mut self, closed: bool, mut dropped: impl FnMut(FlowId)) {
+        self.places.retain(|p| {
+            let late = p.written == 0 && (closed || p.abandoned || p.flow.call.answered());
+            if late && !p.abandoned {
+                dropped(p.flow.id);
+            }
+            !late
+        });
+    }
+
+    /// Its peer has spoken on out of turn, while nothing was asked for.
+    pub(crate) fn is_stale(&self) -> bool {
+        self.is_fresh() && !self.input.is_empty()
+    }
+
+    /// What is to be written next begins a flow, and nothing is due before it. Guards against a flow that would
+    /// count as sent, and fail: the peer may have closed, or spoken out of turn, and nobody has told of it yet.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.places.front().is_some_and(|p| p.written == 0 && !p.bytes.is_empty())
+    }
+
+    /// What is to be written, in order.
+    pub(crate) fn transmit(&self) -> impl Iterator<Item = &[u8]> {
+        self.places.iter().filter_map(|p| p.bytes.get(p.written..)).filter(|rest| !rest.is_empty())
+    }
+
+    /// So many bytes of that were written.
+    pub(crate) fn transmitted(&mut self, mut bytes: usize) {
+        for place in self.places.iter_mut().filter(|p| !p.bytes.is_empty()) {
+            let taken = bytes.min(place.bytes.len() - place.written);
+            place.written += taken;
+            bytes -= taken;
+            if place.written < place.bytes.len() {
+                return;
+            }
+            place.bytes = Vec::new();
+        }
+    }
+
+    /// Takes the answers that are whole with what has come; `ended` tells that no more will. False if the connection
+    /// is of no further use. Answers are slices of `bytes`, but for one whose first part came earlier.
+    pub(crate) fn received(
+        &mut self,
+        bytes: &[u8],
+        ended: bool,
+        answered: &mut impl FnMut(&Flow, Answer),
+    ) -> bool {
+        let keep = match self.take(bytes, ended, answered) {
+            Ok(keep) => keep,
+            Err(what) => {
+                warn!(about = %self.endpoint, "an answer cannot be read: {what}");
+                return false;
+            }
+        };
+        // Guards the next flow: bytes that no flow has asked for would be taken for its answer.
+        let stray = self.places.front().is_none_or(|p| p.written == 0) && !self.input.is_empty();
+        keep && !ended && !stray && !self.is_useless()
+    }
+
+    fn take(
+        &mut self,
+        mut bytes: &[u8],
+        ended: bool,
+        answered: &mut impl FnMut(&Flow, Answer),
+    ) -> Result<bool, &'static str> {
+        let (mut keep, mut step) = (true, STEP);
+        while keep && !self.input.is_empty() && (ended || !bytes.is_empty()) {
+            let (more, behind) = bytes.split_at(step.min(bytes.len()));
+            let mut input = std::mem::take(&mut self.input);
+            let held = input.len();
+            input.extend_from_slice(more);
+            let taken;
+            (taken, keep) = self.take_answers(&input, ended && behind.is_empty(), answered)?;
+            if taken >= held {
+                bytes = &bytes[taken - held..];
+                input.clear();
+            } else {
+                bytes = behind;
+                input.drain(..taken);
+            }
+            input.shrink_to(KEPT);
+            self.input = input;
+            if self.input.len() > HELD {
+                return Err("too long");
+            }
+            if behind.is_empty() {
+                break;
+            }
+            step *= 2;
+        }
+        if keep && !bytes.is_empty() {
+            let taken;
+            (taken, keep) = self.take_answers(bytes, ended, answered)?;
+            self.input.extend_from_slice(&bytes[taken..]);
+        }
+        Ok(keep)
+    }
+
+    /// Takes whole answers off the buffer. Gives the bytes taken and whether the connection may be kept.
+    fn take_answers(
+        &mut self,
+        buffer: &[u8],
+        ended: bool,
+        answered: &mut impl FnMut(&Flow, Answer),
+    ) -> Result<(usize, bool), &'static str> {
+        let (mut taken, mut keep) = (0, true);
+        while let Some(place) = self.places.front().filter(|p| keep && p.bytes.is_empty()) {
+            let rest = &buffer[taken..];
+            let command = &place.flow.call.request.command;
+            let mut pass = |answer| {
+                if !place.abandoned {
+                    answered(&place.flow, answer);
+                }
+            };
+            taken += if self.origin {
+                let Some((response, used)) = http::parse_response(rest, ended, MAX_VALUE)? else { break };
+                keep = response.keep;
+                pass(match response.status {
+                    200 if command.is_write() && !memcache::is_receipt(&response.body) => {
+                        return Err("bad receipt");
+                    }
+                    200 if command.is_write() => Answer::Receipt { receipt: &response.body, note: None },
+                    200 => Answer::Value { value: &response.body, note: None },
+                    503 | 504 if response.declined => Answer::Busy,
+                    _ => Answer::Failed,
+                });
+                used
+            } else {
+                let Some((answer, used)) = memcache::parse_answer(rest, command.id(), command.is_write())?
+                else {
+                    break;
+                };
+                pass(answer);
+                used
+            };
+            self.proven = true;
+            self.places.pop_front();
+        }
+        Ok((taken, keep))
+    }
+
+    /// Stops waiting for a flow; true if not all of it was sent. One that has not begun leaves.
+    pub(crate) fn abandon(&mut self, flow: FlowId) -> bool {
+        let Some(i) = self.places.iter().position(|p| p.flow.id == flow) else { return false };
+        if self.places[i].written == 0 && !self.places[i].bytes.is_empty() {
+            self.places.remove(i);
+            return true;
+        }
+        self.places[i].abandoned = true;
+        !self.places[i].bytes.is_empty()
+    }
+
+    /// What becomes of the flows on a connection that is over: how they end, or that they may go on another.
+    /// They may do so once, and only where nothing of them was sent and the connection had worked before. Guards
+    /// the decisions against taking an idle connection's close for a failure of its member.
+    pub(crate) fn close(self) -> impl Iterator<Item = Result<Flow, (FlowId, Outcome)>> {
+        let proven = self.proven;
+        self.places.into_iter().filter(|p| !p.abandoned).map(move |p| match p {
+            p if p.bytes.is_empty() => Err((p.flow.id, Outcome::Broken)),
+            p if p.written == 0 && proven && !p.flow.moved => Ok(Flow { moved: true, ..p.flow }),
+            p => Err((p.flow.id, Outcome::ConnectFailed)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,375 @@
+//! The one type that hosts drive: where happenings become events, and actions orders.
+
+use crate::config::Config;
+use crate::deadlines::Deadlines;
+use crate::flow::{Call, Flow, FlowId};
+use crate::order::{Answer, Conn, Final, Order};
+use crate::pool::Pool;
+use crate::request::Request;
+use crate::transactions::{FlowState, Transaction, Transactions};
+use lapisrudder_codec::memcache::{self, ReadNote};
+use lapisrudder_decisions::{
+    Action, Balancer, CacheNote, Event, Listed, Micros, Outcome, RequestId, Scope, ServerId,
+};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use thiserror::Error;
+
+/// A transaction that has no final answer this long after its time gets one from the engine itself.
+pub const OVERDUE: Micros = 10_000;
+/// No transaction is held for longer, whatever its client says.
+pub const LONGEST_HELD: Micros = 3_600_000_000;
+
+/// A pool member as discovery has it, and where it answers.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// What the decisions take of it.
+    pub listed: Listed,
+    /// Where it answers.
+    pub endpoint: SocketAddr,
+}
+
+/// Where the answers of members go that serve a transaction: its one final answer.
+pub trait Answers {
+    /// Passes it on while the buffer lives. Slices that are kept are copied by the host.
+    fn served(&mut self, transaction: RequestId, request: &Request, answer: Answer<'_>);
+}
+
+impl<F: FnMut(RequestId, &Request, Answer<'_>)> Answers for F {
+    fn served(&mut self, transaction: RequestId, request: &Request, answer: Answer<'_>) {
+        self(transaction, request, answer);
+    }
+}
+
+/// Why a request cannot be a transaction.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum TakeError {
+    /// Its client gave it the id of another that is in hand.
+    #[error("request id in use")]
+    IdInUse,
+    /// The settings have no such class.
+    #[error("unknown class")]
+    UnknownClass,
+    /// The host has given that number to another.
+    #[error("transaction number in use")]
+    NumberInUse,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Deadline {
+    /// The decisions asked to be woken.
+    Wake,
+    /// The wait for a server-side flow ends.
+    Flow(FlowId),
+    /// A transaction still lacks its final answer.
+    Transaction(RequestId),
+    /// A connection to a pool member is not up yet, or has been idle for long.
+    Connection(Conn),
+}
+
+/// Transactions, flows, members and the decisions about them. See the [crate](crate) for how hosts drive it.
+pub struct Engine {
+    deadlines: Deadlines<Deadline>,
+    pool: Pool,
+    transactions: Transactions,
+    balancer: Balancer,
+    /// Room for what the decisions say, and for flows that a read has ended.
+    actions: Vec<Action>,
+    ended: Vec<(FlowId, Outcome, Option<CacheNote>)>,
+    classes: usize,
+    origin_kind: Option<u32>,
+}
+
+impl Engine {
+    /// Begins with no member.
+    pub fn new(config: Config, now: Micros) -> Engine {
+        let Config { settings, seed, limits } = config;
+        Engine {
+            deadlines: Deadlines::default(),
+            pool: Pool::new(limits),
+            transactions: Transactions::default(),
+            actions: Vec::new(),
+            ended: Vec::new(),
+            classes: settings.classes.len(),
+            origin_kind: settings.origin_kind,
+            balancer: Balancer::new(seed, settings, now),
+        }
+    }
+
+    // ---- Clients --------------------------------------------------------------------------------------
+
+    /// A transaction in hand has this id of a client's: [`Engine::take`] would refuse another.
+    pub fn is_named(&self, id: &[u8]) -> bool {
+        self.transactions.names.contains(id)
+    }
+
+    /// Takes a transaction: from here on it is owed one final answer. The host gives it a number that it never uses
+    /// again.
+    ///
+    /// # Errors
+    /// It cannot be one; nothing is owed.
+    pub fn take(
+        &mut self,
+        now: Micros,
+        transaction: RequestId,
+        mut request: Request,
+    ) -> Result<(), TakeError> {
+        // Guards against two transactions that take each other's answers: members tell them apart by this.
+        if self.is_named(request.command.id()) {
+            return Err(TakeError::IdInUse);
+        }
+        if request.class >= self.classes {
+            return Err(TakeError::UnknownClass);
+        }
+        if self.transactions.all.contains_key(&transaction) {
+            return Err(TakeError::NumberInUse);
+        }
+        request.due = request.due.clamp(now, now.saturating_add(LONGEST_HELD));
+        let due = request.due;
+        let deadline = Some(self.deadlines.add(due + OVERDUE, Deadline::Transaction(transaction)));
+        let call = Arc::new(Call::new(request));
+        self.transactions.add(transaction, Transaction { call, due, deadline, flows: Vec::new() });
+        Ok(())
+    }
+
+    /// The client of a transaction has left, or the host has answered it itself: nothing more is owed, and what is
+    /// out is called off. False if it had its answer before.
+    pub fn left(&mut self, transaction: RequestId) -> bool {
+        let owed = self.transactions.answer(transaction, &mut self.deadlines).is_some();
+        if owed {
+            self.transactions.events.push_back(Event::ClientLeft { request: transaction });
+        }
+        owed
+    }
+
+    // ---- Connections to members -----------------------------------------------------------------------
+
+    /// A connect has come up.
+    pub fn connected(&mut self, now: Micros, conn: Conn) {
+        self.pool.connected(conn, now, &mut self.deadlines);
+    }
+
+    /// A connection may be written to again.
+    pub fn writable(&mut self, conn: Conn) {
+        self.pool.writable(conn);
+    }
+
+    /// Bytes have come on a connection. False if it is of no further use: nothing more need be read from it.
+    pub fn received(&mut self, now: Micros, conn: Conn, bytes: &[u8], answers: &mut impl Answers) -> bool {
+        self.read(now, conn, bytes, false, answers)
+    }
+
+    /// The peer has ended its sending, in order.
+    pub fn ended(&mut self, now: Micros, conn: Conn, answers: &mut impl Answers) {
+        self.read(now, conn, &[], true, answers);
+    }
+
+    /// A connection did not come up, was reset, could not be written to, or was found with something on it before a
+    /// write ([`Order::Write`]).
+    pub fn broken(&mut self, now: Micros, conn: Conn) {
+        self.pool.close(conn, now, &mut self.deadlines);
+    }
+
+    fn read(
+        &mut self,
+        now: Micros,
+        conn: Conn,
+        bytes: &[u8],
+        over: bool,
+        answers: &mut impl Answers,
+    ) -> bool {
+        let Engine { pool, deadlines, transactions, ended, .. } = self;
+        let of_use = pool.received(conn, bytes, over, now, deadlines, |flow, answer| {
+            let (outcome, note) = judge(&answer);
+            // The first that serves is passed on; what comes later for the same transaction is dropped.
+            if outcome == Outcome::Served && flow.call.answer() {
+                transactions.open -= 1;
+                match answer {
+                    memcache::Answer::Value { value, .. } => {
+                        answers.served(flow.id.request, &flow.call.request, Answer::Value(value));
+                    }
+                    memcache::Answer::Receipt { receipt, .. } => {
+                        answers.served(flow.id.request, &flow.call.request, Answer::Receipt(receipt));
+                    }
+                    _ => {}
+                }
+            }
+            ended.push((flow.id, outcome, note));
+        });
+        for (flow, outcome, note) in ended.drain(..) {
+            transactions.flow_ended(flow, outcome, note, now, deadlines);
+        }
+        of_use
+    }
+
+    // ---- The list of members --------------------------------------------------------------------------
+
+    /// News of the list.
+    pub fn listed(&mut self, scope: Scope, members: Vec<Member>) {
+        if scope != Scope::Changes {
+            for server in self.pool.servers() {
+                if !members.iter().any(|m| m.listed.server == server) {
+                    self.pool.gone(server, &mut self.deadlines);
+                }
+            }
+        }
+        for m in &members {
+            let origin = self.origin_kind == Some(m.listed.kind);
+            self.pool.list(m.listed.server, m.endpoint, origin, m.listed.stage, &mut self.deadlines);
+        }
+        let list = members.into_iter().map(|m| m.listed).collect();
+        self.transactions.events.push_back(Event::Servers { scope, list });
+    }
+
+    /// A call to discovery failed, or the watch broke; the list in hand still holds.
+    pub fn list_failed(&mut self) {
+        self.transactions.events.push_back(Event::Servers { scope: Scope::Lost, list: Vec::new() });
+    }
+
+    // ---- Time -----------------------------------------------------------------------------------------
+
+    /// When [`Engine::wake`] is due.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.deadlines.next()
+    }
+
+    /// The sweep: each deadline that has come, in order. Costs nothing when none has.
+    pub fn wake(&mut self, now: Micros) {
+        while let Some(deadline) = self.deadlines.pop_due(now) {
+            match deadline {
+                Deadline::Wake => self.transactions.events.push_back(Event::Wake),
+                Deadline::Flow(flow) => self.give_up(flow, Outcome::TimedOut, now),
+                Deadline::Transaction(id) => {
+                    self.end(id, |may_have_run| Final::Overdue { may_have_run });
+                    self.transactions.events.push_back(Event::ClientLeft { request: id });
+                }
+                Deadline::Connection(conn) => self.pool.on_deadline(conn, now, &mut self.deadlines),
+            }
+        }
+    }
+
+    // ---- Orders ---------------------------------------------------------------------------------------
+
+    /// What is to be done next; none when all has been said for this turn. Events go to the decisions first; only
+    /// when nothing is left for them is anything written. Guards against a flow that goes out beside the final
+    /// answer of its transaction.
+    pub fn poll_order(&mut self, now: Micros) -> Option<Order> {
+        loop {
+            if let Some(order) = self.pool.orders.pop_front() {
+                return Some(order);
+            }
+            while let Some((flow, outcome)) = self.pool.lost.pop_front() {
+                self.transactions.flow_ended(flow, outcome, None, now, &mut self.deadlines);
+            }
+            if let Some(event) = self.transactions.events.pop_front() {
+                self.balancer.handle(now, event, &mut self.actions);
+                let mut actions = std::mem::take(&mut self.actions);
+                actions.drain(..).for_each(|action| self.carry_out(action, now));
+                self.actions = actions;
+            } else if !self.pool.write_out(now, &mut self.deadlines) {
+                return None;
+            }
+        }
+    }
+
+    /// What is to be written on a connection, in order: all flows that wait, as one write where the host can.
+    pub fn transmit(&self, conn: Conn) -> impl Iterator<Item = &[u8]> {
+        self.pool.transmit(conn)
+    }
+
+    /// So many bytes of that were taken.
+    pub fn transmitted(&mut self, conn: Conn, bytes: usize) {
+        self.pool.transmitted(conn, bytes);
+    }
+
+    fn carry_out(&mut self, action: Action, now: Micros) {
+        match action {
+            Action::Send { request, server, until } => self.send(request, server, until, now),
+            Action::Cancel { request, attempt } => {
+                self.give_up(FlowId { request, attempt }, Outcome::Cancelled, now);
+            }
+            Action::Refuse { request, retry_in } => {
+                let retry_in = Some(retry_in).filter(|t| *t != 0);
+                self.end(request, |_| Final::Refused { retry_in });
+            }
+            Action::Fail { request } => self.end(request, |may_have_run| Final::Failed { may_have_run }),
+            Action::Wake { after } => {
+                self.deadlines.add(now + after, Deadline::Wake);
+            }
+            Action::Close { server } => self.pool.close_idle(server, now, &mut self.deadlines),
+            Action::Watch => self.pool.orders.push_back(Order::Watch),
+        }
+    }
+
+    fn send(&mut self, request: RequestId, server: ServerId, until: Micros, now: Micros) {
+        let Some(transaction) = self.transactions.all.get_mut(&request) else { return };
+        let id = FlowId { request, attempt: transaction.flows.len() as u32 };
+        let until = if until <= 0 { transaction.due } else { until.min(transaction.due) };
+        let deadline = Some(self.deadlines.add(until, Deadline::Flow(id)));
+        transaction.flows.push(FlowState { server, sent: now, deadline, ended: None });
+        let call = transaction.call.clone();
+        if call.answered() || until <= now {
+            return self.transactions.flow_ended(id, Outcome::NeverSent, None, now, &mut self.deadlines);
+        }
+        self.pool.send(server, Flow { id, call, until, moved: false }, now, &mut self.deadlines);
+    }
+
+    /// Stops waiting for a server-side flow.
+    fn give_up(&mut self, flow: FlowId, outcome: Outcome, now: Micros) {
+        let transaction = self.transactions.all.get(&flow.request);
+        let state = transaction.and_then(|t| t.flows.get(flow.attempt as usize));
+        let Some(server) = state.filter(|f| f.ended.is_none()).map(|f| f.server) else { return };
+        let unsent = self.pool.abandon(server, flow, now, &mut self.deadlines);
+        let outcome = if unsent { Outcome::NeverSent } else { outcome };
+        self.transactions.flow_ended(flow, outcome, None, now, &mut self.deadlines);
+    }
+
+    /// The final answer that is no member's.
+    fn end(&mut self, transaction: RequestId, answer: impl FnOnce(bool) -> Final) {
+        if let Some(may_have_run) = self.transactions.answer(transaction, &mut self.deadlines) {
+            let answer = answer(may_have_run);
+            self.pool.orders.push_back(Order::Answer { transaction, answer });
+        }
+    }
+
+    // ---- What there is --------------------------------------------------------------------------------
+
+    /// The list names a member that may be used.
+    pub fn any_open(&self) -> bool {
+        self.pool.any_open()
+    }
+
+    /// Connections that the members there are may take, within the limit for all: what a host keeps free for them.
+    pub fn reserve(&self) -> usize {
+        self.pool.reserve()
+    }
+
+    /// Transactions that are owed a final answer.
+    pub fn open(&self) -> usize {
+        self.transactions.open
+    }
+
+    /// Connections that the engine holds, those that are coming up included.
+    pub fn connections(&self) -> usize {
+        self.pool.connections()
+    }
+}
+
+/// What an answer means for a flow.
+fn judge(answer: &memcache::Answer) -> (Outcome, Option<CacheNote>) {
+    let told = |note: &Option<ReadNote>| {
+        note.map(|note| match note {
+            ReadNote::Hit => CacheNote::Hit,
+            ReadNote::Fetched => CacheNote::Fetched,
+            ReadNote::OthersFetch => CacheNote::OthersFetch,
+        })
+    };
+    match answer {
+        memcache::Answer::Value { note, .. } | memcache::Answer::Receipt { note, .. } => {
+            (Outcome::Served, told(note))
+        }
+        memcache::Answer::Miss { note } => (Outcome::Miss, told(note)),
+        memcache::Answer::Busy => (Outcome::Full, None),
+        memcache::Answer::Failed => (Outcome::Error, None),
+    }
+}
--- /dev/null
+++ b/crates/engine/src/pool.rs
@@ -0,0 +1,392 @@
+//! Pool members: whom flows may go to, and the connections that they go on.
+
+use crate::config::Limits;
+use crate::connection::Connection;
+use crate::deadlines;
+use crate::engine::Deadline;
+use crate::flow::{Flow, FlowId};
+use crate::order::{Conn, Order};
+use lapisrudder_codec::memcache::Answer;
+use lapisrudder_decisions::{Micros, Outcome, ServerId, Stage};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use tracing::warn;
+
+type Deadlines = deadlines::Deadlines<Deadline>;
+
+struct PoolMember {
+    endpoint: SocketAddr,
+    origin: bool,
+    /// Draining or gone: nothing new may be written to it.
+    closed: bool,
+    connections: Vec<Conn>,
+    /// Flows that wait for a connection, oldest first.
+    waiting: VecDeque<Flow>,
+    /// Connections to it at the most.
+    most: usize,
+}
+
+/// How a flow has ended without an answer.
+pub(crate) type Lost = (FlowId, Outcome);
+
+pub(crate) struct Pool {
+    members: FxHashMap<ServerId, PoolMember>,
+    connections: FxHashMap<Conn, Connection>,
+    limits: Limits,
+    next: u64,
+    /// Connections with something to write at the end of the turn.
+    unwritten: Vec<Conn>,
+    pub(crate) lost: VecDeque<Lost>,
+    /// What the host is to do.
+    pub(crate) orders: VecDeque<Order>,
+}
+
+impl Pool {
+    pub(crate) fn new(limits: Limits) -> Pool {
+        Pool {
+            members: FxHashMap::default(),
+            connections: FxHashMap::default(),
+            limits,
+            next: 0,
+            unwritten: Vec::new(),
+            lost: VecDeque::new(),
+            orders: VecDeque::new(),
+        }
+    }
+
+    /// What the list says of a member. Flows not yet begun never go to one that drains or is gone.
+    pub(crate) fn list(
+        &mut self,
+        server: ServerId,
+        endpoint: SocketAddr,
+        origin: bool,
+        stage: Stage,
+        deadlines: &mut Deadlines,
+    ) {
+        if stage == Stage::Gone {
+            return self.gone(server, deadlines);
+        }
+        let most = if origin { self.limits.to_origin } else { self.limits.per_member };
+        let member = self.members.entry(server).or_insert_with(|| PoolMember {
+            endpoint,
+            origin,
+            closed: false,
+            connections: Vec::new(),
+            waiting: VecDeque::new(),
+            most,
+        });
+        (member.endpoint, member.origin, member.closed) = (endpoint, origin, stage != Stage::Live);
+        if member.closed {
+            self.retire(server, deadlines);
+        }
+    }
+
+    /// The list no longer has it. It is forgotten with its last connection.
+    pub(crate) fn gone(&mut self, server: ServerId, deadlines: &mut Deadlines) {
+        if let Some(member) = self.members.get_mut(&server) {
+            member.closed = true;
+            self.retire(server, deadlines);
+            if self.members.get(&server).is_some_and(|m| m.connections.is_empty()) {
+                self.members.remove(&server);
+            }
+        }
+    }
+
+    /// Nothing new goes to a member: what waits ends, and connections without a flow close.
+    fn retire(&mut self, server: ServerId, deadlines: &mut Deadlines) {
+        let Some(member) = self.members.get_mut(&server) else { return };
+        self.lost.extend(member.waiting.drain(..).map(|f| (f.id, Outcome::NeverSent)));
+        let free = |c: &Connection| c.idle() || !c.up;
+        let ids = member.connections.iter().copied();
+        let ids: Vec<Conn> = ids.filter(|id| self.connections.get(id).is_some_and(free)).collect();
+        ids.into_iter().for_each(|id| {
+            self.remove(id, deadlines);
+        });
+    }
+
+    pub(crate) fn servers(&self) -> Vec<ServerId> {
+        self.members.keys().copied().collect()
+    }
+
+    /// Connections that the members there are may take, within the limit for all.
+    pub(crate) fn reserve(&self) -> usize {
+        let needs = |m: &PoolMember| if m.closed { m.connections.len() } else { m.most };
+        self.members.values().map(needs).sum::<usize>().min(self.limits.in_all)
+    }
+
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    pub(crate) fn any_open(&self) -> bool {
+        self.members.values().any(|m| !m.closed)
+    }
+
+    /// Begins a flow.
+    pub(crate) fn send(&mut self, server: ServerId, flow: Flow, now: Micros, deadlines: &mut Deadlines) {
+        match self.members.get_mut(&server).filter(|m| !m.closed) {
+            Some(member) => member.waiting.push_back(flow),
+            None => return self.lost.push_back((flow.id, Outcome::NeverSent)),
+        }
+        self.dispatch(server, now, deadlines);
+    }
+
+    /// Finds connections for the flows that wait: an idle one, else a new one, else behind the fewest others.
+    fn dispatch(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
+        while let Some(member) = self.members.get(&server).filter(|m| !m.closed && !m.waiting.is_empty()) {
+            let known = |id: &Conn| self.connections.get(id).filter(|c| c.endpoint == member.endpoint);
+            // The one used last: those that few requests need stay idle, and close before their member does so.
+            let idle = member.connections.iter().filter(|id| known(id).is_some_and(|c| c.idle()));
+            let idle = idle.max_by_key(|id| known(id).and_then(|c| c.deadline)).copied();
+            let coming = member.connections.iter().filter(|id| known(id).is_some_and(|c| !c.up)).count();
+            // Guards against connections that fall silent while their member answers on others: up to as many
+            // again may take their place.
+            let stalled = now - self.limits.connect_timeout;
+            let stalls = member.connections.iter().filter(|id| known(id).is_some_and(|c| c.stalls(stalled)));
+            let most = member.most + stalls.count().min(member.most);
+            let room = member.connections.len() < most && self.connections.len() < self.limits.in_all;
+            if idle.is_none() && coming >= member.waiting.len() {
+                return;
+            }
+            if idle.is_none() && (room || member.connections.is_empty()) {
+                self.connect(server, now, deadlines);
+                continue;
+            }
+            let Some(id) = idle.or_else(|| self.least_busy(server, now)) else { return };
+            let flow = self.members.get_mut(&server).and_then(|m| m.waiting.pop_front());
+            flow.into_iter().for_each(|flow| self.put(id, flow, now, deadlines));
+        }
+    }
+
+    /// The connection with the fewest flows that may take another; of those the one that got on last.
+    fn least_busy(&self, server: ServerId, now: Micros) -> Option<Conn> {
+        let member = self.members.get(&server)?;
+        // Guards against a request that runs after its final answer: over HTTP the origin begins a request only
+        // when the one before it is answered, and one called off meanwhile could not be taken back.
+        let most = if member.origin { 1 } else { self.limits.multiplex };
+        let known = |id: &Conn| self.connections.get(id).filter(|c| c.endpoint == member.endpoint);
+        let loads = member
+            .connections
+            .iter()
+            .filter_map(|id| Some((known(id)?.load(most, now - self.limits.connect_timeout)?, *id)));
+        loads.min().map(|(_, id)| id)
+    }
+
+    /// Begins to connect.
+    fn connect(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
+        let Some(member) = self.members.get_mut(&server) else { return };
+        let id = Conn(self.next);
+        self.next += 1;
+        self.orders.push_back(Order::Connect { conn: id, to: member.endpoint });
+        let mut connection = Connection::new(server, member.endpoint, member.origin);
+        let at = now + self.limits.connect_timeout;
+        connection.deadline = Some(deadlines.add(at, Deadline::Connection(id)));
+        member.connections.push(id);
+        self.connections.insert(id, connection);
+    }
+
+    /// A connection did not come up. Flows beyond those that still have one to wait for go behind others, or
+    /// wait on, where the member has connections. Guards against taking a full table for a dead machine.
+    fn not_connected(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
+        loop {
+            let Some(member) = self.members.get_mut(&server) else { return };
+            let coming = |id: &&Conn| self.connections.get(id).is_some_and(|c| !c.up || c.origin);
+            if member.waiting.len() <= member.connections.iter().filter(coming).count() {
+                return;
+            }
+            let Some(flow) = member.waiting.pop_front() else { return };
+            match self.least_busy(server, now) {
+                Some(id) => self.put(id, flow, now, deadlines),
+                None => self.lost.push_back((flow.id, Outcome::ConnectFailed)),
+            }
+        }
+    }
+
+    /// Puts a flow on a connection that is up.
+    fn put(&mut self, id: Conn, flow: Flow, now: Micros, deadlines: &mut Deadlines) {
+        let Some(c) = self.connections.get_mut(&id) else { return };
+        deadlines.remove(c.deadline.take());
+        c.put(flow, now);
+        if !std::mem::replace(&mut c.queued, true) {
+            self.unwritten.push(id);
+        }
+    }
+
+    /// Orders the next write of what this turn has put on connections. Guards against a flow that goes out beside
+    /// the final answer of its transaction: all that has come in by now has been read first. False if there was
+    /// nothing to see to.
+    pub(crate) fn write_out(&mut self, now: Micros, deadlines: &mut Deadlines) -> bool {
+        let Some(id) = self.unwritten.pop() else { return false };
+        self.flush(id, now, deadlines);
+        self.freed(id, now, deadlines);
+        true
+    }
+
+    /// Orders a write of what may still go out. Guards the drain rule: a flow that has waited for a connection or
+    /// behind a full socket while its member began to drain must not begin. Nor may one whose transaction
+    /// another flow has served in the same turn, before the decisions could call this one off.
+    fn flush(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
+        let Some(c) = self.connections.get_mut(&id) else { return };
+        c.queued = false;
+        if !c.up {
+            return;
+        }
+        let closed = self.members.get(&c.server).is_none_or(|m| m.closed);
+        c.drop_unbegun(closed, |flow| self.lost.push_back((flow, Outcome::NeverSent)));
+        if c.is_stale() {
+            self.close(id, now, deadlines);
+        } else if c.transmit().next().is_some() {
+            self.orders.push_back(Order::Write { conn: id, look: c.is_fresh() });
+        }
+    }
+
+    pub(crate) fn transmit(&self, id: Conn) -> impl Iterator<Item = &[u8]> {
+        self.connections.get(&id).into_iter().flat_map(Connection::transmit)
+    }
+
+    pub(crate) fn transmitted(&mut self, id: Conn, bytes: usize) {
+        if let Some(c) = self.connections.get_mut(&id) {
+            c.transmitted(bytes);
+        }
+    }
+
+    /// A connect has come up.
+    pub(crate) fn connected(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
+        let Some(c) = self.connections.get_mut(&id).filter(|c| !c.up) else { return };
+        c.up = true;
+        self.freed(id, now, deadlines);
+    }
+
+    /// It may be written to again, if there is anything to write.
+    pub(crate) fn writable(&mut self, id: Conn) {
+        let Some(c) = self.connections.get_mut(&id).filter(|c| c.transmit().next().is_some()) else { return };
+        if !std::mem::replace(&mut c.queued, true) {
+            self.unwritten.push(id);
+        }
+    }
+
+    /// Takes the answers that are whole. False if the connection is over.
+    pub(crate) fn received(
+        &mut self,
+        id: Conn,
+        bytes: &[u8],
+        ended: bool,
+        now: Micros,
+        deadlines: &mut Deadlines,
+        mut answered: impl FnMut(&Flow, Answer),
+    ) -> bool {
+        // Nothing can come on a connection that is not up: its host has mixed them up.
+        let Some(c) = self.connections.get_mut(&id).filter(|c| c.up) else { return false };
+        let of_use = c.received(bytes, ended, &mut answered);
+        match of_use {
+            true => self.freed(id, now, deadlines),
+            false => self.close(id, now, deadlines),
+        }
+        of_use
+    }
+
+    /// A connection with nothing on it takes what waits longest, or stands idle for a while.
+    fn freed(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
+        let Some(c) = self.connections.get_mut(&id).filter(|c| c.idle()) else { return };
+        deadlines.remove(c.deadline.take());
+        let member = self.members.get_mut(&c.server).filter(|m| !m.closed && m.endpoint == c.endpoint);
+        match member.map(|m| m.waiting.pop_front()) {
+            Some(Some(flow)) => self.put(id, flow, now, deadlines),
+            Some(None) => {
+                let at = now + self.limits.idle;
+                c.deadline = Some(deadlines.add(at, Deadline::Connection(id)));
+            }
+            None => self.close(id, now, deadlines),
+        }
+    }
+
+    /// The time of a connection is over: it did not come up, or was idle for long.
+    pub(crate) fn on_deadline(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
+        if let Some(c) = self.connections.get_mut(&id) {
+            c.deadline = None;
+            if !c.up {
+                warn!(about = %c.endpoint, "cannot connect: no answer in time");
+            }
+            self.close(id, now, deadlines);
+        }
+    }
+
+    /// Closes a connection, and finds others for what waits.
+    pub(crate) fn close(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
+        match self.remove(id, deadlines) {
+            Some((server, true)) => self.dispatch(server, now, deadlines),
+            Some((server, false)) => self.not_connected(server, now, deadlines),
+            None => {}
+        }
+    }
+
+    /// Closes a connection. Each flow on it ends, or waits for another. Gives the member and whether it was up.
+    fn remove(&mut self, id: Conn, deadlines: &mut Deadlines) -> Option<(ServerId, bool)> {
+        let c = self.connections.remove(&id)?;
+        deadlines.remove(c.deadline);
+        self.forget_socket(id, c.up);
+        let (server, up) = (c.server, c.up);
+        let mut moved = VecDeque::new();
+        for end in c.close() {
+            match end {
+                Ok(flow) => moved.push_back(flow),
+                Err(lost) => self.lost.push_back(lost),
+            }
+        }
+        let member = self.members.get_mut(&server)?;
+        member.connections.retain(|other| *other != id);
+        if member.closed {
+            self.lost.extend(moved.into_iter().map(|f| (f.id, Outcome::NeverSent)));
+            if member.connections.is_empty() {
+                self.members.remove(&server);
+            }
+            return None;
+        }
+        moved.into_iter().rev().for_each(|flow| member.waiting.push_front(flow));
+        Some((server, up))
+    }
+
+    /// The host's socket goes, too, unless it has not heard of the connection yet.
+    fn forget_socket(&mut self, id: Conn, up: bool) {
+        let unheard = |o: &Order| matches!(o, Order::Connect { conn, .. } if *conn == id);
+        match self.orders.iter().position(unheard).filter(|_| !up) {
+            Some(place) => drop(self.orders.remove(place)),
+            None => self.orders.push_back(Order::Close { conn: id }),
+        }
+    }
+
+    /// Nobody waits for a flow any more. Its connection closes, which tells the member, unless that would
+    /// break its neighbours. True if it was never sent.
+    pub(crate) fn abandon(
+        &mut self,
+        server: ServerId,
+        flow: FlowId,
+        now: Micros,
+        deadlines: &mut Deadlines,
+    ) -> bool {
+        let Some(member) = self.members.get_mut(&server) else { return false };
+        if let Some(i) = member.waiting.iter().position(|f| f.id == flow) {
+            member.waiting.remove(i);
+            return true;
+        }
+        let mut ids = member.connections.iter().copied();
+        let id = ids.find(|id| self.connections.get(id).is_some_and(|c| c.carries(flow)));
+        let Some((id, c)) = id.and_then(|id| Some((id, self.connections.get_mut(&id)?))) else {
+            return false;
+        };
+        let unsent = c.abandon(flow);
+        if c.is_useless() {
+            self.close(id, now, deadlines);
+        } else {
+            self.freed(id, now, deadlines);
+        }
+        unsent
+    }
+
+    pub(crate) fn close_idle(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
+        let idle = |c: &Connection| c.server == server && c.idle();
+        let ids: Vec<Conn> = self.connections.iter().filter(|(_, c)| idle(c)).map(|(id, _)| *id).collect();
+        ids.into_iter().for_each(|id| self.close(id, now, deadlines));
+    }
+}
