--- a/crates/lab/src/stand/of_experiment.rs
+++ b/crates/lab/src/stand/of_experiment.rs
@@ -175,7 +175,6 @@
     let cv = (o.sigma * o.sigma).exp_m1().max(0.0).sqrt();
     let work = Dist::LogNormal { mean_us: o.time_ms * 1e3, cv };
     let class = |c: &Class| Work { work: work.clone(), keyed_window_us: seconds(c.window_s) };
-    let keys = e.loads.first().map(|load| &load.keys);
     OriginConfig {
         machine: Machine {
             cores: cores as u32,
@@ -191,8 +190,8 @@
         },
         write_share: o.write_times,
         sizes: Sizes {
-            median: keys.map_or(Sizes::default().median, |k| f64::from(k.value_bytes)),
-            sigma: keys.map_or(Sizes::default().sigma, |k| k.value_sigma),
+            median: f64::from(o.value_bytes),
+            sigma: o.value_sigma,
             ..Sizes::default()
         },
         overdriven: (o.fall_multiple > 0.0).then(|| Overdriven {
