Add limits explain: what the limits would do with a client, and why

Need: operators ask why a client was refused, or what a setting would do, before they set it. Change: a sub-command that builds the limits from the operators' file and tells, in plain lines, what would happen to a connection and a request from an address in a stated situation.

--- a/crates/lab/src/stand/of_experiment.rs
+++ b/crates/lab/src/stand/of_experiment.rs
@@ -189,11 +189,7 @@
             ..Machine::default()
         },
         write_share: o.write_times,
-        sizes: Sizes {
-            median: f64::from(o.value_bytes),
-            sigma: o.value_sigma,
-            ..Sizes::default()
-        },
+        sizes: Sizes { median: f64::from(o.value_bytes), sigma: o.value_sigma, ..Sizes::default() },
         overdriven: (o.fall_multiple > 0.0).then(|| Overdriven {
             tip: tip(o.fall_multiple, o.fall_s),
             down: Dist::Fixed(o.down_s * 1e6),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check_config;
 mod config;
+mod limits;
 mod serve;
 mod version;
 
@@ -26,6 +27,9 @@
     CheckConfig(Told),
     /// Print the settings that are in force, and where each came from.
     Config(config::Asked),
+    /// Look into the limits: who gets in, who is kept, what is taken in.
+    #[command(subcommand)]
+    Limits(limits::Asked),
     /// Print the version.
     Version,
 }
@@ -60,6 +64,7 @@
         Command::Serve(told) => serve::run(told.into()),
         Command::CheckConfig(told) => Ok(check_config::run(&told.into())),
         Command::Config(asked) => config::run(asked),
+        Command::Limits(asked) => limits::run(asked),
         Command::Version => version::run(),
     };
     done.unwrap_or_else(|error| {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,11 @@
 use thiserror::Error;
 use tracing::{Level, error, info};
 
+/// Descriptors that are neither a client's nor a member's: standard streams, loop, listener, discovery, the spare.
+pub const OWN_SOCKETS: usize = 24;
+/// Clients hold at most this part of the descriptors that the platform gives a node: a third.
+pub const CLIENTS_SHARE: usize = 3;
+
 /// Why the node could not start, or had to end.
 #[derive(Debug, Error)]
 pub enum Error {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -7,6 +7,7 @@
 use super::pool_member::{Limits, Pool};
 use super::socket::Handle;
 use super::virtual_server::{self, VirtualServer};
+use super::{CLIENTS_SHARE, OWN_SOCKETS};
 use lapisrudder::wire::{Options, digest, micros};
 use lapisrudder::{
     Action, Balancer, CacheNote, Ended, Event, Micros, NewRequest, Outcome, RequestId, Scope, ServerId,
@@ -35,8 +36,6 @@
 const LONGEST_HELD: Micros = 3_600_000_000;
 /// How often the process's memory is looked at.
 const MEMORY_EVERY: Micros = 1_000_000;
-/// Clients hold at most this share of the descriptors that the platform gives a node.
-const CLIENTS_SHARE: usize = 3;
 /// Idle connections close long before the member's machine may close them under a request.
 const IDLE_MOST: Micros = 10_000_000;
 /// Connections to one member, by all nodes. Guards a member's capacity: the fuller its table, the less it has
@@ -44,8 +43,6 @@
 const PER_MEMBER: usize = 12;
 /// The same for the origin, whose connections carry one flow each; the decisions bound how many flows it gets.
 const TO_ORIGIN: usize = 96;
-/// Descriptors that are neither a client's nor a member's: standard streams, loop, listener, discovery.
-const OWN_SOCKETS: usize = 24;
 
 /// The time as the settings and discovery tell it, from a clock that only goes forward.
 struct Clock {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -164,3 +164,21 @@
     let line = node.told("reload");
     assert!(line.contains("INFO lapisrudder::net::node: reload: discovery is now at 127.0.0.1:2"), "{line}");
 }
+
+#[test]
+fn limits_explain_says_what_would_happen_under_the_operators_settings() {
+    let known = file("known.toml", "[limits.known]\nprefixes = ['10.1.0.0/16']\nconnections = 9\n");
+    let bad = file("badly.toml", "[limits.keep]\nearly_from = 2\n");
+    for (path, address, more, says, good) in [
+        (&known, "10.1.2.3", "--connections=3", "source 10.1.2.3, weight 1, a known client", true),
+        (&known, "192.0.2.1", "--stage=2", "a new connection is refused", true),
+        (&known, "nobody", "--stage=2", "invalid value 'nobody'", false),
+        (&known, "192.0.2.1", "--stage=4", "4 is not in 0..=3", false),
+        (&bad, "192.0.2.1", "--stage=0", ":2: limits.keep.early_from: 2 is not 0 to 1", false),
+    ] {
+        let config = format!("--config={}", path.display());
+        let (out, err, well) =
+            said(program(&["limits", "explain", address, &config, more]).output().unwrap());
+        assert!(well == good && (out + &err).contains(says), "{says}: {err}");
+    }
+}
