Run the daemon on the engine: sockets on one side, decisions and protocol on the other

node.rs, pool_member.rs, connection.rs and deadlines.rs hung together with socket.rs and calloop in one circle. The daemon is now a host of crates/engine: the loop's callbacks only note what is ready (socket.rs names nobody), members.rs carries out connect, write and close, node.rs brings clients, limits and discovery to the engine.

All flows that wait on a connection go out in one writev. The unit tests of pool_member.rs run without sockets; new ones hold the drain from the first byte, moves, cuts of answers and the bound on unasked bytes. tests/node.rs, limits.rs and cli.rs pass as they are.

--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -390,3 +390,6 @@
         ids.into_iter().for_each(|id| self.close(id, now, deadlines));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/engine/src/pool/tests.rs
@@ -0,0 +1,205 @@
+use super::*;
+use crate::flow::Call;
+use crate::request::Request;
+use lapisrudder_codec::memcache::{OwnedRequest, Parts};
+use lapisrudder_decisions::{Key, RequestId};
+use std::sync::Arc;
+
+const MEMBER: ServerId = ServerId(1);
+
+/// A pool of one member, whose first connection is coming up, and what a flow needs.
+struct Desk {
+    pool: Pool,
+    deadlines: Deadlines,
+    at: SocketAddr,
+    call: Arc<Call>,
+}
+
+impl Desk {
+    /// Sends so many flows of one transaction.
+    fn new(origin: bool, flows: u32) -> Desk {
+        let limits =
+            Limits { connect_timeout: 1, idle: 1, multiplex: 2, per_member: 1, to_origin: 1, in_all: 1 };
+        let parts = Parts { key: b"k", id: b"9", class: b"r", wait_ms: 1, ..Parts::default() };
+        let command = OwnedRequest::compose(&parts).unwrap();
+        let request =
+            Request { command, key: Key(1), class: 0, tenant: 0, hint: None, repeated: false, due: 9 };
+        let mut desk = Desk {
+            pool: Pool::new(limits),
+            deadlines: Deadlines::default(),
+            at: ([127, 0, 0, 1], 1).into(),
+            call: Arc::new(Call::new(request)),
+        };
+        desk.pool.list(MEMBER, desk.at, origin, Stage::Live, &mut desk.deadlines);
+        desk.send(0, 0);
+        if flows > 1 {
+            desk.comes_up(0);
+            (1..flows).for_each(|n| desk.send(n, 0));
+        }
+        desk
+    }
+
+    fn send(&mut self, attempt: u32, now: Micros) {
+        let id = FlowId { request: RequestId(1), attempt };
+        let flow = Flow { id, call: self.call.clone(), until: 9, moved: false };
+        self.pool.send(MEMBER, flow, now, &mut self.deadlines);
+    }
+
+    fn comes_up(&mut self, id: u64) {
+        self.pool.connected(Conn(id), 0, &mut self.deadlines);
+        self.carry_out();
+    }
+
+    /// Ends the turn: all is written that is ordered. Gives the connections written to, and whether a look was asked.
+    fn carry_out(&mut self) -> Vec<(Conn, bool)> {
+        let mut written = Vec::new();
+        while self.pool.write_out(0, &mut self.deadlines) {
+            for order in std::mem::take(&mut self.pool.orders) {
+                if let Order::Write { conn, look } = order {
+                    self.pool.transmitted(conn, self.waits(conn).len());
+                    written.push((conn, look));
+                }
+            }
+        }
+        written
+    }
+
+    fn waits(&self, conn: Conn) -> Vec<u8> {
+        self.pool.transmit(conn).flatten().copied().collect()
+    }
+
+    fn answer(&mut self, id: u64, bytes: &str) -> (bool, usize) {
+        let mut count = 0;
+        let of_use =
+            self.pool.received(Conn(id), bytes.as_bytes(), false, 0, &mut self.deadlines, |_, _| count += 1);
+        (of_use, count)
+    }
+
+    fn outcomes(&self) -> Vec<Outcome> {
+        self.pool.lost.iter().map(|(_, outcome)| *outcome).collect()
+    }
+}
+
+#[test]
+fn a_flow_that_has_waited_is_not_begun_if_it_may_no_longer_go() {
+    let ends = |happens: fn(&mut Desk)| {
+        let mut desk = Desk::new(false, 1);
+        happens(&mut desk);
+        desk.comes_up(0);
+        desk.outcomes()
+    };
+    assert_eq!(ends(|_| {}), []);
+    assert_eq!(ends(|desk| assert!(desk.call.answer())), [Outcome::NeverSent]);
+    assert_eq!(
+        ends(|desk| desk.pool.list(MEMBER, desk.at, false, Stage::Draining, &mut desk.deadlines)),
+        [Outcome::NeverSent]
+    );
+    assert_eq!(ends(|desk| desk.pool.gone(MEMBER, &mut desk.deadlines)), [Outcome::NeverSent]);
+}
+
+#[test]
+fn a_drain_takes_back_what_has_not_begun_and_leaves_what_has() {
+    let mut desk = Desk::new(false, 2);
+    assert!(desk.pool.write_out(0, &mut desk.deadlines));
+    // Behind a full socket: the first byte of the second flow has gone.
+    desk.pool.limits.multiplex = 3;
+    desk.send(2, 0);
+    assert_eq!(desk.pool.transmit(Conn(0)).count(), 2);
+    desk.pool.transmitted(Conn(0), 1);
+    desk.pool.list(MEMBER, desk.at, false, Stage::Draining, &mut desk.deadlines);
+    desk.pool.writable(Conn(0));
+    desk.carry_out();
+    assert_eq!(desk.outcomes(), [Outcome::NeverSent]);
+    assert_eq!(desk.answer(0, "EN O9\r\nEN O9\r\n"), (true, 2), "the first two are answered");
+}
+
+#[test]
+fn a_flow_leaves_a_connection_that_died_while_idle_and_a_new_id_gets_none_of_the_old() {
+    let mut desk = Desk::new(false, 1);
+    desk.comes_up(0);
+    assert_eq!(desk.answer(0, "EN O9 h0\r\n"), (true, 1));
+    assert!(desk.pool.connections[&Conn(0)].idle());
+    desk.send(1, 0);
+    // Before the write the host looks, and finds that it is over.
+    assert!(desk.pool.write_out(0, &mut desk.deadlines));
+    assert_eq!(desk.pool.orders.pop_back(), Some(Order::Write { conn: Conn(0), look: true }));
+    desk.pool.close(Conn(0), 0, &mut desk.deadlines);
+    assert!(desk.pool.lost.is_empty() && desk.pool.members[&MEMBER].waiting.len() == 1);
+    assert!(desk.pool.connections.keys().eq([&Conn(1)]), "a new one is on its way");
+    desk.pool.gone(MEMBER, &mut desk.deadlines);
+    assert!(desk.pool.members.is_empty() && desk.pool.connections.is_empty());
+    assert_eq!(desk.pool.orders, [Order::Close { conn: Conn(0) }], "its host never heard of the other");
+    desk.pool.list(ServerId(2), desk.at, false, Stage::Live, &mut desk.deadlines);
+    let id = FlowId { request: RequestId(1), attempt: 2 };
+    let flow = Flow { id, call: desk.call.clone(), until: 9, moved: false };
+    desk.pool.send(ServerId(2), flow, 0, &mut desk.deadlines);
+    assert!(desk.pool.connections.keys().eq([&Conn(2)]));
+    assert_eq!(desk.deadlines.next(), Some(1), "and no deadline of the old ones is left");
+}
+
+#[test]
+fn a_flow_moves_once_and_only_where_nothing_of_it_was_sent() {
+    for (sent, outcomes) in [(0, vec![]), (1, vec![Outcome::ConnectFailed]), (99, vec![Outcome::Broken])] {
+        let mut desk = Desk::new(false, 1);
+        desk.comes_up(0);
+        desk.answer(0, "EN O9 h0\r\n");
+        desk.send(1, 0);
+        desk.pool.transmitted(Conn(0), sent);
+        desk.pool.close(Conn(0), 0, &mut desk.deadlines);
+        assert_eq!(desk.outcomes(), outcomes, "{sent} bytes sent");
+        // The one that moved goes on a new connection, which dies before its first byte, too.
+        desk.pool.connected(Conn(1), 0, &mut desk.deadlines);
+        desk.pool.close(Conn(1), 0, &mut desk.deadlines);
+        let outcomes = if sent == 0 { vec![Outcome::ConnectFailed] } else { outcomes };
+        assert_eq!(desk.outcomes(), outcomes);
+    }
+}
+
+#[test]
+fn nothing_goes_behind_a_flow_that_stalls_and_another_connection_takes_its_place() {
+    let mut desk = Desk::new(false, 1);
+    desk.comes_up(0);
+    desk.pool.limits.in_all = 2;
+    desk.send(1, 1);
+    assert_eq!(desk.pool.connections[&Conn(0)].load(9, 0), Some((2, 0)), "behind the first, which is young");
+    desk.send(2, 2);
+    assert_eq!(desk.pool.connections.len(), 2);
+    assert_eq!(desk.pool.members[&MEMBER].waiting.len(), 1);
+}
+
+#[test]
+fn nothing_is_written_behind_another_on_a_connection_to_the_origin() {
+    for (origin, behind) in [(false, 2), (true, 1)] {
+        let desk = Desk::new(origin, 2);
+        assert_eq!(desk.pool.connections[&Conn(0)].load(9, 0), Some((behind, 0)));
+        assert_eq!(desk.pool.members[&MEMBER].waiting.len(), 2 - behind);
+    }
+}
+
+#[test]
+fn answers_are_taken_however_they_are_cut_and_all_flows_of_a_turn_are_one_write() {
+    let value = "v".repeat(9000);
+    let all = format!("VA 9000 O9 h1\r\n{value}\r\nEN O9\r\n");
+    for cut in [0, 1, 12, 16, 5000, 9016, 9017, 9018, all.len() - 1, all.len()] {
+        let mut desk = Desk::new(false, 2);
+        assert_eq!(desk.carry_out(), [(Conn(0), false)]);
+        let (first, last) = all.split_at(cut);
+        let ((_, one), (of_use, two)) = (desk.answer(0, first), desk.answer(0, last));
+        assert_eq!((one + two, of_use), (2, true), "cut at {cut}");
+    }
+}
+
+#[test]
+fn what_nobody_asked_for_ends_a_connection_and_is_held_within_bounds() {
+    let mut desk = Desk::new(false, 1);
+    desk.comes_up(0);
+    assert_eq!(desk.answer(0, "EN O9\r\nEN O9\r\n"), (false, 1), "one was asked for");
+    assert!(desk.pool.connections.is_empty());
+    // The last byte of the request waits behind a full socket, and the member talks on and on.
+    let mut desk = Desk::new(false, 1);
+    desk.pool.connected(Conn(0), 0, &mut desk.deadlines);
+    desk.pool.transmitted(Conn(0), 1);
+    let bytes = "x".repeat(1 << 16);
+    let taken = (0..8).take_while(|_| desk.answer(0, &bytes).0).count();
+    assert_eq!((taken, desk.outcomes()), (2, vec![Outcome::ConnectFailed]));
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: one watch after another on one connection, as long as it answers.
 
 use super::deadlines::{Deadline, Deadlines, Key};
-use super::socket::{Handle, Socket};
+use super::socket::{Handle, Owner, Socket};
 use lapisrudder::{Micros, Scope};
 use lapisrudder_codec::http;
 use lapisrudder_config::{MemberList, Options, Target};
@@ -90,7 +90,7 @@
         self.input.clear();
         if self.socket.is_none() {
             self.calls = 1;
-            match Socket::connect(self.at, &self.handle, |_, node| node.discovery_ready()) {
+            match Socket::connect(self.at, &self.handle, Owner::Discovery) {
                 Ok(socket) => self.socket = Some(socket),
                 Err(e) => return Some(self.fail(format!("cannot connect: {e}"), deadlines)),
             }
@@ -115,7 +115,7 @@
         None
     }
 
-    /// The callback of its connection.
+    /// Its connection has something to tell.
     pub fn on_ready(
         &mut self,
         scratch: &mut [u8],
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,11 +1,10 @@
 //! The node on real sockets: one thread, one loop.
 
 mod client;
-mod connection;
 mod deadlines;
 mod discovery;
+mod members;
 mod node;
-mod pool_member;
 mod socket;
 mod virtual_server;
 
@@ -14,6 +13,7 @@
 use lapisrudder_config::{self as config, Config, Sources};
 use lapisrudder_log::{self as log, Log};
 use node::Node;
+use socket::Ready;
 use std::io;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -43,24 +43,28 @@
 
 /// Runs the node until it is told to stop and has answered all that it took. On SIGHUP the sources are read again.
 pub fn serve(sources: Sources, config: Config) -> Result<(), Error> {
-    let mut events: EventLoop<Node> = EventLoop::try_new().map_err(Error::Start)?;
+    let mut events: EventLoop<Ready> = EventLoop::try_new().map_err(Error::Start)?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(Error::Signals)?;
     // Danger: threads begun before the signals are blocked would take them, and SIGTERM would kill the node.
     let log = Log::start(log_settings(&config.operators.log), io::stderr())?;
     events
         .handle()
-        .insert_source(signals, move |event, _, node: &mut Node| match event.signal() {
-            Signal::SIGHUP => reload(&sources, &log, node),
-            signal => {
-                info!(?signal, "told to stop");
-                node.stop();
-            }
-        })
+        .insert_source(signals, |event, _, ready| ready.signals.push(event.signal()))
         .map_err(|e| Error::Signals(e.error))?;
     let mut node = Node::new(config, &events.handle())?;
+    let mut ready = Ready::default();
     while !node.is_over() {
-        events.dispatch(node.until_next(), &mut node).map_err(Error::Loop)?;
-        node.turn();
+        events.dispatch(node.until_next(), &mut ready).map_err(Error::Loop)?;
+        for signal in ready.signals.drain(..) {
+            match signal {
+                Signal::SIGHUP => reload(&sources, &log, &mut node),
+                signal => {
+                    info!(?signal, "told to stop");
+                    node.stop();
+                }
+            }
+        }
+        node.turn(ready.sockets.drain(..));
     }
     info!("ended");
     Ok(())
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -1,14 +1,33 @@
 //! A non-blocking socket on the loop. It leaves the loop and closes when it is dropped.
 
-use super::node::Node;
 use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use calloop::signals::Signal;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use lapisrudder_engine::Conn;
 use socket2::{Domain, Protocol, SockAddr, Type};
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
-pub type Handle = LoopHandle<'static, Node>;
+pub type Handle = LoopHandle<'static, Ready>;
+
+/// Whose socket it is.
+#[derive(Clone, Copy, Debug)]
+pub enum Owner {
+    Listener,
+    Client(u64),
+    Member(Conn),
+    Discovery,
+}
+
+/// What one dispatch of the loop has told of, in its order. It is seen to when the dispatch is over: callbacks only
+/// note it, and know nothing of what is to be done.
+#[derive(Default)]
+pub struct Ready {
+    /// Sockets that are readable, writable or over. Some may have gone since.
+    pub sockets: Vec<Owner>,
+    pub signals: Vec<Signal>,
+}
 
 pub struct Socket {
     stream: Rc<TcpStream>,
@@ -17,36 +36,28 @@
 }
 
 impl Socket {
-    /// The callback runs at each edge: what is ready must be used up, or remembered.
-    pub fn new(
-        stream: TcpStream,
-        handle: &Handle,
-        mut callback: impl FnMut(Readiness, &mut Node) + 'static,
-    ) -> io::Result<Socket> {
+    /// Its owner is told at each edge: what is ready must be used up, or remembered.
+    pub fn new(stream: TcpStream, handle: &Handle, owner: Owner) -> io::Result<Socket> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let token = handle
-            .insert_source(source, move |ready, _, node| {
-                callback(ready, node);
+            .insert_source(source, move |_, _, ready| {
+                ready.sockets.push(owner);
                 Ok(PostAction::Continue)
             })
             .map_err(|e| io::Error::other(e.error))?;
         Ok(Socket { stream, token, handle: handle.clone() })
     }
 
-    /// Begins to connect; the callback tells when that has ended.
-    pub fn connect(
-        to: SocketAddr,
-        handle: &Handle,
-        callback: impl FnMut(Readiness, &mut Node) + 'static,
-    ) -> io::Result<Socket> {
+    /// Begins to connect; its owner is told when that has ended.
+    pub fn connect(to: SocketAddr, handle: &Handle, owner: Owner) -> io::Result<Socket> {
         let socket = socket2::Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         match socket.connect(&SockAddr::from(to)) {
             Err(e) if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(EINPROGRESS) => Err(e),
-            _ => Socket::new(socket.into(), handle, callback),
+            _ => Socket::new(socket.into(), handle, owner),
         }
     }
 
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -3,11 +3,11 @@
 
 use super::client::{Client, Drained, Slot};
 use super::deadlines::{Deadline, Deadlines, Key};
-use super::socket::{Handle, Socket};
+use super::socket::{Handle, Owner, Socket};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use lapisrudder::{Micros, RequestId};
-use lapisrudder_codec::memcache::{self, Command};
+use lapisrudder_codec::memcache::{self, Command, OwnedRequest};
 use lapisrudder_limits::{
     Accepting, Admission, ConnId, EventKind, Facts, Intake, Order, Resources, SettingsError, Shortage,
     Ticket, Verdict,
@@ -35,7 +35,7 @@
     Command {
         client: u64,
         request: RequestId,
-        raw: Box<[u8]>,
+        command: OwnedRequest,
     },
     Left {
         request: RequestId,
@@ -90,8 +90,8 @@
         let listener = Rc::new(TcpListener::from(listener));
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
         let token = handle
-            .insert_source(source, |_, _, node| {
-                node.accept();
+            .insert_source(source, |_, _, ready| {
+                ready.sockets.push(Owner::Listener);
                 Ok(PostAction::Continue)
             })
             .map_err(|e| io::Error::other(e.error))?;
@@ -178,7 +178,7 @@
         }
         let id = self.next_client;
         self.next_client += 1;
-        match Socket::new(stream, &self.handle, move |_, node| node.client_ready(id)) {
+        match Socket::new(stream, &self.handle, Owner::Client(id)) {
             Ok(socket) => {
                 self.clients.insert(id, Client::new(conn, socket, now));
                 self.names.insert(conn, id);
@@ -348,7 +348,7 @@
 
     // ---- Reading and answering ------------------------------------------------------------------------
 
-    /// The callback of a client's connection: sends what waits, reads what has come.
+    /// A client's connection has something to tell: sends what waits, reads what has come.
     pub fn on_ready(&mut self, id: u64, scratch: &mut [u8], now: Micros, deadlines: &mut Deadlines) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.unread = true;
@@ -426,11 +426,13 @@
                     let raw = &buffer[taken..taken + used];
                     taken += used;
                     match command {
-                        Command::Request(_) => {
+                        Command::Request(request) => {
                             self.next_request += 1;
-                            let request = RequestId(self.next_request);
-                            client.slots.push_back(Slot::Waiting(request));
-                            self.news.push_back(News::Command { client: id, request, raw: raw.into() });
+                            let number = RequestId(self.next_request);
+                            client.slots.push_back(Slot::Waiting(number));
+                            if let Some(command) = OwnedRequest::of(&request, raw) {
+                                self.news.push_back(News::Command { client: id, request: number, command });
+                            }
                             None
                         }
                         Command::Ready if self.ready => {
@@ -480,7 +482,7 @@
     }
 
     /// The answer to a command that cannot be a transaction.
-    pub fn reject(&mut self, id: u64, request: RequestId, what: &str, now: Micros) {
+    pub fn reject(&mut self, id: u64, request: RequestId, what: impl std::fmt::Display, now: Micros) {
         if let Some(client) = self.clients.get_mut(&id) {
             client.erred();
         }
@@ -509,6 +511,6 @@
     }
 }
 
-fn error(what: &str) -> Vec<u8> {
+fn error(what: impl std::fmt::Display) -> Vec<u8> {
     format!("CLIENT_ERROR {what}\r\n").into_bytes()
 }
