Send a client all answers of a turn in one write, and read sockets no more than needed

Each answer was a write of its own, and each read was followed by one that found nothing, for clients by way of an empty turn of the loop. Answers up to 8 KiB are now copied together and sent when all that has come was read; larger ones still go by writev from where they were read. A read that did not fill its buffer is the last one: members are looked at before the next write anyway, and a client of which nothing more came is looked at again after 50 ms, so that one that closed right behind its last command is found.

An answer that its client does not read is now also watched where the client sends nothing more.

--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -120,6 +120,11 @@
         self.places.front().is_some_and(|p| p.written == 0 && !p.bytes.is_empty())
     }
 
+    /// Answers are due: some flow has begun.
+    pub(crate) fn expects(&self) -> bool {
+        self.places.front().is_some_and(|p| p.written > 0)
+    }
+
     /// What is to be written, in order.
     pub(crate) fn transmit(&self) -> impl Iterator<Item = &[u8]> {
         self.places.iter().filter_map(|p| p.bytes.get(p.written..)).filter(|rest| !rest.is_empty())
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -159,6 +159,12 @@
         self.read(now, conn, bytes, false, answers)
     }
 
+    /// Answers are due on a connection. Where none is, a host may stop reading once a read has not filled its buffer,
+    /// though the peer may have closed behind the last bytes: it is told to look before anything is written again.
+    pub fn expects(&self, conn: Conn) -> bool {
+        self.pool.expects(conn)
+    }
+
     /// The peer has ended its sending, in order.
     pub fn ended(&mut self, now: Micros, conn: Conn, answers: &mut impl Answers) {
         self.read(now, conn, &[], true, answers);
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -266,6 +266,10 @@
         }
     }
 
+    pub(crate) fn expects(&self, id: Conn) -> bool {
+        self.connections.get(&id).is_some_and(Connection::expects)
+    }
+
     /// Takes the answers that are whole. False if the connection is over.
     pub(crate) fn received(
         &mut self,
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -26,6 +26,10 @@
 /// One that was closed between requests is read from for this long, to see whether the close crossed a request.
 const PARTING: Micros = 100_000;
 
+/// Answers up to this size are copied together, so that all of a turn go out in one write; larger ones go straight
+/// from where they were read.
+const COPIED: usize = 8 << 10;
+
 /// The room that one read needs at most: what is left of a command, and as much again to read into.
 pub const SCRATCH: usize = 2 * (MAX_LINE + MAX_VALUE + 2);
 
@@ -68,6 +72,13 @@
     phase: Phase,
     /// The socket may hold more that was not read.
     pub unread: bool,
+    /// The last read did not fill its room, so all bytes that had come were read; whether the peer has closed behind
+    /// them is not known.
+    pub unsure: bool,
+    /// It is on the list of those to look at again.
+    pub listed: bool,
+    /// It is to be sent what the turn has brought.
+    pub dirty: bool,
     errors: u32,
     drained: usize,
     /// When it was last sent something, or began to be over.
@@ -87,6 +98,9 @@
             sent: 0,
             phase: Phase::Open,
             unread: false,
+            unsure: false,
+            listed: false,
+            dirty: false,
             errors: 0,
             drained: 0,
             since: now,
@@ -174,9 +188,15 @@
     pub fn read<'s>(&mut self, scratch: &'s mut [u8]) -> Option<&'s [u8]> {
         let held = self.input.len();
         scratch[..held].copy_from_slice(&self.input);
+        self.unsure = false;
         let read = match self.socket.read(&mut scratch[held..]) {
             Ok(Some(0)) | Err(_) => return None,
-            Ok(Some(n)) => n,
+            Ok(Some(n)) => {
+                // A read that finds nothing would cost as much as one that does, for each command.
+                self.unsure = held + n < scratch.len();
+                self.unread = !self.unsure;
+                n
+            }
             Ok(None) => {
                 self.unread = false;
                 0
@@ -230,16 +250,25 @@
         Ok(())
     }
 
-    /// Sends straight from the parts where nothing is before them, and copies only what the socket leaves.
-    pub fn send_now(&mut self, parts: &[&[u8]], now: Micros) -> io::Result<()> {
-        let slices: Vec<IoSlice> = parts.iter().map(|p| IoSlice::new(p)).collect();
-        let mut done = if self.output.is_empty() { self.socket.write(&slices)? } else { 0 };
+    /// Takes the answer whose turn it is. A small one goes out with all others of the turn; a large one is sent at
+    /// once, straight from its parts, and only what the socket leaves is copied.
+    pub fn answer(&mut self, parts: &[&[u8]], now: Micros) -> io::Result<()> {
+        if parts.iter().map(|p| p.len()).sum::<usize>() <= COPIED {
+            parts.iter().for_each(|part| self.output.extend_from_slice(part));
+            return Ok(());
+        }
+        let held = self.output.len() - self.sent;
+        let mut slices = vec![IoSlice::new(&self.output[self.sent..])];
+        slices.extend(parts.iter().map(|p| IoSlice::new(p)));
+        let mut done = self.socket.write(&slices)?;
+        self.sent += done.min(held);
+        done -= done.min(held);
         for part in parts {
             let skipped = done.min(part.len());
             self.output.extend_from_slice(&part[skipped..]);
             done -= skipped;
         }
         self.since = now;
-        self.flush(now)
+        Ok(())
     }
 }
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -98,8 +98,14 @@
             match member.socket.read(scratch) {
                 Ok(None) => return,
                 Ok(Some(0)) => return engine.ended(now, conn, answers),
-                Ok(Some(n)) if engine.received(now, conn, &scratch[..n], answers) => {}
-                Ok(Some(_)) => return,
+                Ok(Some(n)) => {
+                    let of_use = engine.received(now, conn, &scratch[..n], answers);
+                    // All that had come was read, and whether the peer has closed behind it is looked at before
+                    // the next write. Guards against a read that finds nothing, for each answer.
+                    if !of_use || n < scratch.len() && !engine.expects(conn) {
+                        return;
+                    }
+                }
                 Err(_) => return engine.broken(now, conn),
             }
         }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -357,6 +357,7 @@
                 }
             }
         }
+        self.server.look_again(now);
         self.engine.wake(now);
     }
 
@@ -394,6 +395,7 @@
     /// One turn: reads all that has come, sweeps deadlines, and carries out what the engine says of it all.
     pub fn turn(&mut self, ready: impl IntoIterator<Item = Owner>) {
         ready.into_iter().for_each(|owner| self.ready(owner));
+        self.send_out();
         self.sweep();
         self.keep_limits();
         self.server.read_on(&mut self.scratch, self.clock.now(), &mut self.deadlines);
@@ -408,11 +410,16 @@
         if !self.server.ready && self.engine.any_open() {
             self.server.now_ready(self.clock.now());
         }
+        self.send_out();
         if matches!(self.phase, Phase::Leaving | Phase::Draining) && self.server.is_empty() {
             self.phase = Phase::Over;
         }
     }
 
+    fn send_out(&mut self) {
+        self.server.send_out(self.clock.now(), &mut self.deadlines);
+    }
+
     fn carry_out(&mut self, order: Order) {
         let now = self.clock.now();
         match order {
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -27,6 +27,8 @@
 /// The errors of `accept` for want of a descriptor: the process has no more, or the machine.
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
+/// A client that read all bytes of may have closed behind them: it is looked at again this much later.
+const LOOK_AGAIN: Micros = 50_000;
 /// What can be opened at any time, to hold a descriptor.
 const SPARE: &str = "/dev/null";
 
@@ -74,6 +76,10 @@
     next_request: u64,
     /// Clients to see to in this turn: they may have more to read, or another deadline.
     touched: Vec<u64>,
+    /// Clients that have answers of this turn to be sent.
+    dirty: Vec<u64>,
+    /// Clients to look at again, and when, in order.
+    unsure: VecDeque<(Micros, u64)>,
     pub news: VecDeque<News>,
 }
 
@@ -110,6 +116,8 @@
             next_client: 0,
             next_request: 0,
             touched: Vec::new(),
+            dirty: Vec::new(),
+            unsure: VecDeque::new(),
             news: VecDeque::new(),
         };
         server.take_spare();
@@ -233,9 +241,22 @@
         self.admission.resources(now, resources);
     }
 
-    /// When the limits want to be asked again.
+    /// When the limits want to be asked again, or a client is to be looked at.
     pub fn due(&self) -> Option<Micros> {
-        self.admission.due()
+        self.admission.due().into_iter().chain(self.unsure.front().map(|(at, _)| *at)).min()
+    }
+
+    /// Looks again at clients of which nothing has come since. Guards against one that closed right behind its last
+    /// command: no edge tells of that.
+    pub fn look_again(&mut self, now: Micros) {
+        while let Some((_, id)) = self.unsure.pop_front_if(|(at, _)| *at <= now) {
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            client.listed = false;
+            if client.unsure {
+                client.unread = true;
+                self.touched.push(id);
+            }
+        }
     }
 
     /// Carries out what the limits say: connections close, transactions are given up.
@@ -379,12 +400,15 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         // A client that closed its sending side only may still read what is ready.
         let flushed = client.flush(now).is_ok();
-        if state == State::Over || !flushed || self.draining && client.idle() {
+        if state == State::Over || !flushed || self.draining && client.idle() && !client.look() {
             return self.remove(id, now, deadlines);
         }
         if client.unread && (client.room() || client.lingers()) {
             self.touched.push(id);
         }
+        if client.unsure && !std::mem::replace(&mut client.listed, true) {
+            self.unsure.push_back((now + LOOK_AGAIN, id));
+        }
         self.admission.state(now, client.conn, client.activity());
         self.watch(id, deadlines);
     }
@@ -474,11 +498,24 @@
         }
         client.slots.pop_front();
         // After an error the next read tells that the connection is over.
-        client.unread |= client.send_now(parts, now).is_err();
-        if client.unread || client.lingers() || self.draining {
-            self.touched.push(id);
+        client.unread |= client.answer(parts, now).is_err();
+        if !std::mem::replace(&mut client.dirty, true) {
+            self.dirty.push(id);
+        }
+    }
+
+    /// Sends what there is to be sent: all answers of the turn to a client in one write.
+    pub fn send_out(&mut self, now: Micros, deadlines: &mut Deadlines) {
+        for id in std::mem::take(&mut self.dirty) {
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            client.dirty = false;
+            client.unread |= client.flush(now).is_err();
+            if client.unread || client.lingers() || self.draining {
+                self.touched.push(id);
+            }
+            self.admission.state(now, client.conn, client.activity());
+            self.watch(id, deadlines);
         }
-        self.admission.state(now, client.conn, client.activity());
     }
 
     /// The answer to a command that cannot be a transaction.
