Keep sizes by kind of server, and stop the mark test when its end is clear

Each served answer wrote the size of every server of its kind anew, and each request over the high floor summed up all members. A size that follows from the kind is now kept with the kind, and the sum ends once the rest, each at its least, cannot bring the high mark under the key's server.

--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -156,7 +156,8 @@
             }
         }
         self.forget_gone();
-        self.servers.recount().into_iter().for_each(|kind| self.resize(kind));
+        self.servers.recount();
+        (0..self.servers.kinds.len()).for_each(|kind| self.resize(kind));
     }
 
     /// Danger: a drained or gone server must get nothing new. We use no grace: both count at once.
@@ -271,8 +272,17 @@
         if in_flight <= HIGH_FLOOR {
             return true;
         }
-        let others = self.servers.ready().filter(|&j| j != i).map(|j| self.relative(j));
-        let mean = others.sum::<f64>() / (self.servers.count - 1.0).max(1.0);
+        // Once the rest, each at its least, cannot bring the high mark under it, nobody else need be looked at.
+        let others = (self.servers.count - 1.0).max(1.0);
+        let enough = (in_flight / HIGH_OF_MEAN * others) * (1.0 + 1e-6) + 1e-6;
+        let (mut sum, mut left) = (0.0, others);
+        for j in self.servers.ready().filter(|&j| j != i) {
+            (sum, left) = (sum + self.relative(j), left - 1.0);
+            if sum + left * (1.0 / PACE_MOST - 1.0) > enough {
+                return true;
+            }
+        }
+        let mean = sum / others;
         let (low, high) = (LOW_FLOOR.max(mean), HIGH_FLOOR.max(HIGH_OF_MEAN * mean));
         let lower = |j: usize| j != i && self.relative(j) < low && self.usable(j, load);
         in_flight <= high || in_flight < 2.0 * high && !self.servers.ready().any(lower)
@@ -283,21 +293,17 @@
     fn relative(&self, i: usize) -> f64 {
         let s = &self.servers.all[i];
         let slow = s.pace.mean(self.now, PACE_FADES, 1.0, PACE_SURE).max(1.0 / PACE_MOST);
-        (s.load / s.size + 1.0) * slow - 1.0
+        (s.load / self.servers.size(i) + 1.0) * slow - 1.0
     }
 
     /// Danger: in a large fleet a balancer sees each server seldom. It knows well how those of a kind do.
-    fn kind_pace(&self, kind: u32) -> f64 {
-        self.servers.kinds.get(&kind).map_or(0.0, |k| k.mean(self.now, KIND_FADES, 0.0, KIND_SURE))
+    fn kind_pace(&self, kind: usize) -> f64 {
+        self.servers.kinds[kind].pace.mean(self.now, KIND_FADES, 0.0, KIND_SURE)
     }
 
     /// Size against the mean (article, 3.1), which balancers agree on: listed or else by the kind's pace.
-    fn resize(&mut self, kind: u32) {
-        let (sized, mean) = (self.servers.sized, self.servers.mean_weight());
-        let by_pace = (-KIND_SIZE * self.kind_pace(kind)).exp();
-        for s in self.servers.all.iter_mut().filter(|s| s.listed.kind == kind) {
-            s.size = if sized { s.listed.weight / mean } else { by_pace }.max(0.01);
-        }
+    fn resize(&mut self, kind: usize) {
+        self.servers.kinds[kind].size = (-KIND_SIZE * self.kind_pace(kind)).exp().max(0.01);
     }
 
     /// May be given something new.
@@ -323,7 +329,7 @@
             from.retain(|&(i, _)| self.usable(i, load));
         }
         let band = from.iter().map(|(_, r)| *r).fold(f64::MAX, f64::min).max(LOW_FLOOR).max(TIED * mean);
-        let rank = |i: usize| -server(i).size / chance(key, server(i).id).ln();
+        let rank = |i: usize| -self.servers.size(i) / chance(key, server(i).id).ln();
         from.retain(|(_, r)| *r <= band);
         let mut tied: Vec<(f64, usize)> = from.into_iter().map(|(i, _)| (rank(i), i)).collect();
         let spread = self.table.peek(key).map_or(1, |e| e.spread as usize).min(tied.len());
@@ -554,11 +560,11 @@
             return;
         }
         if let Some(i) = self.servers.find(end.server) {
-            let kind = self.servers.all[i].listed.kind;
+            let kind = self.servers.all[i].kind;
             let pace = (took / usual).clamp(1.0 / PACE_MOST, 2.0 * PACE_MOST);
             let of_kind = self.kind_pace(kind).exp().max(1.0);
             self.servers.all[i].pace.add(self.now, pace / of_kind, PACE_FADES);
-            self.servers.kinds.entry(kind).or_default().add(self.now, pace.ln(), KIND_FADES);
+            self.servers.kinds[kind].pace.add(self.now, pace.ln(), KIND_FADES);
             self.resize(kind);
         }
         // Danger: in a large fleet hardly a read's copy is known; without those time-outs no jam is seen.
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -305,8 +305,10 @@
     pub doubted: Option<Micros>,
     /// The last sign of life.
     pub heard: Micros,
-    /// Size against the mean of the fleet.
+    /// Size against the mean of the fleet, where the list tells sizes.
     pub size: f64,
+    /// Where its kind stands among those of the fleet.
+    pub kind: usize,
     /// It is the origin, not a cache server.
     pub origin: bool,
     /// Our requests in flight, heavy ones counted 2.
@@ -369,11 +371,21 @@
     }
 }
 
+/// What is known of a kind of server.
+#[derive(Clone, Copy)]
+pub(crate) struct Kind {
+    pub name: u32,
+    /// Time of hits over the usual, as a logarithm.
+    pub pace: Fading,
+    /// What follows from that for the size of its servers.
+    pub size: f64,
+}
+
 /// The servers that may be candidates, by id.
 pub(crate) struct Fleet {
     pub all: Vec<Server>,
-    /// Time of hits over the usual, as a logarithm, by kind of server.
-    pub kinds: FxHashMap<u32, Fading>,
+    /// What is known of the kinds there are, by name.
+    pub kinds: Vec<Kind>,
     /// Share of attempts late or lost, by zone.
     pub paths: FxHashMap<u32, Fading>,
     /// Zones that are badly reached for now.
@@ -392,7 +404,7 @@
     pub fn new(origin_kind: Option<u32>) -> Self {
         Fleet {
             all: Vec::new(),
-            kinds: FxHashMap::default(),
+            kinds: Vec::new(),
             paths: FxHashMap::default(),
             bad_paths: Vec::new(),
             asks_failed: 0,
@@ -408,6 +420,12 @@
         (0..self.all.len()).filter(|&i| self.all[i].ready())
     }
 
+    /// Size of a server against the mean: listed, or else by its kind.
+    pub fn size(&self, i: usize) -> f64 {
+        let s = &self.all[i];
+        if self.sized { s.size } else { self.kinds[s.kind].size }
+    }
+
     pub fn silent(&self, id: ServerId, sent: Micros) -> Option<usize> {
         self.find(id).filter(|&i| self.all[i].silent_since(sent))
     }
@@ -439,19 +457,26 @@
         (0..self.all.len()).filter(|&i| !named(&self.all[i])).collect()
     }
 
-    /// Counts anew what follows from the list; gives the kinds there are.
-    pub fn recount(&mut self) -> Vec<u32> {
+    /// Counts anew what follows from the list.
+    pub fn recount(&mut self) {
         self.all.iter_mut().for_each(|s| s.origin = self.origin_kind == Some(s.listed.kind));
         self.paths.retain(|zone, _| self.all.iter().any(|s| s.listed.zone == *zone));
-        self.kinds.retain(|kind, _| self.all.iter().any(|s| s.listed.kind == *kind));
+        let mut names: Vec<u32> = self.all.iter().map(|s| s.listed.kind).collect();
+        names.sort_unstable();
+        names.dedup();
+        let old = std::mem::take(&mut self.kinds);
+        let kept = |name| old.iter().find(|k| k.name == name).copied();
+        let new = |name| Kind { name, pace: Fading::default(), size: 1.0 };
+        self.kinds = names.iter().map(|name| kept(*name).unwrap_or(new(*name))).collect();
         let weights: Vec<f64> = self.ready().map(|i| self.all[i].listed.weight).collect();
         self.sized = weights.iter().any(|w| *w != weights[0]);
         self.count = weights.len().max(1) as f64;
         self.weight = weights.iter().sum::<f64>().max(0.01);
-        for s in &self.all {
-            self.kinds.entry(s.listed.kind).or_default();
+        let mean = self.mean_weight();
+        for s in &mut self.all {
+            s.kind = names.binary_search(&s.listed.kind).unwrap_or(0);
+            s.size = (s.listed.weight / mean).max(0.01);
         }
-        self.kinds.keys().copied().collect()
     }
 }
 
