--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -75,6 +75,12 @@
         (takes && !self.stalls(stalled)).then_some((self.places.len(), first))
     }
 
+    /// It was given its first flow in this turn, and may be given another.
+    pub(crate) fn shares(&self, most: usize) -> bool {
+        let unbegun = |p: &Place| p.written == 0 && !p.bytes.is_empty() && !p.abandoned;
+        self.queued && !self.places.is_empty() && self.places.len() < most && self.places.iter().all(unbegun)
+    }
+
     pub(crate) fn carries(&self, flow: FlowId) -> bool {
         self.places.iter().any(|p| p.flow.id == flow)
     }
@@ -120,6 +126,11 @@
         self.places.front().is_some_and(|p| p.written == 0 && !p.bytes.is_empty())
     }
 
+    /// Flows on it, those that nobody waits for any more included.
+    pub(crate) fn flows(&self) -> usize {
+        self.places.len()
+    }
+
     /// Answers are due: some flow has begun.
     pub(crate) fn expects(&self) -> bool {
         self.places.front().is_some_and(|p| p.written > 0)
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -355,6 +355,11 @@
         self.transactions.open
     }
 
+    /// Flows that have begun, or wait for a connection, and those whose answer is read for nobody.
+    pub fn flows(&self) -> usize {
+        self.pool.flows()
+    }
+
     /// Connections that the engine holds, those that are coming up included.
     pub fn connections(&self) -> usize {
         self.pool.connections()
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -15,6 +15,11 @@
 
 type Deadlines = deadlines::Deadlines<Deadline>;
 
+/// A turn that puts more flows than this on connections is a burst: from there on those to one member go on one
+/// connection, up to so many. In calm times each has its own, so that none waits for the answer of another.
+const BURST: usize = 16;
+const SHARED: usize = 8;
+
 struct PoolMember {
     endpoint: SocketAddr,
     origin: bool,
@@ -25,6 +30,8 @@
     waiting: VecDeque<Flow>,
     /// Connections to it at the most.
     most: usize,
+    /// The connection that was last given a flow.
+    latest: Option<Conn>,
 }
 
 /// How a flow has ended without an answer.
@@ -35,6 +42,8 @@
     connections: FxHashMap<Conn, Connection>,
     limits: Limits,
     next: u64,
+    /// Flows that were put on connections in this turn.
+    put: usize,
     /// Connections with something to write at the end of the turn.
     unwritten: Vec<Conn>,
     pub(crate) lost: VecDeque<Lost>,
@@ -49,6 +58,7 @@
             connections: FxHashMap::default(),
             limits,
             next: 0,
+            put: 0,
             unwritten: Vec::new(),
             lost: VecDeque::new(),
             orders: VecDeque::new(),
@@ -75,6 +85,7 @@
             connections: Vec::new(),
             waiting: VecDeque::new(),
             most,
+            latest: None,
         });
         (member.endpoint, member.origin, member.closed) = (endpoint, origin, stage != Stage::Live);
         if member.closed {
@@ -119,6 +130,11 @@
         self.connections.len()
     }
 
+    pub(crate) fn flows(&self) -> usize {
+        let waiting: usize = self.members.values().map(|m| m.waiting.len()).sum();
+        waiting + self.connections.values().map(Connection::flows).sum::<usize>()
+    }
+
     pub(crate) fn any_open(&self) -> bool {
         self.members.values().any(|m| !m.closed)
     }
@@ -136,24 +152,35 @@
     fn dispatch(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
         while let Some(member) = self.members.get(&server).filter(|m| !m.closed && !m.waiting.is_empty()) {
             let known = |id: &Conn| self.connections.get(id).filter(|c| c.endpoint == member.endpoint);
-            // The one used last: those that few requests need stay idle, and close before their member does so.
-            let idle = member.connections.iter().filter(|id| known(id).is_some_and(|c| c.idle()));
-            let idle = idle.max_by_key(|id| known(id).and_then(|c| c.deadline)).copied();
-            let coming = member.connections.iter().filter(|id| known(id).is_some_and(|c| !c.up)).count();
-            // Guards against connections that fall silent while their member answers on others: up to as many
-            // again may take their place.
             let stalled = now - self.limits.connect_timeout;
-            let stalls = member.connections.iter().filter(|id| known(id).is_some_and(|c| c.stalls(stalled)));
-            let most = member.most + stalls.count().min(member.most);
-            let room = member.connections.len() < most && self.connections.len() < self.limits.in_all;
-            if idle.is_none() && coming >= member.waiting.len() {
-                return;
-            }
-            if idle.is_none() && (room || member.connections.is_empty()) {
-                self.connect(server, now, deadlines);
-                continue;
+            // Guards the node's processor in a burst: what many clients have asked for at once goes out in few writes,
+            // and comes back in few reads.
+            let shares = |id: &Conn| known(id).is_some_and(|c| c.shares(SHARED.min(self.limits.multiplex)));
+            let burst = self.put >= BURST && !member.origin;
+            let shared = member.latest.filter(|id| burst && shares(id));
+            // The one used last: those that few requests need stay idle, and close before their member does so.
+            let idle = || {
+                let idle = member.connections.iter().filter(|id| known(id).is_some_and(|c| c.idle()));
+                idle.max_by_key(|id| known(id).and_then(|c| c.deadline)).copied()
+            };
+            let mut to = shared.or_else(idle);
+            if to.is_none() {
+                let coming = member.connections.iter().filter(|id| known(id).is_some_and(|c| !c.up)).count();
+                if coming >= member.waiting.len() {
+                    return;
+                }
+                // Guards against connections that fall silent while their member answers on others: up to as many
+                // again may take their place.
+                let stalls = |id: &&Conn| known(id).is_some_and(|c| c.stalls(stalled));
+                let most = member.most + member.connections.iter().filter(stalls).count().min(member.most);
+                let room = member.connections.len() < most && self.connections.len() < self.limits.in_all;
+                if room || member.connections.is_empty() {
+                    self.connect(server, now, deadlines);
+                    continue;
+                }
+                to = self.least_busy(server, now);
             }
-            let Some(id) = idle.or_else(|| self.least_busy(server, now)) else { return };
+            let Some(id) = to else { return };
             let flow = self.members.get_mut(&server).and_then(|m| m.waiting.pop_front());
             flow.into_iter().for_each(|flow| self.put(id, flow, now, deadlines));
         }
@@ -208,6 +235,10 @@
         let Some(c) = self.connections.get_mut(&id) else { return };
         deadlines.remove(c.deadline.take());
         c.put(flow, now);
+        self.put += 1;
+        if let Some(member) = self.members.get_mut(&c.server) {
+            member.latest = Some(id);
+        }
         if !std::mem::replace(&mut c.queued, true) {
             self.unwritten.push(id);
         }
@@ -217,7 +248,10 @@
     /// the final answer of its transaction: all that has come in by now has been read first. False if there was
     /// nothing to see to.
     pub(crate) fn write_out(&mut self, now: Micros, deadlines: &mut Deadlines) -> bool {
-        let Some(id) = self.unwritten.pop() else { return false };
+        let Some(id) = self.unwritten.pop() else {
+            self.put = 0;
+            return false;
+        };
         self.flush(id, now, deadlines);
         self.freed(id, now, deadlines);
         true
@@ -234,7 +268,8 @@
         }
         let closed = self.members.get(&c.server).is_none_or(|m| m.closed);
         c.drop_unbegun(closed, |flow| self.lost.push_back((flow, Outcome::NeverSent)));
-        if c.is_stale() {
+        // What was dropped may have been all that kept a connection whose other flows were given up.
+        if c.is_stale() || c.is_useless() {
             self.close(id, now, deadlines);
         } else if c.transmit().next().is_some() {
             self.orders.push_back(Order::Write { conn: id, look: c.is_fresh() });
--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -203,3 +203,28 @@
     let taken = (0..8).take_while(|_| desk.answer(0, &bytes).0).count();
     assert_eq!((taken, desk.outcomes()), (2, vec![Outcome::ConnectFailed]));
 }
+
+#[test]
+fn in_a_burst_flows_to_one_member_share_a_connection_up_to_a_number() {
+    let mut desk = Desk::new(false, 1);
+    desk.pool.limits = Limits { in_all: 99, multiplex: 32, ..desk.pool.limits };
+    desk.pool.members.get_mut(&MEMBER).unwrap().most = 99;
+    (1..60).for_each(|n| desk.send(n, 0));
+    (0..60).for_each(|n| desk.comes_up(n));
+    (0..60).for_each(|n| assert_eq!(desk.answer(n, "EN O9\r\n"), (true, 1)));
+    let writes = |desk: &mut Desk, flows: u32| {
+        (0..flows).for_each(|n| desk.send(100 + n, 0));
+        let written = desk.carry_out();
+        let counts = |(id, _): &(Conn, bool)| desk.pool.connections[id].flows();
+        let mut counts: Vec<usize> = written.iter().map(counts).collect();
+        counts.sort_unstable();
+        for (id, _) in written {
+            let count = desk.pool.connections[&id].flows();
+            assert_eq!(desk.answer(id.0, &"EN O9\r\n".repeat(count)), (true, count));
+        }
+        counts
+    };
+    assert_eq!(writes(&mut desk, 16), vec![1; 16], "each its own");
+    assert_eq!(writes(&mut desk, 16 + 16), [vec![1; 15], vec![1, 8, 8]].concat());
+    assert_eq!(writes(&mut desk, 16), vec![1; 16], "and so again once the turn is over");
+}
