Take fewer allocations a flow, one clock reading an order, and tasks in a row

Client ids are looked up in the calls that hold them, a connection keeps room for the next flow's bytes, a single part is written by the plain call, and the agenda keeps tasks that come in the order of their times in a row beside its heap.

--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -272,7 +272,7 @@
         if in_flight <= HIGH_FLOOR {
             return true;
         }
-        // Once the rest, each at its least, cannot bring the high mark under it, nobody else need be looked at.
+        // Once the rest, each at its least, cannot bring the high mark under it, nobody else is looked at.
         let others = (self.servers.count - 1.0).max(1.0);
         let enough = (in_flight / HIGH_OF_MEAN * others) * (1.0 + 1e-6) + 1e-6;
         let (mut sum, mut left) = (0.0, others);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -213,6 +213,9 @@
 /// What is to be done later. One wake-up is out for the earliest.
 #[derive(Default)]
 pub(crate) struct Agenda {
+    /// Those that came in the order of their times, as nearly all do.
+    row: VecDeque<(Micros, u64, Task)>,
+    /// The others.
     tasks: BinaryHeap<Reverse<(Micros, u64, Task)>>,
     count: u64,
     wake_at: Option<Micros>,
@@ -223,12 +226,25 @@
     pub fn add(&mut self, now: Micros, at: Micros, task: Task) -> Option<Micros> {
         let at = at.max(now + 1);
         self.count += 1;
-        self.tasks.push(Reverse((at, self.count, task)));
+        match self.row.back() {
+            Some(last) if last.0 > at => self.tasks.push(Reverse((at, self.count, task))),
+            _ => self.row.push_back((at, self.count, task)),
+        }
         self.wake(now)
     }
 
+    /// The earliest, and whether it is the first of the row.
+    fn first(&self) -> Option<((Micros, u64, Task), bool)> {
+        let (row, task) = (self.row.front().copied(), self.tasks.peek().map(|t| t.0));
+        match (row, task) {
+            (Some(row), Some(task)) if task < row => Some((task, false)),
+            (Some(row), _) => Some((row, true)),
+            (None, task) => task.map(|task| (task, false)),
+        }
+    }
+
     fn wake(&mut self, now: Micros) -> Option<Micros> {
-        let Reverse((at, ..)) = *self.tasks.peek()?;
+        let ((at, ..), _) = self.first()?;
         if self.wake_at.is_some_and(|w| w > now && w <= at) {
             return None;
         }
@@ -238,9 +254,13 @@
 
     /// The next task that is due, or the time to the next wake-up.
     pub fn due(&mut self, now: Micros) -> Result<Task, Option<Micros>> {
-        match self.tasks.peek() {
-            Some(&Reverse((at, _, task))) if at <= now => {
-                self.tasks.pop();
+        match self.first() {
+            Some(((at, _, task), in_row)) if at <= now => {
+                if in_row {
+                    self.row.pop_front();
+                } else {
+                    self.tasks.pop();
+                }
                 Ok(task)
             }
             _ => Err(self.wake(now)),
--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -36,6 +36,8 @@
     /// The time to be up by, or the end of its idle time.
     pub deadline: Option<Key>,
     input: Vec<u8>,
+    /// Room for the bytes of the next flow.
+    spare: Vec<u8>,
     places: VecDeque<Place>,
     /// It has brought an answer.
     proven: bool,
@@ -52,6 +54,7 @@
             up: false,
             deadline: None,
             input: Vec::new(),
+            spare: Vec::new(),
             places: VecDeque::new(),
             proven: false,
             queued: false,
@@ -93,7 +96,8 @@
     /// Puts a flow behind the others; it is written at the end of the turn.
     pub(crate) fn put(&mut self, flow: Flow, now: Micros) {
         let command = &flow.call.request.command;
-        let mut bytes = Vec::with_capacity(command.bytes() + 128);
+        let mut bytes = std::mem::take(&mut self.spare);
+        bytes.reserve(command.bytes() + 128);
         let wait_ms = ((flow.until - now) / 1000).max(1) as u64;
         if self.origin {
             http::write_request(&command.get(), self.endpoint, wait_ms, &mut bytes);
@@ -150,7 +154,11 @@
             if place.written < place.bytes.len() {
                 return;
             }
-            place.bytes = Vec::new();
+            let mut bytes = std::mem::take(&mut place.bytes);
+            if bytes.capacity() <= KEPT {
+                bytes.clear();
+                self.spare = bytes;
+            }
         }
     }
 
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -100,7 +100,7 @@
 
     /// A transaction in hand has this id of a client's: [`Engine::take`] would refuse another.
     pub fn is_named(&self, id: &[u8]) -> bool {
-        self.transactions.names.contains(id)
+        self.transactions.is_named(id)
     }
 
     /// Takes a transaction: from here on it is owed one final answer. The host gives it a number that it never uses
--- a/crates/engine/src/transactions.rs
+++ b/crates/engine/src/transactions.rs
@@ -5,7 +5,9 @@
 use crate::flow::{Call, FlowId};
 use lapisrudder_decisions::{CacheNote, Ended, Event, Micros, Outcome, RequestId, ServerId};
 use rustc_hash::{FxHashMap, FxHashSet};
+use std::borrow::Borrow;
 use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 pub(crate) struct FlowState {
@@ -33,16 +35,43 @@
 #[derive(Default)]
 pub(crate) struct Transactions {
     pub all: FxHashMap<RequestId, Transaction>,
-    /// The ids that their clients gave them.
-    pub names: FxHashSet<Box<[u8]>>,
+    /// The same by the ids that their clients gave them.
+    names: FxHashSet<Named>,
     /// Those that have no final answer yet.
     pub open: usize,
     pub events: VecDeque<Event>,
 }
 
+/// A call under its client's id.
+struct Named(Arc<Call>);
+
+impl Borrow<[u8]> for Named {
+    fn borrow(&self) -> &[u8] {
+        self.0.request.command.id()
+    }
+}
+
+impl Hash for Named {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        Borrow::<[u8]>::borrow(self).hash(state);
+    }
+}
+
+impl PartialEq for Named {
+    fn eq(&self, other: &Named) -> bool {
+        Borrow::<[u8]>::borrow(self) == Borrow::<[u8]>::borrow(other)
+    }
+}
+
+impl Eq for Named {}
+
 impl Transactions {
+    pub(crate) fn is_named(&self, id: &[u8]) -> bool {
+        self.names.contains(id)
+    }
+
     pub(crate) fn add(&mut self, id: RequestId, transaction: Transaction) {
-        self.names.insert(transaction.call.request.command.id().into());
+        self.names.insert(Named(transaction.call.clone()));
         self.events.push_back(Event::Request(transaction.call.request.event(id)));
         self.open += 1;
         self.all.insert(id, transaction);
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -401,8 +401,9 @@
         self.server.read_on(&mut self.scratch, self.clock.now(), &mut self.deadlines);
         loop {
             self.client_news();
-            match self.engine.poll_order(self.clock.now()) {
-                Some(order) => self.carry_out(order),
+            let now = self.clock.now();
+            match self.engine.poll_order(now) {
+                Some(order) => self.carry_out(order, now),
                 None if self.server.news.is_empty() => break,
                 None => {}
             }
@@ -420,8 +421,7 @@
         self.server.send_out(self.clock.now(), &mut self.deadlines);
     }
 
-    fn carry_out(&mut self, order: Order) {
-        let now = self.clock.now();
+    fn carry_out(&mut self, order: Order, now: Micros) {
         match order {
             Order::Connect { conn, to } => self.members.connect(conn, to, &mut self.engine, now),
             Order::Write { conn, look } => self.members.write(conn, look, &mut self.engine, now),
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -86,7 +86,12 @@
 
     /// Bytes written; 0 if none can be for now.
     pub fn write(&self, parts: &[IoSlice]) -> io::Result<usize> {
-        Ok(retry(|| (&*self.stream).write_vectored(parts))?.unwrap_or(0))
+        let written = match parts {
+            // One part costs less by the plain call.
+            [part] => retry(|| (&*self.stream).write(part))?,
+            parts => retry(|| (&*self.stream).write_vectored(parts))?,
+        };
+        Ok(written.unwrap_or(0))
     }
 }
 
