Add a limit that follows what comes back, and work held by key

The origin's room was cut by a fixed share of late or lost fetches. A path that loses a tenth, or work with a fat tail, looked like a queue; and where answers stayed under the bound the limit grew without end.

`follow::Follow` holds the mean time of a round against the least mean seen, with what chance explains by the spread of the times. An attempt that a later one overtook was lost or is a slow draw and changes nothing; a run of losses that the usual share hardly brings is a stop, probed one at a time. Cuts that bring no gain show that the place has become slower. `held::Held` keeps work by key: most waited for first, then newest, O(log n).

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -5,5 +5,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
+pub mod follow;
+pub mod held;
+
 /// Microseconds, as a point on the caller's clock or as a length.
 pub type Micros = i64;
