--- a/tests/module.rs
+++ b/tests/module.rs
@@ -569,3 +569,53 @@
     let (calm, lossy, stopped) = (room(0), room(2), room(10));
     assert!(lossy >= calm / 2 && stopped < 6, "{calm}, {lossy}, {stopped}");
 }
+
+/// Attempts that actions send for any of these requests.
+fn sends(actions: &[Action], of: &[RequestId]) -> Vec<(RequestId, ServerId)> {
+    let sent = actions.iter().filter_map(|a| match a {
+        Action::Send { request, server, .. } => Some((*request, *server)),
+        _ => None,
+    });
+    sent.filter(|(request, _)| of.contains(request)).collect()
+}
+
+/// Danger: reads held for one key each fetched it anew when there was room again.
+#[test]
+fn held_reads_of_a_key_share_one_fetch() {
+    for through in [false, true] {
+        let mut desk = if through { Desk::of(3) } else { aside() };
+        // A read that needs a fetch: told whether it went out for that, or is held.
+        let fetch = |desk: &mut Desk, key| {
+            let (id, server) = desk.read(key);
+            let Some(server) = server else { return (id, None) };
+            if through {
+                return (id, Some(server));
+            }
+            let actions = desk.ended_noted(id, 0, server, Outcome::Miss, Some(CacheNote::Fetched));
+            (id, sent_to(&actions))
+        };
+        let taken: Vec<(RequestId, ServerId)> = (0..1_000)
+            .map_while(|key| {
+                let (id, to) = fetch(&mut desk, key);
+                Some((id, to?))
+            })
+            .collect();
+        let same: Vec<RequestId> = (0..3).map(|_| fetch(&mut desk, 5_000).0).collect();
+        let other = fetch(&mut desk, 6_000);
+        assert_eq!(other.1, None, "held");
+        let attempt = u32::from(!through);
+        let end = |desk: &mut Desk, (id, server): (RequestId, ServerId)| {
+            desk.ended_noted(id, attempt, server, Outcome::Served, Some(CacheNote::Fetched))
+        };
+        // Room for some: the key that most wait for comes first, and takes one attempt.
+        let out = sends(&end(&mut desk, taken[0]), &same);
+        assert_eq!(out.len(), 1, "through {through}: {out:?}");
+        assert_eq!(out[0].0, same[2], "the newest");
+        let after = sends(&end(&mut desk, out[0]), &same);
+        let homes: Vec<ServerId> = after.iter().map(|(_, server)| *server).collect();
+        assert!(
+            homes.len() == 2 && homes.iter().all(|s| *s != ORIGIN && *s == homes[0]),
+            "{through} {after:?}"
+        );
+    }
+}
