--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -39,13 +39,14 @@
 pub mod share;
 pub mod source;
 pub mod spells;
-
 pub use admission::Admission;
 pub use orders::{Activity, ConnId, Event, EventKind, Explanation, Facts, Intake, Order, Situation, Ticket};
 pub use orders::{Verdict, Why};
 pub use resources::{Accepting, Resources, Shortage, Used};
 pub use settings::{Settings, SettingsError};
 pub use source::Source;
+pub mod follow;
+pub mod held;
 
 /// Microseconds, as a point on the caller's clock or as a length.
 pub type Micros = i64;
