--- a/crates/limits/examples/sweep.rs
+++ b/crates/limits/examples/sweep.rs
@@ -1,5 +1,6 @@
 //! Sets the limit that follows beside the best fixed limit and the rule before it, at places of many kinds, for 1 to
-//! 300 nodes that do not see each other: `cargo run --release -p lapisrudder-limits --example sweep [KIND]`.
+//! 300 nodes that do not see each other: `cargo run --release -p lapisrudder-limits --example sweep [KIND [SEED]]`.
+//! The rule before is that of the decision module at 42857a0.
 
 #[path = "../tests/places/mod.rs"]
 mod places;
@@ -30,6 +31,7 @@
 
 fn main() {
     let which = std::env::args().nth(1).unwrap_or_default();
+    let seed = std::env::args().nth(2).and_then(|s| s.parse().ok()).unwrap_or(5);
     println!("{:26}{:>6}{:>16}{:>10}{:>8}{:>8}", "place", "nodes", "best fixed", "follow", "Jain", "before");
     for (kind, place) in kinds().into_iter().filter(|(kind, _)| kind.contains(&which)) {
         // Twice what it can answer, but where most is answered from elsewhere.
@@ -40,7 +42,7 @@
             _ => |_| 400.0,
         };
         for nodes in [1, 3, 30, 300] {
-            let day = |rule| Day { place, nodes, rule, rate, length: 90 * S, cache: None, seed: 5 };
+            let day = |rule| Day { place, nodes, rule, rate, length: 90 * S, cache: None, seed };
             let fixed = [0.5, 1.0, 1.5, 2.0, 3.0, 4.0, 6.0, 10.0].map(|m| {
                 let all = m * place.servers as f64 / (1.0 - place.hits);
                 (day(Rule::Fixed(all)).play().good(FROM), all)
