--- a/crates/limits/src/admission/mod.rs
+++ b/crates/limits/src/admission/mod.rs
@@ -111,14 +111,22 @@
 }
 
 /// The limit that the places follow, if the settings have it so.
-fn follow(settings: &Settings, now: Micros) -> Option<Follow> {
+fn follow(settings: &Settings, aim: Micros, now: Micros) -> Option<Follow> {
     let o = &settings.overload;
-    let (start, patience) = (f64::from(o.follow_from), micros(o.follow_patience_ms));
+    let start = f64::from(o.follow_from);
+    let patience = match (o.follow_patience_ms, aim) {
+        (0, 0) => PATIENCE,
+        (0, aim) => aim * 2 / 3,
+        (ms, _) => micros(ms),
+    };
     o.follow.then(|| {
         Follow::new(crate::follow::Settings { start, least: 1.0, patience, ..Default::default() }, now)
     })
 }
 
+/// The mean time of answers beyond which they are of little use, where nobody says.
+const PATIENCE: Micros = 500_000;
+
 impl Admission {
     /// Begins with nobody. `seed` is for the spread of come-again times and for keyed hashes: new with each start,
     /// unknown to clients.
@@ -154,7 +162,7 @@
             cursor: 0,
             newly_used: Meter::new(now, 2_000_000),
             burst: Meter::new(now, 500_000),
-            follow: follow(&settings, now).map(|f| (0, f)),
+            follow: follow(&settings, 0, now).map(|f| (0, f)),
             now,
             settings,
         };
@@ -179,12 +187,11 @@
         self.stages.reload(&settings.room);
         self.spells.reload(micros(settings.log.spell_ms), settings.log.spells);
         self.overload.reload(now, &settings.overload);
-        if settings.overload != self.settings.overload {
-            // Requests in hand are the old one's: it is gone, and the new one must not be told of them.
-            let begun = self.follow.as_ref().map_or(0, |(n, _)| n + 1);
-            self.follow = follow(&settings, now).map(|f| (begun, f));
-        }
+        let other = settings.overload != self.settings.overload;
         self.settings = settings;
+        if other {
+            self.follow_anew(now);
+        }
         self.bound();
         self.next_look = Some(now);
         Ok(())
@@ -198,7 +205,11 @@
         if room(&self.resources) != room(resources) {
             self.next_look = Some(now);
         }
+        let other = self.resources.aim != resources.aim;
         self.resources = *resources;
+        if other {
+            self.follow_anew(now);
+        }
         self.bound();
         let share = |u: Used| if u.limit > 0 { u.used as f64 / u.limit as f64 } else { 0.0 };
         let Resources { descriptors, memory, ports, .. } = *resources;
@@ -211,6 +222,12 @@
         }
     }
 
+    /// Begins the limit that follows anew. Requests in hand are the old one's: the new one must not be told of them.
+    fn follow_anew(&mut self, now: Micros) {
+        let begun = self.follow.as_ref().map_or(0, |(n, _)| n + 1);
+        self.follow = follow(&self.settings, self.resources.aim, now).map(|f| (begun, f));
+    }
+
     /// Takes over what settings and resources say of places and bytes.
     fn bound(&mut self) {
         let least = |cap: usize, host: usize| match (cap, host) {
--- a/crates/limits/src/admission/tests.rs
+++ b/crates/limits/src/admission/tests.rs
@@ -523,7 +523,9 @@
     let mut served = 0;
     for step in 0..6_000_i64 {
         host.now = step * 5_000;
-        for (ticket, began, _) in worked.extract_if(.., |(_, _, until)| *until <= host.now).collect::<Vec<_>>() {
+        for (ticket, began, _) in
+            worked.extract_if(.., |(_, _, until)| *until <= host.now).collect::<Vec<_>>()
+        {
             let in_time = host.now - began <= 500_000;
             served += usize::from(in_time);
             host.answer(ticket, in_time);
--- a/crates/limits/src/resources.rs
+++ b/crates/limits/src/resources.rs
@@ -22,6 +22,8 @@
     pub clients_room: usize,
     /// Requests that may be in flight: the intake's limit. May be a limit that follows.
     pub in_flight: usize,
+    /// The shortest time within which answers are wanted, of all classes; 0: not known.
+    pub aim: crate::Micros,
     /// Bytes that may be held for commands. 0: not bound.
     pub buffer_bytes: usize,
     /// Descriptors of the process.
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -224,11 +224,13 @@
     /// Whether requests in hand are given up where they are worth less than what their place could serve.
     /// Default false.
     pub give_up_late: bool,
-    /// Whether the places for requests follow how long they take, up to as many as the host can hold. Default false.
+    /// Whether the places for requests follow how long they take, up to as many as the host can hold. Default false:
+    /// a burst beyond `follow_from` would be told to come again until the places have grown.
     pub follow: bool,
     /// Places to begin with, where they follow. Default 64.
     pub follow_from: u32,
-    /// Mean time of answers, in ms, beyond which they are of little use, where places follow. Default 500.
+    /// Mean time of answers, in ms, beyond which they are of little use, where places follow. Default 0: two thirds
+    /// of the shortest aim of the classes.
     pub follow_patience_ms: u32,
 }
 
@@ -312,7 +314,7 @@
             give_up_late: false,
             follow: false,
             follow_from: 64,
-            follow_patience_ms: 500,
+            follow_patience_ms: 0,
         }
     }
 }
@@ -361,7 +363,6 @@
             ("keep.memory_ms", keep.memory_ms),
             ("room.recover_ms", room.recover_ms),
             ("overload.again_most_ms", overload.again_most_ms),
-            ("overload.follow_patience_ms", overload.follow_patience_ms),
             ("log.spell_ms", log.spell_ms),
         ] {
             within(key, ms, 1..=86_400_000, "1 to 86400000 (a day)")?;
@@ -390,6 +391,12 @@
         below("room.lean_at", room.lean_at, "room.guarded_at", room.guarded_at)?;
         below("room.guarded_at", room.guarded_at, "room.closed_at", room.closed_at)?;
         within("overload.knee", overload.knee, 0.01..=1.0, "0.01 to 1")?;
+        within(
+            "overload.follow_patience_ms",
+            overload.follow_patience_ms,
+            0..=86_400_000,
+            "0 to 86400000 (a day)",
+        )?;
         within("overload.follow_from", overload.follow_from, 1..=1_000_000, "1 to 1000000")?;
         within("overload.known_worth", overload.known_worth, 1.0..=1000.0, "1 to 1000")?;
         within("log.spells", log.spells, 1..=65_536, "1 to 65536")?;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -171,6 +171,8 @@
     origin_kind: Option<u32>,
     phase: Phase,
     longest_wait: Micros,
+    /// The shortest time within which a class wants its answers.
+    shortest_aim: Micros,
     /// Descriptors for clients and members together.
     sockets: usize,
     /// Transactions that may be held at a time, and bytes of their commands.
@@ -205,6 +207,7 @@
         let server = VirtualServer::new(config.listen, admission, handle)
             .map_err(|source| super::Error::Listen { at: config.listen, source })?;
         let longest = config.options.request_classes.iter().map(|c| micros(c.give_up_s)).max();
+        let aims = config.options.request_classes.iter().map(|c| micros(c.slo_s));
         let mut node = Node {
             clock,
             scratch: vec![0; SCRATCH],
@@ -218,6 +221,7 @@
             origin_kind,
             phase: Phase::Serving,
             sockets,
+            shortest_aim: aims.min().unwrap_or(0),
             longest_wait: longest.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT),
             most_held: bounds.most_held.max(1),
             // The rest is for what is read and sent.
@@ -479,6 +483,7 @@
             connections: self.sockets - self.pool.reserve(),
             clients_room: self.descriptors / CLIENTS_SHARE,
             in_flight: self.most_held,
+            aim: self.shortest_aim,
             buffer_bytes: self.most_bytes,
             // What clients may hold leaves the others theirs; EMFILE tells if something else took them.
             descriptors: Used::default(),
