--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,12 +7,13 @@
 
 pub mod arrivals;
 pub mod clients;
-//pub mod discovery;
 pub mod draw;
 pub mod keys;
 pub mod mix;
-//pub mod network;
+pub mod origin;
 pub mod profile;
+pub mod server;
+pub mod value;
 
 /// Microseconds, as a point on the caller's clock or as a length.
 pub type Micros = i64;
