--- a/crates/model/src/clients/machine.rs
+++ b/crates/model/src/clients/machine.rs
@@ -102,6 +102,7 @@
                 "retry.growth",
                 "must be 0 or more",
             ),
+            (!(0.0..=1.0).contains(&self.retry.heeds), "retry.heeds", "must be from 0 to 1"),
             (self.retry.wait.fault().is_some(), "retry.wait", "is no law for a length of time"),
         ];
         faults.into_iter().find(|fault| fault.0).map(|(_, field, fault)| (field, fault))
@@ -343,6 +344,7 @@
             request.tries.push(Try {
                 id,
                 due,
+                taken: now,
                 until,
                 node: None,
                 conn: None,
@@ -618,7 +620,10 @@
         let retry = &habits.retry;
         let asked = match end {
             End::Served | End::Spoilt | End::Left => return None,
-            End::Refused(after) => retry.heeds_busy.and_then(|most| after.map(|after| after.min(most))),
+            End::Refused(after) => {
+                let heeds = unit(&mut spot(self.seed, "heeds", of.number, 0)) < retry.heeds;
+                retry.heeds_busy.filter(|_| heeds).and_then(|most| after.map(|after| after.min(most)))
+            }
             _ => None,
         };
         if request.tries.len() >= usize::from(retry.tries) {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod draw;
 pub mod keys;
 pub mod mix;
+pub mod network;
 pub mod origin;
 pub mod profile;
 pub mod server;
