Play the load over sockets: the client machine on one loop

In full: Play the load over sockets: the client machine on one loop, with its own lateness measured.

The experiments need open-loop load on nodes that a stalled node or a late lab cannot flatter. One thread drives the model's client machine over non-blocking sockets, keeps books of every step, plays slow readers, bad clients and what is wrong with the network before a node, and carries the same plan by simple policies straight to the servers.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,8 +11,11 @@
 
 pub mod check;
 pub mod cli;
+pub mod clock;
 pub mod experiment;
 pub mod ledger;
+pub mod load;
+pub mod rivals;
 
 pub use lapisrudder_model::Micros;
 
--- a/crates/model/src/keys.rs
+++ b/crates/model/src/keys.rs
@@ -149,7 +149,15 @@
 
 impl Default for Keys {
     fn default() -> Self {
-        Self { space: 0, population: 10_000, exponent: 0.9, offset: 0.0, drift: Drift::Still, hot: Vec::new(), fresh: 0.0 }
+        Self {
+            space: 0,
+            population: 10_000,
+            exponent: 0.9,
+            offset: 0.0,
+            drift: Drift::Still,
+            hot: Vec::new(),
+            fresh: 0.0,
+        }
     }
 }
 
