--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod experiment;
 pub mod ledger;
 pub mod load;
+pub mod node;
 pub mod rivals;
 
 pub use lapisrudder_model::Micros;
