Expand faults to timed steps, and watch the conditions that set some off

Also the ends of the cost measurement: a server that answers at once, a plain byte relay and a closed loop of requests.

--- a/crates/lab/src/experiment/fault.rs
+++ b/crates/lab/src/experiment/fault.rs
@@ -66,7 +66,7 @@
 }
 
 /// What a condition can look at while a run goes on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SeenMetric {
     /// Worth answered within aims over worth asked for.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,7 +12,9 @@
 pub mod check;
 pub mod cli;
 pub mod clock;
+pub mod cost;
 pub mod experiment;
+pub mod faults;
 pub mod ledger;
 pub mod load;
 pub mod node;
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -23,6 +23,7 @@
 pub use driver::Command;
 pub use links::Link;
 pub use live::{Board, Seen};
+pub(crate) use net::{Happening, Net};
 pub use nodes::SlowReaders;
 pub use plan::{Of, Plan};
 
--- a/crates/lab/src/load/net.rs
+++ b/crates/lab/src/load/net.rs
@@ -21,7 +21,7 @@
 
 /// What happened on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Happening {
+pub(crate) enum Happening {
     /// It is up.
     Up,
     /// It did not come up, and is no more.
@@ -36,12 +36,12 @@
 
 /// What the loop's callbacks note down.
 #[derive(Default)]
-pub(super) struct Noted {
+pub(crate) struct Noted {
     ready: Vec<(u32, bool, bool)>,
 }
 
 /// All connections of one thread.
-pub(super) struct Net {
+pub(crate) struct Net {
     events: EventLoop<'static, Noted>,
     noted: Noted,
     clock: Clock,
@@ -61,7 +61,7 @@
 const SCRATCH: usize = 64 << 10;
 
 impl Net {
-    pub(super) fn new(clock: Clock) -> io::Result<Self> {
+    pub(crate) fn new(clock: Clock) -> io::Result<Self> {
         Ok(Self {
             events: EventLoop::try_new().map_err(io::Error::other)?,
             noted: Noted::default(),
@@ -77,13 +77,13 @@
     }
 
     /// To put more sources on the loop; they wake it.
-    pub(super) fn handle(&self) -> LoopHandle<'static, Noted> {
+    pub(crate) fn handle(&self) -> LoopHandle<'static, Noted> {
         self.events.handle()
     }
 
     /// Begins to connect. [`Happening::Up`] or [`Happening::NotUp`] follows. `link` names the node whose link it goes
     /// over, `from` the local address.
-    pub(super) fn open(
+    pub(crate) fn open(
         &mut self,
         to: SocketAddr,
         from: Option<IpAddr>,
@@ -140,7 +140,7 @@
     }
 
     /// Writes bytes behind what waits already; once all have been written [`Happening::Wrote`] tells the mark.
-    pub(super) fn write(&mut self, conn: u32, bytes: &[u8], mark: Option<u64>) {
+    pub(crate) fn write(&mut self, conn: u32, bytes: &[u8], mark: Option<u64>) {
         let now = self.clock.now();
         let Some(wire) = self.wires.get_mut(&conn) else { return };
         let link = self.links.get(wire.link);
@@ -152,19 +152,19 @@
     }
 
     /// Bytes that have come and were not taken.
-    pub(super) fn input(&self, conn: u32) -> &[u8] {
+    pub(crate) fn input(&self, conn: u32) -> &[u8] {
         self.wires.get(&conn).map_or(&[], Wire::input)
     }
 
     /// Takes bytes from the front of the input.
-    pub(super) fn take(&mut self, conn: u32, bytes: usize) {
+    pub(crate) fn take(&mut self, conn: u32, bytes: usize) {
         if let Some(wire) = self.wires.get_mut(&conn) {
             wire.take(bytes);
         }
     }
 
     /// Closes a connection. Nothing more happens on it.
-    pub(super) fn close(&mut self, conn: u32) {
+    pub(crate) fn close(&mut self, conn: u32) {
         self.remove(conn);
         self.happened.retain(|(other, _)| *other != conn);
     }
@@ -178,12 +178,12 @@
     }
 
     /// Open connections, those that are not up yet included.
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.wires.len()
     }
 
     /// A reader's pace from now on, for connections that are drawn by their number as a share of those to a node.
-    pub(super) fn set_reader(&mut self, conn: u32, reader: Reader) {
+    pub(crate) fn set_reader(&mut self, conn: u32, reader: Reader) {
         let now = self.clock.now();
         if let Some(wire) = self.wires.get_mut(&conn) {
             wire.set_reader(reader, now);
@@ -192,7 +192,7 @@
     }
 
     /// The link to a node is like this from now on.
-    pub(super) fn set_link(&mut self, node: u16, link: Link) {
+    pub(crate) fn set_link(&mut self, node: u16, link: Link) {
         let healed = self.links.get(Some(node)).cut && !link.cut;
         self.links.set(node, link);
         if healed {
@@ -220,7 +220,7 @@
     }
 
     /// Waits until something happens, for so long at most, and carries out what is due.
-    pub(super) fn turn(&mut self, most: Duration) -> io::Result<()> {
+    pub(crate) fn turn(&mut self, most: Duration) -> io::Result<()> {
         let mut wait = most;
         if !self.happened.is_empty() {
             wait = Duration::ZERO;
@@ -245,7 +245,7 @@
     }
 
     /// What happened, in order.
-    pub(super) fn next(&mut self) -> Option<(u32, Happening)> {
+    pub(crate) fn next(&mut self) -> Option<(u32, Happening)> {
         self.happened.pop_front()
     }
 
