--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -5,7 +5,9 @@
 
 mod active;
 mod conditions;
+mod hands;
 mod steps;
 
 pub use conditions::{Conditions, SeenNow};
+pub use hands::{Hands, HandsError};
 pub use steps::{Effect, Far, Step, Target, Wrong, steps};
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod load;
 pub mod node;
 pub mod rivals;
+pub mod run;
 
 pub use lapisrudder_model::Micros;
 
--- a/crates/lab/src/load/driver.rs
+++ b/crates/lab/src/load/driver.rs
@@ -34,6 +34,8 @@
     Stopping(u16),
     /// A node has been started again.
     Started(u16),
+    /// Discovery has moved: a client library asks there from now on.
+    Discovery(Vec<std::net::SocketAddr>),
     /// The thread stands still for so long: to test that this is noticed.
     Stall(Duration),
     /// The run is over.
@@ -250,9 +252,6 @@
                     // A library is always there.
                     Through::Servers(_) => {
                         self.cx.events.push((number, Event::Probed(node, true)));
-                        if let Some(ready) = self.cx.live.ready.get_mut(node.0 as usize) {
-                            *ready = true;
-                        }
                     }
                 },
                 Order::Over(story) => self.over(number, &story),
@@ -341,6 +340,11 @@
                 }
                 self.all(now, Event::Started(NodeId(node.into())));
             }
+            Command::Discovery(addresses) => {
+                if let Way::Servers(servers) = &mut self.way {
+                    servers.move_discovery(&addresses);
+                }
+            }
             Command::Stall(length) => std::thread::sleep(length),
             Command::End => self.ended = true,
         }
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -25,6 +25,7 @@
 pub use live::{Board, Seen};
 pub(crate) use net::{Happening, Net};
 pub use nodes::SlowReaders;
+pub(crate) use plan::keys_of;
 pub use plan::{Of, Plan};
 
 use crate::Micros;
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -62,7 +62,7 @@
                     rate = rate.times(&Line::window(fault.1, fault.2, 1.0, *times));
                 }
             }
-            plan.add(e, number, &rate, keys(e, load));
+            plan.add(e, number, &rate, keys_of(e, load));
             for (at, fault) in on_clients(e, &occurrences, &load.name).enumerate() {
                 if let What::HotCaller { share, keys, ramp_s } = fault.0 {
                     let hill = Line::hill(fault.1, fault.2, *ramp_s, *share);
@@ -94,7 +94,7 @@
             let shifted = rate(e, load, number, seed).shifted(from);
             match &fault.what {
                 What::Surge { times } if *times > 1.0 => {
-                    plan.add(e, number, &shifted.scaled(times - 1.0), keys(e, load));
+                    plan.add(e, number, &shifted.scaled(times - 1.0), keys_of(e, load));
                 }
                 What::HotCaller { share, keys, ramp_s } => {
                     let hill = Line::hill(0.0, end, *ramp_s, *share);
@@ -227,7 +227,8 @@
     e.classes.iter().enumerate().map(|(at, c)| (number * e.classes.len() + at, share(c))).collect()
 }
 
-fn keys(e: &Experiment, load: &Load) -> Keys {
+/// The keys of a load.
+pub(crate) fn keys_of(e: &Experiment, load: &Load) -> Keys {
     let k = &load.keys;
     // Loads that begin at the same key share keys.
     let space = e.loads.iter().position(|l| l.keys.first == k.first).unwrap_or(0);
--- a/crates/lab/src/load/policy.rs
+++ b/crates/lab/src/load/policy.rs
@@ -106,6 +106,13 @@
         }
     }
 
+    /// Libraries ask for the list there from the next call on.
+    pub(super) fn move_discovery(&mut self, addresses: &[SocketAddr]) {
+        for (library, address) in self.libraries.iter_mut().zip(addresses) {
+            library.discovery = *address;
+        }
+    }
+
     /// Sends a flow to a server or the origin.
     fn send(&mut self, cx: &mut Cx, number: u64, at: At) {
         let Some(flow) = self.flows.get_mut(&number) else { return };
@@ -276,6 +283,9 @@
                 let good = l.is_some_and(|l| {
                     let good = l.catalog.take(&r.body).is_ok();
                     l.chooser.set(l.catalog.servers());
+                    if let Some(ready) = cx.live.ready.get_mut(library) {
+                        *ready |= good;
+                    }
                     good
                 });
                 good.then_some((used, r.keep && !ended))
