--- a/crates/lab/src/cost/ask.rs
+++ b/crates/lab/src/cost/ask.rs
@@ -1,8 +1,8 @@
 //! The closed loop that measures: each connection has so many requests out at any time, and writes the next as soon as
 //! an answer has come.
 
-use crate::clock::Clock;
 use crate::load::{Happening, Net};
+use crate::stand::Clock;
 use lapisrudder_codec::memcache::{Answer, parse_answer};
 use lapisrudder_model::clients::Reader;
 use lapisrudder_model::mix::mix;
@@ -58,7 +58,7 @@
 impl Asker {
     /// Connects; requests are for so many keys.
     pub(super) fn connect(to: SocketAddr, shape: Shape, keys: u64) -> Result<Self, AskError> {
-        let clock = Clock::start();
+        let clock = Clock::default();
         let mut net = Net::new(clock)?;
         let open = |_| (net.open(to, None, None, Reader::Full), VecDeque::new());
         let out = (0..shape.connections).map(open).collect();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,23 +3,36 @@
 //!
 //! - [`experiment`]: files in TOML to checked, documented types; a seed to the same plan of faults each time.
 //! - [`ledger`]: append-only records of clients, servers, origin, discovery and nodes, with times.
+//! - [`stand`]: stand-ins of cache servers, origin and discovery on loopback sockets.
 //!
-//! Nothing in these modules opens a socket, reads a clock or starts a thread, so that real-time runs and runs on a
+//! Nothing but the stand-ins opens a socket, reads a clock or starts a thread, so that real-time runs and runs on a
 //! virtual clock share them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
+#[cfg(feature = "tool")]
 pub mod check;
+#[cfg(feature = "tool")]
 pub mod cli;
-pub mod clock;
+#[cfg(feature = "tool")]
+pub mod compare;
+#[cfg(feature = "tool")]
 pub mod cost;
 pub mod experiment;
+#[cfg(feature = "tool")]
 pub mod faults;
 pub mod ledger;
+#[cfg(feature = "tool")]
 pub mod load;
+#[cfg(feature = "tool")]
 pub mod node;
+#[cfg(feature = "tool")]
 pub mod rivals;
+#[cfg(feature = "tool")]
 pub mod run;
+pub mod stand;
+#[cfg(feature = "tool")]
+pub mod stats;
 
 pub use lapisrudder_model::Micros;
 
--- a/crates/lab/src/load/driver.rs
+++ b/crates/lab/src/load/driver.rs
@@ -11,10 +11,10 @@
 use super::probe::Probes;
 use super::{Books, LoadError, LoadSpec, Through};
 use crate::Micros;
-use crate::clock::Clock;
 use crate::ledger::{
     Book, ClassNo, ClientBook, ClientEvent, ConnNo, LabEvent, LoadNo, NodeEvent, NodeNo, ReqId, Try, TryFlags,
 };
+use crate::stand::Clock;
 use calloop::channel::{Channel, Event as Received};
 use lapisrudder_model::clients::{Clients, End, Event, NodeId, Order, Story};
 use std::time::Duration;
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -29,9 +29,9 @@
 pub use plan::{Of, Plan};
 
 use crate::Micros;
-use crate::clock::Clock;
 use crate::experiment::Rival;
 use crate::ledger::{Book, ClientBook, LabEvent, NodeEvent, Try};
+use crate::stand::Clock;
 use calloop::channel::{Sender, channel};
 use driver::Driver;
 use lapisrudder_model::clients::{BadError, ClientsError};
--- a/crates/lab/src/load/net.rs
+++ b/crates/lab/src/load/net.rs
@@ -5,8 +5,8 @@
 use super::links::{Link, Links};
 use super::wire::{Piece, Wire};
 use crate::Micros;
-use crate::clock::Clock;
 use crate::ledger::Closer;
+use crate::stand::Clock;
 use calloop::generic::Generic;
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
 use lapisrudder_model::clients::{NotOpen, Reader};
--- a/crates/lab/src/node/mod.rs
+++ b/crates/lab/src/node/mod.rs
@@ -16,9 +16,9 @@
 pub use scratch::{Scratch, scratch};
 
 use crate::Micros;
-use crate::clock::Clock;
 use crate::experiment::{Experiment, SignalSet};
 use crate::ledger::{Book, NodeEvent, NodeNo, Signal};
+use crate::stand::Clock;
 use lapisrudder_model::draw::stream;
 use rand::RngCore;
 use rustix::process::Signal as Unix;
--- a/crates/lab/src/run/arm.rs
+++ b/crates/lab/src/run/arm.rs
@@ -1,9 +1,9 @@
 //! One arm of a run: world, nodes (or a client library in their place), load and faults, to a ledger.
 
+use super::RunError;
 use super::changes::Changes;
 use super::progress::Progress;
 use super::sink::{CountingBooks, Counts};
-use super::RunError;
 use crate::experiment::{Experiment, SeenMetric, What};
 use crate::faults::{Conditions, Hands, SeenNow};
 use crate::ledger::{Book, LabEvent, Ledger, NodeEvent};
@@ -87,8 +87,7 @@
     let slacks = millis(e.world.rules.answer_slack_ms + e.world.rules.socket_slack_ms);
     let linger = slacks + LISTEN_ON;
     let net = client_net();
-    let load =
-        LoadThread::start(LoadSpec { plan, through, nodes: listen, discovery, linger, net }, clock)?;
+    let load = LoadThread::start(LoadSpec { plan, through, nodes: listen, discovery, linger, net }, clock)?;
     let places = crate::experiment::servers(e).iter().filter_map(|m| world.server(&m.name)).collect();
     let mut hands = Hands::new(e, seed, world.control().clone(), nodes, places, origin, clock);
     for node in 0..count {
--- a/crates/lab/src/run/progress.rs
+++ b/crates/lab/src/run/progress.rs
@@ -64,8 +64,13 @@
 
     #[test]
     fn the_line_tells_what_is_known_and_a_dash_for_what_is_not() {
-        let seen =
-            Seen { per_s: 300.4, goodput: Some(0.987), p99_ms: Some(12.34), connections: 7, ..Seen::default() };
+        let seen = Seen {
+            per_s: 300.4,
+            goodput: Some(0.987),
+            p99_ms: Some(12.34),
+            connections: 7,
+            ..Seen::default()
+        };
         let text = line("calm", 3.2, 20.0, &seen, Some(0.25));
         assert_eq!(
             text,
--- a/crates/lab/src/run/sink.rs
+++ b/crates/lab/src/run/sink.rs
@@ -6,24 +6,24 @@
 
 /// How often what happened so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
+pub(super) struct Counts {
     /// Requests that the origin was sent whole.
-    pub origin: u64,
+    pub(super) origin: u64,
     /// Reads at cache servers that hit.
-    pub hits: u64,
+    pub(super) hits: u64,
     /// Reads at cache servers that missed.
-    pub misses: u64,
+    pub(super) misses: u64,
 }
 
 /// Books and counts.
 #[derive(Debug, Default)]
-pub struct CountingBooks {
+pub(super) struct CountingBooks {
     /// All records.
-    pub books: Books,
+    pub(super) books: Books,
     /// Who the origin is.
-    pub origin: Option<ServerNo>,
+    pub(super) origin: Option<ServerNo>,
     /// How often what happened.
-    pub counts: Counts,
+    pub(super) counts: Counts,
 }
 
 impl Sink for CountingBooks {
--- a/crates/lab/tests/load/main.rs
+++ b/crates/lab/tests/load/main.rs
@@ -2,10 +2,10 @@
 
 mod toy;
 
-use lapisrudder_lab::clock::Clock;
 use lapisrudder_lab::experiment::{Experiment, ExperimentFile};
 use lapisrudder_lab::ledger::{Answer, ClientEvent, Closer, LabEvent, ReqId};
 use lapisrudder_lab::load::{Books, Command, Link, LoadSpec, LoadThread, Plan, Through};
+use lapisrudder_lab::stand::Clock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -30,7 +30,7 @@
 
 /// Plays an experiment until all requests are over, and then for as long as answers are listened for.
 fn play(e: &Experiment, nodes: Vec<SocketAddr>, mut during: impl FnMut(&LoadThread)) -> Books {
-    let clock = Clock::start();
+    let clock = Clock::default();
     let plan = Plan::of(e, 1).expect("a plan");
     let through = Through::Nodes;
     let spec = LoadSpec { plan, through, discovery: Vec::new(), nodes, linger: 60_000, net: (71, 0) };
--- a/crates/model/src/clients/habits.rs
+++ b/crates/model/src/clients/habits.rs
@@ -1,7 +1,7 @@
 //! What clients do, as written down before a run.
 
+use super::Retry;
 use crate::Micros;
-use crate::mix::Spread;
 
 /// What becomes of a connection after its answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,36 +27,6 @@
     Late(Micros),
 }
 
-/// When a client asks again after a try that did not serve it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Retry {
-    /// Tries in all, the first included.
-    pub tries: u8,
-    /// The wait before the second try.
-    pub wait: Spread,
-    /// Each further wait is this many times as long.
-    pub growth: f64,
-    /// No wait is longer, unless a `busy` asks for it.
-    pub most: Micros,
-    /// Waits as long as a `busy MS` asks, up to this; `None` takes no notice of it.
-    pub heeds_busy: Option<Micros>,
-    /// Share of the requests whose client takes notice, 0 to 1.
-    pub heeds: f64,
-}
-
-impl Default for Retry {
-    fn default() -> Self {
-        Self {
-            tries: 3,
-            wait: Spread::Exponential(1e5),
-            growth: 2.0,
-            most: 2_000_000,
-            heeds_busy: Some(2_000_000),
-            heeds: 1.0,
-        }
-    }
-}
-
 /// How the clients of one population behave.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Habits {
@@ -105,3 +75,27 @@
         }
     }
 }
+
+impl Habits {
+    /// The first field that cannot be used, and what is wrong with it.
+    pub(super) fn fault(&self) -> Option<(&'static str, &'static str)> {
+        let span = |(low, high): (f64, f64)| low >= 0.0 && low <= high && high <= 1.0;
+        let faults = [
+            (self.most == 0, "most", "must be above 0"),
+            (self.pipeline == 0, "pipeline", "must be above 0"),
+            (self.connect_limit <= 0, "connect_limit", "must be above 0"),
+            (!span(self.patience) || self.patience.0 <= 0.0, "patience", "must be a span of shares above 0"),
+            (!span(self.leaves_after), "leaves_after", "must be a span of shares from 0 to 1"),
+            (!(0.0..=1.0).contains(&self.leaves), "leaves", "must be from 0 to 1"),
+            (self.retry.tries == 0, "retry.tries", "must be above 0"),
+            (
+                !(self.retry.growth.is_finite() && self.retry.growth >= 0.0),
+                "retry.growth",
+                "must be 0 or more",
+            ),
+            (!(0.0..=1.0).contains(&self.retry.heeds), "retry.heeds", "must be from 0 to 1"),
+            (self.retry.wait.fault().is_some(), "retry.wait", "is no law for a length of time"),
+        ];
+        faults.into_iter().find(|fault| fault.0).map(|(_, field, fault)| (field, fault))
+    }
+}
