--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,5 +1,7 @@
 //! The command line: each sub-command reads its arguments here and calls the module that does the work.
 
+mod tool;
+
 use crate::experiment::{ExperimentFile, FileError, schedule};
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
@@ -18,6 +20,8 @@
 enum Command {
     /// Check an experiment file and print what a run of it would be.
     Check(CheckArgs),
+    #[command(flatten)]
+    Tool(tool::Tool),
 }
 
 #[derive(Args)]
@@ -68,6 +72,10 @@
                 ExitCode::from(2)
             }
         },
+        Command::Tool(tool) => tool.call().unwrap_or_else(|e| {
+            eprintln!("{e}");
+            ExitCode::from(2)
+        }),
     }
 }
 
--- /dev/null
+++ b/crates/lab/src/cli/tool.rs
@@ -0,0 +1,104 @@
+//! The sub-commands that start something: worlds, nodes, load.
+
+use super::Changes;
+use crate::run::{RunOptions, run};
+use crate::stats::LastLine;
+use clap::{Args, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Sub-commands that start worlds, nodes and load.
+#[derive(Subcommand)]
+pub(super) enum Tool {
+    /// Run an experiment: nodes and simple policies on the same plan, checked and measured.
+    Run(RunArgs),
+}
+
+#[derive(Args)]
+pub(super) struct RunArgs {
+    /// The experiment file.
+    file: PathBuf,
+    /// A seed in place of the file's; may be given many times.
+    #[arg(long = "seed", value_name = "N")]
+    seeds: Vec<u64>,
+    /// Where ledgers, the nodes' output and the report go.
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// The command line of a node, in place of the built one.
+    #[arg(long, value_name = "CMD")]
+    node: Option<String>,
+    /// Leave the simple policies out.
+    #[arg(long)]
+    no_rivals: bool,
+    /// No running line on the terminal.
+    #[arg(long)]
+    quiet: bool,
+    #[command(flatten)]
+    changes: Changes,
+}
+
+/// Something that has no other place to go than one line on standard error.
+pub(super) type Failed = Box<dyn std::error::Error>;
+
+impl Tool {
+    pub(super) fn call(&self) -> Result<ExitCode, Failed> {
+        match self {
+            Tool::Run(args) => args.call(),
+        }
+    }
+}
+
+impl RunArgs {
+    fn call(&self) -> Result<ExitCode, Failed> {
+        let file = self.changes.read(&self.file)?;
+        let options = RunOptions {
+            seeds: self.seeds.clone(),
+            command: self.node.clone(),
+            no_rivals: self.no_rivals,
+            out: self.out.clone(),
+            progress: !self.quiet,
+            stall: None,
+        };
+        let results = run(&file, &options)?;
+        for result in &results {
+            eprint!("{}", told(result));
+        }
+        let last = LastLine::of(&results);
+        println!("{}", serde_json::to_string(&last)?);
+        Ok(ExitCode::from(last.status()))
+    }
+}
+
+/// A run in a few lines.
+fn told(result: &crate::stats::RunResult) -> String {
+    use crate::experiment::Metric;
+    let mut text = format!("point {} seed {}\n", result.point, result.seed);
+    for arm in &result.arms {
+        let figure = |metric| arm.figure(metric);
+        text += &format!(
+            "  {:8} goodput {:.4}  p50 {:.1} ms  p99 {:.1} ms  p99.9 {:.1} ms  hits {:.3}  origin {:.0}/s",
+            arm.arm.name(),
+            figure(Metric::Goodput),
+            figure(Metric::P50Ms),
+            figure(Metric::P99Ms),
+            figure(Metric::P999Ms),
+            figure(Metric::HitShare),
+            figure(Metric::OriginPerS),
+        );
+        let cpu = figure(Metric::CpuUsPerRequest);
+        text += &if cpu.is_finite() { format!("  cpu {cpu:.0} us\n") } else { "\n".into() };
+        for (rule, times) in &arm.broken {
+            text += &format!("    rule {rule} broken {times} times\n");
+        }
+        for story in &arm.stories {
+            text += &format!("{story}\n");
+        }
+        if let Some(void) = &arm.void {
+            text += &format!("    void: {void}\n");
+        }
+    }
+    for v in result.verdicts.iter().filter(|v| !v.held) {
+        text += &format!("  not held: {} (seen {:?}, bound {:?})\n", v.that, v.seen, v.bound);
+    }
+    text
+}
