--- a/crates/lab/src/cli/tool.rs
+++ b/crates/lab/src/cli/tool.rs
@@ -4,7 +4,7 @@
 use crate::run::{RunOptions, run};
 use crate::stats::LastLine;
 use clap::{Args, Subcommand};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Sub-commands that start worlds, nodes and load.
@@ -21,9 +21,12 @@
     /// A seed in place of the file's; may be given many times.
     #[arg(long = "seed", value_name = "N")]
     seeds: Vec<u64>,
-    /// Where ledgers, the nodes' output and the report go.
+    /// Where results, the nodes' output and the report go; a folder for temporary files if not given.
     #[arg(long, value_name = "DIR")]
     out: Option<PathBuf>,
+    /// Keep the raw records of both ends there, too.
+    #[arg(long)]
+    records: bool,
     /// The command line of a node, in place of the built one.
     #[arg(long, value_name = "CMD")]
     node: Option<String>,
@@ -51,11 +54,13 @@
 impl RunArgs {
     fn call(&self) -> Result<ExitCode, Failed> {
         let file = self.changes.read(&self.file)?;
+        let out = self.out.clone().unwrap_or_else(|| temporary(&self.file));
         let options = RunOptions {
             seeds: self.seeds.clone(),
             command: self.node.clone(),
             no_rivals: self.no_rivals,
-            out: self.out.clone(),
+            out: Some(out.clone()),
+            keep_records: self.records,
             progress: !self.quiet,
             stall: None,
         };
@@ -63,6 +68,7 @@
         for result in &results {
             eprint!("{}", told(result));
         }
+        eprintln!("report: {}", out.join("report.html").display());
         let last = LastLine::of(&results);
         println!("{}", serde_json::to_string(&last)?);
         Ok(ExitCode::from(last.status()))
@@ -102,3 +108,9 @@
     }
     text
 }
+
+/// A folder for results that nobody named one for.
+fn temporary(file: &Path) -> PathBuf {
+    let name = file.file_stem().map_or("experiment".into(), |s| s.to_string_lossy().into_owned());
+    std::env::temp_dir().join("lapisrudder-lab").join(format!("{name}-{}", std::process::id()))
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,8 +5,11 @@
 //! - [`ledger`]: append-only records of clients, servers, origin, discovery and nodes, with times.
 //! - [`stand`]: stand-ins of cache servers, origin and discovery on loopback sockets.
 //!
-//! Nothing but the stand-ins opens a socket, reads a clock or starts a thread, so that real-time runs and runs on a
-//! virtual clock share them.
+//! - [`load`], [`node`], [`faults`], [`run`]: the load over sockets, nodes as processes, faults while a run goes on, and
+//!   whole runs.
+//!
+//! Experiments, ledgers, checks, statistics and reports open no socket, read no clock and start no thread, so that
+//! real-time runs and runs on a virtual clock share them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
@@ -27,6 +30,8 @@
 #[cfg(feature = "tool")]
 pub mod node;
 #[cfg(feature = "tool")]
+pub mod report;
+#[cfg(feature = "tool")]
 pub mod rivals;
 #[cfg(feature = "tool")]
 pub mod run;
--- a/crates/lab/src/run/mod.rs
+++ b/crates/lab/src/run/mod.rs
@@ -14,6 +14,7 @@
 use crate::ledger::write_jsonl;
 use crate::load::LoadError;
 use crate::node::NodeError;
+use crate::report::{self, Folder, StoreError};
 use crate::stand::{ControlError, StandError};
 use crate::stats::{Arm, RunResult, judge};
 use std::fs::{self, File};
@@ -42,6 +43,9 @@
     /// The faults.
     #[error(transparent)]
     Hands(#[from] HandsError),
+    /// The report.
+    #[error(transparent)]
+    Report(#[from] StoreError),
     /// What came of it cannot be written.
     #[error("cannot write {path}: {source}")]
     Write {
@@ -61,8 +65,10 @@
     pub command: Option<String>,
     /// Leaves the simple policies out.
     pub no_rivals: bool,
-    /// Where ledgers, the nodes' output and the report go.
+    /// Where results, the nodes' output and the report go; nowhere if none is named.
     pub out: Option<PathBuf>,
+    /// Raw records go there, too.
+    pub keep_records: bool,
     /// A running line on the terminal.
     pub progress: bool,
     /// The load's thread stands still that long after the start of the load, for so long: to test that it is noticed.
@@ -88,13 +94,21 @@
 /// The first thing of the lab that could not be started, or failed. What a node does wrong is no error but a verdict.
 pub fn run(file: &ExperimentFile, options: &RunOptions) -> Result<Vec<RunResult>, RunError> {
     let mut progress = Progress::on_terminal(options.progress);
+    let folder = options.out.as_ref().map(|dir| Folder::create(dir, file)).transpose()?;
     let mut results = Vec::new();
     for (point, e) in file.experiments()? {
         let seeds = if options.seeds.is_empty() { &e.seeds } else { &options.seeds };
         for &seed in seeds {
-            results.push(run_one(file, &point, &e, seed, options, &mut progress)?);
+            let result = run_one(file, &point, &e, seed, options, &mut progress)?;
+            if let Some(folder) = &folder {
+                folder.append(&result)?;
+            }
+            results.push(result);
         }
     }
+    if let Some(dir) = &options.out {
+        report::write(dir)?;
+    }
     Ok(results)
 }
 
@@ -131,7 +145,7 @@
         for node in &played.not_ready {
             progress.say(&format!("{spot}: not ready when the load began: {node}"));
         }
-        if options.out.is_some() {
+        if options.keep_records && options.out.is_some() {
             keep(&dir, &spot, &played)?;
         }
         troubles.push((arm, played.trouble));
