--- a/crates/lab/src/check/crossing.rs
+++ b/crates/lab/src/check/crossing.rs
@@ -2,6 +2,7 @@
 //! more on a new connection, which costs the client time but is no loss, as long as
 //!
 //! - the node had not read it: nothing of it reached a server before the client saw the close;
+//! - it is not the end of a process that the lab killed outright;
 //! - it happens once: the new connection had no idle time after which it could be closed.
 
 use super::context::Context;
@@ -12,6 +13,10 @@
     for t in cx.tries() {
         let crossed = cx.index.client(t.id).filter(|r| matches!(r.event, ClientEvent::Crossed { .. }));
         for (number, r) in crossed.enumerate() {
+            // The end may be seen some time after the kill.
+            if cx.killed(t.node, r.at - 1_000_000, r.at) {
+                continue;
+            }
             if number > 0 {
                 out.push(cx.broken(
                     Rule::Crossing,
--- a/crates/lab/src/stand/server.rs
+++ b/crates/lab/src/stand/server.rs
@@ -366,6 +366,7 @@
             Act::Effect(effect) => self.effect(place, at, &effect),
             Act::Changed { key, version } => self.void(place, at, key, version),
             Act::Fell => {
+                self.tell(at, ServerEvent::State { server, state: ServerState::Fallen });
                 self.doors_moved = true;
                 self.note_gone(place, now, false);
             }
