Measure what a served read costs a node against a plain byte relay

One run measures the relay and nodes that list 2, 50 and 500 members by turns, for 1, 16 and 64 connections one at a time and 16 with 16 requests in the pipe; the time is the scheduler's own count of each process.

--- a/crates/lab/src/cli/tool.rs
+++ b/crates/lab/src/cli/tool.rs
@@ -1,17 +1,69 @@
 //! The sub-commands that start something: worlds, nodes, load.
 
 use super::Changes;
+use crate::cost::{CostOptions, cost, relay};
+use crate::node::built;
 use crate::run::{RunOptions, run};
 use crate::stats::LastLine;
 use clap::{Args, Subcommand};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Sub-commands that start worlds, nodes and load.
 #[derive(Subcommand)]
 pub(super) enum Tool {
     /// Run an experiment: nodes and simple policies on the same plan, checked and measured.
     Run(RunArgs),
+    /// Measure what a served read costs a node, against a plain byte relay.
+    Cost(CostArgs),
+    /// Relay bytes from one address to another, for `cost`.
+    #[command(hide = true)]
+    Relay {
+        /// Where to listen.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// Where to connect to.
+        #[arg(long)]
+        to: SocketAddr,
+    },
+}
+
+#[derive(Args)]
+pub(super) struct CostArgs {
+    /// The command line of a node, in place of the built one.
+    #[arg(long, value_name = "CMD")]
+    node: Option<String>,
+    /// Numbers of members that nodes list.
+    #[arg(long, value_delimiter = ',', default_values_t = [2, 50, 500])]
+    members: Vec<usize>,
+    /// How long each is measured in each round (ms).
+    #[arg(long, default_value_t = 700)]
+    length_ms: u64,
+    /// Rounds.
+    #[arg(long, default_value_t = 3)]
+    rounds: usize,
+    /// Bytes of a value.
+    #[arg(long, default_value_t = 300)]
+    value_bytes: usize,
+}
+
+impl CostArgs {
+    fn call(&self) -> Result<ExitCode, Failed> {
+        let command = self.node.clone().map_or_else(built, Ok)?;
+        let options = CostOptions {
+            members: self.members.clone(),
+            length: Duration::from_millis(self.length_ms),
+            rounds: self.rounds.max(1),
+            value_bytes: self.value_bytes,
+            ..CostOptions::usual(command)
+        };
+        let table = cost(&options, |line| eprintln!("{line}"))?;
+        print!("{}", table.text());
+        println!("{}", serde_json::to_string(&table)?);
+        Ok(ExitCode::SUCCESS)
+    }
 }
 
 #[derive(Args)]
@@ -47,6 +99,11 @@
     pub(super) fn call(&self) -> Result<ExitCode, Failed> {
         match self {
             Tool::Run(args) => args.call(),
+            Tool::Cost(args) => args.call(),
+            Tool::Relay { listen, to } => {
+                relay(*listen, *to)?;
+                Ok(ExitCode::SUCCESS)
+            }
         }
     }
 }
--- a/crates/lab/src/cost/ask.rs
+++ b/crates/lab/src/cost/ask.rs
@@ -74,7 +74,7 @@
             self.net.turn(Duration::from_millis(100))?;
             while let Some((conn, what)) = self.net.next() {
                 match what {
-                    Happening::Up => (0..self.shape.depth).for_each(|_| self.send(conn)),
+                    Happening::Up => self.send(conn, self.shape.depth),
                     Happening::Bytes => self.read(conn)?,
                     Happening::Wrote(_) => {}
                     Happening::NotUp(_) | Happening::Ended(_) => return Err(AskError::Closed(self.to)),
@@ -89,15 +89,20 @@
         Ok(self.answered - before)
     }
 
-    fn send(&mut self, conn: u32) {
-        self.made += 1;
-        let id = mix(self.made);
-        let key = mix(self.made.wrapping_mul(0x9e37_79b9)) % self.keys;
-        let line = format!("mg {key:016x} v O{id:016x} Pc=read,d=4000\r\n");
-        if let Some(out) = self.out.get_mut(&conn) {
+    /// Writes so many requests at once.
+    fn send(&mut self, conn: u32, many: usize) {
+        let mut lines = Vec::with_capacity(many * 64);
+        let Some(out) = self.out.get_mut(&conn) else { return };
+        for _ in 0..many {
+            self.made += 1;
+            let id = mix(self.made);
+            let key = mix(self.made.wrapping_mul(0x9e37_79b9)) % self.keys;
+            lines.extend_from_slice(format!("mg {key:016x} v O{id:016x} Pc=read,d=4000\r\n").as_bytes());
             out.push_back(id);
         }
-        self.net.write(conn, line.as_bytes(), None);
+        if many > 0 {
+            self.net.write(conn, &lines, None);
+        }
     }
 
     fn read(&mut self, conn: u32) -> Result<(), AskError> {
@@ -117,8 +122,8 @@
                 Err(why) => return Err(not_served(why.into())),
             }
         }
-        // What a client would write after it has read all that had come.
-        (0..next).for_each(|_| self.send(conn));
+        // As a client does once it has read all that had come.
+        self.send(conn, next);
         Ok(())
     }
 }
--- a/crates/lab/src/node/mod.rs
+++ b/crates/lab/src/node/mod.rs
@@ -227,6 +227,12 @@
         }
     }
 
+    /// A node's process id; 0 if none runs.
+    pub fn pid(&self, number: usize) -> u32 {
+        let process = self.nodes.get(number).and_then(|node| node.process.as_ref());
+        process.map_or(0, Process::pid)
+    }
+
     /// A node's process runs.
     pub fn runs(&self, number: usize) -> bool {
         self.nodes.get(number).is_some_and(|node| node.process.is_some())
