--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,6 +1,8 @@
 //! The command line: each sub-command reads its arguments here and calls the module that does the work.
 
+mod measure;
 mod tool;
+mod world;
 
 use crate::experiment::{ExperimentFile, FileError, schedule};
 use crate::report;
--- a/crates/lab/src/cost/mod.rs
+++ b/crates/lab/src/cost/mod.rs
@@ -152,7 +152,7 @@
 ///
 /// # Errors
 /// Something could not be started, or reads were not served.
-pub fn cost(options: &CostOptions, mut told: impl FnMut(&str)) -> Result<CostTable, CostError> {
+pub fn cost(options: &CostOptions) -> Result<CostTable, CostError> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let server = listener.local_addr()?;
     let value_bytes = options.value_bytes;
@@ -167,22 +167,15 @@
     let mut all = vec![Through { members: None, at, pid: relay.pid() }];
     let mut running = Vec::new();
     for &members in &options.members {
-        let (world, nodes) = node(options, members, server, dir.path())?;
+        let (world, mut nodes) = node(options, members, server, dir.path())?;
         let at = nodes.listen().first().copied().ok_or_else(no_address)?;
-        wait_ready(at, members, &nodes)?;
+        wait_ready(at, members, &mut nodes)?;
         all.push(Through { members: Some(members), at, pid: nodes.pid(0) });
         running.push((world, nodes));
     }
     let mut sums: BTreeMap<(usize, usize), Sums> = BTreeMap::new();
-    for round in 0..options.rounds {
+    for _ in 0..options.rounds {
         for (s, shape) in options.shapes.iter().enumerate() {
-            told(&format!(
-                "round {} of {}: {} connections, {} in the pipe",
-                round + 1,
-                options.rounds,
-                shape.connections,
-                shape.depth
-            ));
             for (t, through) in all.iter().enumerate() {
                 let mut asker = Asker::connect(through.at, *shape, options.keys)?;
                 asker.ask(SETTLE)?;
@@ -274,12 +267,16 @@
 }
 
 /// Waits until a node answers `MN`.
-fn wait_ready(at: SocketAddr, members: usize, nodes: &Nodes) -> Result<(), CostError> {
+fn wait_ready(at: SocketAddr, members: usize, nodes: &mut Nodes) -> Result<(), CostError> {
     use std::io::{Read, Write};
     let what = format!("the node with {members} members");
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_secs(UP_WITHIN_S) {
-        let mut stream = wait_up(&what, at, || (!nodes.runs(0)).then(|| nodes.last_words(0)))?;
+        let ended = || {
+            nodes.look();
+            (!nodes.runs(0)).then(|| format!("it has ended: {}", nodes.last_words(0)))
+        };
+        let mut stream = wait_up(&what, at, ended)?;
         stream.set_read_timeout(Some(Duration::from_secs(1)))?;
         let mut answer = [0; 2];
         let asked = stream.write_all(b"mn\r\n").and_then(|()| stream.read_exact(&mut answer));
--- a/crates/lab/src/node/mod.rs
+++ b/crates/lab/src/node/mod.rs
@@ -4,12 +4,14 @@
 //! Only processes that were started here are ever signalled.
 
 mod address;
+mod build;
 mod config;
 mod process;
 mod sample;
 mod scratch;
 
 pub use address::addresses;
+pub use build::built;
 pub use config::{Place, changed, config};
 pub use process::{Process, ProcessError};
 pub use sample::{Usage, cpu_us, usage};
@@ -59,6 +61,9 @@
     /// There is no program to run.
     #[error("{0} is not there: build it with `cargo build --release`, or name a command with --node")]
     NoProgram(String),
+    /// The node's program cannot be built.
+    #[error("the node cannot be built by `cargo build --release`: {0}")]
+    Build(String),
 }
 
 /// One node.
@@ -91,23 +96,6 @@
     _dir: Scratch,
 }
 
-/// The command of the built node: the release build in the target folder that the lab itself is in, or else the program
-/// beside it.
-///
-/// # Errors
-/// There is none.
-pub fn built() -> Result<String, NodeError> {
-    let own = std::env::current_exe().unwrap_or_default();
-    let beside = own.with_file_name("lapisrudder");
-    let target = own.ancestors().find(|dir| dir.file_name().is_some_and(|name| name == "target"));
-    // A debug build of the lab still measures the node that is put to use.
-    let release = target.map(|target| target.join("release/lapisrudder"));
-    let found = release.iter().chain([&beside]).find(|path| path.is_file());
-    let missing = || release.as_ref().unwrap_or(&beside).display().to_string();
-    let program = found.ok_or_else(|| NodeError::NoProgram(missing()))?;
-    Ok(format!("{} serve", quoted(program)))
-}
-
 /// A path as one word for the shell.
 pub fn quoted(path: &Path) -> String {
     format!("'{}'", path.display().to_string().replace('\'', "'\\''"))
--- a/crates/lab/src/run/mod.rs
+++ b/crates/lab/src/run/mod.rs
@@ -5,9 +5,13 @@
 mod changes;
 mod progress;
 mod sink;
+mod table;
+mod versus;
 
 pub use arm::{ArmSpec, Played, play};
 pub use progress::Progress;
+pub use table::table;
+pub use versus::{COMPARED, Versus, VersusOptions, versus};
 
 use crate::experiment::{Experiment, ExperimentFile, FileError, Point};
 use crate::faults::HandsError;
--- a/crates/lab/tests/cost.rs
+++ b/crates/lab/tests/cost.rs
@@ -15,7 +15,7 @@
         rounds: 1,
         ..CostOptions::usual(String::new())
     };
-    let table = cost(&options, |_| {}).unwrap_or_else(|e| panic!("{e}"));
+    let table = cost(&options).unwrap_or_else(|e| panic!("{e}"));
     assert_eq!(table.rows.len(), 2);
     for row in &table.rows {
         assert!(row.cpu_us > 0.0 && row.reads_per_s > 100.0 && row.times_relay == 1.0, "{row:?}");
--- a/crates/lab/tests/stand/faults.rs
+++ b/crates/lab/tests/stand/faults.rs
@@ -262,7 +262,7 @@
             _ => None,
         })
         .collect();
-    assert_eq!(states, [ServerState::Cold, ServerState::Gone]);
+    assert_eq!(states, [ServerState::Cold, ServerState::Fallen, ServerState::Gone]);
     let work: f64 = books
         .servers
         .records()
