--- a/crates/lab/src/run/arm.rs
+++ b/crates/lab/src/run/arm.rs
@@ -76,6 +76,11 @@
     let world = World::start(of_world, clock, CountingBooks::default(), seed)?;
     let origin = world.server("origin");
     world.look(|sink| sink.origin = origin);
+    for machine in crate::experiment::servers(e) {
+        if let (Some(server), Some(kind)) = (world.server(&machine.name), e.world.servers.get(machine.kind)) {
+            world.control().fill(server, super::fill::popular(e, kind))?;
+        }
+    }
     let count = e.world.nodes.count;
     let discovery: Vec<SocketAddr> = (0..count).filter_map(|n| world.addresses().discovery(n)).collect();
     let through = through(spec.arm);
--- a/crates/lab/src/run/mod.rs
+++ b/crates/lab/src/run/mod.rs
@@ -3,6 +3,7 @@
 
 mod arm;
 mod changes;
+mod fill;
 mod progress;
 mod sink;
 mod table;
