--- a/crates/lab/src/load/driver.rs
+++ b/crates/lab/src/load/driver.rs
@@ -124,7 +124,10 @@
         let bad = (!plan.bad.is_empty() && through_nodes).then(|| {
             Bad::new(plan.bad.clone(), &class, self.spec.nodes.clone(), span, plan.seed, self.spec.net)
         });
-        let clients = Clients::new(plan.clients, plan.seed)?;
+        let clients = match plan.given {
+            Some(given) => Clients::replay(plan.clients, plan.seed, given)?,
+            None => Clients::new(plan.clients, plan.seed)?,
+        };
         self.players.push(Player { clients, of: plan.of, classes: plan.classes, bad: bad.transpose()? });
         Ok(())
     }
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -5,7 +5,7 @@
 use crate::experiment::{Effect, Experiment, Group, Habit, Load, Occurrence, What, Who, schedule};
 use crate::ledger::LoadNo;
 use crate::{Micros, millis, seconds};
-use lapisrudder_model::arrivals::{self, Arrivals, Digest, Population};
+use lapisrudder_model::arrivals::{self, Arrival, Arrivals, Digest, Population};
 use lapisrudder_model::clients::{
     BadPlan, ClientsError, ClientsPlan, Deal, FrontPlan, Habits, Health, Keep, Reader, Retry,
 };
@@ -32,6 +32,8 @@
     pub of: Vec<Of>,
     /// Clients that misbehave.
     pub bad: Vec<BadPlan>,
+    /// These arrivals in place of those that the load would draw.
+    pub given: Option<Vec<Arrival>>,
     /// The seed that all is drawn from.
     pub seed: u64,
     /// Classes of the experiment.
@@ -127,7 +129,7 @@
         // For requests, clients hold at most a third of a node's descriptors.
         let room = Some((e.world.nodes.sockets / 3).max(1));
         let clients = ClientsPlan { load, habits: Vec::new(), front, room };
-        Self { clients, of: Vec::new(), bad: Vec::new(), seed, classes: e.classes.len() }
+        Self { clients, of: Vec::new(), bad: Vec::new(), given: None, seed, classes: e.classes.len() }
     }
 
     /// A population for each node that a load has a share for.
--- a/crates/lab/src/run/arm.rs
+++ b/crates/lab/src/run/arm.rs
@@ -2,11 +2,12 @@
 
 use super::RunError;
 use super::changes::Changes;
+use super::fill;
 use super::progress::Progress;
 use super::sink::{CountingBooks, Counts};
 use crate::experiment::{Experiment, SeenMetric, What};
 use crate::faults::{Conditions, Hands, SeenNow};
-use crate::ledger::{Book, LabEvent, Ledger, NodeEvent};
+use crate::ledger::{Book, LabEvent, Ledger, NodeEvent, Record, ServerEvent};
 use crate::load::{Books, Command, LoadSpec, LoadThread, Plan, Seen, Through};
 use crate::node::Nodes;
 use crate::stand::{Clock, World, spec_of};
@@ -54,6 +55,10 @@
 const LEAD: Micros = 50_000;
 /// How long after a client's time is up the lab listens on, beyond the slacks of the rules.
 const LISTEN_ON: Micros = 30_000;
+/// Between the reads by which nodes find homes and the load: whatever of them is left comes to its end.
+const QUIET: Duration = Duration::from_millis(300);
+/// How long nodes that were ready may take to answer `MN` once more.
+const READY_AGAIN: Micros = 2_000_000;
 /// How long the last process may take to end.
 const STOP: Micros = 1_500_000;
 /// After the last deadline nothing should be open; a load that still is cannot be waited for.
@@ -76,11 +81,6 @@
     let world = World::start(of_world, clock, CountingBooks::default(), seed)?;
     let origin = world.server("origin");
     world.look(|sink| sink.origin = origin);
-    for machine in crate::experiment::servers(e) {
-        if let (Some(server), Some(kind)) = (world.server(&machine.name), e.world.servers.get(machine.kind)) {
-            world.control().fill(server, super::fill::popular(e, kind))?;
-        }
-    }
     let count = e.world.nodes.count;
     let discovery: Vec<SocketAddr> = (0..count).filter_map(|n| world.addresses().discovery(n)).collect();
     let through = through(spec.arm);
@@ -92,13 +92,30 @@
     let slacks = millis(e.world.rules.answer_slack_ms + e.world.rules.socket_slack_ms);
     let linger = slacks + LISTEN_ON;
     let net = client_net();
-    let load = LoadThread::start(LoadSpec { plan, through, nodes: listen, discovery, linger, net }, clock)?;
-    let places = crate::experiment::servers(e).iter().filter_map(|m| world.server(&m.name)).collect();
+    let of_load = LoadSpec { plan, through, nodes: listen, discovery, linger, net };
+    let load = LoadThread::start(of_load.clone(), clock)?;
+    let places: Vec<_> = crate::experiment::servers(e).iter().filter_map(|m| world.server(&m.name)).collect();
+    if spec.arm != Arm::Nodes {
+        fill::fill(e, spec.arm, world.control(), &places)?;
+    }
+    let parties: Vec<_> = places.iter().copied().chain(origin).collect();
     let mut hands = Hands::new(e, seed, world.control().clone(), nodes, places, origin, clock);
     for node in 0..count {
         hands.start_node(node)?;
     }
     let not_ready = wait_ready(e, &clock, &load, &mut hands);
+    if let (Through::Nodes, true, Some(plan)) = (through, not_ready.is_empty(), fill::finding_plan(e, seed)) {
+        let length = fill::length(&plan);
+        let finding = LoadThread::start(LoadSpec { plan, net: (net.0, net.1 ^ 128), ..of_load }, clock)?;
+        let until = clock.now() + READY_AGAIN;
+        let all = || finding.seen().ready.iter().filter(|ready| **ready).count() == count;
+        while !all() && clock.now() < until && !finding.is_over() {
+            std::thread::sleep(LONGEST_SLEEP);
+        }
+        finding.tell(Command::Begin(clock.now()));
+        fill::find_homes(finding, world.control(), &parties, length)?;
+        std::thread::sleep(QUIET);
+    }
     let zero = clock.now() + LEAD;
     load.tell(Command::Begin(zero));
     hands.begin(zero);
@@ -261,7 +278,12 @@
         from.iter().flat_map(Book::records).for_each(|r| to.push(r.at - zero, r.event));
         to
     }
-    let stand = sink.books.rebased(zero);
+    let mut stand = sink.books.rebased(zero);
+    // Requests from before the load let nodes find homes: no client of the run has sent them.
+    let of_run = |r: &&Record<ServerEvent>| r.at >= 0 || r.event.req().is_none();
+    let mut servers = Book::default();
+    stand.servers.records().iter().filter(of_run).for_each(|r| servers.push(r.at, r.event));
+    stand.servers = servers;
     let mut tries = books.tries;
     for t in &mut tries {
         (t.due, t.first_due) = (t.due - zero, t.first_due - zero);
--- a/crates/lab/src/run/fill.rs
+++ b/crates/lab/src/run/fill.rs
@@ -1,52 +1,207 @@
-//! What caches hold when a run begins: as after a long day, the most popular objects that fit.
-
-use crate::experiment::{Experiment, ServerKind};
-use crate::load::keys_of;
-use lapisrudder_model::keys::KeyDraw;
-use lapisrudder_model::value::Key;
-
-/// More objects than a server is ever asked for in a run are not worth their time.
-const MOST: usize = 200_000;
-
-/// Keys for a server of a kind, the most popular last so that they are the last to go. It is the same for every arm:
-/// where clients choose at random each server comes to hold just these, and where keys have homes each server holds
-/// more than its own until those have taken their places.
-pub(super) fn popular(e: &Experiment, kind: &ServerKind) -> Vec<Key> {
-    let draws: Vec<_> =
-        e.loads.iter().enumerate().map(|(n, l)| (KeyDraw::new(keys_of(e, l), n as u16), l)).collect();
-    let mut left = kind.memory_mb * f64::from(1 << 20);
-    let mut keys = Vec::new();
-    let longest = e.loads.iter().map(|l| l.keys.count).max().unwrap_or(0);
-    for rank in 0..longest {
-        for (draw, load) in draws.iter().filter(|(_, load)| rank < load.keys.count) {
+//! What caches hold when a run begins: what they would hold after a long day of the same load, so that a run does not
+//! measure how a world that began empty fills.
+//!
+//! - Random choice: each server comes to hold the most popular objects that fit.
+//! - Consistent hashing: each holds the most popular of the objects whose home it is.
+//! - Nodes find homes by themselves. So the objects that fit in all servers together are asked for once each, through
+//!   the nodes and before the load, the most popular last; servers and origin are made faster for that while.
+
+use crate::experiment::{Experiment, Machine, Rival, servers};
+use crate::ledger::ServerNo;
+use crate::load::{LoadThread, Plan, keys_of};
+use crate::rivals::{Chooser, Server};
+use crate::stand::{Control, ControlError, Fault};
+use crate::stats::Arm;
+use crate::{Micros, millis};
+use lapisrudder_model::arrivals::Arrival;
+use lapisrudder_model::keys::{Key, KeyDraw};
+use lapisrudder_model::value;
+use std::time::{Duration, Instant};
+
+/// What an object takes beside its bytes (the model's usual figure).
+const PER_OBJECT: f64 = 64.0;
+/// Servers and origin are this many times as fast while nodes find homes.
+const FASTER: f64 = 40.0;
+/// Requests a second meanwhile.
+const PER_S: i64 = 3000;
+/// Nodes get no more of them.
+const MOST: usize = 15_000;
+/// How long they may take beyond their plan.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// All keys of all loads with their mean sizes, the most popular first.
+fn by_rank(e: &Experiment) -> impl Iterator<Item = (usize, Key, f64)> {
+    let draws: Vec<_> = e.loads.iter().enumerate().collect();
+    let draws: Vec<_> = draws
+        .into_iter()
+        .map(|(n, l)| {
+            let sigma = l.keys.value_sigma;
             // The mean of a log-normal length.
-            let sigma = load.keys.value_sigma;
-            left -= f64::from(load.keys.value_bytes) * libm::exp(sigma * sigma / 2.0);
-            keys.push(Key(draw.ranked(rank as u32, 0).0));
+            let size = f64::from(l.keys.value_bytes) * libm::exp(sigma * sigma / 2.0) + PER_OBJECT;
+            (n, KeyDraw::new(keys_of(e, l), n as u16), l.keys.count, l.keys.first, size)
+        })
+        .collect();
+    // Loads that share keys have one list.
+    let first_of = |n: usize, first: u64| !e.loads.iter().take(n).any(|l| l.keys.first == first);
+    let lists: Vec<_> = draws.into_iter().filter(|(n, _, _, first, _)| first_of(*n, *first)).collect();
+    let longest = lists.iter().map(|list| list.2).max().unwrap_or(0);
+    (0..longest).flat_map(move |rank| {
+        let at_rank = |(n, draw, count, _, size): &(usize, KeyDraw, u64, u64, f64)| {
+            (rank < *count).then(|| (*n, draw.ranked(rank as u32, 0), *size))
+        };
+        lists.iter().filter_map(at_rank).collect::<Vec<_>>()
+    })
+}
+
+fn memory(e: &Experiment, machine: &Machine) -> f64 {
+    e.world.servers.get(machine.kind).map_or(0.0, |kind| kind.memory_mb * f64::from(1 << 20))
+}
+
+/// Keys for each server, the most popular last so that they are the last to go.
+fn held(e: &Experiment, arm: Arm) -> Vec<Vec<value::Key>> {
+    let machines = servers(e);
+    let mut chooser = Chooser::new(Rival::Ketama);
+    // Homes go by names alone.
+    let server = |m: &Machine| Server { uid: m.name.clone(), endpoint: ([127, 0, 0, 1], 1).into() };
+    chooser.set(machines.iter().map(server).collect());
+    let mut left: Vec<f64> = machines.iter().map(|m| memory(e, m)).collect();
+    let mut keys = vec![Vec::new(); machines.len()];
+    for (_, key, size) in by_rank(e) {
+        let home = chooser.choose(key.0, 0).and_then(|s| machines.iter().position(|m| m.name == s.uid));
+        for (place, (left, keys)) in left.iter_mut().zip(&mut keys).enumerate() {
+            if *left > size && (arm == Arm::Random || home == Some(place)) {
+                *left -= size;
+                keys.push(value::Key(key.0));
+            }
         }
-        if left <= 0.0 || keys.len() >= MOST {
+        if left.iter().all(|left| *left <= size) {
             break;
         }
     }
-    keys.reverse();
+    keys.iter_mut().for_each(|keys| keys.reverse());
     keys
 }
 
+/// Fills the servers, by their places, for a simple policy.
+pub(super) fn fill(
+    e: &Experiment,
+    arm: Arm,
+    control: &Control,
+    places: &[ServerNo],
+) -> Result<(), ControlError> {
+    places.iter().zip(held(e, arm)).try_for_each(|(server, keys)| control.fill(*server, keys))
+}
+
+/// The plan of reads that let nodes find homes: each key that fits once, the least popular first.
+fn finding(e: &Experiment, seed: u64) -> Option<(Plan, Vec<Arrival>)> {
+    let plan = Plan::of(e, seed).ok()?;
+    let all: f64 = servers(e).iter().map(|m| memory(e, m)).sum();
+    let (mut sum, mut keys) = (0.0, Vec::new());
+    for (load, key, size) in by_rank(e) {
+        sum += size;
+        if sum > all || keys.len() >= MOST {
+            break;
+        }
+        keys.push((load, key));
+    }
+    keys.reverse();
+    let reads = e.classes.iter().position(|c| !c.write)?;
+    let arrival = |(number, (load, key)): (usize, &(usize, Key))| {
+        // The populations of a load, one a node, take turns.
+        let of = plan.of.iter().enumerate().filter(|(_, of)| usize::from(of.load.0) == *load);
+        let populations: Vec<usize> = of.map(|(at, _)| at).collect();
+        let population = populations.get(number % populations.len().max(1))?;
+        Some(Arrival {
+            number: number as u64,
+            at: number as Micros * 1_000_000 / PER_S,
+            population: *population as u16,
+            source: 0,
+            class: (load * e.classes.len() + reads) as u16,
+            key: *key,
+            size: 0,
+            once: 0,
+        })
+    };
+    let arrivals: Vec<Arrival> = keys.iter().enumerate().filter_map(arrival).collect();
+    Some((plan, arrivals))
+}
+
+/// The plan by which nodes find homes, with an end and apart from the plan of the run; none where nothing is read.
+pub(super) fn finding_plan(e: &Experiment, seed: u64) -> Option<Plan> {
+    // Ids of its own: no request of the run has one of these.
+    let (plan, arrivals) = finding(e, !seed)?;
+    let mut plan = Plan { given: Some(arrivals), bad: Vec::new(), ..plan };
+    for habits in &mut plan.clients.habits {
+        habits.leaves = 0.0;
+        habits.patience = (1.0, 1.0);
+        habits.keep = lapisrudder_model::clients::Keep::Reuse;
+        habits.pipeline = 1;
+        habits.reader = lapisrudder_model::clients::Reader::Full;
+    }
+    for class in &mut plan.clients.load.classes {
+        class.give_up = class.give_up.max(millis(1000.0));
+    }
+    Some(plan)
+}
+
+/// Plays it to its end, with everything behind the nodes faster.
+pub(super) fn find_homes(
+    load: LoadThread,
+    control: &Control,
+    parties: &[ServerNo],
+    plan_length: Duration,
+) -> Result<(), super::RunError> {
+    parties.iter().try_for_each(|server| control.fault(*server, Fault::Slow(FASTER)))?;
+    let begun = Instant::now();
+    while !load.seen().done && !load.is_over() && begun.elapsed() < plan_length + PATIENCE {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    load.finish()?;
+    Ok(parties.iter().try_for_each(|server| control.fault(*server, Fault::Slow(1.0)))?)
+}
+
+/// How long the plan lasts.
+pub(super) fn length(plan: &Plan) -> Duration {
+    let last = plan.given.iter().flatten().last().map_or(0, |arrival| arrival.at);
+    Duration::from_micros(last.unsigned_abs())
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
     use crate::experiment::ExperimentFile;
 
+    fn experiment() -> Experiment {
+        let text = "question = \"?\"\nduration_s = 1\n[[world.servers]]\nmemory_mb = 1\ncount = 4\n[[load]]\n\
+                    rate.steady.per_s = 1\nkeys = { count = 50000, value_bytes = 960, value_sigma = 0 }\n[[load]]\n\
+                    name = \"b\"\nrate.steady.per_s = 1\nkeys = { count = 10, first = 90000 }\n[[load]]\n\
+                    name = \"c\"\nrate.steady.per_s = 1\nkeys = { count = 50 }\n";
+        ExperimentFile::parse("x", text).unwrap_or_else(|e| panic!("{e}")).experiment
+    }
+
+    #[test]
+    fn what_fits_is_held_with_the_most_popular_last() {
+        let e = experiment();
+        let top = value::Key(KeyDraw::new(keys_of(&e, &e.loads[0]), 0).ranked(0, 0).0);
+        for (arm, holders) in [(Arm::Random, 4), (Arm::Ketama, 1), (Arm::Bounded, 1)] {
+            let held = held(&e, arm);
+            // 1 MiB holds 1024 objects of 1 KiB; the other load's are a few bytes larger.
+            assert!(held.iter().all(|keys| (1015..=1024).contains(&keys.len())), "{arm:?}");
+            let with_top: Vec<_> = held.iter().filter(|keys| keys.contains(&top)).collect();
+            assert_eq!(with_top.len(), holders, "{arm:?}");
+            assert!(with_top.iter().all(|keys| keys.iter().rposition(|k| *k == top) >= Some(keys.len() - 2)));
+        }
+    }
+
     #[test]
-    fn what_fits_is_there_with_the_most_popular_last() {
-        let text = "question = \"?\"\nduration_s = 1\n[[world.servers]]\nmemory_mb = 1\n[[load]]\n\
-                    rate.steady.per_s = 1\nkeys = { count = 5000, value_bytes = 1024, value_sigma = 0 }\n[[load]]\n\
-                    name = \"b\"\nrate.steady.per_s = 1\nkeys = { count = 10, first = 9000 }\n";
-        let e = ExperimentFile::parse("x", text).unwrap_or_else(|e| panic!("{e}")).experiment;
-        let keys = popular(&e, &e.world.servers[0]);
-        // 1 MiB holds 1024 values of 1 KiB, less the other load's ten.
-        assert!((1000..=1034).contains(&keys.len()), "{}", keys.len());
-        let first = |load: usize| Key(KeyDraw::new(keys_of(&e, &e.loads[load]), load as u16).ranked(0, 0).0);
-        assert_eq!(keys[keys.len() - 2..], [first(1), first(0)]);
+    fn nodes_are_asked_once_for_each_key_that_fits() {
+        let e = experiment();
+        let plan = finding_plan(&e, 1).unwrap_or_else(|| panic!("there are reads"));
+        let arrivals = plan.given.clone().unwrap_or_default();
+        assert!((4060..=4096).contains(&arrivals.len()), "{}", arrivals.len());
+        let keys: std::collections::BTreeSet<_> = arrivals.iter().map(|a| a.key).collect();
+        assert_eq!(keys.len(), arrivals.len());
+        let nodes: std::collections::BTreeSet<_> = arrivals.iter().map(|a| a.population).collect();
+        assert!(nodes.len() >= e.world.nodes.count);
     }
 }
