--- a/crates/lab/src/experiment/world.rs
+++ b/crates/lab/src/experiment/world.rs
@@ -103,6 +103,8 @@
     pub cold_s: f64,
     /// What warms it.
     pub warm_by: WarmBy,
+    /// Work that warms it whole, in seconds of its full capacity (where requests do).
+    pub warm_work_s: f64,
     /// Memory for values (MiB).
     pub memory_mb: f64,
     /// Holds, when the run begins, what it would have been asked for lately; else it begins empty. Either way it begins
@@ -142,6 +144,7 @@
             cold_from: 0.25,
             cold_s: 12.0,
             warm_by: WarmBy::Requests,
+            warm_work_s: 4.0,
             memory_mb: 1.5,
             filled: true,
             evict: Eviction::Lru,
@@ -248,6 +251,12 @@
 pub struct Origin {
     /// Its zone; the first one if not named.
     pub zone: Option<String>,
+    /// Median length of a value (bytes).
+    pub value_bytes: u32,
+    /// Sigma of the log-normal length.
+    pub value_sigma: f64,
+    /// Share of the keys whose objects change by themselves each second.
+    pub changes_per_s: f64,
     /// Fetches that it can do in a second when not crowded.
     pub capacity_per_s: f64,
     /// Mean time of one fetch alone (ms).
@@ -278,6 +287,9 @@
     fn default() -> Self {
         Self {
             zone: None,
+            value_bytes: 1024,
+            value_sigma: 0.6,
+            changes_per_s: 0.0,
             capacity_per_s: 300.0,
             time_ms: 25.0,
             sigma: 0.4,
@@ -362,6 +374,8 @@
     pub drain_grace_ms: f64,
     /// What discovery has to tell counts as told this long after it has it, whether or not it arrived (seconds).
     pub told_within_s: f64,
+    /// Where a call of the node is held open then, not before this long after its wait is over (seconds).
+    pub told_after_hold_s: f64,
     /// A node that has neither watched nor asked for this long is treated as told (seconds).
     pub ask_within_s: f64,
     /// A cold server that is sent over this many times its present capacity ...
@@ -390,6 +404,7 @@
             silence_breaks: true,
             drain_grace_ms: 500.0,
             told_within_s: 6.0,
+            told_after_hold_s: 2.0,
             ask_within_s: 10.0,
             tip_multiple: 3.0,
             fall_s: 2.0,
