--- a/crates/lab/src/faults/steps.rs
+++ b/crates/lab/src/faults/steps.rs
@@ -1,6 +1,6 @@
 //! From one occurrence of a fault to single steps with their times. Draws come from the seed alone.
 
-use crate::experiment::{Experiment, Fault, Occurrence, Side, SignalSet, Spoil, What, Who};
+use crate::experiment::{Experiment, Fault, Heal, Occurrence, Side, SignalSet, Spoil, What, Who};
 use crate::{Micros, millis, seconds};
 use lapisrudder_model::draw::stream;
 use rand_distr::{Distribution, Exp};
@@ -25,10 +25,14 @@
     Errors,
     /// Share of spoilt answers.
     Spoilt,
-    /// New connections are refused where above 0.
-    Refuses,
-    /// Everything is answered 503 where above 0.
+    /// Share of requests that are carried out and never answered.
+    Swallowed,
+    /// No new connection is taken where above 0.
+    FullTable,
+    /// Calls to discovery end with 503 where above 0, with a reset above 1, not at all above 2.
     Outage,
+    /// Discovery tells the list of so long ago (seconds).
+    Lag,
     /// Discovery tells an old list where above 0.
     Stale,
 }
@@ -38,8 +42,14 @@
 pub enum Wrong {
     /// More delay: mean (ms) and coefficient of variation.
     Delay(f64, f64),
-    /// Nothing goes through.
-    Cut,
+    /// Nothing goes through, and that becomes of open connections when it ends.
+    Cut(Heal),
+    /// New connections are refused.
+    RefuseNew,
+    /// New connections are reset as soon as they are up.
+    ResetNew,
+    /// This share of the new connections never comes up.
+    LoseNew(f64),
     /// This share of the open connections is reset in each second.
     Resets(f64),
     /// Bytes come in pieces of this size.
@@ -192,8 +202,10 @@
             all.push((from, Step::On(target, Effect::Spoilt, *rate)));
             all.push((until, Step::Off(target, Effect::Spoilt)));
         }
-        What::Refuse => lasting(Effect::Refuses, 1.0),
-        What::Outage => lasting(Effect::Outage, 1.0),
+        What::Swallow { rate } => lasting(Effect::Swallowed, *rate),
+        What::FullTable => lasting(Effect::FullTable, 1.0),
+        What::Outage { how } => lasting(Effect::Outage, 1.0 + f64::from(*how as u8)),
+        What::Lag { s } => lasting(Effect::Lag, *s),
         What::Stale => lasting(Effect::Stale, 1.0),
         What::Drain { drain_s, new_ids } => {
             let gone = from + seconds(*drain_s);
@@ -223,7 +235,10 @@
 fn wrong(what: &What) -> Option<Wrong> {
     Some(match what {
         What::Delay { ms, jitter } => Wrong::Delay(*ms, *jitter),
-        What::Cut => Wrong::Cut,
+        What::Cut { heal } => Wrong::Cut(*heal),
+        What::RefuseConnects => Wrong::RefuseNew,
+        What::ResetConnects => Wrong::ResetNew,
+        What::LoseConnects { share } => Wrong::LoseNew(*share),
         What::Resets { per_s } => Wrong::Resets(*per_s),
         What::ShortWrites { bytes } => Wrong::Pieces(*bytes),
         _ => return None,
@@ -281,7 +296,7 @@
             (servers, "\"vanish\"", vec![(2 * S, Vanish(1)), (5 * S, Back(one, false))]),
             (
                 "\"discovery\"",
-                "\"outage\"",
+                "{ outage = {} }",
                 vec![
                     (2 * S, On(Target::Discovery, Effect::Outage, 1.0)),
                     (5 * S, Off(Target::Discovery, Effect::Outage)),
@@ -295,9 +310,9 @@
             ),
             (
                 both,
-                "\"cut\"",
+                "{ cut = { heal = \"reset\" } }",
                 vec![
-                    (2 * S, NetOn(vec![0, 1], Far::Parties(vec![Target::Origin]), Wrong::Cut)),
+                    (2 * S, NetOn(vec![0, 1], Far::Parties(vec![Target::Origin]), Wrong::Cut(Heal::Reset))),
                     (5 * S, NetOff),
                 ],
             ),
--- a/crates/lab/src/load/bad.rs
+++ b/crates/lab/src/load/bad.rs
@@ -15,18 +15,22 @@
 use std::collections::VecDeque;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-/// Kinds of the file, in the order of their records' numbers, with the kinds of the model that they stand for.
-const KINDS: [(BadKind, &[Kind]); 10] = [
-    (BadKind::Noise, &[Kind::Noise]),
-    (BadKind::EndlessLine, &[Kind::EndlessLine]),
-    (BadKind::BadLength, &[Kind::WrongLength, Kind::NegativeLength, Kind::HugeLength]),
-    (BadKind::HugeValue, &[Kind::HugeValue]),
-    (BadKind::BadFields, &[Kind::NoClass, Kind::BadDeadline, Kind::NoId]),
-    (BadKind::StolenId, &[Kind::ForeignId]),
-    (BadKind::HalfCommand, &[Kind::Half]),
-    (BadKind::ManyAtOnce, &[Kind::Burst]),
-    (BadKind::Hammer, &[Kind::Again]),
-    (BadKind::Silent, &[Kind::Silent]),
+/// Kinds of the file in the order of their records' numbers, with the kinds of the model that they stand for.
+const KINDS: [(BadKind, Kind); 14] = [
+    (BadKind::Noise, Kind::Noise),
+    (BadKind::EndlessLine, Kind::EndlessLine),
+    (BadKind::WrongLength, Kind::WrongLength),
+    (BadKind::NegativeLength, Kind::NegativeLength),
+    (BadKind::HugeLength, Kind::HugeLength),
+    (BadKind::HugeValue, Kind::HugeValue),
+    (BadKind::NoClass, Kind::NoClass),
+    (BadKind::BadDeadline, Kind::BadDeadline),
+    (BadKind::NoId, Kind::NoId),
+    (BadKind::ForeignId, Kind::ForeignId),
+    (BadKind::Half, Kind::Half),
+    (BadKind::Burst, Kind::Burst),
+    (BadKind::Again, Kind::Again),
+    (BadKind::Silent, Kind::Silent),
 ];
 
 /// Connections that a silent client of the model opens on average.
@@ -55,24 +59,22 @@
         let (Who::Clients { .. }, What::Flood { kind, per_s }) = (&fault.who, &fault.what) else {
             return None;
         };
-        Some(plan(*kind, *per_s, o.from as f64 / 1e6, o.until as f64 / 1e6))
+        plan(*kind, *per_s, o.from as f64 / 1e6, o.until as f64 / 1e6)
     };
-    occurrences.iter().filter_map(flood).flatten().collect()
+    occurrences.iter().filter_map(flood).collect()
 }
 
-/// So many connections a second of a kind, shared evenly by the kinds of the model that it stands for.
-fn plan(kind: BadKind, conns_per_s: f64, from: f64, until: f64) -> impl Iterator<Item = BadPlan> {
-    let kinds = KINDS.iter().find(|k| k.0 == kind).map_or(&[][..], |k| k.1);
-    kinds.iter().map(move |&kind| {
-        let each = if kind == Kind::Silent { SILENT_EACH } else { 1.0 };
-        let rate = Line::window(from, until, 0.0, conns_per_s / each / kinds.len() as f64).profile();
-        BadPlan { kind, zone: 0, rate, again: AGAIN }
-    })
+/// So many connections a second of a kind.
+fn plan(kind: BadKind, conns_per_s: f64, from: f64, until: f64) -> Option<BadPlan> {
+    let kind = KINDS.iter().find(|k| k.0 == kind)?.1;
+    let each = if kind == Kind::Silent { SILENT_EACH } else { 1.0 };
+    let rate = Line::window(from, until, 0.0, conns_per_s / each).profile();
+    Some(BadPlan { kind, zone: 0, rate, again: AGAIN })
 }
 
 /// A kind's number in records.
 fn number(kind: Kind) -> u8 {
-    KINDS.iter().position(|k| k.1.contains(&kind)).unwrap_or(0) as u8
+    KINDS.iter().position(|k| k.1 == kind).unwrap_or(0) as u8
 }
 
 #[derive(Debug)]
@@ -258,9 +260,9 @@
     use super::*;
 
     #[test]
-    fn every_kind_of_the_file_stands_for_kinds_of_the_model() {
+    fn every_kind_of_the_file_stands_for_one_of_the_model() {
         for kind in Kind::all() {
-            assert_eq!(KINDS.iter().filter(|k| k.1.contains(&kind)).count(), 1, "{kind:?}");
+            assert_eq!(KINDS.iter().filter(|k| k.1 == kind).count(), 1, "{kind:?}");
         }
         // Records name a kind by its place among those of the file, whose order is that of its declaration.
         assert!(KINDS.iter().enumerate().all(|(at, k)| k.0 as usize == at));
--- a/crates/lab/src/load/net.rs
+++ b/crates/lab/src/load/net.rs
@@ -94,13 +94,14 @@
         let conn = self.made;
         let now = self.clock.now();
         let mut wire = Wire::new(to, from, link, reader, now);
-        if !self.links.get(link).cut
-            && let Err(why) = self.connect(conn, &mut wire)
-        {
-            self.happened.push_back((conn, Happening::NotUp(why)));
-            return conn;
+        let open = self.links.get(link).fate(conn).and_then(|never| {
+            wire.lost = never && !self.links.get(link).cut;
+            if never { Ok(()) } else { self.connect(conn, &mut wire) }
+        });
+        match open {
+            Ok(()) => drop(self.wires.insert(conn, wire)),
+            Err(why) => self.happened.push_back((conn, Happening::NotUp(why))),
         }
-        self.wires.insert(conn, wire);
         conn
     }
 
@@ -193,9 +194,12 @@
 
     /// The link to a node is like this from now on.
     pub(crate) fn set_link(&mut self, node: u16, link: Link) {
-        let healed = self.links.get(Some(node)).cut && !link.cut;
+        let old = self.links.get(Some(node));
+        let healed = old.cut && !link.cut;
         self.links.set(node, link);
-        if healed {
+        if healed && old.resets_on_heal {
+            self.reset(|_, wire| wire.up && wire.link == Some(node));
+        } else if healed {
             let now = self.clock.now();
             let mut held: Vec<u32> =
                 self.wires.iter().filter(|(_, w)| w.link == Some(node)).map(|(conn, _)| *conn).collect();
@@ -211,6 +215,7 @@
     fn reconnect(&mut self, conn: u32) {
         let Some(mut wire) = self.wires.remove(&conn) else { return };
         if wire.socket.is_none()
+            && !wire.lost
             && let Err(why) = self.connect(conn, &mut wire)
         {
             self.happened.push_back((conn, Happening::NotUp(why)));
@@ -256,12 +261,14 @@
             return;
         }
         self.stretch = stretch;
-        let links = &self.links;
-        let hit = |(conn, wire): (&u32, &Wire)| {
-            let link = links.get(wire.link);
-            (wire.up && link.resets(*conn, stretch, STRETCH as f64 / 1e6)).then_some(*conn)
-        };
-        let mut hit: Vec<u32> = self.wires.iter().filter_map(hit).collect();
+        let links = self.links.clone();
+        self.reset(|conn, wire| wire.up && links.get(wire.link).resets(conn, stretch, STRETCH as f64 / 1e6));
+    }
+
+    /// Resets all connections that fit.
+    fn reset(&mut self, fits: impl Fn(u32, &Wire) -> bool) {
+        let mut hit: Vec<u32> =
+            self.wires.iter().filter(|(conn, wire)| fits(**conn, wire)).map(|(conn, _)| *conn).collect();
         hit.sort_unstable();
         for conn in hit {
             if let Some((stream, _)) = self.remove(conn).and_then(|mut wire| wire.socket.take()) {
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -64,7 +64,7 @@
                     rate = rate.times(&Line::window(fault.1, fault.2, 1.0, *times));
                 }
             }
-            plan.add(e, number, &rate, keys_of(e, load));
+            plan.add(e, number, &rate, keys_of(load));
             for (at, fault) in on_clients(e, &occurrences, &load.name).enumerate() {
                 if let What::HotCaller { share, keys, ramp_s } = fault.0 {
                     let hill = Line::hill(fault.1, fault.2, *ramp_s, *share);
@@ -96,7 +96,7 @@
             let shifted = rate(e, load, number, seed).shifted(from);
             match &fault.what {
                 What::Surge { times } if *times > 1.0 => {
-                    plan.add(e, number, &shifted.scaled(times - 1.0), keys_of(e, load));
+                    plan.add(e, number, &shifted.scaled(times - 1.0), keys_of(load));
                 }
                 What::HotCaller { share, keys, ramp_s } => {
                     let hill = Line::hill(0.0, end, *ramp_s, *share);
@@ -115,7 +115,8 @@
     }
 
     fn empty(e: &Experiment, seed: u64) -> Self {
-        let classes = e.loads.iter().flat_map(|load| e.classes.iter().map(|c| class(c, load))).collect();
+        let classes =
+            e.loads.iter().flat_map(|_| e.classes.iter().map(|c| class(c, &e.world.origin))).collect();
         let load = arrivals::Load { span: seconds(e.duration_s), classes, populations: Vec::new() };
         let notice = millis(e.world.nodes.notice_ms).max(100_000);
         let every = (notice / 4).clamp(50_000, 500_000);
@@ -196,10 +197,10 @@
     Line::of(&load.rate, e.duration_s, seed, number).times(&Line::window(load.from_s, until, 0.0, 1.0))
 }
 
-fn class(c: &crate::experiment::Class, load: &Load) -> arrivals::Class {
+fn class(c: &crate::experiment::Class, origin: &crate::experiment::Origin) -> arrivals::Class {
     let size = Spread::LogNormal {
-        median: f64::from(load.keys.value_bytes),
-        sigma: load.keys.value_sigma,
+        median: f64::from(origin.value_bytes),
+        sigma: origin.value_sigma,
         most: LONGEST_VALUE,
     };
     arrivals::Class {
@@ -230,21 +231,19 @@
 }
 
 /// The keys of a load.
-pub(crate) fn keys_of(e: &Experiment, load: &Load) -> Keys {
+pub(crate) fn keys_of(load: &Load) -> Keys {
     let k = &load.keys;
-    // Loads that begin at the same key share keys.
-    let space = e.loads.iter().position(|l| l.keys.first == k.first).unwrap_or(0);
     Keys {
-        space: space as u16,
-        population: u32::try_from(k.count).unwrap_or(u32::MAX),
+        space: k.space,
+        population: k.count,
         exponent: k.zipf,
-        offset: k.offset,
+        offset: 0.0,
         drift: match k.drift_per_s {
             d if d > 0.0 => Drift::Renew { every: seconds(1.0 / d).max(1) },
             _ => Drift::Still,
         },
         hot: Vec::new(),
-        fresh: 0.0,
+        fresh: k.fresh,
     }
 }
 
--- a/crates/lab/src/run/changes.rs
+++ b/crates/lab/src/run/changes.rs
@@ -18,18 +18,23 @@
     draws: ChaCha8Rng,
 }
 
-/// When which key changes: for each load a Poisson process over all of its keys, drawn from the seed.
+/// When which key changes: for each load's keys a Poisson process over all of them, drawn from the seed.
 pub(super) struct Changes(Vec<Stream>);
 
 impl Changes {
     pub(super) fn new(e: &Experiment, seed: u64) -> Self {
+        // Loads that share keys change them once.
+        let first = |n: usize, space: u16| !e.loads.iter().take(n).any(|l| l.keys.space == space);
         let stream = |(number, load): (usize, &crate::experiment::Load)| {
-            let per_s = load.keys.changes_per_s * load.keys.count as f64;
+            if !first(number, load.keys.space) {
+                return None;
+            }
+            let per_s = e.world.origin.changes_per_s * f64::from(load.keys.count);
             let gap = Exp::new(per_s).ok().filter(|_| per_s > 0.0)?;
             let mut draws = stream(seed, "changes", number as u64);
             let next = seconds(gap.sample(&mut draws));
-            let keys = KeyDraw::new(keys_of(e, load), number as u16);
-            Some(Stream { keys, count: load.keys.count, gap, next, draws })
+            let keys = KeyDraw::new(keys_of(load), number as u16);
+            Some(Stream { keys, count: load.keys.count.into(), gap, next, draws })
         };
         Self(e.loads.iter().enumerate().filter_map(stream).collect())
     }
@@ -56,7 +61,7 @@
     #[test]
     fn keys_change_at_their_rate_the_same_for_one_seed() {
         let text = "question = \"?\"\nduration_s = 100\n[[load]]\nrate.steady.per_s = 1\n\
-                    keys = { count = 1000, changes_per_s = 0.01 }\n";
+                    keys = { count = 1000 }\n[world]\norigin = { changes_per_s = 0.01 }\n";
         let e = ExperimentFile::parse("x", text).unwrap_or_else(|e| panic!("{e}")).experiment;
         let all = |seed| Changes::new(&e, seed).due(100_000_000);
         // 10 a second for 100 s: 1000 with a deviation of 32.
--- a/crates/lab/src/run/fill.rs
+++ b/crates/lab/src/run/fill.rs
@@ -31,23 +31,19 @@
 
 /// All keys of all loads with their mean sizes, the most popular first.
 fn by_rank(e: &Experiment) -> impl Iterator<Item = (usize, Key, f64)> {
-    let draws: Vec<_> = e.loads.iter().enumerate().collect();
-    let draws: Vec<_> = draws
-        .into_iter()
-        .map(|(n, l)| {
-            let sigma = l.keys.value_sigma;
-            // The mean of a log-normal length.
-            let size = f64::from(l.keys.value_bytes) * libm::exp(sigma * sigma / 2.0) + PER_OBJECT;
-            (n, KeyDraw::new(keys_of(e, l), n as u16), l.keys.count, l.keys.first, size)
-        })
-        .collect();
+    let origin = &e.world.origin;
+    // The mean of a log-normal length.
+    let mean = libm::exp(origin.value_sigma * origin.value_sigma / 2.0);
+    let size = f64::from(origin.value_bytes) * mean + PER_OBJECT;
     // Loads that share keys have one list.
-    let first_of = |n: usize, first: u64| !e.loads.iter().take(n).any(|l| l.keys.first == first);
-    let lists: Vec<_> = draws.into_iter().filter(|(n, _, _, first, _)| first_of(*n, *first)).collect();
+    let first = |n: usize, space: u16| !e.loads.iter().take(n).any(|l| l.keys.space == space);
+    let of_first = e.loads.iter().enumerate().filter(|(n, l)| first(*n, l.keys.space));
+    let lists: Vec<_> =
+        of_first.map(|(n, l)| (n, KeyDraw::new(keys_of(l), n as u16), l.keys.count)).collect();
     let longest = lists.iter().map(|list| list.2).max().unwrap_or(0);
     (0..longest).flat_map(move |rank| {
-        let at_rank = |(n, draw, count, _, size): &(usize, KeyDraw, u64, u64, f64)| {
-            (rank < *count).then(|| (*n, draw.ranked(rank as u32, 0), *size))
+        let at_rank = |(n, draw, count): &(usize, KeyDraw, u32)| {
+            (rank < *count).then(|| (*n, draw.ranked(rank, 0), size))
         };
         lists.iter().filter_map(at_rank).collect::<Vec<_>>()
     })
@@ -173,16 +169,16 @@
 
     fn experiment() -> Experiment {
         let text = "question = \"?\"\nduration_s = 1\n[[world.servers]]\nmemory_mb = 1\ncount = 4\n[[load]]\n\
-                    rate.steady.per_s = 1\nkeys = { count = 50000, value_bytes = 960, value_sigma = 0 }\n[[load]]\n\
-                    name = \"b\"\nrate.steady.per_s = 1\nkeys = { count = 10, first = 90000 }\n[[load]]\n\
-                    name = \"c\"\nrate.steady.per_s = 1\nkeys = { count = 50 }\n";
+                    rate.steady.per_s = 1\nkeys = { count = 50000 }\n[[load]]\n\
+                    name = \"b\"\nrate.steady.per_s = 1\nkeys = { count = 10, space = 1 }\n[[load]]\n\
+                    name = \"c\"\nrate.steady.per_s = 1\nkeys = { count = 50 }\n[world]\norigin = { value_bytes = 960, value_sigma = 0 }\n";
         ExperimentFile::parse("x", text).unwrap_or_else(|e| panic!("{e}")).experiment
     }
 
     #[test]
     fn what_fits_is_held_with_the_most_popular_last() {
         let e = experiment();
-        let top = value::Key(KeyDraw::new(keys_of(&e, &e.loads[0]), 0).ranked(0, 0).0);
+        let top = value::Key(KeyDraw::new(keys_of(&e.loads[0]), 0).ranked(0, 0).0);
         for (arm, holders) in [(Arm::Random, 4), (Arm::Ketama, 1), (Arm::Bounded, 1)] {
             let held = held(&e, arm);
             // 1 MiB holds 1024 objects of 1 KiB; the other load's are a few bytes larger.
--- a/crates/lab/src/stand/control.rs
+++ b/crates/lab/src/stand/control.rs
@@ -1,7 +1,8 @@
 //! Faults and questions while a world runs.
 
 use super::conn::{Life, Limp};
-use super::run::{Role, Stand, Talk};
+use super::peers::Talk;
+use super::run::{Role, Stand};
 use crate::Micros;
 use crate::ledger::{ServerInfo, ServerNo, ZoneNo};
 use lapisrudder_model::clients::NodeId;
@@ -261,6 +262,15 @@
         })
     }
 
+    /// Discovery tells the list of so long ago, or the present one again.
+    pub fn discovery_lag(&self, lag: Option<Micros>) -> Done<()> {
+        self.run(move |stand| {
+            let now = stand.clock.now();
+            stand.view(now, lag.map_or(View::Live, View::Lag));
+            Ok(())
+        })
+    }
+
     /// Discovery moves to a new address, and takes no new connection at the old one. The new one for each node.
     pub fn discovery_move(&self) -> Done<Vec<SocketAddr>> {
         self.run(move |stand| {
--- a/crates/lab/src/stand/discovery.rs
+++ b/crates/lab/src/stand/discovery.rs
@@ -1,7 +1,8 @@
 //! Discovery on sockets: calls to the state machine, its answers to the wire, and what it learns of the servers.
 
 use super::conn::{Mark, Out};
-use super::run::{Due, Role, Stand, Talk};
+use super::peers::Talk;
+use super::run::{Due, Role, Stand};
 use super::spec::Notice;
 use crate::Micros;
 use crate::ledger::{DiscoveryEvent, Listed, NodeNo, ServerNo};
@@ -150,7 +151,11 @@
             }
         };
         let node = Self::node(view);
-        self.tell_discovery(now, DiscoveryEvent::Called { node, watch: ask != Ask::Full });
+        let hold_ms = match call {
+            Call::Whole => 0,
+            Call::Watch { hold_ms, .. } => u32::try_from(hold_ms).unwrap_or(u32::MAX),
+        };
+        self.tell_discovery(now, DiscoveryEvent::Called { node, hold_ms });
         self.hand_discovery(now, Event::Call(id, NodeId(u32::from(node.0)), Address(site), ask));
     }
 
--- a/src/net/pool_member.rs
+++ b/src/net/pool_member.rs
@@ -8,6 +8,7 @@
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use tracing::warn;
 
 struct PoolMember {
     endpoint: SocketAddr,
@@ -151,7 +152,7 @@
                 return;
             }
             if idle.is_none() && (room || member.connections.is_empty()) {
-                if !self.open(server, now, deadlines) {
+                if !self.connect(server, now, deadlines) {
                     return self.not_connected(server, now, deadlines);
                 }
                 continue;
@@ -177,12 +178,18 @@
     }
 
     /// Begins to connect; false if that failed at once.
-    fn open(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) -> bool {
+    fn connect(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) -> bool {
         let Some(member) = self.members.get_mut(&server) else { return false };
         let id = self.next;
         self.next += 1;
         let socket = Socket::connect(member.endpoint, &self.handle, move |_, node| node.member_ready(id));
-        let Ok(socket) = socket else { return false };
+        let socket = match socket {
+            Ok(socket) => socket,
+            Err(e) => {
+                warn!(about = %member.endpoint, "cannot connect: {e}");
+                return false;
+            }
+        };
         let mut connection = Connection::new(server, member.endpoint, member.origin, socket);
         let at = now + self.limits.connect_timeout;
         connection.deadline = Some(deadlines.add(at, Deadline::Connection(id)));
@@ -253,7 +260,10 @@
             match c.comes_up() {
                 Ok(true) => self.freed(id, now, deadlines),
                 Ok(false) => return,
-                Err(_) => return self.close(id, now, deadlines),
+                Err(e) => {
+                    warn!(about = %c.endpoint, "cannot connect: {e}");
+                    return self.close(id, now, deadlines);
+                }
             }
         }
         self.unwritten.push(id);
@@ -285,6 +295,9 @@
     pub fn on_deadline(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
         if let Some(c) = self.connections.get_mut(&id) {
             c.deadline = None;
+            if !c.up {
+                warn!(about = %c.endpoint, "cannot connect: no answer in time");
+            }
             self.close(id, now, deadlines);
         }
     }
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -191,9 +191,17 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).expect("a connection");
-        stream.set_read_timeout(Some(WIDE)).expect("a time limit");
-        Client(BufReader::new(stream))
+        self.client_from([127, 0, 0, 1]).expect("a connection")
+    }
+
+    /// A client at another address of this machine.
+    pub fn client_from(&self, ip: [u8; 4]) -> std::io::Result<Client> {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        socket.bind(&SocketAddr::from((ip, 0)).into())?;
+        socket.connect(&self.address.into())?;
+        let stream = TcpStream::from(socket);
+        stream.set_read_timeout(Some(WIDE))?;
+        Ok(Client(BufReader::new(stream)))
     }
 }
 
@@ -211,6 +219,11 @@
         self.0.get_mut().write_all(text.as_bytes()).expect("written");
     }
 
+    /// Sends, unless the connection has ended.
+    pub fn try_send(&mut self, text: &str) -> std::io::Result<()> {
+        self.0.get_mut().write_all(text.as_bytes())
+    }
+
     /// Sends on the side, as far as the peer takes it.
     pub fn flood(&self, text: &str) {
         let (mut stream, text) = (self.0.get_ref().try_clone().expect("a stream"), text.to_string());
@@ -239,6 +252,12 @@
         Ok(line)
     }
 
+    /// Asks, and gives the answer if one came before the connection ended.
+    pub fn try_ask(&mut self, text: &str) -> std::io::Result<String> {
+        self.0.get_mut().write_all(text.as_bytes())?;
+        self.try_answer()
+    }
+
     pub fn ask(&mut self, text: &str) -> String {
         self.send(text);
         self.answer()
@@ -257,7 +276,7 @@
 /// Who made a value, if every byte of it is as that server made it for this request and the key of [`Client::read`].
 fn maker(value: &[u8], id: &str) -> Option<&'static str> {
     let made = check(value, Key::of(format!("k{id}").as_bytes())).ok()?;
-    let names = ["a", "b", "bad", "good", "gone"].into_iter();
+    let names = ["a", "b", "bad", "c", "good", "gone"].into_iter();
     let named = |name: &&str| made.maker == Maker::Cache(Uid::of(name.as_bytes()));
     names.filter(|_| made.request == Some(RequestId::of(id.as_bytes()))).find(named)
 }
