Let no node outlive the lab, however that ends

A lab that is killed outright left its nodes running. They are started through the lab's own program now, which asks the kernel to be killed with its parent and then becomes the node's command.

--- a/crates/lab/src/cli/tool.rs
+++ b/crates/lab/src/cli/tool.rs
@@ -3,7 +3,7 @@
 use super::measure::{CompareArgs, RunArgs, TableArgs};
 use super::world::{DemoArgs, ServeArgs};
 use crate::cost::{CostOptions, cost, relay};
-use crate::node::built;
+use crate::node::{become_under, built};
 use clap::{Args, Subcommand};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -25,6 +25,14 @@
     Serve(ServeArgs),
     /// Measure what a served read costs a node, against a plain byte relay.
     Cost(CostArgs),
+    /// Become a command that ends with its parent, for nodes.
+    #[command(hide = true)]
+    Under {
+        /// The parent's process id.
+        parent: u32,
+        /// The command line.
+        command: String,
+    },
     /// Relay bytes from one address to another, for `cost`.
     #[command(hide = true)]
     Relay {
@@ -42,7 +50,7 @@
 
 impl Tool {
     pub(super) fn call(&self) -> Result<ExitCode, Failed> {
-        if !matches!(self, Tool::Relay { .. }) {
+        if !matches!(self, Tool::Relay { .. } | Tool::Under { .. }) {
             raise_descriptors();
         }
         match self {
@@ -52,6 +60,7 @@
             Tool::Table(args) => args.call(),
             Tool::Serve(args) => args.call(),
             Tool::Cost(args) => args.call(),
+            Tool::Under { parent, command } => Err(become_under(*parent, command).into()),
             Tool::Relay { listen, to } => {
                 relay(*listen, *to)?;
                 Ok(ExitCode::SUCCESS)
--- a/crates/lab/src/node/mod.rs
+++ b/crates/lab/src/node/mod.rs
@@ -13,7 +13,7 @@
 pub use address::addresses;
 pub use build::built;
 pub use config::{Place, changed, config};
-pub use process::{Process, ProcessError};
+pub use process::{Process, ProcessError, become_under};
 pub use sample::{Usage, cpu_us, usage};
 pub use scratch::{Scratch, scratch};
 
--- a/crates/lab/src/node/process.rs
+++ b/crates/lab/src/node/process.rs
@@ -41,6 +41,31 @@
     },
 }
 
+/// The lab's own program.
+const LAB: &str = "lapisrudder-lab";
+
+fn shell(command: &str) -> Command {
+    let mut shell = Command::new("/bin/sh");
+    shell.arg("-c").arg(format!("exec {command}"));
+    shell
+}
+
+/// Becomes a command that is killed as soon as its parent ends: for a process that the lab has just started to run a
+/// node. Comes back only with an error.
+pub fn become_under(parent: u32, command: &str) -> io::Error {
+    use std::os::unix::process::CommandExt;
+    let asked = rustix::process::set_parent_process_death_signal(Some(Signal::KILL));
+    if let Err(e) = asked {
+        return e.into();
+    }
+    // It may have ended before this was asked for.
+    let parent_is = rustix::process::getppid().map(|pid| pid.as_raw_nonzero().get());
+    if parent_is != i32::try_from(parent).ok() {
+        return io::Error::other("the lab has ended");
+    }
+    shell(command).exec()
+}
+
 /// A running process. It is killed when dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -68,8 +93,17 @@
             opened.map_err(|source| ProcessError::Log { path: path.display().to_string(), source })
         };
         let (out, err) = (file(log)?, file(log)?);
-        let mut shell = Command::new("/bin/sh");
-        shell.arg("-c").arg(format!("exec {command}")).envs(env.iter().map(|(k, v)| (k, v)));
+        // The lab's own program goes first where this is it: what it becomes ends with the lab, however that ends.
+        let own = std::env::current_exe().ok().filter(|own| own.file_stem().is_some_and(|stem| stem == LAB));
+        let mut shell = match own {
+            Some(own) => {
+                let mut lab = Command::new(own);
+                lab.arg("under").arg(std::process::id().to_string()).arg(command);
+                lab
+            }
+            None => shell(command),
+        };
+        shell.envs(env.iter().map(|(k, v)| (k, v)));
         shell.stdin(Stdio::null()).stdout(out).stderr(err);
         let start = |source| ProcessError::Start { command: command.into(), source };
         let process = Self { child: shell.spawn().map_err(start)?, ended: None };
--- a/crates/lab/tests/cost.rs
+++ b/crates/lab/tests/cost.rs
@@ -22,6 +22,35 @@
     }
 }
 
+#[test]
+fn a_lab_that_is_killed_takes_its_nodes_with_it() {
+    let dir = lapisrudder_lab::node::scratch("killed").expect("a folder");
+    let file = dir.path().join("long.toml");
+    let text = "question = \"?\"\nduration_s = 60\n[[load]]\nrate = { steady = { per_s = 1 } }\n\
+                [world]\nnodes = { count = 1, ready_within_s = 60 }\n";
+    std::fs::write(&file, text).expect("a file");
+    let pid = dir.path().join("pid");
+    let node = format!("sh -c 'echo $$ > {0}.new; mv {0}.new {0}; sleep 600'", pid.display());
+    let mut lab = Command::new(env!("CARGO_BIN_EXE_lapisrudder-lab"));
+    lab.arg("run").arg(&file).args(["--node", &node]).arg("--out").arg(dir.path().join("out"));
+    let mut lab = lab.stderr(std::process::Stdio::null()).spawn().expect("it runs");
+    let begun = std::time::Instant::now();
+    let within = || assert!(begun.elapsed() < Duration::from_secs(30));
+    while !pid.exists() {
+        within();
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let node = std::fs::read_to_string(&pid).expect("a number");
+    let state = || std::fs::read_to_string(format!("/proc/{}/stat", node.trim())).unwrap_or_default();
+    assert!(state().contains(" (s"), "the node runs: {}", state());
+    lab.kill().and_then(|()| lab.wait()).expect("it was there");
+    // Nobody may be left to wait for it: a process that has ended counts as gone.
+    while !state().is_empty() && !state().contains(") Z") {
+        within();
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 #[test]
 fn bad_input_is_one_line() {
     for (args, expected) in [
--- a/crates/lab/tests/run/main.rs
+++ b/crates/lab/tests/run/main.rs
@@ -114,7 +114,7 @@
 
 #[test]
 fn each_saboteur_is_caught_by_its_rule_and_the_honest_node_by_none() {
-    for some in CASES.chunks(7) {
+    for some in CASES.chunks(14) {
         std::thread::scope(|scope| some.iter().for_each(|case| drop(scope.spawn(|| one_case(*case)))));
     }
 }
