--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,8 +9,11 @@
 //! - [`compare`]: two sides on the same seeds, with a confidence interval.
 //! - [`report`]: results as JSON lines, and one page from them.
 //!
-//! Nothing but the stand-ins opens a socket, reads a clock or starts a thread, so that real-time runs and runs on a
-//! virtual clock share them.
+//! - [`load`], [`node`], [`faults`], [`run`]: the load over sockets, nodes as processes, faults while a run goes on, and
+//!   whole runs.
+//!
+//! Experiments, ledgers, checks, statistics and reports open no socket, read no clock and start no thread, so that
+//! real-time runs and runs on a virtual clock share them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
@@ -20,10 +23,22 @@
 pub mod cli;
 #[cfg(feature = "tool")]
 pub mod compare;
+#[cfg(feature = "tool")]
+pub mod cost;
 pub mod experiment;
+#[cfg(feature = "tool")]
+pub mod faults;
 pub mod ledger;
 #[cfg(feature = "tool")]
+pub mod load;
+#[cfg(feature = "tool")]
+pub mod node;
+#[cfg(feature = "tool")]
 pub mod report;
+#[cfg(feature = "tool")]
+pub mod rivals;
+#[cfg(feature = "tool")]
+pub mod run;
 pub mod stand;
 #[cfg(feature = "tool")]
 pub mod stats;
--- a/crates/model/src/clients/retry.rs
+++ b/crates/model/src/clients/retry.rs
@@ -20,6 +20,8 @@
     pub most: Micros,
     /// Waits as long as a `busy MS` asks, up to this; `None` takes no notice of it.
     pub heeds_busy: Option<Micros>,
+    /// Share of the requests whose client takes notice, 0 to 1.
+    pub heeds: f64,
 }
 
 impl Default for Retry {
@@ -30,6 +32,7 @@
             growth: 2.0,
             most: 2_000_000,
             heeds_busy: Some(2_000_000),
+            heeds: 1.0,
         }
     }
 }
