--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,5 +1,9 @@
 //! The command line: each sub-command reads its arguments here and calls the module that does the work.
 
+mod measure;
+mod tool;
+mod world;
+
 use crate::experiment::{ExperimentFile, FileError, schedule};
 use crate::report;
 use clap::{Args, Parser, Subcommand};
@@ -24,6 +28,8 @@
         /// The folder, as `--out` named it.
         dir: PathBuf,
     },
+    #[command(flatten)]
+    Tool(tool::Tool),
 }
 
 #[derive(Args)]
@@ -68,6 +74,12 @@
         Command::Report { dir } => {
             report::write(&dir).map(|path| format!("{}\n", path.display())).map_err(|e| e.to_string())
         }
+        Command::Tool(tool) => {
+            return tool.call().unwrap_or_else(|e| {
+                eprintln!("{e}");
+                ExitCode::from(2)
+            });
+        }
     };
     match done {
         Ok(text) => {
--- a/crates/model/src/clients/machine.rs
+++ b/crates/model/src/clients/machine.rs
@@ -293,6 +293,7 @@
             request.tries.push(Try {
                 id,
                 due,
+                taken: now,
                 until,
                 node: None,
                 conn: None,
@@ -363,6 +364,8 @@
     fn next_try(&self, now: Micros, number: u64, end: End) -> Option<Micros> {
         let request = self.requests.get(&number)?;
         let (class, habits) = (self.class(&request.arrival)?, self.habits(request.arrival.population)?);
+        let heeds = unit(&mut spot(self.seed, "heeds", number, 0)) < habits.retry.heeds;
+        let end = if let (End::Refused(_), false) = (end, heeds) { End::Refused(None) } else { end };
         let mut draws = spot(self.seed, "retry", number, request.tries.len() as u64);
         let at = habits.retry.next(class, &request.tries, now, end, &mut draws)?;
         (at < request.due + class.give_up).then_some(at)
--- a/crates/model/src/clients/story.rs
+++ b/crates/model/src/clients/story.rs
@@ -32,6 +32,8 @@
     pub id: RequestId,
     /// When it was due to be sent: latency counts from here, whatever held it up.
     pub due: Micros,
+    /// When it was taken up: later than `due` by the driver's own lateness, not by any wait for a connection.
+    pub taken: Micros,
     /// When it is given up.
     pub until: Micros,
     /// The node it went to.
