--- a/crates/engine/src/deadlines.rs
+++ b/crates/engine/src/deadlines.rs
@@ -1,11 +1,26 @@
 //! Deadlines, sorted by time and swept each turn of the host's loop.
 
-use lapisrudder_decisions::Micros;
+use crate::flow::FlowId;
+use crate::order::Conn;
+use lapisrudder_decisions::{Micros, RequestId};
 use std::collections::BTreeMap;
 
 /// Names one deadline, to take it back: when it is, and which of those.
 pub type Key = (Micros, u64);
 
+/// The engine's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Deadline {
+    /// The decisions asked to be woken.
+    Wake,
+    /// The wait for a server-side flow ends.
+    Flow(FlowId),
+    /// A transaction still lacks its final answer.
+    Transaction(RequestId),
+    /// A connection to a pool member is not up yet, or has been idle for long.
+    Connection(Conn),
+}
+
 /// Deadlines for things of type `T`. Those at one time come in the order in which they were added.
 #[derive(Debug)]
 pub struct Deadlines<T> {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,7 +1,7 @@
 //! The one type that hosts drive: where happenings become events, and actions orders.
 
 use crate::config::Config;
-use crate::deadlines::Deadlines;
+use crate::deadlines::{Deadline, Deadlines};
 use crate::flow::{Call, Flow, FlowId};
 use crate::order::{Answer, Conn, Final, Order};
 use crate::pool::Pool;
@@ -55,18 +55,6 @@
     NumberInUse,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Deadline {
-    /// The decisions asked to be woken.
-    Wake,
-    /// The wait for a server-side flow ends.
-    Flow(FlowId),
-    /// A transaction still lacks its final answer.
-    Transaction(RequestId),
-    /// A connection to a pool member is not up yet, or has been idle for long.
-    Connection(Conn),
-}
-
 /// Transactions, flows, members and the decisions about them. See the [crate](crate) for how hosts drive it.
 pub struct Engine {
     deadlines: Deadlines<Deadline>,
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -2,8 +2,7 @@
 
 use crate::config::Limits;
 use crate::connection::Connection;
-use crate::deadlines;
-use crate::engine::Deadline;
+use crate::deadlines::{self, Deadline};
 use crate::flow::{Flow, FlowId};
 use crate::order::{Conn, Order};
 use lapisrudder_codec::memcache::Answer;
--- a/crates/engine/src/transactions.rs
+++ b/crates/engine/src/transactions.rs
@@ -1,7 +1,6 @@
 //! Transactions and what has happened to them, in the form that the decisions take.
 
-use crate::deadlines::{Deadlines, Key};
-use crate::engine::Deadline;
+use crate::deadlines::{Deadline, Deadlines, Key};
 use crate::flow::{Call, FlowId};
 use lapisrudder_decisions::{CacheNote, Ended, Event, Micros, Outcome, RequestId, ServerId};
 use rustc_hash::{FxHashMap, FxHashSet};
--- a/crates/engine/tests/interleavings.rs
+++ b/crates/engine/tests/interleavings.rs
@@ -1,7 +1,6 @@
 //! The engine in memory, on a virtual clock: random stories of what can happen, with the rules checked at each step.
 //! A failing one is shortened, and told with its seed.
 
-#[allow(dead_code)]
 mod world;
 
 use proptest::prelude::*;
--- a/crates/engine/tests/world/mod.rs
+++ b/crates/engine/tests/world/mod.rs
@@ -79,8 +79,6 @@
     live: BTreeSet<ServerId>,
     /// How many times each id has come whole to a server that has not said that it did not run it.
     ran: BTreeMap<String, u32>,
-    /// The host's last turn.
-    turned: Micros,
     pub served: usize,
     pub refused: usize,
     pub sent: usize,
@@ -139,7 +137,6 @@
             asked: 0,
             live: (0..u64::from(SERVERS)).map(ServerId).collect(),
             ran: BTreeMap::new(),
-            turned: 0,
             served: 0,
             refused: 0,
             sent: 0,
@@ -274,7 +271,6 @@
                 self.carry_out(order)?;
             }
         }
-        self.turned = self.now;
         self.audit()
     }
 
@@ -368,6 +364,9 @@
     fn write(&mut self, conn: Conn, look: bool) -> Result<(), Broken> {
         let line =
             self.lines.get_mut(&conn).filter(|l| l.up).ok_or(format!("a write to {conn:?}, not up"))?;
+        check(look || line.peer.is_busy() || !line.unread.is_empty(), || {
+            format!("{conn:?} is not looked at first")
+        })?;
         if look && (!line.unread.is_empty() || line.over.is_some()) {
             line.told = true;
             self.engine.broken(self.now, conn);
--- a/crates/engine/tests/world/peer.rs
+++ b/crates/engine/tests/world/peer.rs
@@ -62,6 +62,11 @@
         self.got.len()
     }
 
+    /// It has got something that it has not answered, or never will.
+    pub fn is_busy(&self) -> bool {
+        self.spoilt || !self.got.is_empty() || !self.input.is_empty()
+    }
+
     /// Bytes have come; gives the ids of the requests that are whole with them.
     pub fn take(&mut self, bytes: &[u8]) -> Result<Vec<String>, String> {
         let mut whole = Vec::new();
