Hold the order of things within a turn

In full: Hold the order of things within a turn, and that nothing goes overdue while the host is awake.

--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -189,6 +189,16 @@
     }
 }
 
+#[test]
+fn the_answer_of_a_flow_that_was_given_up_is_read_for_nobody_and_its_neighbour_gets_its_own() {
+    let mut desk = Desk::new(false, 2);
+    assert_eq!(desk.carry_out(), [(Conn(0), false)]);
+    let given_up = FlowId { request: RequestId(1), attempt: 0 };
+    assert!(!desk.pool.abandon(MEMBER, given_up, 0, &mut desk.deadlines), "it was sent");
+    assert_eq!(desk.pool.connections[&Conn(0)].load(9, 0), None, "nothing goes behind it");
+    assert_eq!(desk.answer(0, "EN O9\r\nEN O9\r\n"), (true, 1));
+}
+
 #[test]
 fn what_nobody_asked_for_ends_a_connection_and_is_held_within_bounds() {
     let mut desk = Desk::new(false, 1);
--- /dev/null
+++ b/crates/engine/tests/turn.rs
@@ -0,0 +1,80 @@
+//! The order of things within one turn.
+
+use lapisrudder_codec::memcache::{OwnedRequest, Parts};
+use lapisrudder_decisions::{Class, Key, Listed, Mode, RequestId, Scope, ServerId, Settings};
+use lapisrudder_engine::{Answer, Config, Engine, Final, Member, Order, Request, TakeError};
+
+fn engine() -> Engine {
+    let class = Class { aim: 750_000, worth: 1.0, ..Class::default() };
+    let settings = Settings {
+        classes: vec![class],
+        mode: Mode::Aside,
+        max_attempts: 3,
+        siblings: 1,
+        second_copies: true,
+        ..Settings::default()
+    };
+    let mut engine = Engine::new(Config { settings, ..Config::default() }, 0);
+    let listed = Listed { server: ServerId(7), weight: 1.0, ..Listed::default() };
+    engine.listed(Scope::Full, vec![Member { listed, endpoint: ([127, 0, 0, 1], 1).into() }]);
+    engine
+}
+
+fn request(id: &str, write: bool) -> Request {
+    let value = write.then_some(&b"v"[..]);
+    let parts = Parts { key: b"k", id: id.as_bytes(), class: b"r", wait_ms: 900, value, ..Parts::default() };
+    let command = OwnedRequest::compose(&parts).unwrap();
+    Request { command, key: Key(1), class: 0, tenant: 0, hint: None, repeated: false, due: 900_000 }
+}
+
+#[test]
+fn nothing_is_written_before_all_that_came_was_decided_on() {
+    let mut engine = engine();
+    engine.take(0, RequestId(1), request("a", false)).unwrap();
+    let Some(Order::Connect { conn, .. }) = engine.poll_order(0) else { panic!() };
+    engine.connected(0, conn);
+    // There is no origin: the second is refused at once.
+    engine.take(0, RequestId(2), request("b", true)).unwrap();
+    let refused = Order::Answer { transaction: RequestId(2), answer: Final::Refused { retry_in: None } };
+    assert_eq!(engine.poll_order(0), Some(refused));
+    assert_eq!(engine.poll_order(0), Some(Order::Write { conn, look: true }));
+}
+
+#[test]
+fn what_cannot_be_a_transaction_is_told_apart_and_owes_nothing() {
+    let mut engine = engine();
+    engine.take(0, RequestId(1), request("a", false)).unwrap();
+    let other_class = Request { class: 1, ..request("b", false) };
+    assert_eq!(engine.take(0, RequestId(2), request("a", false)), Err(TakeError::IdInUse));
+    assert_eq!(engine.take(0, RequestId(2), other_class), Err(TakeError::UnknownClass));
+    assert_eq!(engine.take(0, RequestId(1), request("b", false)), Err(TakeError::NumberInUse));
+    assert_eq!(engine.open(), 1);
+    assert!(engine.left(RequestId(1)) && !engine.left(RequestId(1)) && !engine.left(RequestId(9)));
+    while engine.poll_order(0).is_some() {}
+    assert!(!engine.is_named(b"a") && engine.open() == 0);
+}
+
+#[test]
+fn what_is_told_of_a_connection_that_there_is_not_is_passed_over() {
+    let mut engine = engine();
+    let mut none = |_: RequestId, _: &Request, _: Answer| panic!("an answer");
+    let conn = lapisrudder_engine::Conn(9);
+    engine.connected(0, conn);
+    engine.writable(conn);
+    engine.transmitted(conn, 9);
+    assert!(!engine.received(0, conn, b"EN\r\n", &mut none));
+    engine.ended(0, conn, &mut none);
+    engine.broken(0, conn);
+    // Nor can anything come on one that is not up.
+    engine.take(0, RequestId(1), request("a", false)).unwrap();
+    let Some(Order::Connect { conn, .. }) = engine.poll_order(0) else { panic!() };
+    assert!(!engine.received(0, conn, b"VA 1 Oa\r\nv\r\n", &mut none));
+    assert_eq!((engine.poll_order(0), engine.open(), engine.connections()), (None, 1, 1));
+}
+
+/// Engines may be moved between threads.
+#[test]
+fn an_engine_is_send() {
+    fn send<T: Send>(_: &T) {}
+    send(&engine());
+}
--- a/crates/engine/tests/world/mod.rs
+++ b/crates/engine/tests/world/mod.rs
@@ -65,6 +65,7 @@
     id: String,
     key: u8,
     write: bool,
+    at: Micros,
     due: Micros,
 }
 
@@ -79,6 +80,8 @@
     live: BTreeSet<ServerId>,
     /// How many times each id has come whole to a server that has not said that it did not run it.
     ran: BTreeMap<String, u32>,
+    /// The host's last turn.
+    turned: Micros,
     pub served: usize,
     pub refused: usize,
     pub sent: usize,
@@ -137,6 +140,7 @@
             asked: 0,
             live: (0..u64::from(SERVERS)).map(ServerId).collect(),
             ran: BTreeMap::new(),
+            turned: 0,
             served: 0,
             refused: 0,
             sent: 0,
@@ -250,7 +254,7 @@
         let number = RequestId(self.asked);
         self.engine.take(self.now, number, request.clone()).map_err(|e| e.to_string())?;
         check(self.engine.take(self.now, RequestId(u64::MAX), request).is_err(), || "one id twice".into())?;
-        self.open.insert(number, Asked { id, key, write, due });
+        self.open.insert(number, Asked { id, key, write, at: self.now, due });
         Ok(())
     }
 
@@ -271,6 +275,7 @@
                 self.carry_out(order)?;
             }
         }
+        self.turned = self.now;
         self.audit()
     }
 
@@ -344,6 +349,11 @@
                 let asked =
                     self.open.remove(&transaction).ok_or(format!("{transaction:?} twice: {answer:?}"))?;
                 let may_have_run = self.ran.get(&asked.id).is_some_and(|runs| *runs > 0);
+                // The decisions end a transaction when its time is over, if the host does not sleep through that.
+                let slept = self.turned < asked.due || self.turned <= asked.at;
+                check(slept || !matches!(answer, Final::Overdue { .. }), || {
+                    format!("{} is overdue", asked.id)
+                })?;
                 match answer {
                     Final::Refused { .. } => {
                         self.refused += 1;
