--- a/crates/lab/tests/run/main.rs
+++ b/crates/lab/tests/run/main.rs
@@ -191,3 +191,78 @@
         assert!(out.path().join(kept).is_file(), "{kept}");
     }
 }
+
+/// Each kind of fault, on each party that it can be on: who, what.
+const FAULTS: [(&str, &str); 36] = [
+    ("{ servers = { count = 1 } }", "{ pauses = { ms = 20, every_s = 0.1 } }"),
+    ("{ servers = { count = 1 } }", "{ slow = { times = 2 } }"),
+    ("{ servers = { count = 1 } }", "{ errors = { rate = 0.1 } }"),
+    ("{ servers = { count = 1 } }", "{ spoil = { rate = 0.1 } }"),
+    ("{ servers = { count = 1 } }", "{ swallow = { rate = 0.1 } }"),
+    ("{ servers = { count = 1 } }", "\"full-table\""),
+    ("{ servers = { count = 1 } }", "{ flush = { share = 0.5 } }"),
+    ("{ servers = { names = [\"s1\"] } }", "{ drain = { drain_s = 0.2 } }"),
+    ("{ servers = { names = [\"s2\"] } }", "{ kill = { new_ids = true } }"),
+    ("{ servers = { names = [\"s3\"] } }", "\"vanish\""),
+    ("\"origin\"", "{ pauses = { ms = 20, every_s = 0.1 } }"),
+    ("\"origin\"", "{ slow = { times = 2 } }"),
+    ("\"origin\"", "{ errors = { rate = 0.1 } }"),
+    ("\"origin\"", "{ kill = {} }"),
+    ("\"discovery\"", "{ slow = { times = 3 } }"),
+    ("\"discovery\"", "{ outage = { how = \"reset\" } }"),
+    ("\"discovery\"", "\"stale\""),
+    ("\"discovery\"", "{ lag = { s = 0.5 } }"),
+    ("\"discovery\"", "{ kill = {} }"),
+    ("\"discovery\"", "{ move = { close_s = 0.2 } }"),
+    (
+        "{ network = { from = { nodes = {} }, to = { servers = { count = 1 } } } }",
+        "{ delay = { ms = 5, jitter = 0.5 } }",
+    ),
+    (
+        "{ network = { from = { nodes = {} }, to = { servers = { count = 1 } } } }",
+        "{ cut = { heal = \"reset\" } }",
+    ),
+    ("{ network = { from = { nodes = {} }, to = { servers = { count = 1 } } } }", "\"refuse-connects\""),
+    (
+        "{ network = { from = { nodes = {} }, to = { servers = { count = 1 } } } }",
+        "{ lose-connects = { share = 0.5 } }",
+    ),
+    ("{ network = { from = { nodes = {} }, to = \"origin\" } }", "{ resets = { per_s = 2 } }"),
+    ("{ network = { from = { nodes = {} }, to = \"origin\" } }", "{ short-writes = { bytes = 50 } }"),
+    ("{ network = { from = { nodes = {} }, to = \"discovery\" } }", "{ delay = { ms = 5 } }"),
+    ("{ network = { from = { nodes = {} }, to = \"clients\" } }", "{ delay = { ms = 2 } }"),
+    ("{ network = { from = { nodes = {} }, to = \"clients\" } }", "\"reset-connects\""),
+    ("{ clients = {} }", "{ surge = { times = 2 } }"),
+    ("{ clients = {} }", "{ hot-caller = { share = 0.5, keys = 2 } }"),
+    ("{ clients = {} }", "{ flood = { kind = \"silent\", per_s = 100 } }"),
+    ("{ clients = {} }", "{ slow-readers = { bytes_per_s = 100000, share = 0.5 } }"),
+    ("{ nodes = { names = [\"n0\"] } }", "{ hup = { set = { seed = \"1\" } } }"),
+    ("{ nodes = { names = [\"n0\"] } }", "\"term\""),
+    ("{ nodes = { count = 1 } }", "{ kill = {} }"),
+];
+
+#[test]
+fn every_kind_of_fault_begins_and_ends() {
+    let at = |n: usize| 0.2 + n as f64 * 0.05;
+    let fault = |(n, (who, what)): (usize, &(&str, &str))| {
+        let at = at(n);
+        format!(
+            "[[fault]]\nname = \"{n}\"\nwho = {who}\nwhat = {what}\nwhen = {{ at = [{at}] }}\nfor_s = 0.3\n"
+        )
+    };
+    let mut faults: String = FAULTS.iter().enumerate().map(fault).collect();
+    // And one that waits for what is seen, on the clients, so that its load is added then.
+    faults += "[[fault]]\nname = \"more\"\nwho = { clients = {} }\nwhat = { surge = { times = 3 } }\nfor_s = 0.3\n\
+               when = { once = { metric = \"origin_per_s\", above = 1, from_s = 0.8 } }\n";
+    let file = file(&faults);
+    let options = RunOptions { command: Some(node("nothing")), ..RunOptions::default() };
+    let result = one_run(&file, &options);
+    for (n, (who, what)) in FAULTS.iter().enumerate() {
+        let shade = result.faults.iter().find(|s| s.name == n.to_string());
+        let shade = shade.unwrap_or_else(|| panic!("{what} on {who} did not begin"));
+        let late = shade.from_s - at(n);
+        assert!((0.0..2.0).contains(&late), "{what} on {who} began {late} s late");
+        assert!(shade.until_s >= shade.from_s, "{what} on {who}");
+    }
+    assert!(result.faults.iter().any(|s| s.name == "more"), "{:?}", result.faults);
+}
