--- a/crates/lab/src/check/context.rs
+++ b/crates/lab/src/check/context.rs
@@ -56,9 +56,9 @@
         self.e.classes.get(t.class.index())
     }
 
-    /// Tries of the usual clients.
+    /// Tries of the usual clients whose ids no bad client has used as well.
     pub(super) fn tries(&self) -> impl Iterator<Item = &'a Try> {
-        self.ledger.tries.iter().filter(|t| !t.flags.bad)
+        self.ledger.tries.iter().filter(|t| !t.flags.bad && !t.flags.borrowed)
     }
 
     /// When its last byte was written: the last time, where a close crossed it.
--- a/crates/lab/src/ledger/client.rs
+++ b/crates/lab/src/ledger/client.rs
@@ -47,6 +47,9 @@
     pub write: bool,
     /// Of a bad client: not part of goodput, and owed an error or a close only.
     pub bad: bool,
+    /// A bad client used its id, too: what servers saw under it may be that client's doing.
+    #[serde(default)]
+    pub borrowed: bool,
 }
 
 /// What a client was answered.
--- a/crates/lab/src/load/bad.rs
+++ b/crates/lab/src/load/bad.rs
@@ -6,7 +6,7 @@
 use super::reply;
 use crate::Micros;
 use crate::experiment::{BadClient, BadKind, Experiment, Occurrence, What, Who};
-use crate::ledger::{ClientEvent, Closer, ConnNo, NodeNo};
+use crate::ledger::{ClientEvent, Closer, ConnNo, NodeNo, ReqId};
 use lapisrudder_model::arrivals::RequestId;
 use lapisrudder_model::clients::{
     BadClients, BadError, BadEvent, BadKind as Kind, BadOrder, BadPlan, Chunk, ConnId, Reader,
@@ -87,6 +87,8 @@
     /// Chunks left, and how often the first of them is left to write.
     left: VecDeque<Chunk>,
     told: bool,
+    /// The id of another client's request that it uses.
+    borrowed: Option<u64>,
 }
 
 /// Bad clients and their sockets.
@@ -97,6 +99,10 @@
     from: IpAddr,
     conns: FxHashMap<u32, Conn>,
     names: FxHashMap<ConnId, u32>,
+    /// Another client's open request, as last seen.
+    open: Option<u64>,
+    /// Ids of other clients' requests that were used here.
+    borrowed: Vec<u64>,
     /// When a connection writes its next bytes.
     more: BinaryHeap<Reverse<(Micros, u32)>>,
 }
@@ -119,7 +125,7 @@
         let machine = BadClients::new(plans.clone(), class, nodes.len() as u32, span, seed)?;
         let from = IpAddr::V4(Ipv4Addr::new(127, net.0, net.1, 254));
         let (conns, names, more) = (FxHashMap::default(), FxHashMap::default(), BinaryHeap::new());
-        Ok(Self { machine, plans, nodes, from, conns, names, more })
+        Ok(Self { machine, plans, nodes, from, conns, names, open: None, borrowed: Vec::new(), more })
     }
 
     pub(super) fn begin(&mut self, at: Micros) {
@@ -127,9 +133,15 @@
     }
 
     pub(super) fn open_request(&mut self, now: Micros, id: RequestId) {
+        self.open = Some(id.0);
         self.machine.handle(now, BadEvent::OpenRequest(id));
     }
 
+    /// Ids of other clients' requests that were used here.
+    pub(super) fn borrowed(&self) -> &[u64] {
+        &self.borrowed
+    }
+
     pub(super) fn next(&self) -> Option<Micros> {
         let more = self.more.peek().map(|more| more.0.0);
         self.machine.next().into_iter().chain(more).min()
@@ -152,8 +164,18 @@
                     };
                     let conn = cx.net.open(to, Some(self.from), Some(node), Reader::Full);
                     let kind = plan.kind;
-                    self.conns
-                        .insert(conn, Conn { id, kind, node, up: false, left: VecDeque::new(), told: false });
+                    self.conns.insert(
+                        conn,
+                        Conn {
+                            id,
+                            kind,
+                            node,
+                            up: false,
+                            left: VecDeque::new(),
+                            told: false,
+                            borrowed: None,
+                        },
+                    );
                     self.names.insert(id, conn);
                 }
                 BadOrder::Write(id, chunks) => {
@@ -201,6 +223,10 @@
         match what {
             Happening::Up => {
                 c.up = true;
+                if c.kind == Kind::ForeignId {
+                    c.borrowed = self.open;
+                    self.borrowed.extend(self.open);
+                }
                 cx.note(ClientEvent::Opened { conn: no, node: NodeNo(c.node), bad: true });
                 if c.kind == Kind::Silent {
                     cx.note(ClientEvent::BadSent { conn: no, kind: number(c.kind) });
@@ -246,6 +272,10 @@
             let used = match reply::parse(input) {
                 Ok(None) => return,
                 Ok(Some((reply, used))) if reply.answer.served() => {
+                    if let Some(c) = self.conns.get(&conn).filter(|c| c.kind.must_not_be_served()) {
+                        let borrowed = c.borrowed.map_or(ReqId::NONE, ReqId);
+                        cx.book.push(cx.now, ClientEvent::BadServed { conn: ConnNo(conn), borrowed });
+                    }
                     self.machine.handle(cx.now, BadEvent::Served(id));
                     used
                 }
