--- a/crates/lab/src/load/bad.rs
+++ b/crates/lab/src/load/bad.rs
@@ -6,13 +6,14 @@
 use super::reply;
 use crate::Micros;
 use crate::experiment::{BadClient, BadKind, Experiment, Occurrence, What, Who};
-use crate::ledger::{ClientEvent, Closer, ConnNo, NodeNo};
+use crate::ledger::{ClientEvent, Closer, ConnNo, NodeNo, ReqId};
 use lapisrudder_model::arrivals::RequestId;
 use lapisrudder_model::clients::{
     BadClients, BadError, BadEvent, BadKind as Kind, BadOrder, BadPlan, Chunk, ConnId, Reader,
 };
 use rustc_hash::FxHashMap;
-use std::collections::VecDeque;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// Kinds of the file in the order of their records' numbers, with the kinds of the model that they stand for.
@@ -86,6 +87,8 @@
     /// Chunks left, and how often the first of them is left to write.
     left: VecDeque<Chunk>,
     told: bool,
+    /// The id of another client's request that it uses.
+    borrowed: Option<u64>,
 }
 
 /// Bad clients and their sockets.
@@ -96,8 +99,17 @@
     from: IpAddr,
     conns: FxHashMap<u32, Conn>,
     names: FxHashMap<ConnId, u32>,
+    /// Another client's open request, as last seen.
+    open: Option<u64>,
+    /// Ids of other clients' requests that were used here.
+    borrowed: Vec<u64>,
+    /// When a connection writes its next bytes.
+    more: BinaryHeap<Reverse<(Micros, u32)>>,
 }
 
+/// Guards the loop against a line without end: what a node takes as fast as it comes would leave no time for others.
+/// With [`AT_ONCE`] bytes at a time this is 50 MB a second.
+const PAUSE: Micros = 5_000;
 /// Bytes written at once, so that a value of 60 MB and a line without end take no memory.
 const AT_ONCE: u64 = 256 << 10;
 
@@ -112,7 +124,8 @@
     ) -> Result<Self, BadError> {
         let machine = BadClients::new(plans.clone(), class, nodes.len() as u32, span, seed)?;
         let from = IpAddr::V4(Ipv4Addr::new(127, net.0, net.1, 254));
-        Ok(Self { machine, plans, nodes, from, conns: FxHashMap::default(), names: FxHashMap::default() })
+        let (conns, names, more) = (FxHashMap::default(), FxHashMap::default(), BinaryHeap::new());
+        Ok(Self { machine, plans, nodes, from, conns, names, open: None, borrowed: Vec::new(), more })
     }
 
     pub(super) fn begin(&mut self, at: Micros) {
@@ -120,15 +133,26 @@
     }
 
     pub(super) fn open_request(&mut self, now: Micros, id: RequestId) {
+        self.open = Some(id.0);
         self.machine.handle(now, BadEvent::OpenRequest(id));
     }
 
+    /// Ids of other clients' requests that were used here.
+    pub(super) fn borrowed(&self) -> &[u64] {
+        &self.borrowed
+    }
+
     pub(super) fn next(&self) -> Option<Micros> {
-        self.machine.next()
+        let more = self.more.peek().map(|more| more.0.0);
+        self.machine.next().into_iter().chain(more).min()
     }
 
     /// Carries out what is due.
     pub(super) fn due(&mut self, cx: &mut Cx) {
+        while let Some(Reverse((_, conn))) = self.more.peek().copied().filter(|more| more.0.0 <= cx.now) {
+            self.more.pop();
+            self.write_more(cx, conn);
+        }
         while let Some(order) = self.machine.poll(cx.now) {
             match order {
                 BadOrder::Open { conn: id, node, population, .. } => {
@@ -140,8 +164,18 @@
                     };
                     let conn = cx.net.open(to, Some(self.from), Some(node), Reader::Full);
                     let kind = plan.kind;
-                    self.conns
-                        .insert(conn, Conn { id, kind, node, up: false, left: VecDeque::new(), told: false });
+                    self.conns.insert(
+                        conn,
+                        Conn {
+                            id,
+                            kind,
+                            node,
+                            up: false,
+                            left: VecDeque::new(),
+                            told: false,
+                            borrowed: None,
+                        },
+                    );
                     self.names.insert(id, conn);
                 }
                 BadOrder::Write(id, chunks) => {
@@ -189,6 +223,10 @@
         match what {
             Happening::Up => {
                 c.up = true;
+                if c.kind == Kind::ForeignId {
+                    c.borrowed = self.open;
+                    self.borrowed.extend(self.open);
+                }
                 cx.note(ClientEvent::Opened { conn: no, node: NodeNo(c.node), bad: true });
                 if c.kind == Kind::Silent {
                     cx.note(ClientEvent::BadSent { conn: no, kind: number(c.kind) });
@@ -209,7 +247,7 @@
                 if c.left.is_empty() {
                     self.machine.handle(cx.now, BadEvent::Written(id));
                 } else {
-                    self.write_more(cx, conn);
+                    self.more.push(Reverse((cx.now + PAUSE, conn)));
                 }
             }
             Happening::Bytes => self.read(cx, conn, id),
@@ -234,6 +272,10 @@
             let used = match reply::parse(input) {
                 Ok(None) => return,
                 Ok(Some((reply, used))) if reply.answer.served() => {
+                    if let Some(c) = self.conns.get(&conn).filter(|c| c.kind.must_not_be_served()) {
+                        let borrowed = c.borrowed.map_or(ReqId::NONE, ReqId);
+                        cx.book.push(cx.now, ClientEvent::BadServed { conn: ConnNo(conn), borrowed });
+                    }
                     self.machine.handle(cx.now, BadEvent::Served(id));
                     used
                 }
