Share sockets, members and discovery between hosts; the watch is a protocol without I/O

The plug-in needs the same sockets and the same watch on the list of members that the daemon has; both were tied to the daemon's loop. crates/host now carries out the engine's orders on any calloop loop, and the watch's rules are engine::Watch: what happened goes in, connect, write and close come out, and its tests need no socket. A list whose follow-up call fails at once is no longer dropped: news are a queue.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -73,7 +73,8 @@
 //! # What it is not
 //!
 //! Not a front: it does not read clients' commands or word their answers. Not admission: how much is taken in, and
-//! from whom, is the host's matter (`lapisrudder-limits`). Not discovery: the host asks, and tells the list. Not the
+//! from whom, is the host's matter (`lapisrudder-limits`). Not discovery: the host
+//! asks (the protocol of that is [`Watch`]), and tells the list. Not the
 //! stop of a process: that is the host's, too.
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
@@ -87,9 +88,11 @@
 mod pool;
 mod request;
 mod transactions;
+mod watch;
 
 pub use config::{Config, Limits};
 pub use deadlines::{Deadlines, Key as DeadlineKey};
 pub use engine::{Answers, Engine, LONGEST_HELD, Member, OVERDUE, TakeError};
 pub use order::{Answer, Conn, Final, Order};
 pub use request::Request;
+pub use watch::{Watch, WatchNews, WatchOrder};
--- /dev/null
+++ b/crates/engine/src/watch.rs
@@ -0,0 +1,326 @@
+//! Discovery as a protocol: one watch after another on one connection, as long as it answers. No socket, no clock.
+
+use lapisrudder_codec::http;
+use lapisrudder_decisions::Micros;
+use std::collections::VecDeque;
+use std::fmt::Display;
+use std::net::SocketAddr;
+use tracing::{info, warn};
+
+/// A watch is answered after this long, news or none. Short, since a silent discovery is noticed only then.
+const HOLD: Micros = 4_000_000;
+/// How much longer an answer is waited for. What is told counts as told 2 s after the hold.
+const GRACE: Micros = 1_500_000;
+/// Answers longer than this are not read.
+const LONGEST: usize = 4 << 20;
+const PATH: &str = "/catalog/members";
+
+/// What the host of a [`Watch`] is to do, in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchOrder {
+    /// Begin to connect; there is no other connection.
+    Connect {
+        /// Where to.
+        to: SocketAddr,
+    },
+    /// Write what [`Watch::transmit`] gives, as far as it is taken; the rest when the connection takes more.
+    Write,
+    /// Close the connection.
+    Close,
+}
+
+/// What a call to discovery brought.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WatchNews<T> {
+    /// A list, as the host decoded it. The next call is out already.
+    List(T),
+    /// The call failed. When to ask again is not decided here.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Link {
+    Down,
+    Coming,
+    Up,
+}
+
+/// The watch on the list of members. Its host owns the connection, decodes the lists, and says when to begin.
+#[derive(Debug)]
+pub struct Watch {
+    at: SocketAddr,
+    link: Link,
+    /// Calls made on this connection.
+    calls: u32,
+    output: Vec<u8>,
+    sent: usize,
+    input: Vec<u8>,
+    /// A call is out until then.
+    deadline: Option<Micros>,
+    /// The list in hand; `None` asks for all of it.
+    revision: Option<u64>,
+    /// Calls that failed since the last that did not.
+    failed: u32,
+    orders: VecDeque<WatchOrder>,
+}
+
+impl Watch {
+    /// Of the discovery there. `revision` is that of the list in hand, 0 for none.
+    pub fn new(at: SocketAddr, revision: u64) -> Watch {
+        Watch {
+            at,
+            link: Link::Down,
+            calls: 0,
+            output: Vec::new(),
+            sent: 0,
+            input: Vec::new(),
+            deadline: None,
+            revision: Some(revision).filter(|r| *r > 0),
+            failed: 0,
+            orders: VecDeque::new(),
+        }
+    }
+
+    /// Where discovery is.
+    pub fn address(&self) -> SocketAddr {
+        self.at
+    }
+
+    /// Goes to another address. Guards against a call to the old one that hangs: it is dropped, and all of the
+    /// list is asked for at once, since nobody knows that versions count the same there.
+    pub fn move_to(&mut self, at: SocketAddr, now: Micros) {
+        self.close();
+        (self.at, self.revision, self.deadline) = (at, None, None);
+        self.begin(now);
+    }
+
+    /// Begins a call, unless one is out.
+    pub fn begin(&mut self, now: Micros) {
+        if self.deadline.is_none() {
+            let hold = if self.revision.is_some() { HOLD } else { 0 };
+            self.deadline = Some(now + hold + GRACE);
+            self.call();
+        }
+    }
+
+    fn call(&mut self) {
+        let path = match self.revision {
+            Some(revision) => format!("{PATH}?from={revision}&hold_ms={}", HOLD / 1000),
+            None => PATH.to_string(),
+        };
+        self.output.clear();
+        http::write_get(&path, self.at, &mut self.output);
+        (self.sent, self.calls) = (0, self.calls + 1);
+        self.input.clear();
+        match self.link {
+            Link::Down => {
+                (self.link, self.calls) = (Link::Coming, 1);
+                self.orders.push_back(WatchOrder::Connect { to: self.at });
+            }
+            Link::Coming => {}
+            Link::Up => self.orders.push_back(WatchOrder::Write),
+        }
+    }
+
+    /// What is to be done next.
+    pub fn poll_order(&mut self) -> Option<WatchOrder> {
+        self.orders.pop_front()
+    }
+
+    /// The connect has come up.
+    pub fn connected(&mut self) {
+        if self.link == Link::Coming {
+            self.link = Link::Up;
+            self.writable();
+        }
+    }
+
+    /// The connection may be written to again.
+    pub fn writable(&mut self) {
+        if self.link == Link::Up && self.sent < self.output.len() {
+            self.orders.push_back(WatchOrder::Write);
+        }
+    }
+
+    /// What is to be written.
+    pub fn transmit(&self) -> &[u8] {
+        self.output.get(self.sent..).unwrap_or_default()
+    }
+
+    /// So many bytes of that were taken.
+    pub fn transmitted(&mut self, bytes: usize) {
+        self.sent += bytes;
+    }
+
+    /// The connect failed, or the connection was reset or cannot be written to: `what` tells.
+    pub fn broken<T>(&mut self, what: impl Display) -> Option<WatchNews<T>> {
+        let kept = self.link == Link::Up && self.calls > 1 && self.input.is_empty();
+        self.close();
+        self.deadline?;
+        if kept {
+            // It was kept from an earlier call and may have been closed meanwhile; a new one is tried once.
+            self.call();
+            return None;
+        }
+        Some(self.fail(what))
+    }
+
+    /// Bytes have come; `ended` tells that no more will. `decode` reads a whole list and gives its version.
+    pub fn received<T, E: Display>(
+        &mut self,
+        now: Micros,
+        bytes: &[u8],
+        ended: bool,
+        decode: impl FnOnce(&mut [u8]) -> Result<(u64, T), E>,
+    ) -> Option<WatchNews<T>> {
+        if self.deadline.is_none() {
+            // Nothing is asked: it closed an idle connection, or spoke out of turn.
+            self.close();
+            return None;
+        }
+        self.input.extend_from_slice(bytes);
+        let (status, keep, mut body) = match http::parse_response(&self.input, ended, LONGEST) {
+            Ok(Some((response, _))) => (response.status, response.keep, response.body.into_owned()),
+            Ok(None) if ended => return self.broken("it closed the connection"),
+            Ok(None) => return None,
+            Err(what) => return Some(self.fail(what)),
+        };
+        if ended || !keep {
+            self.close();
+        }
+        if status != 200 {
+            return Some(self.fail(format_args!("status {status}")));
+        }
+        match decode(&mut body) {
+            Ok((revision, list)) => {
+                self.revision = Some(revision);
+                let failed = std::mem::take(&mut self.failed);
+                if failed > 0 {
+                    info!(about = %self.at, failed, "discovery: answers again");
+                }
+                // A watch goes on only if the next call comes at once.
+                self.deadline = None;
+                self.begin(now);
+                Some(WatchNews::List(list))
+            }
+            Err(what) => {
+                // The same version would only bring the same answer: next time all of the list.
+                self.revision = None;
+                Some(self.fail(format_args!("bad list, the old one is kept: {what}")))
+            }
+        }
+    }
+
+    /// When [`Watch::wake`] is due.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.deadline
+    }
+
+    /// Gives up a call that is not answered in time.
+    pub fn wake<T>(&mut self, now: Micros) -> Option<WatchNews<T>> {
+        self.deadline.filter(|at| *at <= now)?;
+        Some(self.fail("no answer in time"))
+    }
+
+    fn fail<T>(&mut self, what: impl Display) -> WatchNews<T> {
+        self.failed += 1;
+        warn!(about = %self.at, "discovery: {what}");
+        self.close();
+        self.deadline = None;
+        WatchNews::Failed
+    }
+
+    fn close(&mut self) {
+        if self.link == Link::Down {
+            return;
+        }
+        self.link = Link::Down;
+        let unheard = self.orders.iter().any(|order| matches!(order, WatchOrder::Connect { .. }));
+        self.orders.retain(|order| *order == WatchOrder::Close);
+        if !unheard {
+            self.orders.push_back(WatchOrder::Close);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const WHOLE: &str = "GET /catalog/members HTTP/1.1";
+
+    fn list(revision: u64) -> String {
+        let body = revision.to_string();
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    }
+
+    /// A watch with the connection that its orders make.
+    struct Desk(Watch);
+
+    impl Desk {
+        fn new() -> Desk {
+            let mut watch = Watch::new(([127, 0, 0, 1], 9).into(), 0);
+            watch.begin(0);
+            Desk(watch)
+        }
+
+        fn orders(&mut self) -> Vec<WatchOrder> {
+            std::iter::from_fn(|| self.0.poll_order()).collect()
+        }
+
+        /// Writes what is ordered; the first line of it.
+        fn asks(&mut self) -> String {
+            let text = String::from_utf8_lossy(self.0.transmit()).into_owned();
+            self.0.transmitted(text.len());
+            text.lines().next().unwrap_or_default().into()
+        }
+
+        fn comes(&mut self, now: Micros, text: &str, ended: bool) -> Option<WatchNews<u64>> {
+            self.0.received(now, text.as_bytes(), ended, |body| {
+                let number = String::from_utf8_lossy(body).parse::<u64>();
+                number.map(|n| (n, n))
+            })
+        }
+    }
+
+    #[test]
+    fn one_watch_follows_another_at_once_and_a_kept_connection_is_tried_anew_once() {
+        let mut desk = Desk::new();
+        let connect = WatchOrder::Connect { to: ([127, 0, 0, 1], 9).into() };
+        assert_eq!(desk.orders(), [connect]);
+        desk.0.connected();
+        assert_eq!((desk.orders(), desk.asks().starts_with(WHOLE)), (vec![WatchOrder::Write], true));
+        let text = list(7);
+        let (first, last) = text.split_at(20);
+        assert_eq!(desk.comes(5, first, false), None);
+        assert_eq!(desk.comes(5, last, false), Some(WatchNews::List(7)));
+        assert_eq!(desk.orders(), [WatchOrder::Write]);
+        assert!(desk.asks().contains("?from=7&hold_ms=4000"));
+        assert_eq!(desk.0.next_wake(), Some(5 + HOLD + GRACE));
+        // It closes the kept connection: once more on a new one, then the call has failed.
+        assert_eq!(desk.comes(6, "", true), None);
+        assert_eq!(desk.orders(), [WatchOrder::Close, connect]);
+        assert!(desk.asks().contains("from=7"));
+        assert_eq!(desk.0.broken::<u64>("refused"), Some(WatchNews::Failed));
+        assert_eq!((desk.orders(), desk.0.next_wake()), (vec![WatchOrder::Close], None));
+    }
+
+    #[test]
+    fn a_call_fails_once_and_what_comes_unasked_ends_the_connection() {
+        let bad = list(1).replace("\r\n\r\n1", "\r\n\r\nx");
+        let down = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+        for (text, ended) in [(bad.as_str(), false), (down, false), ("no HTTP\r\n\r\n", false), ("", true)] {
+            let mut desk = Desk::new();
+            desk.0.connected();
+            desk.orders();
+            assert_eq!(desk.comes(1, text, ended), Some(WatchNews::Failed), "{text:?}");
+            assert_eq!(desk.orders(), [WatchOrder::Close]);
+            assert_eq!(desk.comes(2, text, ended), None);
+            assert_eq!(desk.0.wake::<u64>(i64::MAX), None, "no call is out");
+        }
+        let mut desk = Desk::new();
+        assert_eq!(desk.0.wake::<u64>(GRACE - 1), None);
+        assert_eq!(desk.0.wake::<u64>(GRACE), Some(WatchNews::Failed));
+        assert_eq!(desk.orders(), [], "its host never heard of the connection");
+    }
+}
--- /dev/null
+++ b/crates/host/src/discovery.rs
@@ -0,0 +1,149 @@
+//! Discovery on a socket: carries out what the watch orders, and tells it what comes of that.
+
+use crate::socket::{Noted, Socket};
+use calloop::LoopHandle;
+use lapisrudder_config::{ListError, MemberList, Options, Target};
+use lapisrudder_decisions::{Micros, Scope};
+use lapisrudder_engine::{Watch, WatchNews, WatchOrder};
+use std::collections::VecDeque;
+use std::io::IoSlice;
+use std::net::SocketAddr;
+
+/// News of the list, or that a call failed.
+#[derive(Clone, Debug)]
+pub enum News {
+    /// What discovery told.
+    List {
+        /// All of it, or what changed.
+        scope: Scope,
+        /// The members named.
+        targets: Vec<Target>,
+    },
+    /// A call failed; the list in hand still holds.
+    Failed,
+}
+
+/// The watch on the list of members.
+pub struct Discovery<D: Noted> {
+    watch: Watch,
+    handle: LoopHandle<'static, D>,
+    owner: D::Owner,
+    socket: Option<Socket<D>>,
+    up: bool,
+    news: VecDeque<News>,
+}
+
+impl<D: Noted> Discovery<D> {
+    /// Of the discovery there; `revision` is that of the list in hand, 0 for none. `owner` is what the loop's data is
+    /// told when its socket is ready.
+    pub fn new(at: SocketAddr, revision: u64, handle: &LoopHandle<'static, D>, owner: D::Owner) -> Self {
+        let watch = Watch::new(at, revision);
+        Discovery { watch, handle: handle.clone(), owner, socket: None, up: false, news: VecDeque::new() }
+    }
+
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.watch.address()
+    }
+
+    /// Goes to another address, and asks for all of the list there.
+    pub fn move_to(&mut self, at: SocketAddr, now: Micros) {
+        self.watch.move_to(at, now);
+        self.carry_out();
+    }
+
+    /// Begins a watch, unless one is out.
+    pub fn watch(&mut self, now: Micros) {
+        self.watch.begin(now);
+        self.carry_out();
+    }
+
+    /// What has come, in order.
+    pub fn poll_news(&mut self) -> Option<News> {
+        self.news.pop_front()
+    }
+
+    /// When [`Discovery::wake`] is due.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.watch.next_wake()
+    }
+
+    /// Gives up a call that is not answered in time.
+    pub fn wake(&mut self, now: Micros) {
+        let news = self.watch.wake(now);
+        self.tell(news);
+        self.carry_out();
+    }
+
+    /// Its connection has something to tell. `options` name the zones and kinds of the list.
+    pub fn on_ready(&mut self, scratch: &mut [u8], options: &Options, now: Micros) {
+        if let Some(socket) = self.socket.as_ref().filter(|_| !self.up) {
+            match socket.is_up() {
+                Ok(true) => self.up = true,
+                Ok(false) => return,
+                Err(e) => return self.broken(format!("cannot connect: {e}")),
+            }
+            self.watch.connected();
+        } else {
+            self.watch.writable();
+        }
+        self.carry_out();
+        let decode = |body: &mut [u8]| {
+            let list = MemberList::decode(body, options)?;
+            let scope = if list.all { Scope::Full } else { Scope::Changes };
+            Ok::<_, ListError>((list.revision, News::List { scope, targets: list.targets }))
+        };
+        // A call that goes out on a new connection ends the reading of the old one.
+        while let Some(socket) = self.socket.as_ref().filter(|_| self.up) {
+            let news = match socket.read(scratch) {
+                Ok(None) => return,
+                Ok(Some(n)) => self.watch.received(now, scratch.get(..n).unwrap_or_default(), n == 0, decode),
+                Err(e) => self.watch.broken(format!("cannot read: {e}")),
+            };
+            self.tell(news);
+            self.carry_out();
+        }
+    }
+
+    fn broken(&mut self, what: String) {
+        let news = self.watch.broken(what);
+        self.tell(news);
+        self.carry_out();
+    }
+
+    fn tell(&mut self, news: Option<WatchNews<News>>) {
+        self.news.extend(news.map(|news| match news {
+            WatchNews::List(list) => list,
+            WatchNews::Failed => News::Failed,
+        }));
+    }
+
+    fn carry_out(&mut self) {
+        while let Some(order) = self.watch.poll_order() {
+            match order {
+                WatchOrder::Connect { to } => match Socket::connect(to, &self.handle, self.owner) {
+                    Ok(socket) => (self.socket, self.up) = (Some(socket), false),
+                    Err(e) => {
+                        let news = self.watch.broken(format!("cannot connect: {e}"));
+                        self.tell(news);
+                    }
+                },
+                WatchOrder::Write => self.write(),
+                WatchOrder::Close => (self.socket, self.up) = (None, false),
+            }
+        }
+    }
+
+    fn write(&mut self) {
+        while let Some(socket) = self.socket.as_ref().filter(|_| !self.watch.transmit().is_empty()) {
+            match socket.write(&[IoSlice::new(self.watch.transmit())]) {
+                Ok(0) => return,
+                Ok(n) => self.watch.transmitted(n),
+                Err(e) => {
+                    let news = self.watch.broken(format!("cannot write: {e}"));
+                    return self.tell(news);
+                }
+            }
+        }
+    }
+}
--- a/src/net/members.rs
+++ b/crates/host/src/members.rs
@@ -1,7 +1,8 @@
 //! Sockets of connections to pool members: carries out what the engine orders, and tells it what comes of that.
 
-use super::socket::{Handle, Owner, Socket};
-use lapisrudder::Micros;
+use crate::socket::{Noted, Socket};
+use calloop::LoopHandle;
+use lapisrudder_decisions::Micros;
 use lapisrudder_engine::{Answers, Conn, Engine};
 use rustc_hash::FxHashMap;
 use std::io::IoSlice;
@@ -11,25 +12,27 @@
 /// Slices that one write takes at the most; what is beyond goes with the next.
 const SLICES: usize = 64;
 
-struct Member {
-    socket: Socket,
+struct Member<D: Noted> {
+    socket: Socket<D>,
     at: SocketAddr,
     up: bool,
 }
 
-pub struct Members {
-    sockets: FxHashMap<Conn, Member>,
-    handle: Handle,
+/// The sockets of connections to members, by the engine's names for them.
+pub struct Members<D: Noted> {
+    sockets: FxHashMap<Conn, Member<D>>,
+    handle: LoopHandle<'static, D>,
 }
 
-impl Members {
-    pub fn new(handle: &Handle) -> Members {
+impl<D: Noted<Owner: From<Conn>>> Members<D> {
+    /// None so far.
+    pub fn new(handle: &LoopHandle<'static, D>) -> Self {
         Members { sockets: FxHashMap::default(), handle: handle.clone() }
     }
 
     /// Begins to connect.
     pub fn connect(&mut self, conn: Conn, at: SocketAddr, engine: &mut Engine, now: Micros) {
-        match Socket::connect(at, &self.handle, Owner::Member(conn)) {
+        match Socket::connect(at, &self.handle, conn.into()) {
             Ok(socket) => drop(self.sockets.insert(conn, Member { socket, at, up: false })),
             Err(e) => {
                 warn!(about = %at, "cannot connect: {e}");
@@ -66,6 +69,7 @@
         }
     }
 
+    /// Closes one, whatever was on it.
     pub fn close(&mut self, conn: Conn) {
         self.sockets.remove(&conn);
     }
--- a/src/net/socket.rs
+++ b/crates/host/src/socket.rs
@@ -1,50 +1,42 @@
 //! A non-blocking socket on the loop. It leaves the loop and closes when it is dropped.
 
 use calloop::generic::Generic;
-use calloop::signals::Signal;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use lapisrudder_engine::Conn;
 use socket2::{Domain, Protocol, SockAddr, Type};
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
-pub type Handle = LoopHandle<'static, Ready>;
+/// The data of a host's loop: it notes whose sockets one dispatch has told of, in order. They are seen to when the
+/// dispatch is over: callbacks know nothing of what is to be done.
+pub trait Noted: 'static {
+    /// Whose socket it is. It may have gone since.
+    type Owner: Copy + 'static;
 
-/// Whose socket it is.
-#[derive(Clone, Copy, Debug)]
-pub enum Owner {
-    Listener,
-    Client(u64),
-    Member(Conn),
-    Discovery,
+    /// A socket is readable, writable or over.
+    fn ready(&mut self, owner: Self::Owner);
 }
 
-/// What one dispatch of the loop has told of, in its order. It is seen to when the dispatch is over: callbacks only
-/// note it, and know nothing of what is to be done.
-#[derive(Default)]
-pub struct Ready {
-    /// Sockets that are readable, writable or over. Some may have gone since.
-    pub sockets: Vec<Owner>,
-    pub signals: Vec<Signal>,
-}
-
-pub struct Socket {
+/// A non-blocking socket on the loop. It leaves the loop and closes when it is dropped.
+pub struct Socket<D: Noted> {
     stream: Rc<TcpStream>,
     token: RegistrationToken,
-    handle: Handle,
+    handle: LoopHandle<'static, D>,
 }
 
-impl Socket {
+impl<D: Noted> Socket<D> {
     /// Its owner is told at each edge: what is ready must be used up, or remembered.
-    pub fn new(stream: TcpStream, handle: &Handle, owner: Owner) -> io::Result<Socket> {
+    ///
+    /// # Errors
+    /// If the system does not let it be made non-blocking or watched.
+    pub fn new(stream: TcpStream, handle: &LoopHandle<'static, D>, owner: D::Owner) -> io::Result<Self> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let token = handle
-            .insert_source(source, move |_, _, ready| {
-                ready.sockets.push(owner);
+            .insert_source(source, move |_, _, noted| {
+                noted.ready(owner);
                 Ok(PostAction::Continue)
             })
             .map_err(|e| io::Error::other(e.error))?;
@@ -52,7 +44,10 @@
     }
 
     /// Begins to connect; its owner is told when that has ended.
-    pub fn connect(to: SocketAddr, handle: &Handle, owner: Owner) -> io::Result<Socket> {
+    ///
+    /// # Errors
+    /// If it fails at once.
+    pub fn connect(to: SocketAddr, handle: &LoopHandle<'static, D>, owner: D::Owner) -> io::Result<Self> {
         let socket = socket2::Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         match socket.connect(&SockAddr::from(to)) {
@@ -61,7 +56,10 @@
         }
     }
 
-    /// Whether a begun connect has come up; an error if it failed.
+    /// Whether a begun connect has come up.
+    ///
+    /// # Errors
+    /// If it failed.
     pub fn is_up(&self) -> io::Result<bool> {
         match self.stream.take_error()? {
             Some(e) => Err(e),
@@ -70,6 +68,9 @@
     }
 
     /// Bytes read, 0 at the end of the stream, or `None` if there are none for now.
+    ///
+    /// # Errors
+    /// If the connection is over.
     pub fn read(&self, into: &mut [u8]) -> io::Result<Option<usize>> {
         retry(|| (&*self.stream).read(into))
     }
@@ -80,11 +81,17 @@
     }
 
     /// Sends no more; the peer sees the end of the stream behind what was written.
+    ///
+    /// # Errors
+    /// If the connection is over.
     pub fn finish(&self) -> io::Result<()> {
         self.stream.shutdown(Shutdown::Write)
     }
 
     /// Bytes written; 0 if none can be for now.
+    ///
+    /// # Errors
+    /// If the connection is over.
     pub fn write(&self, parts: &[IoSlice]) -> io::Result<usize> {
         Ok(retry(|| (&*self.stream).write_vectored(parts))?.unwrap_or(0))
     }
@@ -104,7 +111,7 @@
     }
 }
 
-impl Drop for Socket {
+impl<D: Noted> Drop for Socket<D> {
     fn drop(&mut self) {
         self.handle.remove(self.token);
     }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,7 +1,7 @@
 //! A client's connection: commands come in, answers go out in their order.
 
+use super::Socket;
 use super::deadlines::Key;
-use super::socket::Socket;
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{MAX_LINE, MAX_VALUE};
 use lapisrudder_limits::{Activity, ConnId};
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -6,8 +6,6 @@
 pub enum Deadline {
     /// A client's connection must have got on by now.
     Client(u64),
-    /// Discovery's answer is overdue.
-    Discovery,
     /// Accepting was paused for want of descriptors.
     Accept,
     /// A stopping node may end, if no client is left.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,18 +2,16 @@
 
 mod client;
 mod deadlines;
-mod discovery;
-mod members;
 mod node;
-mod socket;
 mod virtual_server;
 
-use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, LoopHandle};
 use lapisrudder_config::{self as config, Config, Sources};
+use lapisrudder_engine::Conn;
+use lapisrudder_host::Noted;
 use lapisrudder_log::{self as log, Log};
 use node::Node;
-use socket::Ready;
 use std::io;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -24,6 +22,39 @@
 /// Clients hold at most this part of the descriptors that the platform gives a node: a third.
 pub const CLIENTS_SHARE: usize = 3;
 
+/// Whose socket it is.
+#[derive(Clone, Copy, Debug)]
+pub enum Owner {
+    Listener,
+    Client(u64),
+    Member(Conn),
+    Discovery,
+}
+
+impl From<Conn> for Owner {
+    fn from(conn: Conn) -> Owner {
+        Owner::Member(conn)
+    }
+}
+
+/// What one dispatch of the loop has told of.
+#[derive(Default)]
+pub struct Ready {
+    sockets: Vec<Owner>,
+    signals: Vec<Signal>,
+}
+
+impl Noted for Ready {
+    type Owner = Owner;
+
+    fn ready(&mut self, owner: Owner) {
+        self.sockets.push(owner);
+    }
+}
+
+type Handle = LoopHandle<'static, Ready>;
+type Socket = lapisrudder_host::Socket<Ready>;
+
 /// Why the node could not start, or had to end.
 #[derive(Debug, Error)]
 pub enum Error {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -2,11 +2,8 @@
 
 use super::client::SCRATCH;
 use super::deadlines::{Deadline, Deadlines};
-use super::discovery::{self, Discovery};
-use super::members::Members;
-use super::socket::{Handle, Owner};
 use super::virtual_server::{self, VirtualServer};
-use super::{CLIENTS_SHARE, OWN_SOCKETS};
+use super::{CLIENTS_SHARE, Handle, OWN_SOCKETS, Owner, Ready};
 use lapisrudder::wire::{Options, digest, micros};
 use lapisrudder::{Micros, RequestId, Scope, Settings};
 use lapisrudder_codec::memcache::OwnedRequest;
@@ -14,6 +11,7 @@
 use lapisrudder_engine::{
     Answer, Answers, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request, TakeError,
 };
+use lapisrudder_host::{Discovery, Members, News};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use rustc_hash::FxHashMap;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -117,8 +115,8 @@
     scratch: Vec<u8>,
     deadlines: Deadlines,
     server: VirtualServer,
-    members: Members,
-    discovery: Discovery,
+    members: Members<Ready>,
+    discovery: Discovery<Ready>,
     ledger: Ledger,
     engine: Engine,
     options: Options,
@@ -161,7 +159,7 @@
             deadlines: Deadlines::default(),
             server,
             members: Members::new(handle),
-            discovery: Discovery::new(config.discovery, config.revision, handle),
+            discovery: Discovery::new(config.discovery, config.revision, handle, Owner::Discovery),
             ledger: Ledger::default(),
             engine: Engine::new(lapisrudder_engine::Config { settings, seed: config.seed, limits }, now),
             phase: Phase::Serving,
@@ -186,7 +184,8 @@
         if self.server.is_behind() {
             return Some(Duration::ZERO);
         }
-        let deadlines = [self.deadlines.next(), self.engine.next_wake(), self.server.due()];
+        let deadlines =
+            [self.deadlines.next(), self.engine.next_wake(), self.discovery.next_wake(), self.server.due()];
         let next = deadlines.into_iter().flatten().min();
         let wait = next? - self.clock.now();
         Some(Duration::from_micros(wait.max(0) as u64))
@@ -211,9 +210,8 @@
                 members.on_ready(conn, scratch, engine, &mut Front { server, ledger, now }, now);
             }
             Owner::Discovery => {
-                let news =
-                    self.discovery.on_ready(&mut self.scratch, &self.options, now, &mut self.deadlines);
-                self.discovery_news(news);
+                self.discovery.on_ready(&mut self.scratch, &self.options, now);
+                self.discovery_news();
             }
         }
     }
@@ -235,8 +233,8 @@
             return;
         }
         info!("reload: discovery is now at {discovery}");
-        let news = self.discovery.move_to(discovery, self.clock.now(), &mut self.deadlines);
-        self.discovery_news(news);
+        self.discovery.move_to(discovery, self.clock.now());
+        self.discovery_news();
     }
 
     /// The operators end the node: what was taken is answered, then it ends.
@@ -316,11 +314,12 @@
         }
     }
 
-    fn discovery_news(&mut self, news: Option<discovery::News>) {
-        match news {
-            Some(discovery::News::List { scope, targets }) => self.listed(scope, targets),
-            Some(discovery::News::Failed) => self.engine.list_failed(),
-            None => {}
+    fn discovery_news(&mut self) {
+        while let Some(news) = self.discovery.poll_news() {
+            match news {
+                News::List { scope, targets } => self.listed(scope, targets),
+                News::Failed => self.engine.list_failed(),
+            }
         }
     }
 
@@ -336,10 +335,6 @@
         while let Some(deadline) = self.deadlines.pop_due(now) {
             match deadline {
                 Deadline::Client(id) => self.server.on_deadline(id, now, &mut self.deadlines),
-                Deadline::Discovery => {
-                    let news = self.discovery.on_deadline(&mut self.deadlines);
-                    self.discovery_news(Some(news));
-                }
                 Deadline::Accept => {
                     self.server.resume(&mut self.deadlines);
                     self.accept(now);
@@ -357,6 +352,8 @@
                 }
             }
         }
+        self.discovery.wake(now);
+        self.discovery_news();
         self.engine.wake(now);
     }
 
@@ -430,8 +427,8 @@
                 }
             },
             Order::Watch => {
-                let news = self.discovery.watch(now, &mut self.deadlines);
-                self.discovery_news(news);
+                self.discovery.watch(now);
+                self.discovery_news();
             }
         }
     }
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -3,7 +3,7 @@
 
 use super::client::{Client, Drained, Slot};
 use super::deadlines::{Deadline, Deadlines, Key};
-use super::socket::{Handle, Owner, Socket};
+use super::{Handle, Owner, Socket};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use lapisrudder::{Micros, RequestId};
