--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -78,6 +78,16 @@
     ended: Vec<(FlowId, Outcome, Option<CacheNote>)>,
     classes: usize,
     origin_kind: Option<u32>,
+    attempts: Attempts,
+}
+
+/// How many server-side flows there were.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Attempts {
+    /// Begun so far.
+    pub begun: u64,
+    /// Of these, a transaction's second or later.
+    pub further: u64,
 }
 
 impl Engine {
@@ -92,6 +102,7 @@
             ended: Vec::new(),
             classes: settings.classes.len(),
             origin_kind: settings.origin_kind,
+            attempts: Attempts::default(),
             balancer: Balancer::new(seed, settings, now),
         }
     }
@@ -304,6 +315,8 @@
     fn send(&mut self, request: RequestId, server: ServerId, until: Micros, now: Micros) {
         let Some(transaction) = self.transactions.all.get_mut(&request) else { return };
         let id = FlowId { request, attempt: transaction.flows.len() as u32 };
+        self.attempts.begun += 1;
+        self.attempts.further += u64::from(id.attempt > 0);
         let until = if until <= 0 { transaction.due } else { until.min(transaction.due) };
         let deadline = Some(self.deadlines.add(until, Deadline::Flow(id)));
         transaction.flows.push(FlowState { server, sent: now, deadline, ended: None });
@@ -349,6 +362,11 @@
         self.transactions.open
     }
 
+    /// Server-side flows so far.
+    pub fn attempts(&self) -> Attempts {
+        self.attempts
+    }
+
     /// Connections that the engine holds, those that are coming up included.
     pub fn connections(&self) -> usize {
         self.pool.connections()
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -92,7 +92,7 @@
 
 pub use config::{Config, Limits};
 pub use deadlines::{Deadlines, Key as DeadlineKey};
-pub use engine::{Answers, Engine, LONGEST_HELD, Member, OVERDUE, TakeError};
+pub use engine::{Answers, Attempts, Engine, LONGEST_HELD, Member, OVERDUE, TakeError};
 pub use order::{Answer, Conn, Final, Order};
 pub use request::Request;
 pub use watch::{Watch, WatchNews, WatchOrder};
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -4,14 +4,17 @@
 //! The loop's data only notes whose sockets are ready ([`Noted`]); the host sees to them when a dispatch is over.
 //!
 //! Nothing here decides: [`Engine`](lapisrudder_engine::Engine) and [`Watch`](lapisrudder_engine::Watch) give the
-//! orders, and this crate carries them out. It has no clock and starts no thread.
+//! orders, and this crate carries them out. It starts no thread, and time comes in
+//! with the calls; [`Clock`] is where hosts take it from.
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
+mod clock;
 mod discovery;
 mod members;
 mod socket;
 
+pub use clock::Clock;
 pub use discovery::{Discovery, News};
 pub use members::Members;
 pub use socket::{Noted, Socket};
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -11,10 +11,10 @@
 use lapisrudder_engine::{
     Answer, Answers, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request, TakeError,
 };
-use lapisrudder_host::{Discovery, Members, News};
+use lapisrudder_host::{Clock, Discovery, Members, News};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use rustc_hash::FxHashMap;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tracing::{debug, info, warn};
 
 /// How long a stopping node stays though it has no client: new connections go on coming for up to 0.4 s.
@@ -27,23 +27,6 @@
 /// How often the process's memory is looked at.
 const MEMORY_EVERY: Micros = 1_000_000;
 
-/// The time as the settings and discovery tell it, from a clock that only goes forward.
-struct Clock {
-    base: Micros,
-    started: Instant,
-}
-
-impl Clock {
-    fn new() -> Clock {
-        let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { base: base.as_micros() as Micros, started: Instant::now() }
-    }
-
-    fn now(&self) -> Micros {
-        self.base + self.started.elapsed().as_micros() as Micros
-    }
-}
-
 /// A transaction that is owed an answer.
 struct Owed {
     client: u64,
@@ -137,7 +120,7 @@
 impl Node {
     pub fn new(config: Config, handle: &Handle) -> Result<Node, super::Error> {
         let Config { platform: config, operators } = config;
-        let clock = Clock::new();
+        let clock = Clock::default();
         let now = clock.now();
         let settings = Settings::from(&config.options);
         let bounds = &config.options.bounds;
@@ -187,8 +170,7 @@
         let deadlines =
             [self.deadlines.next(), self.engine.next_wake(), self.discovery.next_wake(), self.server.due()];
         let next = deadlines.into_iter().flatten().min();
-        let wait = next? - self.clock.now();
-        Some(Duration::from_micros(wait.max(0) as u64))
+        Some(self.clock.until(next?))
     }
 
     pub fn is_over(&self) -> bool {
