--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -162,6 +162,13 @@
 
     /// Starts a node that asks for its list there.
     pub fn told_by(discovery: SocketAddr, sockets: u32) -> Node {
+        let node = Node::begin(discovery, sockets);
+        node.until_ready();
+        node
+    }
+
+    /// The same, though it may have no list yet.
+    pub fn begin(discovery: SocketAddr, sockets: u32) -> Node {
         let config = format!(
             r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{SETTINGS}}}"#
         );
@@ -173,9 +180,12 @@
         let mut line = String::new();
         output.read_line(&mut line).expect("a line");
         let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-        let node = Node { child, address, config, _output: output };
-        assert_eq!(node.client().ask("mn\r\n"), "MN\r\n");
-        node
+        Node { child, address, config, _output: output }
+    }
+
+    /// Waits until it may be put to use.
+    pub fn until_ready(&self) {
+        assert_eq!(self.client().ask("mn\r\n"), "MN\r\n");
     }
 
     /// Changes the configuration file and tells the node.
@@ -274,7 +284,7 @@
 }
 
 /// Who made a value, if every byte of it is as that server made it for this request and the key of [`Client::read`].
-fn maker(value: &[u8], id: &str) -> Option<&'static str> {
+pub fn maker(value: &[u8], id: &str) -> Option<&'static str> {
     let made = check(value, Key::of(format!("k{id}").as_bytes())).ok()?;
     let names = ["a", "b", "bad", "c", "good", "gone"].into_iter();
     let named = |name: &&str| made.maker == Maker::Cache(Uid::of(name.as_bytes()));
