--- a/crates/client/examples/lessons.rs
+++ b/crates/client/examples/lessons.rs
@@ -32,7 +32,7 @@
         .copies(2)
         .in_flight(256)
         .start()?;
-    client.ready().await?;
+    client.listed().await?;
 
     // tower's layers go round it as round any service.
     let mut lessons = ServiceBuilder::new()
--- a/crates/client/examples/web.rs
+++ b/crates/client/examples/web.rs
@@ -73,7 +73,7 @@
     if address.is_some() {
         return Ok(server.await??);
     }
-    client.ready().await?;
+    client.listed().await?;
     let mut stream = TcpStream::connect(at).await?;
     stream.write_all(b"GET /lessons/7 HTTP/1.1\r\nHost: here\r\nConnection: close\r\n\r\n").await?;
     let mut text = Vec::new();
--- a/crates/client/src/builder.rs
+++ b/crates/client/src/builder.rs
@@ -25,6 +25,9 @@
     /// The settings name no class of requests.
     #[error("no request classes: give `settings` or `class`")]
     NoClasses,
+    /// A class without an aim: its attempts would have no time.
+    #[error("class {0:?} has no aim (`slo-s`)")]
+    NoAim(Arc<str>),
     /// Neither an address of discovery nor members were given.
     #[error("no members: give `discovery` or `members`")]
     NoMembers,
@@ -252,7 +255,7 @@
         self
     }
 
-    /// Starts the plug-in's thread. No connection is waited for: see [`Client::ready`].
+    /// Starts the plug-in's thread. No connection is waited for: see [`Client::listed`].
     ///
     /// # Errors
     /// What is wrong with what was told, and if a thread cannot be had.
@@ -292,6 +295,9 @@
         if classes.is_empty() {
             return Err(StartError::NoClasses);
         }
+        if let Some((name, _)) = classes.iter().zip(&settings.classes).find(|(_, class)| class.aim <= 0) {
+            return Err(StartError::NoAim(name.name.clone()));
+        }
         settings.must_ask = self.discovery.is_some();
         let known = match (self.members, self.known) {
             (Some(members), _) => {
--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -92,7 +92,7 @@
     ///
     /// # Errors
     /// If the plug-in has been closed.
-    pub async fn ready(&self) -> Result<(), Error> {
+    pub async fn listed(&self) -> Result<(), Error> {
         let mut stats = self.handle.stats.clone();
         let usable = stats.wait_for(|stats| stats.phase == Phase::Serving && stats.any_open()).await;
         usable.map(drop).map_err(|_| Error::Closed)
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -47,7 +47,7 @@
 //!   many requests are in flight as the [builder](Builder::in_flight) allows. An answer counts until its caller has
 //!   taken it, so that nothing piles up while a runtime stalls.
 //! - **No list yet**: until discovery has answered for the first time, requests wait within their deadlines, and end
-//!   as [`Error::Overdue`] that has not run. [`Client::ready`] tells when there is a list. Once there is one, a list
+//!   as [`Error::Overdue`] that has not run. [`Client::listed`] tells when there is a list. Once there is one, a list
 //!   without a usable server refuses requests at once.
 //! - **The end**: [`Client::close`] and the drop of the last clone take no more, and answer all that was taken.
 //!
--- a/crates/client/src/response.rs
+++ b/crates/client/src/response.rs
@@ -33,7 +33,7 @@
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 #[non_exhaustive]
 pub enum Error {
-    /// Turned away, and it has not run: trying again is harmless.
+    /// Turned away: trying again is harmless, since it has not run, or its class may run more than once.
     #[error("refused{}", retry(.retry_after))]
     Refused {
         /// When to come again, where the settings let that be told.
--- a/tests/suite/host.rs
+++ b/tests/suite/host.rs
@@ -196,7 +196,7 @@
     }
 
     fn ready(&self) {
-        wait(self.client.ready()).expect("a list");
+        wait(self.client.listed()).expect("a list");
     }
 
     fn caller(&self) -> Asker {
