--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -31,8 +31,6 @@
     /// Requests taken; each is a number, and with `salt` an id that no other copy has.
     pub taken: AtomicU64,
     pub salt: u64,
-    /// The process that has the thread.
-    pub process: u32,
 }
 
 /// Goes with the last clone, and has the thread end once all is answered.
@@ -44,7 +42,7 @@
 
 impl Handle {
     fn close(&self) {
-        if !self.closing.swap(true, Ordering::AcqRel) {
+        if !self.shared.queue.is_forked() && !self.closing.swap(true, Ordering::AcqRel) {
             self.shared.places.close();
             self.shared.queue.push(Command::Close);
         }
@@ -112,10 +110,11 @@
     /// A closed plug-in does not open again.
     pub fn close(&self) -> impl Future<Output = ()> + Send + use<> {
         self.handle.close();
+        let forked = self.handle.shared.queue.is_forked();
         let mut stats = self.handle.stats.clone();
         async move {
             // Its sender goes with the thread.
-            while stats.changed().await.is_ok() {}
+            while !forked && stats.changed().await.is_ok() {}
         }
     }
 
@@ -150,10 +149,6 @@
         class: Option<usize>,
     ) -> Result<(engine::Request, OwnedSemaphorePermit), Error> {
         let Handle { shared, .. } = &*self.handle;
-        // Guards against a fork: its copy of this has no thread, and would share the sockets of its parent.
-        if shared.process != std::process::id() {
-            return Err(Error::Closed);
-        }
         let place = match self.place.take() {
             Some(place) => place,
             None => shared.places.clone().try_acquire_owned().map_err(|e| match e {
@@ -192,6 +187,9 @@
     /// There is room for one more request in flight; those who wait get room in the order in which they came. The
     /// room is kept until the call, or until this clone is dropped.
     fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Error>> {
+        if self.handle.shared.queue.is_forked() {
+            return Poll::Ready(Err(Error::Closed));
+        }
         if self.place.is_none() {
             self.place = ready!(self.places.poll_acquire(cx));
         }
--- a/crates/client/src/queue.rs
+++ b/crates/client/src/queue.rs
@@ -50,11 +50,19 @@
 pub(crate) struct Queue {
     waiting: Mutex<Waiting>,
     ping: Ping,
+    /// The process that has the thread.
+    process: u32,
 }
 
 impl Queue {
-    pub(crate) fn new(ping: Ping) -> Queue {
-        Queue { waiting: Mutex::default(), ping }
+    pub(crate) fn new(ping: Ping, process: u32) -> Queue {
+        Queue { waiting: Mutex::default(), ping, process }
+    }
+
+    /// This process is a fork of the one that has the thread. Danger: its copies of locks may be held for ever, and
+    /// what it does to sockets and wakers it does to those of its parent.
+    pub(crate) fn is_forked(&self) -> bool {
+        self.process != std::process::id()
     }
 
     /// No code that may panic runs under the lock.
@@ -64,6 +72,9 @@
 
     /// Tells the thread; false if that has ended.
     pub(crate) fn push(&self, command: Command) -> bool {
+        if self.is_forked() {
+            return false;
+        }
         let mut waiting = self.lock();
         if waiting.over {
             return false;
@@ -99,3 +110,36 @@
         drop(dropped);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::client::{Client, Shared};
+    use crate::request::Request;
+    use lapisrudder_host::Clock;
+    use std::sync::Arc;
+    use std::sync::atomic::AtomicU64;
+    use tokio::sync::{Semaphore, watch};
+
+    #[test]
+    fn a_fork_is_told_that_it_is_closed_and_tells_its_parent_nothing() {
+        let (ping, _source) = calloop::ping::make_ping().unwrap();
+        let queue = Arc::new(Queue::new(ping, std::process::id() + 1));
+        let places = Arc::new(Semaphore::new(1));
+        let shared = Shared {
+            name: "n".into(),
+            queue: queue.clone(),
+            places: places.clone(),
+            clock: Clock::default(),
+            classes: Vec::new(),
+            taken: AtomicU64::new(0),
+            salt: 0,
+        };
+        let (_tell, stats) = watch::channel(Default::default());
+        let client = Client::new(shared, stats);
+        assert_eq!(futures_executor::block_on(client.ask(Request::read("k"))), Err(Error::Closed));
+        futures_executor::block_on(client.close());
+        drop(client);
+        assert!(!places.is_closed() && queue.lock().commands.is_empty());
+    }
+}
--- a/crates/client/src/thread.rs
+++ b/crates/client/src/thread.rs
@@ -52,7 +52,7 @@
 /// Starts the thread, and gives the first client.
 pub(crate) fn start(plan: Plan, classes: Vec<ClassName>, in_flight: usize) -> Result<Client, StartError> {
     let (ping, pinged) = ping::make_ping()?;
-    let queue = Arc::new(Queue::new(ping));
+    let queue = Arc::new(Queue::new(ping, std::process::id()));
     let places = Arc::new(Semaphore::new(in_flight.min(Semaphore::MAX_PERMITS)));
     let clock = Clock::default();
     let (tell, stats) = watch::channel(Stats::default());
@@ -65,7 +65,6 @@
         taken: AtomicU64::new(0),
         // Danger: not from the plan's seed, since copies that are told the same one would make the same ids.
         salt: draw(),
-        process: std::process::id(),
     };
     let end = End { queue, places };
     let (began, begun) = mpsc::channel();
