--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -2,6 +2,8 @@
 //! Nothing here chooses.
 
 use crate::interface::*;
+use lapisrudder_limits::follow::{self, Follow, Sent};
+use lapisrudder_limits::held::Held;
 use lru::LruCache;
 use rustc_hash::FxHashMap;
 use std::cmp::Reverse;
@@ -75,7 +77,7 @@
     /// Its connection failed, which says little of its server.
     pub broke: bool,
     /// Counted as work for the origin.
-    pub fetch: bool,
+    pub fetch: Option<Sent>,
 }
 
 pub(crate) struct Request {
@@ -213,6 +215,9 @@
 /// What is to be done later. One wake-up is out for the earliest.
 #[derive(Default)]
 pub(crate) struct Agenda {
+    /// Those that came in the order of their times, as nearly all do.
+    row: VecDeque<(Micros, u64, Task)>,
+    /// The others.
     tasks: BinaryHeap<Reverse<(Micros, u64, Task)>>,
     count: u64,
     wake_at: Option<Micros>,
@@ -223,12 +228,25 @@
     pub fn add(&mut self, now: Micros, at: Micros, task: Task) -> Option<Micros> {
         let at = at.max(now + 1);
         self.count += 1;
-        self.tasks.push(Reverse((at, self.count, task)));
+        match self.row.back() {
+            Some(last) if last.0 > at => self.tasks.push(Reverse((at, self.count, task))),
+            _ => self.row.push_back((at, self.count, task)),
+        }
         self.wake(now)
     }
 
+    /// The earliest, and whether it is the first of the row.
+    fn first(&self) -> Option<((Micros, u64, Task), bool)> {
+        let (row, task) = (self.row.front().copied(), self.tasks.peek().map(|t| t.0));
+        match (row, task) {
+            (Some(row), Some(task)) if task < row => Some((task, false)),
+            (Some(row), _) => Some((row, true)),
+            (None, task) => task.map(|task| (task, false)),
+        }
+    }
+
     fn wake(&mut self, now: Micros) -> Option<Micros> {
-        let Reverse((at, ..)) = *self.tasks.peek()?;
+        let ((at, ..), _) = self.first()?;
         if self.wake_at.is_some_and(|w| w > now && w <= at) {
             return None;
         }
@@ -238,9 +256,13 @@
 
     /// The next task that is due, or the time to the next wake-up.
     pub fn due(&mut self, now: Micros) -> Result<Task, Option<Micros>> {
-        match self.tasks.peek() {
-            Some(&Reverse((at, _, task))) if at <= now => {
-                self.tasks.pop();
+        match self.first() {
+            Some(((at, _, task), in_row)) if at <= now => {
+                if in_row {
+                    self.row.pop_front();
+                } else {
+                    self.tasks.pop();
+                }
                 Ok(task)
             }
             _ => Err(self.wake(now)),
@@ -553,56 +575,45 @@
     }
 }
 
-/// What is known of the origin: attempts of ours that work it, how many it bears, its usual best time.
-#[derive(Default)]
+/// What a held request waits for: reads of a key for the same fetch, a write for its own.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Wanted {
+    Read(Key),
+    Write(RequestId),
+}
+
+/// Requests held at most; one more puts out the one least likely to be served.
+const HELD_MOST: usize = 1 << 14;
+
+/// What is known of the origin, and what waits for it.
 pub(crate) struct Origin {
-    pub out: f64,
-    pub limit: f64,
-    pub best: f64,
+    /// How many attempts of ours may work it.
+    pub follow: Follow,
     /// Answers tell fetches from hits.
     pub told: bool,
-    /// Share of fetches that were late or failed.
-    pub late: Mean,
-    pub cut_at: Micros,
-    /// When the latest of those that were served was sent.
-    pub passed: Micros,
-    /// The next attempt waits until then.
-    pub paced_until: Micros,
     /// Fetches out by key, with the requests that wait for them.
     pub joined: FxHashMap<Key, Vec<RequestId>>,
     /// Requests that wait for room.
-    pub held: VecDeque<RequestId>,
+    pub held: Held<Wanted, RequestId>,
+    /// The last look at those that was asked for.
+    pub drain_at: Micros,
 }
 
 impl Origin {
-    pub fn new(limit: f64, now: Micros) -> Self {
-        Origin { limit, cut_at: now, ..Origin::default() }
-    }
-
-    /// Books an attempt; a limit under one makes the next wait for as long as that takes to even out.
-    /// Reads of `key` may join it.
-    pub fn sent(&mut self, now: Micros, key: Option<Key>) {
-        self.joined.extend(key.map(|key| (key, Vec::new())));
-        self.out += 1.0;
-        if self.limit < 1.0 {
-            self.paced_until = now + (self.best / self.limit) as Micros;
+    pub fn new(settings: follow::Settings, now: Micros) -> Self {
+        Origin {
+            follow: Follow::new(settings, now),
+            told: false,
+            joined: FxHashMap::default(),
+            held: Held::new(HELD_MOST),
+            drain_at: Micros::MIN,
         }
     }
 
-    /// Queues a request; those that were answered leave.
-    pub fn hold(&mut self, id: RequestId, requests: &Requests) {
-        self.held.retain(|queued| requests.get(*queued).is_some_and(Request::held));
-        self.held.push_back(id);
-    }
-
-    /// Follows the fastest answers down by tenths and drifts up by hundredths.
-    pub fn note_best(&mut self, served: Option<f64>) {
-        let Some(took) = served else { return };
-        self.best = match self.best {
-            0.0 => took,
-            best if took < best => 0.9 * best + 0.1 * took,
-            best => best * 1.01,
-        };
+    /// Books an attempt. Reads of `key` may join it.
+    pub fn sent(&mut self, now: Micros, key: Option<Key>) -> Sent {
+        key.iter().for_each(|key| _ = self.joined.entry(*key).or_default());
+        self.follow.sent(now)
     }
 }
 
--- a/crates/host/src/socket.rs
+++ b/crates/host/src/socket.rs
@@ -93,7 +93,12 @@
     /// # Errors
     /// If the connection is over.
     pub fn write(&self, parts: &[IoSlice]) -> io::Result<usize> {
-        Ok(retry(|| (&*self.stream).write_vectored(parts))?.unwrap_or(0))
+        let written = match parts {
+            // One part costs less by the plain call.
+            [part] => retry(|| (&*self.stream).write(part))?,
+            parts => retry(|| (&*self.stream).write_vectored(parts))?,
+        };
+        Ok(written.unwrap_or(0))
     }
 }
 
--- a/crates/model/src/clients/habits.rs
+++ b/crates/model/src/clients/habits.rs
@@ -93,6 +93,7 @@
                 "retry.growth",
                 "must be 0 or more",
             ),
+            (!(0.0..=1.0).contains(&self.retry.heeds), "retry.heeds", "must be from 0 to 1"),
             (self.retry.wait.fault().is_some(), "retry.wait", "is no law for a length of time"),
         ];
         faults.into_iter().find(|fault| fault.0).map(|(_, field, fault)| (field, fault))
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -105,6 +105,8 @@
     options: Options,
     phase: Phase,
     longest_wait: Micros,
+    /// The shortest time within which a class wants its answers.
+    shortest_aim: Micros,
     /// Descriptors for clients and members together.
     sockets: usize,
     /// Transactions that may be held at a time, and bytes of their commands.
@@ -136,6 +138,7 @@
         let server = VirtualServer::new(config.listen, admission, handle)
             .map_err(|source| super::Error::Listen { at: config.listen, source })?;
         let longest = config.options.request_classes.iter().map(|c| micros(c.give_up_s)).max();
+        let aims = config.options.request_classes.iter().map(|c| micros(c.slo_s));
         let mut node = Node {
             clock,
             scratch: vec![0; SCRATCH],
@@ -147,6 +150,7 @@
             engine: Engine::new(lapisrudder_engine::Config { settings, seed: config.seed, limits }, now),
             phase: Phase::Serving,
             sockets,
+            shortest_aim: aims.min().unwrap_or(0),
             longest_wait: longest.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT),
             most_held: bounds.most_held.max(1),
             // The rest is for what is read and sent.
@@ -359,6 +363,7 @@
             connections: self.sockets - self.engine.reserve(),
             clients_room: self.descriptors / CLIENTS_SHARE,
             in_flight: self.most_held,
+            aim: self.shortest_aim,
             buffer_bytes: self.most_bytes,
             // What clients may hold leaves the others theirs; EMFILE tells if something else took them.
             descriptors: Used::default(),
@@ -380,8 +385,9 @@
         self.server.read_on(&mut self.scratch, self.clock.now(), &mut self.deadlines);
         loop {
             self.client_news();
-            match self.engine.poll_order(self.clock.now()) {
-                Some(order) => self.carry_out(order),
+            let now = self.clock.now();
+            match self.engine.poll_order(now) {
+                Some(order) => self.carry_out(order, now),
                 None if self.server.news.is_empty() => break,
                 None => {}
             }
@@ -399,8 +405,7 @@
         self.server.send_out(self.clock.now(), &mut self.deadlines);
     }
 
-    fn carry_out(&mut self, order: Order) {
-        let now = self.clock.now();
+    fn carry_out(&mut self, order: Order, now: Micros) {
         match order {
             Order::Connect { conn, to } => self.members.connect(conn, to, &mut self.engine, now),
             Order::Write { conn, look } => self.members.write(conn, look, &mut self.engine, now),
