--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -2,11 +2,8 @@
 
 use super::client::SCRATCH;
 use super::deadlines::{Deadline, Deadlines};
-use super::discovery::{self, Discovery};
-use super::members::Members;
-use super::socket::{Handle, Owner};
 use super::virtual_server::{self, VirtualServer};
-use super::{CLIENTS_SHARE, OWN_SOCKETS};
+use super::{CLIENTS_SHARE, Handle, OWN_SOCKETS, Owner, Ready};
 use lapisrudder::wire::{Options, digest, micros};
 use lapisrudder::{Micros, RequestId, Scope, Settings};
 use lapisrudder_codec::memcache::OwnedRequest;
@@ -14,9 +11,10 @@
 use lapisrudder_engine::{
     Answer, Answers, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request, TakeError,
 };
+use lapisrudder_host::{Clock, Discovery, Members, News};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use rustc_hash::FxHashMap;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tracing::{debug, info, warn};
 
 /// How long a stopping node stays though it has no client: new connections go on coming for up to 0.4 s.
@@ -29,23 +27,6 @@
 /// How often the process's memory is looked at.
 const MEMORY_EVERY: Micros = 1_000_000;
 
-/// The time as the settings and discovery tell it, from a clock that only goes forward.
-struct Clock {
-    base: Micros,
-    started: Instant,
-}
-
-impl Clock {
-    fn new() -> Clock {
-        let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { base: base.as_micros() as Micros, started: Instant::now() }
-    }
-
-    fn now(&self) -> Micros {
-        self.base + self.started.elapsed().as_micros() as Micros
-    }
-}
-
 /// A transaction that is owed an answer.
 struct Owed {
     client: u64,
@@ -117,8 +98,8 @@
     scratch: Vec<u8>,
     deadlines: Deadlines,
     server: VirtualServer,
-    members: Members,
-    discovery: Discovery,
+    members: Members<Ready>,
+    discovery: Discovery<Ready>,
     ledger: Ledger,
     engine: Engine,
     options: Options,
@@ -141,7 +122,7 @@
 impl Node {
     pub fn new(config: Config, handle: &Handle) -> Result<Node, super::Error> {
         let Config { platform: config, operators } = config;
-        let clock = Clock::new();
+        let clock = Clock::default();
         let now = clock.now();
         let settings = Settings::from(&config.options);
         let bounds = &config.options.bounds;
@@ -164,7 +145,7 @@
             deadlines: Deadlines::default(),
             server,
             members: Members::new(handle),
-            discovery: Discovery::new(config.discovery, config.revision, handle),
+            discovery: Discovery::new(config.discovery, config.revision, handle, Owner::Discovery),
             ledger: Ledger::default(),
             engine: Engine::new(lapisrudder_engine::Config { settings, seed: config.seed, limits }, now),
             phase: Phase::Serving,
@@ -190,10 +171,10 @@
         if self.server.is_behind() {
             return Some(Duration::ZERO);
         }
-        let deadlines = [self.deadlines.next(), self.engine.next_wake(), self.server.due()];
+        let deadlines =
+            [self.deadlines.next(), self.engine.next_wake(), self.discovery.next_wake(), self.server.due()];
         let next = deadlines.into_iter().flatten().min();
-        let wait = next? - self.clock.now();
-        Some(Duration::from_micros(wait.max(0) as u64))
+        Some(self.clock.until(next?))
     }
 
     pub fn is_over(&self) -> bool {
@@ -215,9 +196,8 @@
                 members.on_ready(conn, scratch, engine, &mut Front { server, ledger, now }, now);
             }
             Owner::Discovery => {
-                let news =
-                    self.discovery.on_ready(&mut self.scratch, &self.options, now, &mut self.deadlines);
-                self.discovery_news(news);
+                self.discovery.on_ready(&mut self.scratch, &self.options, now);
+                self.discovery_news();
             }
         }
     }
@@ -239,8 +219,8 @@
             return;
         }
         info!("reload: discovery is now at {discovery}");
-        let news = self.discovery.move_to(discovery, self.clock.now(), &mut self.deadlines);
-        self.discovery_news(news);
+        self.discovery.move_to(discovery, self.clock.now());
+        self.discovery_news();
     }
 
     /// The operators end the node: what was taken is answered, then it ends.
@@ -320,11 +300,12 @@
         }
     }
 
-    fn discovery_news(&mut self, news: Option<discovery::News>) {
-        match news {
-            Some(discovery::News::List { scope, targets }) => self.listed(scope, targets),
-            Some(discovery::News::Failed) => self.engine.list_failed(),
-            None => {}
+    fn discovery_news(&mut self) {
+        while let Some(news) = self.discovery.poll_news() {
+            match news {
+                News::List { scope, targets } => self.listed(scope, targets),
+                News::Failed => self.engine.list_failed(),
+            }
         }
     }
 
@@ -340,10 +321,6 @@
         while let Some(deadline) = self.deadlines.pop_due(now) {
             match deadline {
                 Deadline::Client(id) => self.server.on_deadline(id, now, &mut self.deadlines),
-                Deadline::Discovery => {
-                    let news = self.discovery.on_deadline(&mut self.deadlines);
-                    self.discovery_news(Some(news));
-                }
                 Deadline::Accept => {
                     self.server.resume(&mut self.deadlines);
                     self.accept(now);
@@ -361,6 +338,8 @@
                 }
             }
         }
+        self.discovery.wake(now);
+        self.discovery_news();
         self.server.look_again(now);
         self.engine.wake(now);
     }
@@ -442,8 +421,8 @@
                 }
             },
             Order::Watch => {
-                let news = self.discovery.watch(now, &mut self.deadlines);
-                self.discovery_news(news);
+                self.discovery.watch(now);
+                self.discovery_news();
             }
         }
     }
