Measure a flood with learnt closes on and off

Need: what the limits are worth on sockets, as a ratio within one run. Change: the loopback flood takes operators' settings, and a measurement that is left out of the tests runs it by turns.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -169,12 +169,22 @@
 
     /// The same, though it may have no list yet.
     pub fn begin(discovery: SocketAddr, sockets: u32) -> Node {
+        Node::under(discovery, sockets, None)
+    }
+
+    /// The same, under settings of the operators'.
+    pub fn under(discovery: SocketAddr, sockets: u32, operators: Option<&str>) -> Node {
         let config = format!(
             r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{SETTINGS}}}"#
         );
         let mut program = program(&config, &[("EDGE_DISCOVERY", &discovery.to_string())]);
         let config = program.get_envs().find(|(name, _)| *name == "EDGE_CONFIG").and_then(|(_, file)| file);
         let config = config.expect("a file").to_string_lossy().into_owned();
+        if let Some(settings) = operators {
+            let file = format!("{config}.toml");
+            std::fs::write(&file, settings).expect("a file");
+            program.arg("--config").arg(file);
+        }
         let mut child = program.spawn().expect("the program starts");
         let mut output = BufReader::new(child.stdout.take().expect("its output"));
         let mut line = String::new();
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -14,7 +14,8 @@
 const FLOODER: [u8; 4] = [127, 0, 0, 66];
 
 /// Reads of one usual client after another, each on a new connection from an address of its own that it keeps open.
-/// Gives the times that they took; a connection that was closed before its answer is made once more, as clients do.
+/// Gives the times that they took; a connection that was closed before its answer is made once more, as clients do, up
+/// to ten times: then the client was kept out, and has no time.
 fn usual(node: &Node, run: u8, count: u8) -> Vec<Duration> {
     let mut kept = Vec::new();
     let read = |n: u8, kept: &mut Vec<Client>| {
@@ -25,15 +26,15 @@
             match client.try_ask(&format!("mg k{n} v O{id} Pc=read,d=60000\r\n")) {
                 Ok(answer) if answer.starts_with("VA ") => {
                     kept.push(client);
-                    return began.elapsed();
+                    return Some(began.elapsed());
                 }
                 Ok(answer) => assert!(answer.is_empty() || answer.contains(" busy"), "{answer}"),
                 Err(e) => assert_ne!(e.kind(), ErrorKind::WouldBlock, "no answer"),
             }
         }
-        panic!("client {n} of run {run} was kept out");
+        None
     };
-    (0..count).map(|n| read(n, &mut kept)).collect()
+    (0..count).filter_map(|n| read(n, &mut kept)).collect()
 }
 
 fn median(mut times: Vec<Duration>) -> Duration {
@@ -50,14 +51,25 @@
     }
 }
 
-#[test]
-fn a_flood_from_one_address_keeps_nobody_else_out_and_gets_what_is_left() {
+/// What usual clients see before and in a flood from one address, and what becomes of the flood.
+struct Flooded {
+    calm: Vec<Duration>,
+    flooded: Vec<Duration>,
+    /// Connections that the flood opened, and those of its reads that were served.
+    connects: usize,
+    served: usize,
+    lasted: Duration,
+}
+
+/// So many usual clients come before the flood, and as many in it.
+fn flooded(operators: Option<&str>, usual_clients: u8) -> Flooded {
     let holder = Scripted::answering(|asked| Some(format!("VA 4 O{} h1\r\nhere\r\n", asked.id))).unwrap();
     let mut spec = spec(&[]);
     spec.discovery.plan.members = vec![member("c", &holder.address().to_string(), "cache", "z")];
     let world = world(spec, ids(0));
-    let node = Node::limited(&world, 160);
-    let calm = median(usual(&node, 1, 60));
+    let node = Node::under(world.addresses().discovery(0).unwrap(), 160, operators);
+    node.until_ready();
+    let calm = usual(&node, 1, usual_clients);
     let over = AtomicBool::new(false);
     let (connects, served) = (AtomicUsize::new(0), AtomicUsize::new(0));
     // Opens connections as fast as it can and keeps them; every eighth asks.
@@ -76,6 +88,7 @@
             }
         }
     };
+    let began = Instant::now();
     let flooded = thread::scope(|scope| {
         let _over = Over(&over);
         let flood = &flood;
@@ -83,10 +96,42 @@
         while connects.load(Ordering::SeqCst) < 400 {
             thread::yield_now();
         }
-        median(usual(&node, 2, 60))
+        usual(&node, 2, usual_clients)
     });
+    let (connects, served) = (connects.into_inner(), served.into_inner());
+    Flooded { calm, flooded, connects, served, lasted: began.elapsed() }
+}
+
+#[test]
+fn a_flood_from_one_address_keeps_nobody_else_out_and_gets_what_is_left() {
+    let seen = flooded(None, 60);
+    assert_eq!((seen.calm.len(), seen.flooded.len()), (60, 60), "nobody was kept out");
+    let (calm, flooded) = (median(seen.calm), median(seen.flooded));
     assert!(flooded < calm * 50 + Duration::from_millis(200), "{flooded:?}, calm {calm:?}");
-    assert!(served.load(Ordering::SeqCst) > 20, "the flooder is served where there is room");
+    assert!(seen.served > 20, "the flooder is served where there is room");
+}
+
+/// The measurement in docs/design/limits.md: learnt closes against the fixed times, by turns in one run.
+#[test]
+#[ignore = "a measurement; it takes a while and wants the machine for itself"]
+fn measure_a_flood_with_learnt_closes_on_and_off() {
+    let off = "[limits.keep]\nsilent_earliest_ms = 100\nearliest_ms = 2000\nearly_ms = 2000\n";
+    for run in 0..3 {
+        for (name, operators) in [("on", None), ("off", Some(off))] {
+            let mut seen = flooded(operators, 100);
+            seen.flooded.sort();
+            let (last, calm) = (seen.flooded[seen.flooded.len() * 99 / 100], median(seen.calm));
+            println!(
+                "{run} {name}: {} of 100 usual clients served, median {:.1} and 99th percentile {:.1} times the calm \
+                 median of {calm:?}; {:.0} connects and {:.0} served reads of the flood a second",
+                seen.flooded.len(),
+                median(seen.flooded).as_secs_f64() / calm.as_secs_f64(),
+                last.as_secs_f64() / calm.as_secs_f64(),
+                seen.connects as f64 / seen.lasted.as_secs_f64(),
+                seen.served as f64 / seen.lasted.as_secs_f64(),
+            );
+        }
+    }
 }
 
 #[test]
