Let shares under one take turns, so limits hold for any number of copies

Need: each copy might save up two requests for a cold server, one further attempt and one first attempt at the origin, whatever its share; hundreds of copies that cannot see each other added up to hundreds of each at once.

Change: turns.rs, a token bucket whose depth may be under one. Whole tokens run out, what is left of a token stays, and copies begin at different parts of one, so the sum of what is at hand is the sum of the depths. Cold servers and further attempts go by it; a copy keeps one further attempt only if its requests earn it within 2 s. In aside mode first attempts at the origin start at different parts of the pause, and turns that were not used run out. The rate that warm servers carry no longer counts its newest sample, which made copies that see little add up to too much.

Unit tests: of 30 to 10,000 copies after any idle time at most 55 may go at once, where the former formula let 300 of 300 go.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod interface;
 pub mod rules;
 mod state;
+mod turns;
 
 pub use interface::*;
 pub use rules::Balancer;
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -5,6 +5,7 @@
 
 use crate::interface::*;
 use crate::state::*;
+use crate::turns::{self, Turns};
 use lapisrudder_limits::follow::{self, End, Sent};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -35,7 +36,7 @@
 /// A way to a zone is bad when so much more of what goes over it is late or lost than in our own zone.
 const PATH_WORSE: f64 = 0.4;
 /// Further attempts earned by each request, and the most that can be saved up for a bad moment over all
-/// balancers, though at least one at each. Danger: twenty at each of hundreds were a jam by themselves.
+/// balancers. Danger: twenty at each of hundreds, or one at each of thousands, were a jam by themselves.
 const RETRY_EARN: f64 = 0.15;
 const RETRY_SAVED: f64 = 60.0;
 /// First spell for which a suspect server is left alone; it doubles this often at most.
@@ -66,6 +67,8 @@
 const ORIGIN_START: f64 = 20.0;
 const ORIGIN_ALL: f64 = 60.0;
 const ORIGIN_LEAST: f64 = 4.0;
+/// What a balancer's own turn at the origin is drawn by.
+const ORIGIN_TURN: ServerId = ServerId(1);
 /// Writes may go there up to this many times the attempts that reads may.
 const WRITES_OVER: f64 = 2.0;
 /// Held requests end this long before the client gives up, so that the answer is in time.
@@ -95,20 +98,21 @@
             table: KeyTable::default(),
             requests: Requests::default(),
             agenda: Agenda::default(),
-            learned: Learned::new(&settings, now),
-            origin: Origin::new(Balancer::origin_settings(&settings), now),
+            learned: Learned::new(&settings, now, seed, RETRY_SAVED / settings.siblings.max(1) as f64),
+            origin: Origin::new(Balancer::origin_settings(&settings, seed), now),
             settings,
         }
     }
 
     /// Half of the shortest aim is for the origin; the other half is for the way and for what went before.
-    fn origin_settings(settings: &Settings) -> follow::Settings {
+    fn origin_settings(settings: &Settings, seed: u64) -> follow::Settings {
         let nodes = settings.siblings.max(1) as f64;
         let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000);
         follow::Settings {
             start: ORIGIN_START.min(ORIGIN_ALL / nodes),
             least: (ORIGIN_LEAST / nodes).min(1.0),
             patience: aim / 2,
+            phase: (settings.mode == Mode::Aside).then(|| chance(Key(seed), ORIGIN_TURN)),
             ..follow::Settings::default()
         }
     }
@@ -160,7 +164,7 @@
                 Ok(i) if listed.stage == Stage::Gone => self.called_gone(i),
                 Ok(i) => self.called_running(i, listed),
                 Err(_) if listed.stage == Stage::Gone => {}
-                Err(i) => self.servers.all.insert(i, Server::new(listed, self.now)),
+                Err(i) => self.servers.all.insert(i, Server::new(listed, self.now, self.own)),
             }
         }
         self.forget_gone();
@@ -184,7 +188,7 @@
     fn called_running(&mut self, i: usize, listed: Listed) {
         let s = &mut self.servers.all[i];
         if listed.since > s.born {
-            return s.restart(listed, self.now);
+            return s.restart(listed, self.now, self.own);
         }
         let drained = self.settings.gone_is_advice && s.listed.stage == Stage::Draining;
         let stage = if drained { Stage::Draining } else { listed.stage };
@@ -214,8 +218,8 @@
             return;
         }
         self.settings.budget.iter().for_each(|b| self.learned.window.take(self.now, b.span));
-        let saved = (RETRY_SAVED / self.settings.siblings.max(1) as f64).max(1.0);
-        self.learned.retries = (self.learned.retries + RETRY_EARN).min(saved);
+        let saved = self.retries_saved();
+        self.learned.retries = self.learned.retries.earned(RETRY_EARN, saved);
         let heavy = new.hint.is_some_and(|h| self.learned.hints.under(h as f64 / HEAVY));
         new.hint.iter().for_each(|h| self.learned.hints.add(*h as f64, GAIN));
         let surplus = self.over_share(new.tenant) && self.settings.over_share_worth < 1.0;
@@ -370,9 +374,9 @@
         if waits && !origin {
             self.later(now + patience, Task::Check(id, attempt), out);
         }
-        let budget = Bucket::new(self.budget(i) - load, now);
+        let turns = self.turns(i).spent(load, now);
         let s = &mut self.servers.all[i];
-        s.sent(now, load, budget);
+        s.sent(now, load, turns);
         s.suspicion.trial(now, DOUBLINGS);
         out.push(Action::Send { request: id, server, until });
     }
@@ -458,12 +462,19 @@
 
     /// Pays for a further attempt with what requests have saved up, if there is enough.
     fn pays(&mut self) -> bool {
-        let price = if self.settings.budget.is_some() { 0.0 } else { 1.0 };
-        let enough = self.learned.retries >= price;
-        self.learned.retries -= if enough { price } else { 0.0 };
+        if self.settings.budget.is_some() {
+            return true;
+        }
+        let enough = self.learned.retries.allow(1.0);
+        self.learned.retries = self.learned.retries.spent(if enough { 1.0 } else { 0.0 }, self.now);
         enough
     }
 
+    fn retries_saved(&self) -> f64 {
+        let per_s = (self.learned.requests.count - 1.0).max(0.0) / HOT_FADES * 1e6;
+        turns::retry_depth(RETRY_SAVED, self.settings.siblings, RETRY_EARN * per_s)
+    }
+
     /// The server for a further attempt: least-connection, not tried yet, allowed by the class.
     fn elsewhere(&self, id: RequestId) -> Option<usize> {
         let r = self.requests.get(id)?;
@@ -616,21 +627,27 @@
 
     /// The share of its capacity that a server surely has.
     fn warmth(&self, i: usize) -> f64 {
+        self.warmth_at(i, self.now)
+    }
+
+    fn warmth_at(&self, i: usize, at: Micros) -> f64 {
         let Some(since) = self.servers.all[i].born else { return 1.0 };
-        let grown = (self.now - since) as f64 / self.settings.cold.max(1) as f64;
+        let grown = (at - since) as f64 / self.settings.cold.max(1) as f64;
         (self.settings.start_capacity + (1.0 - self.settings.start_capacity) * grown.max(0.0)).min(1.0)
     }
 
     /// Danger: a cold server is pushed over, or its misses stop the origin. It gets its warm share of what a
-    /// warm peer carries for us; as each balancer keeps to that, so do all together.
+    /// warm peer carries for us; as each balancer keeps to that, so do all together, however many they are.
     fn cold_room(&self, i: usize, load: f64) -> bool {
-        self.warmth(i) >= 1.0 || self.budget(i) >= load
+        self.warmth(i) >= 1.0 || self.turns(i).allow(load)
     }
 
-    fn budget(&self, i: usize) -> f64 {
+    fn turns(&self, i: usize) -> Turns {
         let s = &self.servers.all[i];
-        let rate = self.warmth(i) * self.learned.warm_rate.per_s * s.listed.weight;
-        s.budget.left(self.now, rate, (rate * self.settings.tip_window as f64 / 2e6).max(2.0))
+        let (warm, peer) = (self.warmth(i), self.learned.warm_rate.per_s * s.listed.weight);
+        let mean = (self.warmth_at(i, s.turns.at()) + warm) / 2.0;
+        let earned = mean * peer * (self.now - s.turns.at()) as f64 / 1e6;
+        s.turns.earned(earned, turns::cold_depth(warm * peer, self.settings.tip_window))
     }
 
     // ---- Tenants and overload -------------------------------------------------------------------------
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -2,6 +2,7 @@
 //! Nothing here chooses.
 
 use crate::interface::*;
+use crate::turns::Turns;
 use lapisrudder_limits::follow::{self, Follow, Sent};
 use lapisrudder_limits::held::Held;
 use lru::LruCache;
@@ -306,14 +307,18 @@
 /// Load a second, over a fading span.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Rate {
+    /// As it was before the last sample. Danger: with it a balancer that sees little takes each sample for a
+    /// rate: those with a request in ten seconds added up to four times what they all send.
     pub per_s: f64,
+    with_last: f64,
     at: Micros,
 }
 
 impl Rate {
     pub fn add(&mut self, now: Micros, load: f64, span: f64) {
         let kept = (-(now - self.at) as f64 / span).exp();
-        *self = Rate { per_s: self.per_s * kept + load * 1e6 / span, at: now };
+        let per_s = self.with_last * kept;
+        *self = Rate { per_s, with_last: per_s + load * 1e6 / span, at: now };
     }
 }
 
@@ -343,17 +348,17 @@
     /// Time of its hits over what is usual for its kind.
     pub pace: Fading,
     /// Work a cold server may still be sent.
-    pub budget: Bucket,
+    pub turns: Turns,
 }
 
 impl Server {
-    pub fn new(listed: Listed, now: Micros) -> Self {
-        let budget = Bucket::new(0.0, now);
+    pub fn new(listed: Listed, now: Micros, own: ServerId) -> Self {
+        let turns = Turns::new(chance(Key(own.0), listed.server), now);
         Server {
             id: listed.server,
             born: listed.since,
             listed,
-            budget,
+            turns,
             heard: now,
             size: 1.0,
             ..Server::default()
@@ -361,8 +366,8 @@
     }
 
     /// Begins anew after a restart; what is in flight still ends.
-    pub fn restart(&mut self, listed: Listed, now: Micros) {
-        *self = Server { load: self.load, ..Server::new(listed, now) };
+    pub fn restart(&mut self, listed: Listed, now: Micros, own: ServerId) {
+        *self = Server { load: self.load, ..Server::new(listed, now, own) };
     }
 
     /// May be a key's server.
@@ -370,9 +375,9 @@
         self.listed.stage == Stage::Live && !self.origin
     }
 
-    pub fn sent(&mut self, now: Micros, load: f64, budget: Bucket) {
+    pub fn sent(&mut self, now: Micros, load: f64, turns: Turns) {
         self.load += load;
-        self.budget = budget;
+        self.turns = turns;
         self.unheard.get_or_insert(now);
     }
 
@@ -562,16 +567,18 @@
     /// Requests and further attempts, where a budget is stated.
     pub window: Window,
     /// Further attempts saved up, where none is.
-    pub retries: f64,
+    pub retries: Turns,
     /// What a warm server of weight 1 carries for us.
     pub warm_rate: Rate,
 }
 
 impl Learned {
-    pub fn new(settings: &Settings, now: Micros) -> Self {
+    /// Of the balancer `own`, which may save up `retries` further attempts.
+    pub fn new(settings: &Settings, now: Micros, own: u64, retries: f64) -> Self {
+        let part = chance(Key(own), ServerId(0)) + retries.min(1.0);
         let took = vec![Mean::default(); settings.classes.len()];
         let quota = settings.tenants.iter().map(|t| Bucket::new(t.quota_per_s, now)).collect();
-        Learned { took, quota, retries: 1.0, ..Learned::default() }
+        Learned { took, quota, retries: Turns::new(part, now), ..Learned::default() }
     }
 }
 
--- a/crates/limits/src/follow/mod.rs
+++ b/crates/limits/src/follow/mod.rs
@@ -61,11 +61,15 @@
     /// Mean time of answers beyond which they are of little use: a queue that long is one whatever the least
     /// time seen. Guards nodes that have never seen the place without a queue.
     pub patience: Micros,
+    /// Where nodes that share the place must keep to it together from the first moment on: the part of its pause, in
+    /// [0, 1), after which a node with a start under one sends first. It should differ between nodes. Then turns
+    /// under one also run out when they are not used, and another comes with the next pause.
+    pub phase: Option<f64>,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Settings { start: 20.0, least: 0.01, most: 10_000.0, patience: 500_000 }
+        Settings { start: 20.0, least: 0.01, most: 10_000.0, patience: 500_000, phase: None }
     }
 }
 
@@ -140,7 +144,7 @@
         let least = settings.least.clamp(0.001, most);
         let settings = Settings { least, most, patience: settings.patience.max(1), ..settings };
         let start = settings.start.clamp(least, most);
-        Follow {
+        let mut follow = Follow {
             settings: Settings { start, ..settings },
             limit: start,
             good: most,
@@ -158,7 +162,10 @@
             search_at: now,
             paced: now,
             silence: Silence::new(now),
-        }
+        };
+        let wait = settings.phase.unwrap_or(0.0).clamp(0.0, 1.0) * follow.pause(follow.times.usual()) as f64;
+        follow.paced = now.saturating_add(wait as Micros);
+        follow
     }
 
     /// Attempts that may be in flight; under one it means one at a time with pauses between.
@@ -181,7 +188,19 @@
         if let Some(stop) = self.silence.stop {
             return stop.probe_at().map(|at| at.max(now));
         }
-        ((self.out.len() as f64) < self.limit.floor().max(1.0)).then_some(self.paced.max(now))
+        ((self.out.len() as f64) < self.limit.floor().max(1.0)).then_some(self.turn(now))
+    }
+
+    /// When the next attempt may go under a limit below one: in the first part of each pause, as long as an
+    /// attempt takes. Danger: a turn that is kept until it is used comes at once from all nodes that were idle.
+    fn turn(&self, now: Micros) -> Micros {
+        let usual = self.times.usual();
+        let (pause, late) = (self.pause(usual), now.saturating_sub(self.paced));
+        if late <= 0 || pause <= 0 || self.settings.phase.is_none() {
+            return self.paced.max(now);
+        }
+        let into = late % pause;
+        if (into as f64) < usual { now } else { now.saturating_add(pause - into) }
     }
 
     /// Books an attempt that goes out. It may go past the limit, if the caller sees a need.
