--- a/crates/limits/src/follow/mod.rs
+++ b/crates/limits/src/follow/mod.rs
@@ -48,6 +48,9 @@
 const LATER: u64 = 3;
 /// However little may be in flight, something goes this often. Guards against a place that nobody looks at again.
 const PAUSE_MOST: Micros = 120_000_000;
+/// Where turns run out, one lasts this part of the time that an attempt takes. What waits goes when one begins, so
+/// only the sum over nodes grows with it: this much over their limits.
+const TURN: f64 = 0.25;
 
 /// What a [`Follow`] is told at its start.
 #[derive(Clone, Copy, Debug)]
@@ -191,8 +194,8 @@
         ((self.out.len() as f64) < self.limit.floor().max(1.0)).then_some(self.turn(now))
     }
 
-    /// When the next attempt may go under a limit below one: in the first part of each pause, as long as an
-    /// attempt takes. Danger: a turn that is kept until it is used comes at once from all nodes that were idle.
+    /// When the next attempt may go under a limit below one: in the first part of each pause, a quarter as long as
+    /// an attempt takes. Danger: a turn that is kept until it is used comes at once from all nodes that were idle.
     fn turn(&self, now: Micros) -> Micros {
         let usual = self.times.usual();
         let (pause, late) = (self.pause(usual), now.saturating_sub(self.paced));
@@ -200,7 +203,7 @@
             return self.paced.max(now);
         }
         let into = late % pause;
-        if (into as f64) < usual { now } else { now.saturating_add(pause - into) }
+        if (into as f64) < TURN * usual { now } else { now.saturating_add(pause - into) }
     }
 
     /// Books an attempt that goes out. It may go past the limit, if the caller sees a need.
