--- a/crates/model/src/arrivals/load.rs
+++ b/crates/model/src/arrivals/load.rs
@@ -201,6 +201,9 @@
         if !size(keys.exponent) {
             return Some(("keys.exponent", "must be a number of 0 or more"));
         }
+        if !size(keys.offset) {
+            return Some(("keys.offset", "must be a number of 0 or more"));
+        }
         if matches!(keys.drift, crate::keys::Drift::Renew { every } | crate::keys::Drift::Climb { every } if every <= 0)
         {
             return Some(("keys.drift", "needs a time above 0"));
--- a/crates/model/src/keys.rs
+++ b/crates/model/src/keys.rs
@@ -16,7 +16,8 @@
     }
 }
 
-/// Zipf's law over ranks `0..population`: rank r is drawn with a probability in proportion to `(r + 1)^-exponent`.
+/// Zipf's law over ranks `0..population`: rank r is drawn with a probability in proportion to
+/// `(r + 1 + offset)^-exponent` (with an offset the law of Zipf and Mandelbrot).
 ///
 /// Rejection-inversion of Hörmann and Derflinger (ACM TOMACS 6(3), 1996): O(1) a draw and in memory, any exponent
 /// of 0 or more. `rand_distr::Zipf` draws the same law, but with the C library's powers wherever any crate of the
@@ -25,6 +26,7 @@
 pub struct Zipf {
     n: f64,
     exponent: f64,
+    offset: f64,
     low: f64,
     high: f64,
     sure: f64,
@@ -33,15 +35,26 @@
 impl Zipf {
     /// Over `population` ranks (1 where it is 0); an exponent below 0 counts as 0, which is an even draw.
     pub fn new(population: u32, exponent: f64) -> Self {
+        Self::with_offset(population, exponent, 0.0)
+    }
+
+    /// With an offset of 0 or more (else 0), which flattens the head.
+    pub fn with_offset(population: u32, exponent: f64, offset: f64) -> Self {
         let n = f64::from(population.max(1));
-        let exponent = if exponent.is_finite() { exponent.max(0.0) } else { 0.0 };
-        let mut zipf = Self { n, exponent, low: 0.0, high: 0.0, sure: 0.0 };
-        zipf.low = zipf.integral(1.5) - 1.0;
+        let plain = |x: f64| if x.is_finite() { x.max(0.0) } else { 0.0 };
+        let (exponent, offset) = (plain(exponent), plain(offset));
+        let mut zipf = Self { n, exponent, offset, low: 0.0, high: 0.0, sure: 0.0 };
+        zipf.low = zipf.integral(1.5) - zipf.weight(1.0);
         zipf.high = zipf.integral(n + 0.5);
-        zipf.sure = 2.0 - zipf.inverse(zipf.integral(2.5) - libm::pow(2.0, -exponent));
+        zipf.sure = 2.0 - zipf.inverse(zipf.integral(2.5) - zipf.weight(2.0));
         zipf
     }
 
+    /// The weight of the k-th rank, from 1.
+    fn weight(&self, k: f64) -> f64 {
+        libm::pow(k + self.offset, -self.exponent)
+    }
+
     /// One rank.
     pub fn draw(&self, rng: &mut impl RngCore) -> u32 {
         if self.exponent == 0.0 {
@@ -51,7 +64,7 @@
             let u = self.high + unit(rng) * (self.low - self.high);
             let x = self.inverse(u);
             let k = (x + 0.5).floor().clamp(1.0, self.n);
-            if k - x <= self.sure || u >= self.integral(k + 0.5) - libm::pow(k, -self.exponent) {
+            if k - x <= self.sure || u >= self.integral(k + 0.5) - self.weight(k) {
                 return k as u32 - 1;
             }
         }
@@ -59,20 +72,20 @@
 
     /// Probability of a rank by the law itself: O(population), for tests and reports.
     pub fn shares(&self) -> Vec<f64> {
-        let weights: Vec<f64> = (1..=self.n as u64).map(|k| libm::pow(k as f64, -self.exponent)).collect();
+        let weights: Vec<f64> = (1..=self.n as u64).map(|k| self.weight(k as f64)).collect();
         let total: f64 = weights.iter().sum();
         weights.into_iter().map(|weight| weight / total).collect()
     }
 
-    /// Integral of x^-exponent, such that it is ln x at exponent 1 and smooth around there.
+    /// Integral of the weight, such that it is a logarithm at exponent 1 and smooth around there.
     fn integral(&self, x: f64) -> f64 {
-        let log = libm::log(x);
+        let log = libm::log(x + self.offset);
         grow((1.0 - self.exponent) * log) * log
     }
 
     fn inverse(&self, y: f64) -> f64 {
         let t = (y * (1.0 - self.exponent)).max(-1.0);
-        libm::exp(shrink(t) * y)
+        libm::exp(shrink(t) * y) - self.offset
     }
 }
 
@@ -124,6 +137,8 @@
     pub population: u32,
     /// Zipf's exponent; 0 is even.
     pub exponent: f64,
+    /// Added to each rank in the law; a larger one flattens the head.
+    pub offset: f64,
     /// How popularity moves.
     pub drift: Drift,
     /// Hot keys, each its own.
@@ -134,7 +149,15 @@
 
 impl Default for Keys {
     fn default() -> Self {
-        Self { space: 0, population: 10_000, exponent: 0.9, drift: Drift::Still, hot: Vec::new(), fresh: 0.0 }
+        Self {
+            space: 0,
+            population: 10_000,
+            exponent: 0.9,
+            offset: 0.0,
+            drift: Drift::Still,
+            hot: Vec::new(),
+            fresh: 0.0,
+        }
     }
 }
 
@@ -159,7 +182,7 @@
 impl KeyDraw {
     /// For the population with that number.
     pub fn new(keys: Keys, owner: u16) -> Self {
-        let zipf = Zipf::new(keys.population, keys.exponent);
+        let zipf = Zipf::with_offset(keys.population, keys.exponent, keys.offset);
         Self { keys, zipf, owner, fresh: 0 }
     }
 
@@ -221,8 +244,16 @@
     /// deviation sqrt(2 x 59) = 10.9, so a right draw stays under 59 + 5 x 10.9 but for 1 in a million.
     #[test]
     fn ranks_follow_the_law() {
-        for (population, exponent) in [(60, 0.0), (1000, 0.6), (1000, 1.0), (100_000, 0.9), (100_000, 1.4)] {
-            let zipf = Zipf::new(population, exponent);
+        for (population, exponent, offset) in [
+            (60, 0.0, 0.0),
+            (1000, 0.6, 0.0),
+            (1000, 1.0, 0.0),
+            (1000, 1.1, 7.5),
+            (100_000, 0.9, 0.0),
+            (100_000, 0.9, 4.0),
+            (100_000, 1.4, 0.0),
+        ] {
+            let zipf = Zipf::with_offset(population, exponent, offset);
             let mut rng = stream(11, "zipf", population.into());
             let n = 300_000;
             let shares = zipf.shares();
