--- a/crates/lab/src/faults/hands.rs
+++ b/crates/lab/src/faults/hands.rs
@@ -514,14 +514,18 @@
         return NoiseSet::all();
     }
     let kind = |way: &Spoil| match way {
-        Spoil::Noise => Noise::Garbage,
+        Spoil::Garbage => Noise::Garbage,
+        Spoil::BadLine => Noise::BadLine,
         Spoil::EndlessLine => Noise::EndlessLine,
-        Spoil::BadLength => Noise::WrongLength,
-        Spoil::HugeValue => Noise::Huge,
+        Spoil::WrongLength => Noise::WrongLength,
+        Spoil::Huge => Noise::Huge,
         Spoil::OtherId => Noise::OtherId,
-        Spoil::Twice => Noise::SecondCopy,
+        Spoil::OtherValue => Noise::OtherValue,
+        Spoil::Cut => Noise::Cut,
+        Spoil::Interim => Noise::Interim,
+        Spoil::BadReport => Noise::BadReport,
+        Spoil::SecondCopy => Noise::SecondCopy,
         Spoil::NoiseBehind => Noise::NoiseBehind,
-        Spoil::CutOff => Noise::Cut,
     };
     ways.iter().map(kind).collect()
 }
--- a/crates/lab/src/faults/steps.rs
+++ b/crates/lab/src/faults/steps.rs
@@ -192,8 +192,8 @@
             all.push((from, Step::On(target, Effect::Spoilt, *rate)));
             all.push((until, Step::Off(target, Effect::Spoilt)));
         }
-        What::Refuse => lasting(Effect::Refuses, 1.0),
-        What::Outage => lasting(Effect::Outage, 1.0),
+        What::FullTable => lasting(Effect::Refuses, 1.0),
+        What::Outage { .. } => lasting(Effect::Outage, 1.0),
         What::Stale => lasting(Effect::Stale, 1.0),
         What::Drain { drain_s, new_ids } => {
             let gone = from + seconds(*drain_s);
@@ -223,7 +223,7 @@
 fn wrong(what: &What) -> Option<Wrong> {
     Some(match what {
         What::Delay { ms, jitter } => Wrong::Delay(*ms, *jitter),
-        What::Cut => Wrong::Cut,
+        What::Cut { .. } => Wrong::Cut,
         What::Resets { per_s } => Wrong::Resets(*per_s),
         What::ShortWrites { bytes } => Wrong::Pieces(*bytes),
         _ => return None,
--- a/crates/lab/src/load/bad.rs
+++ b/crates/lab/src/load/bad.rs
@@ -16,16 +16,20 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// Kinds of the file, in the order of their records' numbers, with the kinds of the model that they stand for.
-const KINDS: [(BadKind, &[Kind]); 10] = [
+const KINDS: [(BadKind, &[Kind]); 14] = [
     (BadKind::Noise, &[Kind::Noise]),
     (BadKind::EndlessLine, &[Kind::EndlessLine]),
-    (BadKind::BadLength, &[Kind::WrongLength, Kind::NegativeLength, Kind::HugeLength]),
+    (BadKind::WrongLength, &[Kind::WrongLength]),
+    (BadKind::NegativeLength, &[Kind::NegativeLength]),
+    (BadKind::HugeLength, &[Kind::HugeLength]),
     (BadKind::HugeValue, &[Kind::HugeValue]),
-    (BadKind::BadFields, &[Kind::NoClass, Kind::BadDeadline, Kind::NoId]),
-    (BadKind::StolenId, &[Kind::ForeignId]),
-    (BadKind::HalfCommand, &[Kind::Half]),
-    (BadKind::ManyAtOnce, &[Kind::Burst]),
-    (BadKind::Hammer, &[Kind::Again]),
+    (BadKind::NoClass, &[Kind::NoClass]),
+    (BadKind::BadDeadline, &[Kind::BadDeadline]),
+    (BadKind::NoId, &[Kind::NoId]),
+    (BadKind::ForeignId, &[Kind::ForeignId]),
+    (BadKind::Half, &[Kind::Half]),
+    (BadKind::Burst, &[Kind::Burst]),
+    (BadKind::Again, &[Kind::Again]),
     (BadKind::Silent, &[Kind::Silent]),
 ];
 
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -113,7 +113,7 @@
     }
 
     fn empty(e: &Experiment, seed: u64) -> Self {
-        let classes = e.loads.iter().flat_map(|load| e.classes.iter().map(|c| class(c, load))).collect();
+        let classes = e.loads.iter().flat_map(|_| e.classes.iter().map(|c| class(c, e))).collect();
         let load = arrivals::Load { span: seconds(e.duration_s), classes, populations: Vec::new() };
         let notice = millis(e.world.nodes.notice_ms).max(100_000);
         let every = (notice / 4).clamp(50_000, 500_000);
@@ -194,10 +194,11 @@
     Line::of(&load.rate, e.duration_s, seed, number).times(&Line::window(load.from_s, until, 0.0, 1.0))
 }
 
-fn class(c: &crate::experiment::Class, load: &Load) -> arrivals::Class {
+fn class(c: &crate::experiment::Class, e: &Experiment) -> arrivals::Class {
+    let value = (e.world.origin.value_bytes, e.world.origin.value_sigma);
     let size = Spread::LogNormal {
-        median: f64::from(load.keys.value_bytes),
-        sigma: load.keys.value_sigma,
+        median: f64::from(value.0),
+        sigma: value.1,
         most: LONGEST_VALUE,
     };
     arrivals::Class {
@@ -231,18 +232,18 @@
 pub(crate) fn keys_of(e: &Experiment, load: &Load) -> Keys {
     let k = &load.keys;
     // Loads that begin at the same key share keys.
-    let space = e.loads.iter().position(|l| l.keys.first == k.first).unwrap_or(0);
+    let space = e.loads.iter().position(|l| l.keys.space == k.space).unwrap_or(0);
     Keys {
         space: space as u16,
         population: u32::try_from(k.count).unwrap_or(u32::MAX),
         exponent: k.zipf,
-        offset: k.offset,
+        offset: 0.0,
         drift: match k.drift_per_s {
             d if d > 0.0 => Drift::Renew { every: seconds(1.0 / d).max(1) },
             _ => Drift::Still,
         },
         hot: Vec::new(),
-        fresh: 0.0,
+        fresh: k.fresh,
     }
 }
 
--- a/crates/lab/src/run/changes.rs
+++ b/crates/lab/src/run/changes.rs
@@ -24,12 +24,12 @@
 impl Changes {
     pub(super) fn new(e: &Experiment, seed: u64) -> Self {
         let stream = |(number, load): (usize, &crate::experiment::Load)| {
-            let per_s = load.keys.changes_per_s * load.keys.count as f64;
+            let per_s = e.world.origin.changes_per_s / e.loads.len().max(1) as f64;
             let gap = Exp::new(per_s).ok().filter(|_| per_s > 0.0)?;
             let mut draws = stream(seed, "changes", number as u64);
             let next = seconds(gap.sample(&mut draws));
             let keys = KeyDraw::new(keys_of(e, load), number as u16);
-            Some(Stream { keys, count: load.keys.count, gap, next, draws })
+            Some(Stream { keys, count: load.keys.count.into(), gap, next, draws })
         };
         Self(e.loads.iter().enumerate().filter_map(stream).collect())
     }
--- a/crates/lab/src/run/fill.rs
+++ b/crates/lab/src/run/fill.rs
@@ -20,8 +20,8 @@
     for rank in 0..longest {
         for (draw, load) in draws.iter().filter(|(_, load)| rank < load.keys.count) {
             // The mean of a log-normal length.
-            let sigma = load.keys.value_sigma;
-            left -= f64::from(load.keys.value_bytes) * libm::exp(sigma * sigma / 2.0);
+            let sigma = e.world.origin.value_sigma;
+            left -= f64::from(e.world.origin.value_bytes) * libm::exp(sigma * sigma / 2.0);
             keys.push(Key(draw.ranked(rank as u32, 0).0));
         }
         if left <= 0.0 || keys.len() >= MOST {
