--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,9 +5,11 @@
 //! [`Action`]s that it answers with. All types that it speaks are in [`interface`].
 #![forbid(unsafe_code)]
 
+mod audit;
 pub mod interface;
 pub mod rules;
 mod state;
 
+pub use audit::Audit;
 pub use interface::*;
 pub use rules::Balancer;
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -81,12 +81,12 @@
     /// Our draw among the servers of a hot key.
     own: ServerId,
     now: Micros,
-    servers: Fleet,
+    pub(crate) servers: Fleet,
     table: KeyTable,
-    requests: Requests,
-    agenda: Agenda,
+    pub(crate) requests: Requests,
+    pub(crate) agenda: Agenda,
     learned: Learned,
-    origin: Origin,
+    pub(crate) origin: Origin,
 }
 
 impl Balancer {
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -219,6 +219,10 @@
 }
 
 impl Agenda {
+    pub fn len(&self) -> usize {
+        self.tasks.len()
+    }
+
     /// Adds a task; gives the time to the wake-up to ask for, if a new one is needed.
     pub fn add(&mut self, now: Micros, at: Micros, task: Task) -> Option<Micros> {
         let at = at.max(now + 1);
--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -75,6 +75,13 @@
         (takes && !self.stalls(stalled)).then_some((self.places.len(), first))
     }
 
+    /// Flows that somebody waits for, all places, and bytes held.
+    pub(crate) fn audit(&self) -> (usize, usize, usize) {
+        let unwritten: usize = self.places.iter().map(|p| p.bytes.len()).sum();
+        let carried = self.places.iter().filter(|p| !p.abandoned).count();
+        (carried, self.places.len(), unwritten + self.input.len())
+    }
+
     pub(crate) fn carries(&self, flow: FlowId) -> bool {
         self.places.iter().any(|p| p.flow.id == flow)
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -69,10 +69,10 @@
 
 /// Transactions, flows, members and the decisions about them. See the [crate](crate) for how hosts drive it.
 pub struct Engine {
-    deadlines: Deadlines<Deadline>,
-    pool: Pool,
-    transactions: Transactions,
-    balancer: Balancer,
+    pub(crate) deadlines: Deadlines<Deadline>,
+    pub(crate) pool: Pool,
+    pub(crate) transactions: Transactions,
+    pub(crate) balancer: Balancer,
     /// Room for what the decisions say, and for flows that a read has ended.
     actions: Vec<Action>,
     ended: Vec<(FlowId, Outcome, Option<CacheNote>)>,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -78,6 +78,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
+mod audit;
 mod config;
 mod connection;
 mod deadlines;
@@ -88,6 +89,7 @@
 mod request;
 mod transactions;
 
+pub use audit::Audit;
 pub use config::{Config, Limits};
 pub use deadlines::{Deadlines, Key as DeadlineKey};
 pub use engine::{Answers, Engine, LONGEST_HELD, Member, OVERDUE, TakeError};
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -119,6 +119,17 @@
         self.connections.len()
     }
 
+    /// Connections, members, flows carried that somebody waits for, flows waiting, places, and bytes held.
+    pub(crate) fn audit(&self) -> (usize, usize, usize, usize, usize, usize) {
+        let mut sums = (self.connections.len(), self.members.len(), 0, 0, 0, 0);
+        sums.3 = self.members.values().map(|m| m.waiting.len()).sum();
+        for c in self.connections.values() {
+            let (carried, places, bytes) = c.audit();
+            (sums.2, sums.4, sums.5) = (sums.2 + carried, sums.4 + places, sums.5 + bytes);
+        }
+        sums
+    }
+
     pub(crate) fn any_open(&self) -> bool {
         self.members.values().any(|m| !m.closed)
     }
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line: each sub-command reads its arguments here and calls the module that does the work.
 
 mod measure;
+mod sim;
 mod tool;
 mod world;
 
--- a/crates/lab/src/cli/tool.rs
+++ b/crates/lab/src/cli/tool.rs
@@ -21,6 +21,8 @@
     Compare(CompareArgs),
     /// Run many experiments and write one table.
     Table(TableArgs),
+    /// Play experiments, or random days, on a virtual clock.
+    Sim(super::sim::SimArgs),
     /// Start a world to try a node against by hand.
     Serve(ServeArgs),
     /// Measure what a served read costs a node, against a plain byte relay.
@@ -50,6 +52,7 @@
             Tool::Run(args) => args.call(),
             Tool::Compare(args) => args.call(),
             Tool::Table(args) => args.call(),
+            Tool::Sim(args) => args.call(),
             Tool::Serve(args) => args.call(),
             Tool::Cost(args) => args.call(),
             Tool::Relay { listen, to } => {
--- a/crates/lab/src/faults/active.rs
+++ b/crates/lab/src/faults/active.rs
@@ -4,21 +4,21 @@
 use std::collections::BTreeMap;
 
 /// Which occurrence an effect is of.
-pub(super) type Of = (usize, u32);
+pub(crate) type Of = (usize, u32);
 
 /// All effects that are on.
 #[derive(Debug, Default)]
-pub(super) struct Active(BTreeMap<(Target, Effect), Vec<(Of, f64)>>);
+pub(crate) struct Active(BTreeMap<(Target, Effect), Vec<(Of, f64)>>);
 
 impl Active {
     /// An effect begins. How strong it is now, all faults together.
-    pub(super) fn on(&mut self, target: Target, effect: Effect, of: Of, strength: f64) -> f64 {
+    pub(crate) fn on(&mut self, target: Target, effect: Effect, of: Of, strength: f64) -> f64 {
         self.0.entry((target, effect)).or_default().push((of, strength));
         self.now(target, effect)
     }
 
     /// It ends. How strong it is now.
-    pub(super) fn off(&mut self, target: Target, effect: Effect, of: Of) -> f64 {
+    pub(crate) fn off(&mut self, target: Target, effect: Effect, of: Of) -> f64 {
         if let Some(all) = self.0.get_mut(&(target, effect)) {
             all.retain(|other| other.0 != of);
         }
@@ -27,7 +27,7 @@
 
     /// How strong it is now: speeds are multiplied, shares add up as those of independent chances, and the others are
     /// on as long as any is.
-    pub(super) fn now(&self, target: Target, effect: Effect) -> f64 {
+    pub(crate) fn now(&self, target: Target, effect: Effect) -> f64 {
         let all = self.0.get(&(target, effect)).map_or(&[][..], Vec::as_slice);
         let strengths = all.iter().map(|one| one.1);
         match effect {
--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -3,7 +3,7 @@
 //! [`steps`] and [`Conditions`] decide without I/O; [`Hands`] reach into the stand-ins, the nodes' processes and the
 //! load.
 
-mod active;
+pub(crate) mod active;
 mod conditions;
 mod hands;
 mod steps;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -39,6 +39,8 @@
 pub mod rivals;
 #[cfg(feature = "tool")]
 pub mod run;
+#[cfg(feature = "tool")]
+pub mod sim;
 pub mod stand;
 #[cfg(feature = "tool")]
 pub mod stats;
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -13,11 +13,11 @@
 mod links;
 mod live;
 mod net;
-mod nodes;
+pub(crate) mod nodes;
 mod plan;
 mod policy;
 mod probe;
-mod reply;
+pub(crate) mod reply;
 mod wire;
 
 pub use driver::Command;
--- a/crates/lab/src/load/nodes.rs
+++ b/crates/lab/src/load/nodes.rs
@@ -15,13 +15,13 @@
 
 /// A request on a connection.
 #[derive(Clone, Copy, Debug)]
-struct Sent {
-    id: u64,
-    key: u64,
-    write: bool,
-    until: Micros,
-    wrote: bool,
-    began: bool,
+pub(crate) struct Sent {
+    pub(crate) id: u64,
+    pub(crate) key: u64,
+    pub(crate) write: bool,
+    pub(crate) until: Micros,
+    pub(crate) wrote: bool,
+    pub(crate) began: bool,
 }
 
 /// A client's connection.
@@ -188,7 +188,7 @@
 }
 
 /// What a client makes of an answer.
-fn hear(reply: &Reply<'_>, to: &Sent, req: ReqId, conn: u32) -> (ClientEvent, clients::Reply) {
+pub(crate) fn hear(reply: &Reply<'_>, to: &Sent, req: ReqId, conn: u32) -> (ClientEvent, clients::Reply) {
     let (digest, fits) = reply::judge(reply.answer, reply.body, to.key, to.id);
     let fits = fits && matches!((reply.answer, to.write), (Answer::Value, false) | (Answer::Receipt, true))
         || !reply.answer.served();
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -196,11 +196,7 @@
 
 fn class(c: &crate::experiment::Class, e: &Experiment) -> arrivals::Class {
     let value = (e.world.origin.value_bytes, e.world.origin.value_sigma);
-    let size = Spread::LogNormal {
-        median: f64::from(value.0),
-        sigma: value.1,
-        most: LONGEST_VALUE,
-    };
+    let size = Spread::LogNormal { median: f64::from(value.0), sigma: value.1, most: LONGEST_VALUE };
     arrivals::Class {
         name: c.name.clone(),
         write: c.write,
--- a/crates/lab/src/run/fill.rs
+++ b/crates/lab/src/run/fill.rs
@@ -11,14 +11,14 @@
 /// Keys for a server of a kind, the most popular last so that they are the last to go. It is the same for every arm:
 /// where clients choose at random each server comes to hold just these, and where keys have homes each server holds
 /// more than its own until those have taken their places.
-pub(super) fn popular(e: &Experiment, kind: &ServerKind) -> Vec<Key> {
+pub(crate) fn popular(e: &Experiment, kind: &ServerKind) -> Vec<Key> {
     let draws: Vec<_> =
         e.loads.iter().enumerate().map(|(n, l)| (KeyDraw::new(keys_of(e, l), n as u16), l)).collect();
     let mut left = kind.memory_mb * f64::from(1 << 20);
     let mut keys = Vec::new();
     let longest = e.loads.iter().map(|l| l.keys.count).max().unwrap_or(0);
     for rank in 0..longest {
-        for (draw, load) in draws.iter().filter(|(_, load)| rank < load.keys.count) {
+        for (draw, _) in draws.iter().filter(|(_, load)| rank < load.keys.count) {
             // The mean of a log-normal length.
             let sigma = e.world.origin.value_sigma;
             left -= f64::from(e.world.origin.value_bytes) * libm::exp(sigma * sigma / 2.0);
--- a/crates/lab/src/run/mod.rs
+++ b/crates/lab/src/run/mod.rs
@@ -3,7 +3,7 @@
 
 mod arm;
 mod changes;
-mod fill;
+pub(crate) mod fill;
 mod progress;
 mod sink;
 mod table;
--- /dev/null
+++ b/crates/lab/src/sim/node.rs
@@ -0,0 +1,704 @@
+//! A node in the simulated world: the engine, its front and its watch on discovery, driven as the daemon's loop drives
+//! them, turn by turn; and what is checked after each turn.
+
+use super::audit::{self, Flows};
+use super::cx::Cx;
+use super::front::{Deadline, Front, News as FrontNews};
+use super::sock::{Ending, Read, Sock};
+use super::strike::{Blow, Moment, Scene};
+use super::watch::{Do, News, Watch};
+use super::world::Address;
+use crate::Micros;
+use bytes::Bytes;
+use lapisrudder_codec::memcache::OwnedRequest;
+use lapisrudder_config::{Options, Platform, Target, digest, micros};
+use lapisrudder_decisions::{Key, RequestId, Scope, Settings};
+use lapisrudder_engine::{
+    Answer, Answers, Conn as Name, Deadlines, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request,
+    TakeError,
+};
+use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
+use lapisrudder_model::network::{Conn, Host, Side};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeSet, VecDeque};
+use std::net::{IpAddr, SocketAddr};
+
+const ACCEPTS_ON: Micros = 500_000;
+const STOP_TAKING: Micros = 150_000;
+const LAST_CALL: Micros = 450_000;
+const LONGEST_WAIT: Micros = 3_000_000;
+/// Descriptors of the daemon that are neither clients' nor members'.
+const OWN_SOCKETS: usize = 24;
+const CLIENTS_SHARE: usize = 3;
+/// What one read takes.
+const CHUNK: usize = 64 << 10;
+
+pub(super) struct Owed {
+    client: u64,
+    ticket: Ticket,
+    /// The latest time by which the engine must have answered.
+    by: Micros,
+}
+
+#[derive(Default)]
+pub(super) struct Ledger {
+    pub(super) owed: FxHashMap<RequestId, Owed>,
+    tickets: FxHashMap<Ticket, RequestId>,
+    pub(super) by: BTreeSet<(Micros, RequestId)>,
+}
+
+impl Ledger {
+    fn add(&mut self, request: RequestId, owed: Owed) {
+        self.tickets.insert(owed.ticket, request);
+        self.by.insert((owed.by, request));
+        self.owed.insert(request, owed);
+    }
+
+    fn take(&mut self, request: RequestId) -> Option<Owed> {
+        let owed = self.owed.remove(&request)?;
+        self.tickets.remove(&owed.ticket);
+        self.by.remove(&(owed.by, request));
+        Some(owed)
+    }
+}
+
+struct FrontAnswers<'a> {
+    front: &'a mut Front,
+    ledger: &'a mut Ledger,
+    flows: &'a mut Flows,
+    cx: &'a mut Cx,
+}
+
+impl Answers for FrontAnswers<'_> {
+    fn served(&mut self, transaction: RequestId, request: &Request, answer: Answer<'_>) {
+        let id = request.command.id();
+        let Some(Owed { client, ticket, .. }) = self.ledger.take(transaction) else {
+            return self.cx.broken("one-answer", || {
+                format!("a second final answer for {}", String::from_utf8_lossy(id))
+            });
+        };
+        self.flows.over(id);
+        let done = match answer {
+            Answer::Value(value) => {
+                let length = value.len().to_string();
+                let parts = [b"VA ", length.as_bytes(), b" O", id, b"\r\n", value, b"\r\n"];
+                self.front.answer(client, transaction.0, &parts, self.cx)
+            }
+            Answer::Receipt(receipt) => {
+                let parts: [&[u8]; 5] = [b"HD O", id, b" c", receipt, b"\r\n"];
+                self.front.answer(client, transaction.0, &parts, self.cx)
+            }
+        };
+        if !done {
+            self.cx.broken("one-answer", || "an answer that no client waits for".into());
+        }
+        self.front.over(ticket, true, self.cx.now);
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Phase {
+    Serving,
+    Stopping,
+    Leaving,
+    Draining,
+    Over,
+}
+
+struct MemberSock {
+    sock: Sock,
+    up: bool,
+}
+
+/// Whose a connection is.
+#[derive(Clone, Copy)]
+enum Owner {
+    Front,
+    Member(Name),
+    Discovery,
+}
+
+/// A node's process.
+pub(super) struct Process {
+    pub(super) number: usize,
+    host: Host,
+    pub(super) engine: Engine,
+    pub(super) front: Front,
+    watch: Watch,
+    options: Options,
+    due: Deadlines<Deadline>,
+    pub(super) ledger: Ledger,
+    pub(super) flows: Flows,
+    owners: FxHashMap<Conn, Owner>,
+    members: FxHashMap<Name, MemberSock>,
+    discovery: Option<MemberSock>,
+    discovery_at: SocketAddr,
+    /// Connections with something to tell.
+    ready: VecDeque<Conn>,
+    phase: Phase,
+    longest_wait: Micros,
+    pub(super) sockets: usize,
+    most_held: usize,
+    most_bytes: usize,
+    descriptors: usize,
+    memory: u64,
+    reserve: (usize, usize),
+    turns: u32,
+    pub(super) last_turn: Micros,
+    /// A strike has ended the process in the midst of its turn.
+    pub(super) crashed: bool,
+    /// One turn reads from so many connections at the most: what is left shows to who looks.
+    pub(super) most_ready: usize,
+}
+
+impl Process {
+    pub(super) fn new(
+        number: usize,
+        host: Host,
+        config: Platform,
+        seed: u64,
+        now: Micros,
+    ) -> Option<Process> {
+        let settings = Settings::from(&config.options);
+        let bounds = &config.options.bounds;
+        let sockets = config.sockets - OWN_SOCKETS;
+        let limits = Limits::shared(
+            settings.siblings,
+            micros(bounds.connect_timeout_s),
+            micros(bounds.conn_idle_s),
+            bounds.multiplex,
+            sockets / 2,
+        );
+        let admission = Admission::new(lapisrudder_limits::Settings::default(), seed, now).ok()?;
+        let longest = config.options.request_classes.iter().map(|c| micros(c.give_up_s)).max();
+        let attempts = settings.max_attempts;
+        let most_held = bounds.most_held.max(1);
+        let mut process = Process {
+            number,
+            host,
+            engine: Engine::new(lapisrudder_engine::Config { settings, seed, limits }, now),
+            front: Front::new(admission),
+            watch: Watch::new(config.discovery, config.revision),
+            due: Deadlines::default(),
+            ledger: Ledger::default(),
+            flows: Flows::new(attempts),
+            owners: FxHashMap::default(),
+            members: FxHashMap::default(),
+            discovery: None,
+            discovery_at: config.discovery,
+            ready: VecDeque::new(),
+            phase: Phase::Serving,
+            longest_wait: longest.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT),
+            sockets,
+            most_held,
+            most_bytes: (config.memory_mb as usize) << 18,
+            descriptors: config.sockets,
+            memory: config.memory_mb << 20,
+            reserve: (usize::MAX, 0),
+            turns: 0,
+            last_turn: now,
+            crashed: false,
+            most_ready: usize::MAX,
+            options: config.options,
+        };
+        process.listed(Scope::Remembered, config.known);
+        Some(process)
+    }
+
+    pub(super) fn is_over(&self) -> bool {
+        self.phase == Phase::Over
+    }
+
+    /// When it has something to do by itself.
+    pub(super) fn next(&self) -> Option<Micros> {
+        if self.front.is_behind() || !self.ready.is_empty() || self.front.waits() {
+            return Some(Micros::MIN);
+        }
+        let own = [self.due.next(), self.engine.next_wake(), self.front.due(), self.watch.next()];
+        own.into_iter().flatten().min()
+    }
+
+    /// Descriptors in use.
+    pub(super) fn descriptors(&self) -> usize {
+        OWN_SOCKETS + self.front.held().clients + self.members.len()
+    }
+
+    // ---- What the network tells -----------------------------------------------------------------------
+
+    /// A client's connection has come. False if nobody listens.
+    pub(super) fn arrive(&mut self, conn: Conn, from: IpAddr) -> bool {
+        let taken = self.front.arrive(conn, from);
+        if taken {
+            self.owners.insert(conn, Owner::Front);
+        }
+        taken
+    }
+
+    /// A connect has come up, or not.
+    pub(super) fn connect_ended(&mut self, conn: Conn, up: bool) {
+        match self.owners.get(&conn) {
+            Some(Owner::Member(name)) => {
+                if let Some(member) = self.members.get_mut(name) {
+                    member.up = up;
+                    if !up {
+                        member.sock.ended(Ending::Reset);
+                    }
+                }
+            }
+            Some(Owner::Discovery) => {
+                if let Some(discovery) = &mut self.discovery {
+                    discovery.up = up;
+                    if !up {
+                        discovery.sock.ended(Ending::Reset);
+                    }
+                }
+            }
+            _ => return,
+        }
+        self.note_ready(conn);
+    }
+
+    pub(super) fn deliver(&mut self, cx: &mut Cx, conn: Conn, what: Result<Bytes, Ending>) {
+        let sock = match self.owners.get(&conn) {
+            Some(Owner::Front) => {
+                self.front.deliver(cx, conn, what);
+                return self.note_ready(conn);
+            }
+            Some(Owner::Member(name)) => self.members.get_mut(name).map(|m| &mut m.sock),
+            Some(Owner::Discovery) => self.discovery.as_mut().map(|d| &mut d.sock),
+            None => None,
+        };
+        match (sock, what) {
+            (Some(sock), Ok(bytes)) => sock.deliver(cx, bytes),
+            (Some(sock), Err(how)) => sock.ended(how),
+            (None, _) => return,
+        }
+        self.note_ready(conn);
+    }
+
+    pub(super) fn writable(&mut self, conn: Conn) {
+        if self.owners.contains_key(&conn) {
+            self.note_ready(conn);
+        }
+    }
+
+    fn note_ready(&mut self, conn: Conn) {
+        if !self.ready.contains(&conn) {
+            self.ready.push_back(conn);
+        }
+    }
+
+    // ---- What operators do ----------------------------------------------------------------------------
+
+    pub(super) fn stop(&mut self, now: Micros) {
+        if self.phase == Phase::Serving {
+            self.phase = Phase::Stopping;
+            self.front.stopping();
+            self.due.add(now + ACCEPTS_ON, Deadline::Leave);
+            self.due.add(now + self.longest_wait + STOP_TAKING, Deadline::StopAccepting);
+            self.due.add(now + self.longest_wait + LAST_CALL, Deadline::LastCall);
+        }
+    }
+
+    /// SIGHUP with a changed file: discovery may have moved.
+    pub(super) fn reload(&mut self, discovery: SocketAddr, cx: &mut Cx) {
+        if discovery != self.discovery_at {
+            self.discovery_at = discovery;
+            self.watch.move_to(discovery, cx.now);
+            self.see_to_watch(cx);
+        }
+    }
+
+    // ---- A turn ---------------------------------------------------------------------------------------
+
+    /// One turn of its loop: reads all that has come, sweeps deadlines, and carries out what the engine says.
+    pub(super) fn turn(&mut self, cx: &mut Cx) {
+        cx.counts.turns += 1;
+        self.turns = self.turns.wrapping_add(1);
+        if self.front.waits() {
+            self.front.accept(cx, &mut self.due);
+        }
+        let reads = self.ready.len().min(self.most_ready);
+        for _ in 0..reads {
+            let Some(conn) = self.ready.pop_front() else { break };
+            self.on_ready(conn, cx);
+        }
+        self.sweep(cx);
+        self.keep_limits(cx);
+        self.front.read_on(cx, &mut self.due);
+        loop {
+            self.front_news(cx);
+            match self.engine.poll_order(cx.now) {
+                Some(order) => self.carry_out(order, cx),
+                None if self.front.news.is_empty() => break,
+                None => {}
+            }
+            if self.crashed {
+                return;
+            }
+        }
+        if !self.front.ready && self.engine.any_open() {
+            self.front.now_ready(cx);
+        }
+        if matches!(self.phase, Phase::Leaving | Phase::Draining) && self.front.is_empty() {
+            self.phase = Phase::Over;
+        }
+        if cx.checks.on && !self.is_over() {
+            self.check(cx);
+        }
+    }
+
+    fn on_ready(&mut self, conn: Conn, cx: &mut Cx) {
+        match self.owners.get(&conn).copied() {
+            Some(Owner::Front) => {
+                if let Some(id) = self.front.client_of(conn) {
+                    self.front.on_ready(id, cx, &mut self.due);
+                    self.front_news(cx);
+                }
+            }
+            Some(Owner::Member(name)) => self.member_ready(name, cx),
+            Some(Owner::Discovery) => self.discovery_ready(cx),
+            None => {}
+        }
+    }
+
+    fn member_ready(&mut self, name: Name, cx: &mut Cx) {
+        let Some(member) = self.members.get_mut(&name) else { return };
+        if !member.up {
+            if member.sock.is_reset() {
+                return self.engine.broken(cx.now, name);
+            }
+            return;
+        }
+        // Told once: what it is told again it does not hear.
+        self.engine.connected(cx.now, name);
+        self.engine.writable(name);
+        loop {
+            let Some(member) = self.members.get_mut(&name) else { return };
+            let (now, read) = (cx.now, member.sock.read(cx, CHUNK));
+            let Process { engine, front, ledger, flows, .. } = self;
+            let mut answers = FrontAnswers { front, ledger, flows, cx };
+            match read {
+                Read::Nothing => return,
+                Read::Over(Ending::End) => return engine.ended(now, name, &mut answers),
+                Read::Over(Ending::Reset) => return engine.broken(now, name),
+                Read::Bytes(bytes) => {
+                    if !engine.received(now, name, &bytes, &mut answers) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    fn discovery_ready(&mut self, cx: &mut Cx) {
+        let Some(discovery) = &mut self.discovery else { return };
+        if !discovery.up {
+            if discovery.sock.is_reset() {
+                let news = self.watch.not_up();
+                self.discovery_news(Some(news), cx);
+            }
+            return;
+        }
+        self.watch.up();
+        self.see_to_watch(cx);
+        loop {
+            let Some(discovery) = &mut self.discovery else { return };
+            let news = match discovery.sock.read(cx, CHUNK) {
+                Read::Nothing => return,
+                Read::Bytes(bytes) => self.watch.received(&bytes, false, &self.options, cx.now),
+                Read::Over(_) => {
+                    let news = self.watch.received(&[], true, &self.options, cx.now);
+                    return self.discovery_news(news, cx);
+                }
+            };
+            let told = news.is_some();
+            self.discovery_news(news, cx);
+            if told {
+                return;
+            }
+        }
+    }
+
+    fn discovery_news(&mut self, news: Option<News>, cx: &mut Cx) {
+        match news {
+            Some(News::List { scope, targets }) => {
+                if targets.iter().any(|t| t.listed.stage != lapisrudder_decisions::Stage::Live) {
+                    let scene = Scene { node: Some(self.number), ..Scene::default() };
+                    cx.moment(Moment::ToldDrain, scene);
+                }
+                self.listed(scope, targets);
+            }
+            Some(News::Failed) => self.engine.list_failed(),
+            None => {}
+        }
+        self.see_to_watch(cx);
+    }
+
+    fn listed(&mut self, scope: Scope, targets: Vec<Target>) {
+        self.flows.listed(scope, &targets);
+        self.reserve.0 = usize::MAX;
+        let member = |t: Target| Member { listed: t.listed, endpoint: t.endpoint };
+        self.engine.listed(scope, targets.into_iter().map(member).collect());
+    }
+
+    /// Carries out what the watch on discovery wants.
+    fn see_to_watch(&mut self, cx: &mut Cx) {
+        for todo in std::mem::take(&mut self.watch.todo) {
+            match todo {
+                Do::Close => {
+                    if let Some(discovery) = self.discovery.take() {
+                        self.owners.remove(&discovery.sock.conn);
+                        discovery.sock.close(cx);
+                    }
+                }
+                Do::Connect(at) => {
+                    let conn = cx.connect(self.host, Address::of(at).host);
+                    self.owners.insert(conn, Owner::Discovery);
+                    self.discovery = Some(MemberSock { sock: Sock::new(conn, Side::Client), up: false });
+                }
+                Do::Write => self.write_discovery(cx),
+            }
+        }
+    }
+
+    fn write_discovery(&mut self, cx: &mut Cx) {
+        let Some(discovery) = self.discovery.as_ref().filter(|d| d.up) else { return };
+        match discovery.sock.write(cx, self.watch.transmit()) {
+            Ok(n) => self.watch.transmitted(n),
+            // The read that follows tells.
+            Err(_) => {}
+        }
+    }
+
+    fn sweep(&mut self, cx: &mut Cx) {
+        while let Some(deadline) = self.due.pop_due(cx.now) {
+            match deadline {
+                Deadline::Client(id) => self.front.on_deadline(id, cx, &mut self.due),
+                Deadline::Accept => {
+                    self.front.resume(&mut self.due);
+                    self.front.accept(cx, &mut self.due);
+                }
+                Deadline::Leave => self.phase = Phase::Leaving,
+                Deadline::StopAccepting => {
+                    self.phase = Phase::Draining;
+                    self.front.stop_accepting(cx, &mut self.due);
+                }
+                Deadline::LastCall => {
+                    let mut open: Vec<RequestId> = self.ledger.owed.keys().copied().collect();
+                    open.sort_unstable();
+                    open.into_iter().for_each(|id| self.end(id, b"SERVER_ERROR failed\r\n", cx));
+                    self.phase = Phase::Over;
+                }
+            }
+        }
+        if self.watch.next().is_some_and(|at| at <= cx.now) {
+            let news = self.watch.on_deadline();
+            self.discovery_news(Some(news), cx);
+        }
+        self.engine.wake(cx.now);
+    }
+
+    fn keep_limits(&mut self, cx: &mut Cx) {
+        // What the members may take changes with the list and with connections only.
+        let connections = self.engine.connections();
+        if self.reserve.0 != connections {
+            self.reserve = (connections, self.engine.reserve());
+        }
+        let resources = Resources {
+            connections: self.sockets - self.reserve.1,
+            clients_room: self.descriptors / CLIENTS_SHARE,
+            in_flight: self.most_held,
+            buffer_bytes: self.most_bytes,
+            descriptors: Used::default(),
+            memory: Used { used: 0, limit: self.memory },
+            ports: Used::default(),
+        };
+        self.front.resources(cx.now, &resources);
+        self.front.keep_limits(cx, &mut self.due);
+    }
+
+    // ---- Requests -------------------------------------------------------------------------------------
+
+    fn front_news(&mut self, cx: &mut Cx) {
+        while let Some(news) = self.front.news.pop_front() {
+            match news {
+                FrontNews::Command { client, request, command } => self.take(client, request, command, cx),
+                FrontNews::Left { request } => {
+                    if let Some(owed) = self.ledger.take(RequestId(request)) {
+                        self.front.over(owed.ticket, false, cx.now);
+                        self.flows.left(request);
+                        self.engine.left(RequestId(request));
+                    }
+                }
+                FrontNews::Recall { ticket, retry_ms } => {
+                    let Some(&request) = self.ledger.tickets.get(&ticket) else { continue };
+                    self.end(request, format!("SERVER_ERROR busy {retry_ms}\r\n").as_bytes(), cx);
+                    self.engine.left(request);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, client: u64, number: u64, command: OwnedRequest, cx: &mut Cx) {
+        let now = cx.now;
+        let request = command.get();
+        let name = request.named(b"c").unwrap_or_default();
+        let class = self.options.request_classes.iter().position(|c| c.name.as_bytes() == name);
+        let Some(class) = class else {
+            return self.front.reject(client, number, "unknown class", cx);
+        };
+        let Some(wait) = request.wait_ms() else {
+            return self.front.reject(client, number, "bad time to wait", cx);
+        };
+        if self.engine.is_named(request.id) {
+            return self.front.reject(client, number, TakeError::IdInUse, cx);
+        }
+        let due = now + (wait as Micros).saturating_mul(1000).clamp(0, LONGEST_HELD);
+        let facts = Facts {
+            worth: self.options.request_classes[class].worth,
+            left: due - now,
+            bytes: command.bytes(),
+            class,
+            recallable: self.options.request_classes[class].may_repeat(),
+        };
+        let ticket = match self.front.intake(client, &facts, now) {
+            Intake::Take { ticket } => ticket,
+            Intake::Refuse { retry_ms, .. } => {
+                let line = format!("SERVER_ERROR busy {}\r\n", retry_ms.max(1));
+                self.front.answer(client, number, &[line.as_bytes()], cx);
+                return;
+            }
+        };
+        let key = Key(digest(&String::from_utf8_lossy(request.key)));
+        let repeated = request.named(b"r") == Some(b"1");
+        let id: Box<[u8]> = request.id.into();
+        let request = Request { command, key, class, tenant: 0, hint: None, repeated, due };
+        match self.engine.take(now, RequestId(number), request) {
+            Ok(()) => {
+                cx.counts.taken += 1;
+                let by = due + lapisrudder_engine::OVERDUE;
+                self.ledger.add(RequestId(number), Owed { client, ticket, by });
+                self.flows.taken(number, id);
+                let scene = Scene { node: Some(self.number), ..Scene::default() };
+                cx.moment(Moment::Taken, scene);
+            }
+            Err(what) => {
+                self.front.over(ticket, false, now);
+                self.front.reject(client, number, what, cx);
+            }
+        }
+    }
+
+    fn end(&mut self, id: RequestId, line: &[u8], cx: &mut Cx) {
+        let Some(Owed { client, ticket, .. }) = self.ledger.take(id) else {
+            return cx.broken("one-answer", || format!("a second final answer for number {}", id.0));
+        };
+        self.flows.ended(id.0);
+        if !self.front.answer(client, id.0, &[line], cx) {
+            cx.broken("one-answer", || "an answer that no client waits for".into());
+        }
+        self.front.over(ticket, false, cx.now);
+    }
+
+    fn carry_out(&mut self, order: Order, cx: &mut Cx) {
+        match order {
+            Order::Connect { conn, to } => {
+                cx.counts.connects += 1;
+                let on = cx.connect(self.host, Address::of(to).host);
+                self.owners.insert(on, Owner::Member(conn));
+                self.members.insert(conn, MemberSock { sock: Sock::new(on, Side::Client), up: false });
+                self.flows.connect(conn, to);
+            }
+            Order::Write { conn, look } => self.write(conn, look, cx),
+            Order::Close { conn } => {
+                if let Some(member) = self.members.remove(&conn) {
+                    self.owners.remove(&member.sock.conn);
+                    self.flows.closed(conn);
+                    cx.sends.remove(&member.sock.conn);
+                    member.sock.close(cx);
+                }
+            }
+            Order::Answer { transaction, answer } => match answer {
+                Final::Refused { retry_in: None } => self.end(transaction, b"SERVER_ERROR busy\r\n", cx),
+                Final::Refused { retry_in: Some(retry_in) } => {
+                    let line = format!("SERVER_ERROR busy {}\r\n", (retry_in / 1000).max(1));
+                    self.end(transaction, line.as_bytes(), cx);
+                }
+                Final::Failed { .. } | Final::Overdue { .. } => {
+                    self.end(transaction, b"SERVER_ERROR failed\r\n", cx);
+                }
+            },
+            Order::Watch => {
+                self.watch.watch(cx.now);
+                self.see_to_watch(cx);
+            }
+        }
+    }
+
+    fn write(&mut self, conn: Name, look: bool, cx: &mut Cx) {
+        let Some(member) = self.members.get(&conn) else { return };
+        if look && member.sock.has_unread() {
+            return self.engine.broken(cx.now, conn);
+        }
+        let on = member.sock.conn;
+        let scene = Scene { node: Some(self.number), conn: Some(on), ..Scene::default() };
+        if let Some(Blow::KillNode(_)) = cx.moment(Moment::Writes, scene) {
+            self.crashed = true;
+            return;
+        }
+        loop {
+            let whole: Vec<u8> = self.engine.transmit(conn).flatten().copied().collect();
+            if whole.is_empty() {
+                return;
+            }
+            let Some(member) = self.members.get(&conn) else { return };
+            match member.sock.write(cx, &whole) {
+                Ok(written) => {
+                    if cx.checks.on {
+                        self.flows.wrote(self.number, conn, &whole[..written], cx);
+                    }
+                    cx.sends.entry(on).or_default().wrote(written, cx.now);
+                    cx.digest.add(written as u64 ^ (self.number as u64) << 32);
+                    self.engine.transmitted(conn, written);
+                    if written < whole.len() {
+                        return;
+                    }
+                }
+                Err(_) => return self.engine.broken(cx.now, conn),
+            }
+        }
+    }
+
+    fn check(&mut self, cx: &mut Cx) {
+        audit::turn(self, cx);
+        if self.turns % cx.checks.every == 0 {
+            audit::books(self, cx);
+        }
+    }
+
+    /// Connections that the node has sockets for, and when the engine wants to be woken.
+    pub(super) fn sockets_held(&self) -> usize {
+        self.members.len()
+    }
+}
+
+impl Process {
+    /// The process ends: the kernel closes its sockets, and what was written still goes out.
+    pub(super) fn close_all(self, cx: &mut Cx) {
+        let mut all: Vec<(Conn, Owner)> = self.owners.iter().map(|(c, o)| (*c, *o)).collect();
+        all.sort_unstable_by_key(|one| one.0);
+        for (conn, owner) in all {
+            let side = if matches!(owner, Owner::Front) { Side::Server } else { Side::Client };
+            cx.sends.remove(&conn);
+            cx.net.close(cx.now, conn, side);
+        }
+    }
+
+    /// The process dies.
+    pub(super) fn forget(self, cx: &mut Cx) {
+        for member in self.members.values() {
+            cx.sends.remove(&member.sock.conn);
+        }
+    }
+}
--- a/crates/lab/src/stand/asked.rs
+++ b/crates/lab/src/stand/asked.rs
@@ -10,35 +10,35 @@
 
 /// A request for the server's state machine.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) struct Asked {
+pub(crate) struct Asked {
     /// Its id as it came.
-    pub(super) id: Box<[u8]>,
-    pub(super) key: Key,
-    pub(super) write: bool,
+    pub(crate) id: Box<[u8]>,
+    pub(crate) key: Key,
+    pub(crate) write: bool,
     /// Place of its class; past the end for one that nobody knows.
-    pub(super) class: u8,
+    pub(crate) class: u8,
     /// Bytes that it brings.
-    pub(super) size: u32,
-    pub(super) keyed: Option<IdempotencyKey>,
-    pub(super) left_us: Option<Micros>,
+    pub(crate) size: u32,
+    pub(crate) keyed: Option<IdempotencyKey>,
+    pub(crate) left_us: Option<Micros>,
     /// The connection ends behind its answer.
-    pub(super) last: bool,
+    pub(crate) last: bool,
 }
 
 impl Asked {
-    pub(super) fn request(&self) -> RequestId {
+    pub(crate) fn request(&self) -> RequestId {
         RequestId::of(&self.id)
     }
 
     /// As the ledger names it.
-    pub(super) fn req(&self) -> ReqId {
+    pub(crate) fn req(&self) -> ReqId {
         if self.id.is_empty() { ReqId::NONE } else { ReqId(self.request().0) }
     }
 }
 
 /// What came.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) enum Input {
+pub(crate) enum Input {
     Request(Asked),
     /// Answered by the stand-in itself, in its turn.
     Say {
@@ -51,7 +51,7 @@
 
 /// The next thing at the start of a buffer and the bytes it took. What cannot be read is answered by an error line, and
 /// the connection ends.
-pub(super) fn next_input(speaks: Protocol, input: &[u8], classes: &[String]) -> Option<(Input, usize)> {
+pub(crate) fn next_input(speaks: Protocol, input: &[u8], classes: &[String]) -> Option<(Input, usize)> {
     let found = match speaks {
         Protocol::Memcache => from_memcache(input, classes),
         Protocol::Http => from_http(input, classes),
@@ -126,14 +126,14 @@
 }
 
 /// An answer as bytes, as the ledger names it, and the digest of its value or receipt.
-pub(super) struct Worded {
-    pub(super) bytes: Vec<u8>,
-    pub(super) answer: ledger::Answer,
-    pub(super) digest: u64,
+pub(crate) struct Worded {
+    pub(crate) bytes: Vec<u8>,
+    pub(crate) answer: ledger::Answer,
+    pub(crate) digest: u64,
 }
 
 /// The good answer to a request; `None` if nothing is to come.
-pub(super) fn word(speaks: Protocol, answered: &Answered, asked: &Asked) -> Option<Worded> {
+pub(crate) fn word(speaks: Protocol, answered: &Answered, asked: &Asked) -> Option<Worded> {
     let (answer, body) = match answered.answer {
         Answer::Hit { value } => (ledger::Answer::Value, make(&value)),
         Answer::Receipt(receipt) => (ledger::Answer::Receipt, receipt.to_string().into_bytes()),
@@ -151,7 +151,7 @@
 }
 
 /// The refusal of a request that the state machine never saw.
-pub(super) fn word_busy(speaks: Protocol, asked: &Asked) -> Vec<u8> {
+pub(crate) fn word_busy(speaks: Protocol, asked: &Asked) -> Vec<u8> {
     match speaks {
         Protocol::Memcache => in_memcache(ledger::Answer::Busy, b"", None, &asked.id),
         Protocol::Http => in_http(ledger::Answer::Busy, b"", asked.last),
@@ -190,7 +190,7 @@
 }
 
 /// The codec's name for a way to spoil an answer.
-pub(super) fn spoil_of(noise: Noise) -> Spoil {
+pub(crate) fn spoil_of(noise: Noise) -> Spoil {
     match noise {
         Noise::Garbage => Spoil::Garbage,
         Noise::BadLine => Spoil::BadLine,
--- a/crates/lab/src/stand/missed.rs
+++ b/crates/lab/src/stand/missed.rs
@@ -10,13 +10,13 @@
 
 /// Which servers missed for which request.
 #[derive(Debug, Default)]
-pub(super) struct Missed {
+pub(crate) struct Missed {
     servers: FxHashMap<RequestId, Vec<usize>>,
     since: VecDeque<(Micros, RequestId)>,
 }
 
 impl Missed {
-    pub(super) fn add(&mut self, now: Micros, request: RequestId, server: usize) {
+    pub(crate) fn add(&mut self, now: Micros, request: RequestId, server: usize) {
         while let Some((_, old)) = self.since.front().filter(|first| first.0 <= now - KEPT) {
             self.servers.remove(old);
             self.since.pop_front();
@@ -31,7 +31,7 @@
     }
 
     /// The origin has answered the request: who missed, in order.
-    pub(super) fn take(&mut self, request: RequestId) -> Vec<usize> {
+    pub(crate) fn take(&mut self, request: RequestId) -> Vec<usize> {
         self.servers.get_mut(&request).map(std::mem::take).unwrap_or_default()
     }
 }
--- a/crates/lab/src/stand/mod.rs
+++ b/crates/lab/src/stand/mod.rs
@@ -23,7 +23,7 @@
 //! ```
 
 mod acts;
-mod asked;
+pub(crate) mod asked;
 mod build;
 mod clock;
 mod conn;
@@ -32,12 +32,12 @@
 mod discovery;
 mod door;
 mod lag;
-mod missed;
+pub(crate) mod missed;
 mod of_experiment;
 mod peers;
 mod run;
 mod scripted;
-mod server;
+pub(crate) mod server;
 mod sink;
 mod socket;
 mod spec;
--- a/crates/lab/src/stand/server.rs
+++ b/crates/lab/src/stand/server.rs
@@ -19,7 +19,7 @@
 use std::collections::VecDeque;
 
 /// The state machine of a cache server or the origin.
-pub(super) enum Machine {
+pub(crate) enum Machine {
     Cache(Box<CacheServer>),
     Origin(Box<Origin>),
 }
@@ -34,36 +34,36 @@
 }
 
 impl Machine {
-    pub(super) fn handle(&mut self, now: Micros, event: Event) {
+    pub(crate) fn handle(&mut self, now: Micros, event: Event) {
         each!(self, m => m.handle(now, event));
     }
 
-    pub(super) fn poll(&mut self, now: Micros) -> Option<Order> {
+    pub(crate) fn poll(&mut self, now: Micros) -> Option<Order> {
         each!(self, m => m.poll(now))
     }
 
-    pub(super) fn poll_begun(&mut self) -> Option<Begun> {
+    pub(crate) fn poll_begun(&mut self) -> Option<Begun> {
         each!(self, m => m.poll_begun())
     }
 
-    pub(super) fn next(&self) -> Option<Micros> {
+    pub(crate) fn next(&self) -> Option<Micros> {
         each!(self, m => m.next())
     }
 
-    pub(super) fn state(&self) -> State {
+    pub(crate) fn state(&self) -> State {
         each!(self, m => m.state())
     }
 
-    pub(super) fn books(&mut self, now: Micros) -> Books {
+    pub(crate) fn books(&mut self, now: Micros) -> Books {
         each!(self, m => m.books(now))
     }
 
-    pub(super) fn paused(&self) -> bool {
+    pub(crate) fn paused(&self) -> bool {
         each!(self, m => m.paused_until().is_some())
     }
 
     /// Version and size of an object, where it is known.
-    pub(super) fn object(&self, key: Key) -> Option<(u64, u32)> {
+    pub(crate) fn object(&self, key: Key) -> Option<(u64, u32)> {
         match self {
             Machine::Cache(_) => None,
             Machine::Origin(origin) => Some(origin.object(key)),
