--- a/crates/lab/src/sim/catalog.rs
+++ b/crates/lab/src/sim/catalog.rs
@@ -362,7 +362,8 @@
     }
 
     pub(super) fn view(&mut self, view: View, cx: &mut Cx) {
-        self.stale = view != View::Live;
+        // One that lags tells each change in its time; a frozen one has nothing to tell.
+        self.stale = matches!(view, View::Frozen(_));
         if !self.stale {
             for (server, state, rev) in std::mem::take(&mut self.untold) {
                 cx.discovery(DiscoveryEvent::Changed { server, state, rev });
--- a/crates/lab/src/sim/cx.rs
+++ b/crates/lab/src/sim/cx.rs
@@ -79,6 +79,8 @@
     /// What nodes wrote to members, and when.
     pub(super) sends: FxHashMap<Conn, Sends>,
     pub(super) counts: Counts,
+    /// Connections to members that nodes have closed: the ledger has the time, whatever the network does.
+    pub(super) closed: Vec<Conn>,
     /// Homes of keys, where no records are kept.
     pub(super) homes: super::homes::Homes,
     /// Who is at both ends of each connection there ever was.
--- a/crates/lab/src/sim/front.rs
+++ b/crates/lab/src/sim/front.rs
@@ -333,6 +333,7 @@
         }
         let id = self.next_client;
         self.next_client += 1;
+        cx.note(|| format!("a node accepts connection {} as client {id}", sock.conn.0));
         let unread = sock.has_unread();
         self.socks.insert(sock.conn, id);
         self.names.insert(conn, id);
--- a/crates/lab/src/sim/hands.rs
+++ b/crates/lab/src/sim/hands.rs
@@ -570,6 +570,8 @@
             Blow::PauseServer(ms) => {
                 self.servers.fault(place, Fault::Pause { until: after(ms) }, &mut self.cx);
             }
+            // Being told to stop excuses nothing: it is given the time.
+            Blow::KillNode(_) if self.nodes[node].process.as_ref().is_some_and(|p| p.is_stopping()) => {}
             Blow::KillNode(ms) => {
                 self.kill_node(node);
                 self.hands.push(after(ms), Deed::StartNode(node));
--- a/crates/lab/src/sim/servers.rs
+++ b/crates/lab/src/sim/servers.rs
@@ -67,6 +67,8 @@
     forgotten: bool,
     /// Nothing is heard or said on it any more.
     deaf: bool,
+    /// The ledger has its end.
+    told: bool,
 }
 
 /// A server.
@@ -189,6 +191,7 @@
             ending: None,
             forgotten: false,
             deaf: false,
+            told: false,
         };
         let Some(host) = self.hosts.get_mut(place) else { return };
         host.talks.insert(conn, talk);
@@ -235,12 +238,23 @@
         cx.net.close(cx.now, conn, Side::Server);
     }
 
+    /// The node has closed it, whether or not the news gets here.
+    pub(super) fn left(&mut self, place: usize, conn: Conn, cx: &mut Cx) {
+        if self.talk(place, conn).is_some() {
+            self.closed(place, conn, Closer::Them, cx);
+        }
+    }
+
     pub(super) fn writable(&mut self, place: usize, conn: Conn, cx: &mut Cx) {
         self.flush(place, conn, cx);
     }
 
     fn closed(&mut self, place: usize, conn: Conn, by: Closer, cx: &mut Cx) {
-        let Some(server) = self.hosts.get(place).map(|h| h.no) else { return };
+        let Some(host) = self.hosts.get_mut(place) else { return };
+        let server = host.no;
+        if host.talks.get_mut(&conn).is_some_and(|t| std::mem::replace(&mut t.told, true)) {
+            return;
+        }
         cx.server(cx.now, ServerEvent::Closed { server, conn: named(conn), by });
     }
 
