--- a/crates/decisions/src/audit.rs
+++ b/crates/decisions/src/audit.rs
@@ -30,7 +30,7 @@
             requests: self.requests.0.len(),
             out: self.requests.0.values().map(|r| r.out()).sum(),
             load: self.servers.all.iter().map(|s| s.load).sum(),
-            origin_out: self.origin.out,
+            origin_out: self.origin.follow.out() as f64,
             held: self.origin.held.len(),
             joined: self.origin.joined.values().map(Vec::len).sum(),
             agenda: self.agenda.len(),
--- a/crates/lab/src/faults/active.rs
+++ b/crates/lab/src/faults/active.rs
@@ -25,15 +25,17 @@
         self.now(target, effect)
     }
 
-    /// How strong it is now: speeds are multiplied, shares add up as those of independent chances, and the others are
-    /// on as long as any is.
+    /// How strong it is now: speeds are multiplied, shares add up as those of independent chances, and of the others
+    /// the strongest counts.
     pub(crate) fn now(&self, target: Target, effect: Effect) -> f64 {
         let all = self.0.get(&(target, effect)).map_or(&[][..], Vec::as_slice);
         let strengths = all.iter().map(|one| one.1);
         match effect {
             Effect::Speed => strengths.product(),
-            Effect::Errors | Effect::Spoilt => 1.0 - strengths.map(|share| 1.0 - share).product::<f64>(),
-            Effect::Refuses | Effect::Outage | Effect::Stale => strengths.fold(0.0, f64::max),
+            Effect::Errors | Effect::Spoilt | Effect::Swallowed => {
+                1.0 - strengths.map(|share| 1.0 - share).product::<f64>()
+            }
+            Effect::FullTable | Effect::Outage | Effect::Stale | Effect::Lag => strengths.fold(0.0, f64::max),
         }
     }
 }
@@ -52,9 +54,9 @@
         assert_eq!(active.off(target, Effect::Speed, (1, 0)), 1.0);
         active.on(target, Effect::Errors, (0, 0), 0.5);
         assert_eq!(active.on(target, Effect::Errors, (0, 1), 0.5), 0.75);
-        active.on(target, Effect::Refuses, (2, 0), 1.0);
-        active.on(target, Effect::Refuses, (2, 1), 1.0);
-        assert_eq!(active.off(target, Effect::Refuses, (2, 0)), 1.0, "another still refuses");
-        assert_eq!(active.off(target, Effect::Refuses, (2, 1)), 0.0);
+        active.on(target, Effect::FullTable, (2, 0), 1.0);
+        active.on(target, Effect::FullTable, (2, 1), 1.0);
+        assert_eq!(active.off(target, Effect::FullTable, (2, 0)), 1.0, "another still refuses");
+        assert_eq!(active.off(target, Effect::FullTable, (2, 1)), 0.0);
     }
 }
--- a/crates/lab/src/faults/hands.rs
+++ b/crates/lab/src/faults/hands.rs
@@ -3,7 +3,7 @@
 use super::active::{Active, Of};
 use super::steps::{Effect, Far, Step, Target, Wrong, steps};
 use crate::Micros;
-use crate::experiment::{Experiment, Occurrence, Spoil, schedule};
+use crate::experiment::{self, Experiment, Occurrence, Spoil, schedule};
 use crate::ledger::{Book, LabEvent, ServerNo, Signal};
 use crate::load::{Command, Link, LoadThread, Plan, SlowReaders};
 use crate::node::{NodeError, Nodes};
@@ -283,14 +283,15 @@
         let on = strength > 0.0;
         if target == Target::Discovery {
             match effect {
-                Effect::Outage => self.control.discovery_down(on.then_some(Outage::Unavailable))?,
+                Effect::Outage => self.control.discovery_down(outage(strength))?,
                 Effect::Stale => self.control.discovery_stale(on)?,
+                Effect::Lag => self.control.discovery_lag(on.then(|| seconds(strength)))?,
                 // A slow discovery is played as one that is far away.
                 Effect::Speed => {
                     let extra = self.e.world.discovery.call_ms * (1.0 / strength.max(1e-6) - 1.0);
                     self.slow_discovery(extra)?;
                 }
-                Effect::Errors | Effect::Spoilt | Effect::Refuses => {}
+                Effect::Errors | Effect::Spoilt | Effect::Swallowed | Effect::FullTable => {}
             }
             return Ok(());
         }
@@ -302,9 +303,9 @@
                 let ways = self.ways.get(&target).map_or(&[][..], Vec::as_slice);
                 self.control.fault(server, Fault::Spoil { share: strength, kinds: kinds(ways) })?;
             }
-            Effect::Refuses => self.control.refuse(server, on)?,
-            Effect::Outage => self.control.outage(server, on)?,
-            Effect::Stale => {}
+            Effect::Swallowed => self.control.fault(server, Fault::Swallow(strength))?,
+            Effect::FullTable => self.control.fault(server, Fault::FullTable(on))?,
+            Effect::Outage | Effect::Stale | Effect::Lag => {}
         }
         Ok(())
     }
@@ -341,7 +342,7 @@
             _ => self.origin = Some(number),
         }
         // A new process has none of the faults of the old one; those that last are put on it again.
-        for effect in [Effect::Speed, Effect::Errors, Effect::Spoilt, Effect::Refuses, Effect::Outage] {
+        for effect in [Effect::Speed, Effect::Errors, Effect::Spoilt, Effect::Swallowed, Effect::FullTable] {
             let strength = self.active.now(target, effect);
             let none = if effect == Effect::Speed { 1.0 } else { 0.0 };
             if strength != none {
@@ -385,7 +386,15 @@
         if let Far::Parties(parties) = &far {
             let fault = match wrong {
                 Wrong::Delay(ms, cv) => Some(LinkFault::Slow(delay(ms, cv))),
-                Wrong::Cut => Some(LinkFault::Cut(Heal::Resume)),
+                Wrong::Cut(heal) => Some(LinkFault::Cut(match heal {
+                    experiment::Heal::Resend => Heal::Resume,
+                    experiment::Heal::Silent => Heal::Stay,
+                    experiment::Heal::Reset => Heal::Reset,
+                })),
+                Wrong::RefuseNew => Some(LinkFault::Refuse),
+                Wrong::ResetNew => Some(LinkFault::ResetNew),
+                Wrong::LoseNew(share) if share >= 1.0 => Some(LinkFault::NeverOpens),
+                Wrong::LoseNew(share) => Some(LinkFault::LoseNew(share)),
                 Wrong::Resets(_) | Wrong::Pieces(_) => None,
             };
             if let Some(fault) = fault {
@@ -431,7 +440,12 @@
             for net in self.nets.values().filter(|net| net.far == Far::Clients && net.nodes.contains(&node)) {
                 match net.wrong {
                     Wrong::Delay(ms, jitter) => (link.delay_ms, link.jitter) = (link.delay_ms + ms, jitter),
-                    Wrong::Cut => link.cut = true,
+                    Wrong::Cut(heal) => {
+                        (link.cut, link.resets_on_heal) = (true, heal == experiment::Heal::Reset)
+                    }
+                    Wrong::RefuseNew => link.refuses = true,
+                    Wrong::ResetNew => link.resets_new = true,
+                    Wrong::LoseNew(share) => link.loses_new = link.loses_new.max(share),
                     Wrong::Resets(per_s) => link.resets_per_s += per_s,
                     Wrong::Pieces(bytes) => {
                         link.piece = if link.piece == 0 { bytes } else { link.piece.min(bytes) };
@@ -508,6 +522,16 @@
     Spread::LogNormal { median, sigma: libm::sqrt(variance), most: Micros::MAX / 2 }
 }
 
+/// How discovery is down where its outage is that strong: the last of [`experiment::OutageHow`] goes before the others.
+fn outage(strength: f64) -> Option<Outage> {
+    match strength {
+        s if s > 2.5 => Some(Outage::Silent),
+        s if s > 1.5 => Some(Outage::Reset),
+        s if s > 0.5 => Some(Outage::Unavailable),
+        _ => None,
+    }
+}
+
 /// The model's ways to spoil an answer that stand for those of the file; all if none is named.
 fn kinds(ways: &[Spoil]) -> NoiseSet {
     if ways.is_empty() {
--- a/crates/lab/src/load/links.rs
+++ b/crates/lab/src/load/links.rs
@@ -2,13 +2,22 @@
 //! privileges are needed.
 
 use crate::{Micros, millis};
-use lapisrudder_model::mix::{exponential, spot};
+use lapisrudder_model::clients::NotOpen;
+use lapisrudder_model::mix::{exponential, spot, unit};
 
 /// The state of one link.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Link {
     /// Nothing goes through: neither bytes nor ends, and no connect comes up.
     pub cut: bool,
+    /// When a cut ends, connections from before are reset; else what was sent meanwhile arrives after all.
+    pub resets_on_heal: bool,
+    /// New connections are refused.
+    pub refuses: bool,
+    /// New connections are reset.
+    pub resets_new: bool,
+    /// This share of the new connections never comes up.
+    pub loses_new: f64,
     /// Mean delay each way (ms).
     pub delay_ms: f64,
     /// Coefficient of variation of the delay, 0 to 1: a fixed part and an exponential one.
@@ -30,11 +39,20 @@
         millis(self.delay_ms * (1.0 - jitter + jitter * drawn))
     }
 
+    /// What becomes of a new connection: it is refused or reset, or never comes up (true), or it is opened (false).
+    pub(super) fn fate(&self, conn: u32) -> Result<bool, NotOpen> {
+        let lost = || unit(&mut spot(0, "link loses", u64::from(conn), 0)) < self.loses_new;
+        match () {
+            _ if self.refuses => Err(NotOpen::Refused),
+            _ if self.resets_new => Err(NotOpen::Reset),
+            _ => Ok(self.cut || lost()),
+        }
+    }
+
     /// Whether a connection is reset in a stretch of so many seconds.
     pub(super) fn resets(&self, conn: u32, stretch: u64, seconds: f64) -> bool {
         let share = -libm::expm1(-self.resets_per_s * seconds);
-        share > 0.0
-            && lapisrudder_model::mix::unit(&mut spot(0, "link reset", u64::from(conn), stretch)) < share
+        share > 0.0 && unit(&mut spot(0, "link reset", u64::from(conn), stretch)) < share
     }
 }
 
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -5,7 +5,7 @@
 use crate::experiment::{Effect, Experiment, Group, Habit, Load, Occurrence, What, Who, schedule};
 use crate::ledger::LoadNo;
 use crate::{Micros, millis, seconds};
-use lapisrudder_model::arrivals::{self, Arrivals, Digest, Population};
+use lapisrudder_model::arrivals::{self, Arrival, Arrivals, Digest, Population};
 use lapisrudder_model::clients::{
     BadPlan, ClientsError, ClientsPlan, Deal, FrontPlan, Habits, Health, Keep, Reader, Retry,
 };
@@ -32,6 +32,8 @@
     pub of: Vec<Of>,
     /// Clients that misbehave.
     pub bad: Vec<BadPlan>,
+    /// These arrivals in place of those that the load would draw.
+    pub given: Option<Vec<Arrival>>,
     /// The seed that all is drawn from.
     pub seed: u64,
     /// Classes of the experiment.
@@ -62,7 +64,7 @@
                     rate = rate.times(&Line::window(fault.1, fault.2, 1.0, *times));
                 }
             }
-            plan.add(e, number, &rate, keys_of(e, load));
+            plan.add(e, number, &rate, keys_of(load));
             for (at, fault) in on_clients(e, &occurrences, &load.name).enumerate() {
                 if let What::HotCaller { share, keys, ramp_s } = fault.0 {
                     let hill = Line::hill(fault.1, fault.2, *ramp_s, *share);
@@ -94,7 +96,7 @@
             let shifted = rate(e, load, number, seed).shifted(from);
             match &fault.what {
                 What::Surge { times } if *times > 1.0 => {
-                    plan.add(e, number, &shifted.scaled(times - 1.0), keys_of(e, load));
+                    plan.add(e, number, &shifted.scaled(times - 1.0), keys_of(load));
                 }
                 What::HotCaller { share, keys, ramp_s } => {
                     let hill = Line::hill(0.0, end, *ramp_s, *share);
@@ -113,7 +115,8 @@
     }
 
     fn empty(e: &Experiment, seed: u64) -> Self {
-        let classes = e.loads.iter().flat_map(|_| e.classes.iter().map(|c| class(c, e))).collect();
+        let classes =
+            e.loads.iter().flat_map(|_| e.classes.iter().map(|c| class(c, &e.world.origin))).collect();
         let load = arrivals::Load { span: seconds(e.duration_s), classes, populations: Vec::new() };
         let notice = millis(e.world.nodes.notice_ms).max(100_000);
         let every = (notice / 4).clamp(50_000, 500_000);
@@ -127,7 +130,7 @@
         // For requests, clients hold at most a third of a node's descriptors.
         let room = Some((e.world.nodes.sockets / 3).max(1));
         let clients = ClientsPlan { load, habits: Vec::new(), front, room };
-        Self { clients, of: Vec::new(), bad: Vec::new(), seed, classes: e.classes.len() }
+        Self { clients, of: Vec::new(), bad: Vec::new(), given: None, seed, classes: e.classes.len() }
     }
 
     /// A population for each node that a load has a share for.
@@ -194,9 +197,12 @@
     Line::of(&load.rate, e.duration_s, seed, number).times(&Line::window(load.from_s, until, 0.0, 1.0))
 }
 
-fn class(c: &crate::experiment::Class, e: &Experiment) -> arrivals::Class {
-    let value = (e.world.origin.value_bytes, e.world.origin.value_sigma);
-    let size = Spread::LogNormal { median: f64::from(value.0), sigma: value.1, most: LONGEST_VALUE };
+fn class(c: &crate::experiment::Class, origin: &crate::experiment::Origin) -> arrivals::Class {
+    let size = Spread::LogNormal {
+        median: f64::from(origin.value_bytes),
+        sigma: origin.value_sigma,
+        most: LONGEST_VALUE,
+    };
     arrivals::Class {
         name: c.name.clone(),
         write: c.write,
@@ -225,13 +231,11 @@
 }
 
 /// The keys of a load.
-pub(crate) fn keys_of(e: &Experiment, load: &Load) -> Keys {
+pub(crate) fn keys_of(load: &Load) -> Keys {
     let k = &load.keys;
-    // Loads that begin at the same key share keys.
-    let space = e.loads.iter().position(|l| l.keys.space == k.space).unwrap_or(0);
     Keys {
-        space: space as u16,
-        population: u32::try_from(k.count).unwrap_or(u32::MAX),
+        space: k.space,
+        population: k.count,
         exponent: k.zipf,
         offset: 0.0,
         drift: match k.drift_per_s {
--- a/crates/lab/src/load/wire.rs
+++ b/crates/lab/src/load/wire.rs
@@ -35,6 +35,8 @@
     pub(super) link: Option<u16>,
     /// None as long as a cut keeps it from connecting.
     pub(super) socket: Option<(Rc<TcpStream>, RegistrationToken)>,
+    /// Its connect went astray for good.
+    pub(super) lost: bool,
     pub(super) up: bool,
     pub(super) may_read: bool,
     pub(super) may_write: bool,
@@ -76,6 +78,7 @@
             from,
             link,
             socket: None,
+            lost: false,
             up: false,
             may_read: false,
             may_write: false,
--- a/crates/lab/src/sim/people.rs
+++ b/crates/lab/src/sim/people.rs
@@ -8,7 +8,7 @@
 use crate::load::nodes::{Sent, hear};
 use crate::load::{Of, Plan, reply};
 use bytes::Bytes;
-use lapisrudder_model::arrivals::{Arrival, RequestId};
+use lapisrudder_model::arrivals::RequestId;
 use lapisrudder_model::clients::{
     self, Ask, Clients, ClientsError, ConnId, End, Event, NodeId, NotOpen, Order, Pace, Reader, Story, Tally,
 };
@@ -80,7 +80,6 @@
 impl People {
     pub(super) fn new(
         plan: Plan,
-        given: Option<Vec<Arrival>>,
         host: Host,
         nodes: Vec<Host>,
         linger: Micros,
@@ -88,8 +87,8 @@
         let mut noise = vec![0; NOISE];
         rand::RngCore::fill_bytes(&mut spot(0, "values of writes", 0, 0), &mut noise);
         let probe = || Probe { conn: None, up: false, asked: None, input: Vec::new() };
-        let length = given.iter().flatten().last().map_or(0, |arrival| arrival.at);
-        let clients = match given {
+        let length = plan.given.iter().flatten().last().map_or(0, |arrival| arrival.at);
+        let clients = match plan.given {
             Some(given) => Clients::replay(plan.clients, plan.seed, given)?,
             None => Clients::new(plan.clients, plan.seed)?,
         };
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -28,7 +28,7 @@
     Delivery, Fault, FaultId, Host, LinksPlan, Network, NetworkPlan, Side, Split, Which,
 };
 use lapisrudder_model::origin::Origin;
-use lapisrudder_model::server::{CacheServer, Event as Happening, State};
+use lapisrudder_model::server::{CacheServer, State};
 use lapisrudder_model::value::Uid;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -306,11 +306,10 @@
         let hosts: Vec<Host> = (0..spec.nodes.len()).map(|n| Host((first_node + n) as u32)).collect();
         let slacks = millis(e.world.rules.answer_slack_ms + e.world.rules.socket_slack_ms) + 30_000;
         let wrong = |why: lapisrudder_model::clients::ClientsError| SimError::Plan(why.to_string());
-        let people = People::new(plan, None, Host(0), hosts.clone(), slacks).map_err(wrong)?;
+        let people = People::new(plan, Host(0), hosts.clone(), slacks).map_err(wrong)?;
         let finding = match h.find_homes {
-            true => finding(&e, seed).map(|(plan, given)| {
-                People::new(plan, Some(given), Host(0), hosts.clone(), slacks).map_err(wrong)
-            }),
+            true => crate::run::fill::finding_plan(&e, seed)
+                .map(|plan| People::new(plan, Host(0), hosts.clone(), slacks).map_err(wrong)),
             false => None,
         };
         let node =
@@ -336,7 +335,6 @@
         if finding.is_none() {
             world.cx.now = ZERO - LEAD;
         }
-        world.fill();
         for place in 0..world.servers.hosts.len() {
             world.servers.began(place, true, &mut world.cx);
             world.servers.touched.push(place);
@@ -355,24 +353,6 @@
         Ok(world)
     }
 
-    /// Caches hold the most popular objects that fit, where the experiment has them filled.
-    fn fill(&mut self) {
-        let machines = crate::experiment::servers(&self.e);
-        let mut popular = Vec::new();
-        for kind in &self.e.world.servers {
-            popular.push(if kind.filled { crate::run::fill::popular(&self.e, kind) } else { Vec::new() });
-        }
-        let Some(origin) = self.servers.hosts.iter().position(ServerHost::is_origin) else { return };
-        for (place, machine) in machines.iter().enumerate() {
-            for key in popular.get(machine.kind).map_or(&[][..], Vec::as_slice) {
-                let object = self.servers.hosts[origin].machine.object(*key);
-                let (version, size) = object.unwrap_or((0, 1024));
-                let now = self.cx.now;
-                self.servers.hosts[place].machine.handle(now, Happening::Fill { key: *key, version, size });
-            }
-        }
-    }
-
     /// Before the load every key that fits is asked for once, so that nodes find homes and caches hold what they would
     /// after a long day. Servers and origin are faster meanwhile.
     fn find_homes(&mut self, finding: People) {
@@ -913,54 +893,3 @@
     ServerNo((ledger.names.servers.len() - 1) as u16)
 }
 
-/// Requests a second that let nodes find homes, and how many at the most.
-const FIND_PER_S: i64 = 3000;
-const FIND_MOST: usize = 15_000;
-
-/// The plan of reads that let nodes find homes: each key that fits once, the most popular last.
-fn finding(e: &Experiment, seed: u64) -> Option<(Plan, Vec<lapisrudder_model::arrivals::Arrival>)> {
-    // Ids of its own: no request of the run has one of these.
-    let mut plan = Plan::of(e, !seed).ok()?;
-    let machines = crate::experiment::servers(e);
-    let memory = |m: &crate::experiment::Machine| e.world.servers.get(m.kind).map_or(0.0, |k| k.memory_mb);
-    let room: f64 = machines.iter().map(memory).sum::<f64>() * f64::from(1 << 20);
-    let sigma = e.world.origin.value_sigma;
-    let size = f64::from(e.world.origin.value_bytes) * libm::exp(sigma * sigma / 2.0) + 64.0;
-    let reads = e.classes.iter().position(|c| !c.write)?;
-    let mut keys = Vec::new();
-    let per_load = ((room / size) as usize).min(FIND_MOST) / e.loads.len().max(1);
-    for (n, load) in e.loads.iter().enumerate() {
-        let draw = lapisrudder_model::keys::KeyDraw::new(crate::load::keys_of(e, load), n as u16);
-        let many = (load.keys.count as usize).min(per_load);
-        keys.extend((0..many).map(|rank| (rank, n, draw.ranked(rank as u32, 0))));
-    }
-    keys.sort_by_key(|k| std::cmp::Reverse(k.0));
-    let of = plan.of.clone();
-    let arrival = |(number, (_, load, key)): (usize, &(usize, usize, lapisrudder_model::keys::Key))| {
-        // The populations of a load, one a node, take turns.
-        let all: Vec<usize> = (0..of.len()).filter(|p| usize::from(of[*p].load.0) == *load).collect();
-        let population = *all.get(number % all.len().max(1))?;
-        Some(lapisrudder_model::arrivals::Arrival {
-            number: number as u64,
-            at: number as Micros * 1_000_000 / FIND_PER_S,
-            population: population as u16,
-            source: 0,
-            class: (load * e.classes.len() + reads) as u16,
-            key: *key,
-            size: 0,
-            once: 0,
-        })
-    };
-    let arrivals = keys.iter().enumerate().filter_map(arrival).collect();
-    for habits in &mut plan.clients.habits {
-        habits.leaves = 0.0;
-        habits.patience = (1.0, 1.0);
-        habits.keep = lapisrudder_model::clients::Keep::Reuse;
-        habits.pipeline = 1;
-        habits.reader = lapisrudder_model::clients::Reader::Full;
-    }
-    for class in &mut plan.clients.load.classes {
-        class.give_up = class.give_up.max(1_000_000);
-    }
-    Some((plan, arrivals))
-}
--- a/crates/lab/src/stand/control.rs
+++ b/crates/lab/src/stand/control.rs
@@ -262,6 +262,15 @@
         })
     }
 
+    /// Discovery tells the list of so long ago, or the present one again.
+    pub fn discovery_lag(&self, lag: Option<Micros>) -> Done<()> {
+        self.run(move |stand| {
+            let now = stand.clock.now();
+            stand.view(now, lag.map_or(View::Live, View::Lag));
+            Ok(())
+        })
+    }
+
     /// Discovery moves to a new address, and takes no new connection at the old one. The new one for each node.
     pub fn discovery_move(&self) -> Done<Vec<SocketAddr>> {
         self.run(move |stand| {
--- a/crates/lab/tests/load/main.rs
+++ b/crates/lab/tests/load/main.rs
@@ -208,13 +208,18 @@
     assert_eq!(counts(&books).get("Value"), Some(&books.tries.len()), "{:?}", counts(&books));
     let resets = Link { resets_per_s: 20.0, ..Link::default() };
     let books = play(&e, vec![address], |load| load.tell(Command::Link(0, resets)));
+    let refused = play(&e, vec![address], |load| {
+        load.tell(Command::Link(0, Link { refuses: true, ..Link::default() }));
+    });
+    assert_eq!(counts(&refused).get("Opened"), None);
+    assert!(counts(&refused).get("ConnectFailed").is_some_and(|n| *n > 50), "{:?}", counts(&refused));
     let reset = format!("closed by {:?}", Closer::Reset);
     assert!(counts(&books).get(&reset).is_some_and(|n| *n > 3), "{:?}", counts(&books));
 }
 
 #[test]
 fn bad_clients_are_written_down_with_what_they_got() {
-    let kinds = ["noise", "bad-length", "bad-fields", "hammer", "silent", "half-command", "endless-line"];
+    let kinds = ["noise", "wrong-length", "no-id", "again", "silent", "half", "endless-line"];
     let bad: String = kinds.iter().map(|k| format!("\n[[load.bad]]\nkind = \"{k}\"\nper_s = 10")).collect();
     let address = node(|a| Act::Write(a.good()));
     let books = play(&experiment(&bad), vec![address], |_| {});
