--- a/crates/engine/src/audit.rs
+++ b/crates/engine/src/audit.rs
@@ -39,7 +39,7 @@
         let (connections, members, carried, waiting, places, bytes) = self.pool.audit();
         Audit {
             transactions: self.transactions.all.len(),
-            names: self.transactions.names.len(),
+            names: self.transactions.ids(),
             open: self.transactions.open,
             flows: self
                 .transactions
--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -36,6 +36,8 @@
     /// The time to be up by, or the end of its idle time.
     pub deadline: Option<Key>,
     input: Vec<u8>,
+    /// Room for the bytes of the next flow.
+    spare: Vec<u8>,
     places: VecDeque<Place>,
     /// It has brought an answer.
     proven: bool,
@@ -52,6 +54,7 @@
             up: false,
             deadline: None,
             input: Vec::new(),
+            spare: Vec::new(),
             places: VecDeque::new(),
             proven: false,
             queued: false,
@@ -82,6 +85,12 @@
         (carried, self.places.len(), unwritten + self.input.len())
     }
 
+    /// It was given its first flow in this turn, and may be given another.
+    pub(crate) fn shares(&self, most: usize) -> bool {
+        let unbegun = |p: &Place| p.written == 0 && !p.bytes.is_empty() && !p.abandoned;
+        self.queued && !self.places.is_empty() && self.places.len() < most && self.places.iter().all(unbegun)
+    }
+
     pub(crate) fn carries(&self, flow: FlowId) -> bool {
         self.places.iter().any(|p| p.flow.id == flow)
     }
@@ -94,7 +103,8 @@
     /// Puts a flow behind the others; it is written at the end of the turn.
     pub(crate) fn put(&mut self, flow: Flow, now: Micros) {
         let command = &flow.call.request.command;
-        let mut bytes = Vec::with_capacity(command.bytes() + 128);
+        let mut bytes = std::mem::take(&mut self.spare);
+        bytes.reserve(command.bytes() + 128);
         let wait_ms = ((flow.until - now) / 1000).max(1) as u64;
         if self.origin {
             http::write_request(&command.get(), self.endpoint, wait_ms, &mut bytes);
@@ -127,6 +137,16 @@
         self.places.front().is_some_and(|p| p.written == 0 && !p.bytes.is_empty())
     }
 
+    /// Flows on it, those that nobody waits for any more included.
+    pub(crate) fn flows(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Answers are due: some flow has begun.
+    pub(crate) fn expects(&self) -> bool {
+        self.places.front().is_some_and(|p| p.written > 0)
+    }
+
     /// What is to be written, in order.
     pub(crate) fn transmit(&self) -> impl Iterator<Item = &[u8]> {
         self.places.iter().filter_map(|p| p.bytes.get(p.written..)).filter(|rest| !rest.is_empty())
@@ -141,7 +161,11 @@
             if place.written < place.bytes.len() {
                 return;
             }
-            place.bytes = Vec::new();
+            let mut bytes = std::mem::take(&mut place.bytes);
+            if bytes.capacity() <= KEPT {
+                bytes.clear();
+                self.spare = bytes;
+            }
         }
     }
 
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -100,7 +100,7 @@
 
     /// A transaction in hand has this id of a client's: [`Engine::take`] would refuse another.
     pub fn is_named(&self, id: &[u8]) -> bool {
-        self.transactions.names.contains(id)
+        self.transactions.is_named(id)
     }
 
     /// Takes a transaction: from here on it is owed one final answer. The host gives it a number that it never uses
@@ -159,6 +159,12 @@
         self.read(now, conn, bytes, false, answers)
     }
 
+    /// Answers are due on a connection. Where none is, a host may stop reading once a read has not filled its buffer,
+    /// though the peer may have closed behind the last bytes: it is told to look before anything is written again.
+    pub fn expects(&self, conn: Conn) -> bool {
+        self.pool.expects(conn)
+    }
+
     /// The peer has ended its sending, in order.
     pub fn ended(&mut self, now: Micros, conn: Conn, answers: &mut impl Answers) {
         self.read(now, conn, &[], true, answers);
@@ -349,6 +355,11 @@
         self.transactions.open
     }
 
+    /// Flows that have begun, or wait for a connection, and those whose answer is read for nobody.
+    pub fn flows(&self) -> usize {
+        self.pool.flows()
+    }
+
     /// Connections that the engine holds, those that are coming up included.
     pub fn connections(&self) -> usize {
         self.pool.connections()
--- a/crates/lab/src/sim/front.rs
+++ b/crates/lab/src/sim/front.rs
@@ -22,6 +22,8 @@
 const LINGER: Micros = 1_000_000;
 const DRAINED: usize = 1 << 20;
 const PARTING: Micros = 100_000;
+const COPIED: usize = 8 << 10;
+const LOOK_AGAIN: Micros = 50_000;
 const SCRATCH: usize = 2 * (MAX_LINE + MAX_VALUE + 2);
 /// Request numbers of `mn`, which is no transaction.
 const READY: u64 = 1 << 63;
@@ -72,6 +74,9 @@
     sent: usize,
     phase: Phase,
     unread: bool,
+    unsure: bool,
+    listed: bool,
+    dirty: bool,
     errors: u32,
     drained: usize,
     since: Micros,
@@ -140,9 +145,14 @@
     /// One read behind what an earlier one left over; none at the end of the stream.
     fn read(&mut self, cx: &mut Cx) -> Option<Vec<u8>> {
         let mut buffer = std::mem::take(&mut self.input);
+        self.unsure = false;
         match self.sock.read(cx, SCRATCH - buffer.len().min(SCRATCH - 1)) {
             Read::Over(_) => return None,
-            Read::Bytes(bytes) => buffer.extend_from_slice(&bytes),
+            Read::Bytes(bytes) => {
+                buffer.extend_from_slice(&bytes);
+                self.unsure = buffer.len() < SCRATCH;
+                self.unread = !self.unsure;
+            }
             Read::Nothing => self.unread = false,
         }
         Some(buffer)
@@ -183,13 +193,16 @@
         Ok(())
     }
 
-    fn send_now(&mut self, parts: &[&[u8]], cx: &mut Cx) -> Result<(), Ending> {
-        // One write, as with a vector of slices.
-        let whole = parts.concat();
-        let done = if self.output.is_empty() { self.sock.write(cx, &whole)? } else { 0 };
-        self.output.extend_from_slice(&whole[done..]);
+    /// Takes the answer whose turn it is: a small one goes out with all others of the turn, a large one at once.
+    fn answer(&mut self, parts: &[&[u8]], cx: &mut Cx) -> Result<(), Ending> {
+        if parts.iter().map(|p| p.len()).sum::<usize>() <= COPIED {
+            parts.iter().for_each(|part| self.output.extend_from_slice(part));
+            return Ok(());
+        }
+        parts.iter().for_each(|part| self.output.extend_from_slice(part));
+        self.sent += self.sock.write(cx, &self.output[self.sent..])?;
         self.since = cx.now;
-        self.flush(cx)
+        Ok(())
     }
 }
 
@@ -219,6 +232,8 @@
     next_client: u64,
     next_request: u64,
     touched: Vec<u64>,
+    dirty: Vec<u64>,
+    unsure: VecDeque<(Micros, u64)>,
     pub(super) news: VecDeque<News>,
 }
 
@@ -240,6 +255,8 @@
             next_client: 0,
             next_request: 0,
             touched: Vec::new(),
+            dirty: Vec::new(),
+            unsure: VecDeque::new(),
             news: VecDeque::new(),
         }
     }
@@ -346,6 +363,9 @@
             sent: 0,
             phase: Phase::Open,
             unread,
+            unsure: false,
+            listed: false,
+            dirty: false,
             errors: 0,
             drained: 0,
             since: cx.now,
@@ -368,7 +388,19 @@
     }
 
     pub(super) fn due(&self) -> Option<Micros> {
-        self.admission.due()
+        self.admission.due().into_iter().chain(self.unsure.front().map(|(at, _)| *at)).min()
+    }
+
+    /// Looks again at clients of which nothing has come since.
+    pub(super) fn look_again(&mut self, now: Micros) {
+        while let Some((_, id)) = self.unsure.pop_front_if(|(at, _)| *at <= now) {
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            client.listed = false;
+            if client.unsure {
+                client.unread = true;
+                self.touched.push(id);
+            }
+        }
     }
 
     pub(super) fn keep_limits(&mut self, cx: &mut Cx, due: &mut Due) {
@@ -431,7 +463,8 @@
             sock.close(cx);
         }
         self.draining = true;
-        let idle: Vec<u64> = self.clients.iter().filter(|(_, c)| c.idle()).map(|(id, _)| *id).collect();
+        let mut idle: Vec<u64> = self.clients.iter().filter(|(_, c)| c.idle()).map(|(id, _)| *id).collect();
+        idle.sort_unstable();
         for id in idle {
             self.close_idle(id, cx, due);
         }
@@ -491,12 +524,15 @@
         };
         let Some(client) = self.clients.get_mut(&id) else { return };
         let flushed = client.flush(cx).is_ok();
-        if over || !flushed || self.draining && client.idle() {
+        if over || !flushed || self.draining && client.idle() && !client.look() {
             return self.remove(id, cx, due);
         }
         if client.unread && (client.room() || client.lingers()) {
             self.touched.push(id);
         }
+        if client.unsure && !std::mem::replace(&mut client.listed, true) {
+            self.unsure.push_back((cx.now + LOOK_AGAIN, id));
+        }
         self.admission.state(cx.now, client.conn, client.activity());
         self.watch(id, due);
     }
@@ -581,14 +617,27 @@
             return true;
         }
         client.slots.pop_front();
-        client.unread |= client.send_now(parts, cx).is_err();
-        if client.unread || client.lingers() || self.draining {
-            self.touched.push(id);
+        client.unread |= client.answer(parts, cx).is_err();
+        if !std::mem::replace(&mut client.dirty, true) {
+            self.dirty.push(id);
         }
-        self.admission.state(cx.now, client.conn, client.activity());
         true
     }
 
+    /// Sends what there is to be sent: all answers of the turn to a client in one write.
+    pub(super) fn send_out(&mut self, cx: &mut Cx, due: &mut Due) {
+        for id in std::mem::take(&mut self.dirty) {
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            client.dirty = false;
+            client.unread |= client.flush(cx).is_err();
+            if client.unread || client.lingers() || self.draining {
+                self.touched.push(id);
+            }
+            self.admission.state(cx.now, client.conn, client.activity());
+            self.watch(id, due);
+        }
+    }
+
     pub(super) fn reject(&mut self, id: u64, request: u64, what: impl std::fmt::Display, cx: &mut Cx) {
         if let Some(client) = self.clients.get_mut(&id) {
             client.erred();
--- a/crates/lab/src/sim/hands.rs
+++ b/crates/lab/src/sim/hands.rs
@@ -87,7 +87,7 @@
             draws: spot(day.seed, "hands", 0, 0),
             changes_per_s: e.world.origin.changes_per_s,
             keys: (e.loads.iter().enumerate())
-                .map(|(n, l)| lapisrudder_model::keys::KeyDraw::new(crate::load::keys_of(e, l), n as u16))
+                .map(|(n, l)| lapisrudder_model::keys::KeyDraw::new(crate::load::keys_of(l), n as u16))
                 .collect(),
             counts: e.loads.iter().map(|l| l.keys.count).collect(),
             hits: Vec::new(),
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -139,6 +139,7 @@
     longest_wait: Micros,
     pub(super) sockets: usize,
     most_held: usize,
+    shortest_aim: Micros,
     most_bytes: usize,
     descriptors: usize,
     memory: u64,
@@ -172,6 +173,8 @@
         let admission = Admission::new(lapisrudder_limits::Settings::default(), seed, now).ok()?;
         let longest = config.options.request_classes.iter().map(|c| micros(c.give_up_s)).max();
         let attempts = settings.max_attempts;
+        let aims = config.options.request_classes.iter().map(|c| micros(c.slo_s));
+        let shortest_aim = aims.min().unwrap_or(0);
         let most_held = bounds.most_held.max(1);
         let mut process = Process {
             number,
@@ -191,6 +194,7 @@
             longest_wait: longest.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT),
             sockets,
             most_held,
+            shortest_aim,
             most_bytes: (config.memory_mb as usize) << 18,
             descriptors: config.sockets,
             memory: config.memory_mb << 20,
@@ -323,6 +327,8 @@
             let Some(conn) = self.ready.pop_front() else { break };
             self.on_ready(conn, cx);
         }
+        self.front.look_again(cx.now);
+        self.front.send_out(cx, &mut self.due);
         self.sweep(cx);
         self.keep_limits(cx);
         self.front.read_on(cx, &mut self.due);
@@ -340,6 +346,7 @@
         if !self.front.ready && self.engine.any_open() {
             self.front.now_ready(cx);
         }
+        self.front.send_out(cx, &mut self.due);
         if matches!(self.phase, Phase::Leaving | Phase::Draining) && self.front.is_empty() {
             self.phase = Phase::Over;
         }
@@ -383,7 +390,8 @@
                 Read::Over(Ending::End) => return engine.ended(now, name, &mut answers),
                 Read::Over(Ending::Reset) => return engine.broken(now, name),
                 Read::Bytes(bytes) => {
-                    if !engine.received(now, name, &bytes, &mut answers) {
+                    let of_use = engine.received(now, name, &bytes, &mut answers);
+                    if !of_use || bytes.len() < CHUNK && !engine.expects(name) {
                         return;
                     }
                 }
@@ -509,6 +517,7 @@
             connections: self.sockets - self.reserve.1,
             clients_room: self.descriptors / CLIENTS_SHARE,
             in_flight: self.most_held,
+            aim: self.shortest_aim,
             buffer_bytes: self.most_bytes,
             descriptors: Used::default(),
             memory: Used { used: 0, limit: self.memory },
--- a/crates/lab/src/sim/random.rs
+++ b/crates/lab/src/sim/random.rs
@@ -5,8 +5,8 @@
 use super::strike::{Blow, Moment, Strike};
 use crate::experiment::{
     BadKind, Class, Connections, Effect, Experiment, Fault, Group, Habit, Heal, IdleClose, Keys, Load, Nodes,
-    OutageHow, Pick, Rate, Retries, Rules, ServerConnections, ServerKind, Side, Spoil, Spread, WarmBy, What, When,
-    Who, World, Zones,
+    OutageHow, Pick, Rate, Retries, Rules, ServerConnections, ServerKind, Side, Spoil, Spread, WarmBy, What,
+    When, Who, World, Zones,
 };
 use lapisrudder_model::mix::{SplitMix, below, spot, unit};
 use std::collections::BTreeMap;
--- a/crates/lab/src/sim/servers.rs
+++ b/crates/lab/src/sim/servers.rs
@@ -268,7 +268,7 @@
             let Some(talk) = host.talks.get_mut(&conn).filter(|t| t.ending.is_none()) else { return };
             let Some((input, used)) = next_input(speaks, &talk.input, classes) else { return };
             let node = usize::from(talk.node.0);
-            talk.input.drain(..used);
+            let raw: Vec<u8> = talk.input.drain(..used).collect();
             let mut first = cx.now;
             if let Some(sends) = cx.sends.get_mut(&conn) {
                 first = sends.first().unwrap_or(first);
@@ -281,7 +281,8 @@
                 }
                 Input::Say { bytes, last } => {
                     cx.broken("bytes", || {
-                        format!("n{node} was answered {}", String::from_utf8_lossy(&bytes))
+                        let (asked, told) = (String::from_utf8_lossy(&raw), String::from_utf8_lossy(&bytes));
+                        format!("n{node} was answered {told:?} for {asked:?}")
                     });
                     let none = none();
                     self.push(
--- a/crates/lab/src/sim/sock.rs
+++ b/crates/lab/src/sim/sock.rs
@@ -1,7 +1,7 @@
 //! One end of a connection as a program sees its socket: what has come and was not read, and how it ended.
 
 use super::cx::Cx;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use lapisrudder_model::network::{Conn, Side};
 use std::collections::VecDeque;
 
@@ -73,6 +73,16 @@
         let Some(mut first) = self.came.pop_front() else {
             return self.end.map_or(Read::Nothing, Read::Over);
         };
+        // One read takes all that has come, as far as there is room.
+        if first.len() < most && !self.came.is_empty() {
+            let mut all = BytesMut::from(first.as_ref());
+            while all.len() < most
+                && let Some(next) = self.came.pop_front()
+            {
+                all.extend_from_slice(&next);
+            }
+            first = all.freeze();
+        }
         if first.len() > most {
             let rest = first.split_off(most);
             self.came.push_front(rest);
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -892,4 +892,3 @@
     ledger.names.servers.push(info);
     ServerNo((ledger.names.servers.len() - 1) as u16)
 }
-
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -361,6 +361,7 @@
                 }
             }
         }
+        self.server.look_again(now);
         self.engine.wake(now);
     }
 
@@ -399,13 +400,15 @@
     /// One turn: reads all that has come, sweeps deadlines, and carries out what the engine says of it all.
     pub fn turn(&mut self, ready: impl IntoIterator<Item = Owner>) {
         ready.into_iter().for_each(|owner| self.ready(owner));
+        self.send_out();
         self.sweep();
         self.keep_limits();
         self.server.read_on(&mut self.scratch, self.clock.now(), &mut self.deadlines);
         loop {
             self.client_news();
-            match self.engine.poll_order(self.clock.now()) {
-                Some(order) => self.carry_out(order),
+            let now = self.clock.now();
+            match self.engine.poll_order(now) {
+                Some(order) => self.carry_out(order, now),
                 None if self.server.news.is_empty() => break,
                 None => {}
             }
@@ -413,13 +416,17 @@
         if !self.server.ready && self.engine.any_open() {
             self.server.now_ready(self.clock.now());
         }
+        self.send_out();
         if matches!(self.phase, Phase::Leaving | Phase::Draining) && self.server.is_empty() {
             self.phase = Phase::Over;
         }
     }
 
-    fn carry_out(&mut self, order: Order) {
-        let now = self.clock.now();
+    fn send_out(&mut self) {
+        self.server.send_out(self.clock.now(), &mut self.deadlines);
+    }
+
+    fn carry_out(&mut self, order: Order, now: Micros) {
         match order {
             Order::Connect { conn, to } => self.members.connect(conn, to, &mut self.engine, now),
             Order::Write { conn, look } => self.members.write(conn, look, &mut self.engine, now),
