--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -272,8 +272,11 @@
                 let mut actions = std::mem::take(&mut self.actions);
                 actions.drain(..).for_each(|action| self.carry_out(action, now));
                 self.actions = actions;
-            } else if !self.pool.write_out(now, &mut self.deadlines) {
-                return None;
+            } else {
+                self.transactions.drop_over();
+                if !self.pool.write_out(now, &mut self.deadlines) {
+                    return None;
+                }
             }
         }
     }
--- a/crates/engine/src/transactions.rs
+++ b/crates/engine/src/transactions.rs
@@ -26,6 +26,11 @@
 }
 
 impl Transaction {
+    /// Nobody waits for it, and nothing of it is out.
+    fn is_over(&self) -> bool {
+        self.call.answered() && self.flows.iter().all(|f| f.ended.is_some())
+    }
+
     /// What is still out may run, too.
     pub(crate) fn may_have_run(&self) -> bool {
         self.flows.iter().any(|f| f.ended.is_none_or(|outcome| !outcome.never_ran()))
@@ -40,6 +45,8 @@
     /// Those that have no final answer yet.
     pub open: usize,
     pub events: VecDeque<Event>,
+    /// Transactions that may be over.
+    over: Vec<RequestId>,
 }
 
 /// A call under its client's id.
@@ -125,12 +132,23 @@
         Some(may_have_run)
     }
 
+    /// Notes one that may be over.
     fn forget(&mut self, request: RequestId) {
-        let over = |t: &Transaction| t.call.answered() && t.flows.iter().all(|f| f.ended.is_some());
-        if self.all.get(&request).is_some_and(over)
-            && let Some(transaction) = self.all.remove(&request)
-        {
-            self.names.remove(transaction.call.request.command.id());
+        if self.all.get(&request).is_some_and(Transaction::is_over) {
+            self.over.push(request);
+        }
+    }
+
+    /// Drops those that are over, once the decisions have heard all that there is to hear. Danger: an event that is
+    /// still to be heard may make the decisions send once more, and they must be told how that attempt ended: else it
+    /// counts as in flight for good.
+    pub(crate) fn drop_over(&mut self) {
+        while let Some(request) = self.over.pop() {
+            if self.all.get(&request).is_some_and(Transaction::is_over)
+                && let Some(transaction) = self.all.remove(&request)
+            {
+                self.names.remove(transaction.call.request.command.id());
+            }
         }
     }
 }
