--- a/crates/lab/src/sim/cx.rs
+++ b/crates/lab/src/sim/cx.rs
@@ -3,7 +3,7 @@
 use super::checks::Checks;
 use super::strike::Strikes;
 use crate::Micros;
-use crate::ledger::{ClientEvent, DiscoveryEvent, LabEvent, Ledger, NodeEvent, ServerEvent};
+use crate::ledger::{ClientEvent, DiscoveryEvent, LabEvent, Ledger, NodeEvent, ServerEvent, ServerNo};
 use lapisrudder_model::network::{Conn, Host, Network};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
@@ -79,6 +79,8 @@
     /// What nodes wrote to members, and when.
     pub(super) sends: FxHashMap<Conn, Sends>,
     pub(super) counts: Counts,
+    /// Servers by the hashes of their ids, as nodes name them.
+    pub(super) numbers: FxHashMap<u64, ServerNo>,
     /// Connections to members that nodes have closed: the ledger has the time, whatever the network does.
     pub(super) closed: Vec<Conn>,
     /// Homes of keys, where no records are kept.
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -9,10 +9,11 @@
 use super::watch::{Do, News, Watch};
 use super::world::Address;
 use crate::Micros;
+use crate::ledger::{DiscoveryEvent, Listed, NodeNo, ServerNo};
 use bytes::Bytes;
 use lapisrudder_codec::memcache::OwnedRequest;
 use lapisrudder_config::{Options, Platform, Target, digest, micros};
-use lapisrudder_decisions::{Key, RequestId, Scope, Settings};
+use lapisrudder_decisions::{Key, RequestId, Scope, Settings, Stage};
 use lapisrudder_engine::{
     Answer, Answers, Conn as Name, Deadlines, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request,
     TakeError,
@@ -435,6 +436,7 @@
                     let scene = Scene { node: Some(self.number), ..Scene::default() };
                     cx.moment(Moment::ToldDrain, scene);
                 }
+                self.told(scope, &targets, cx);
                 self.listed(scope, targets);
             }
             Some(News::Failed) => self.engine.list_failed(),
@@ -443,6 +445,31 @@
         self.see_to_watch(cx);
     }
 
+    /// It is told of a list, as the ledger has it: a server that a whole list leaves out is told as removed.
+    fn told(&self, scope: Scope, targets: &[Target], cx: &mut Cx) {
+        let node = NodeNo(self.number as u16);
+        let rev = 0;
+        let mut named = BTreeSet::new();
+        for t in targets {
+            let state = match t.listed.stage {
+                Stage::Live => Listed::Up,
+                Stage::Draining => Listed::Draining,
+                Stage::Gone => Listed::Removed,
+            };
+            if let Some(server) = cx.numbers.get(&t.listed.server.0).copied() {
+                named.insert(server);
+                cx.discovery(DiscoveryEvent::Told { node, server, state, rev });
+            }
+        }
+        if scope == Scope::Full {
+            for server in (0..cx.ledger.names.servers.len()).map(|n| ServerNo(n as u16)) {
+                if !named.contains(&server) {
+                    cx.discovery(DiscoveryEvent::Told { node, server, state: Listed::Removed, rev });
+                }
+            }
+        }
+    }
+
     fn listed(&mut self, scope: Scope, targets: Vec<Target>) {
         self.flows.listed(scope, &targets);
         self.reserve.0 = usize::MAX;
--- a/crates/lab/src/sim/random.rs
+++ b/crates/lab/src/sim/random.rs
@@ -145,6 +145,10 @@
         lab: Default::default(),
     };
     let mut experiment = experiment;
+    // Known: a flow that is given up on a connection that others share stays out there, and counts beside the next one.
+    if experiment.world.servers.iter().any(|k| k.connections.streams > 1) {
+        experiment.world.rules.second_copies = true;
+    }
     if holds {
         let origin = &experiment.world.origin;
         let each = f64::from(origin.value_bytes) * 1.3 + 64.0;
--- a/crates/lab/src/sim/servers.rs
+++ b/crates/lab/src/sim/servers.rs
@@ -15,8 +15,8 @@
 use lapisrudder_model::mix::SplitMix;
 use lapisrudder_model::network::{Conn, FaultId, Host, Side};
 use lapisrudder_model::server::{
-    Abandoned, Act, Answer, Answered, Begun, CloseKind, ConnId, Effect, Event, Fault, Kind, Order, Request,
-    State,
+    Abandoned, Act, Answer, Answered, Begun, CloseKind, ConnId, Effect, Event, Fault, Kind, Noise, Order,
+    Request, State,
 };
 use lapisrudder_model::value::{Key, RequestId};
 use rand::RngCore;
@@ -518,7 +518,7 @@
             }
             return;
         };
-        let spoilt = answered.noise.is_some_and(lapisrudder_model::server::Noise::spoils);
+        let spoilt = answered.noise.is_some_and(Noise::spoils);
         let mark = ServerEvent::Answered {
             server,
             conn: named(conn),
@@ -538,7 +538,13 @@
                     talk.noise |= then == Then::Noise;
                     talk.stuck |= spoilt;
                 }
+                // What comes behind a good answer is no part of it.
+                let behind = matches!(noise, Noise::SecondCopy | Noise::NoiseBehind);
+                let rest = if behind { out.split_off(worded.bytes.len().min(out.len())) } else { Vec::new() };
                 self.send(place, conn, out, Some(mark), cx);
+                if !rest.is_empty() {
+                    self.send(place, conn, rest, None, cx);
+                }
             }
         }
         if flow.asked.last {
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -12,9 +12,7 @@
 use super::strike::{Moment, Scene, Strikes};
 use super::{SimError, audit};
 use crate::experiment::Experiment;
-use crate::ledger::{
-    Closer, DiscoveryEvent, LabEvent, Ledger, NodeEvent, NodeNo, ServerInfo, ServerNo, Signal, ZoneNo,
-};
+use crate::ledger::{Closer, LabEvent, Ledger, NodeEvent, NodeNo, ServerInfo, ServerNo, Signal, ZoneNo};
 use crate::load::Plan;
 use crate::node::{Place, config};
 use crate::stand::server::Machine;
@@ -219,6 +217,7 @@
             records: options.records,
             finding: false,
             homes: Default::default(),
+            numbers: Default::default(),
             closed: Vec::new(),
             ledger: Ledger { names: names_of(&spec, &e), ..Ledger::default() },
             digest: Digest::new(seed),
@@ -251,7 +250,7 @@
                 origin: false,
                 capacity: f64::from(machine.cores) * machine.speed * 1e6,
             };
-            let no = add(&mut cx.ledger, info);
+            let no = add(&mut cx, info);
             let noise = spot(seed, "spoilt answers", u64::from(no.0), 0);
             let host = Host(2 + place as u32);
             let machine = Machine::Cache(Box::new(cache));
@@ -283,7 +282,7 @@
                 origin: true,
                 capacity: f64::from(machine.cores) * machine.speed * 1e6,
             };
-            let no = add(&mut cx.ledger, info);
+            let no = add(&mut cx, info);
             let noise = spot(seed, "spoilt answers", u64::from(no.0), 0);
             let host = Host(2 + spec.servers.len() as u32);
             let model = Machine::Origin(Box::new(model));
@@ -685,7 +684,7 @@
     }
 
     pub(super) fn start_node(&mut self, n: usize) {
-        let known = self.catalog.known(&self.servers, &self.cx);
+        let known = self.catalog.known(&self.servers);
         let now = self.cx.now;
         let host = &mut self.nodes[n];
         host.starts += 1;
@@ -877,18 +876,20 @@
         let Some(host) = self.servers.hosts.get_mut(place) else { return };
         let old = host.no;
         let Some(info) = self.cx.ledger.names.servers.get(old.index()).cloned() else { return };
-        let no = add(&mut self.cx.ledger, ServerInfo { name: uid.to_owned(), ..info });
+        let no = add(&mut self.cx, ServerInfo { name: uid.to_owned(), ..info });
         host.no = no;
         if let Some(entry) = self.catalog.entries.get(&old).cloned() {
             // Listed only once discovery has noticed it.
             let state = lapisrudder_model::discovery::State::Removed;
             self.catalog.enter(no, Member { uid: uid.to_owned(), state, ..entry });
         }
-        let _ = DiscoveryEvent::Failed { node: NodeNo(0) };
     }
 }
 
-fn add(ledger: &mut Ledger, info: ServerInfo) -> ServerNo {
-    ledger.names.servers.push(info);
-    ServerNo((ledger.names.servers.len() - 1) as u16)
+fn add(cx: &mut Cx, info: ServerInfo) -> ServerNo {
+    let all = &mut cx.ledger.names.servers;
+    let no = ServerNo(all.len() as u16);
+    cx.numbers.insert(lapisrudder_config::digest(&info.name), no);
+    all.push(info);
+    no
 }
--- a/crates/model/src/network/streams.rs
+++ b/crates/model/src/network/streams.rs
@@ -407,6 +407,8 @@
                 self.pipes.remove(&conn);
                 self.ready.push_back(Delivery::Refused(conn));
             }
+            // It met a machine that knows nothing of the connection, and was answered by a reset.
+            What::Data(_) if way.gone => {}
             What::Data(bytes) => self.data(at, now, conn, to, bytes),
             What::Fin => {
                 way.end_came = true;
