--- a/crates/lab/src/check/context.rs
+++ b/crates/lab/src/check/context.rs
@@ -123,6 +123,21 @@
         attempts
     }
 
+    /// When a close last crossed a try, so that its client sent it once more.
+    pub(super) fn crossed(&self, req: ReqId) -> Option<Micros> {
+        let crossed = self.index.client(req).filter(|r| matches!(r.event, ClientEvent::Crossed { .. }));
+        crossed.map(|r| r.at).last()
+    }
+
+    /// The attempts since then: that of a node that died looks like one that crossed, and the node that the try goes to
+    /// once more knows nothing of it.
+    pub(super) fn attempts_since_crossed(&self, req: ReqId) -> Vec<Attempt> {
+        let again = self.crossed(req).unwrap_or(Micros::MIN);
+        let mut attempts = self.attempts(req);
+        attempts.retain(|a| a.first_byte > again);
+        attempts
+    }
+
     /// A violation about a try.
     pub(super) fn broken(&self, rule: Rule, at: Micros, t: &Try, text: String) -> Violation {
         Violation { rule, at, req: Some(t.id), node: Some(t.node), server: None, text }
--- a/crates/lab/src/sim/hands.rs
+++ b/crates/lab/src/sim/hands.rs
@@ -37,7 +37,7 @@
     Back(usize, bool),
     StartNode(usize),
     /// A node that was told to stop is killed, if it still runs.
-    KillNode(usize),
+    KillNode(usize, u64),
     LinkOff(FaultId),
     DiscoveryUp,
     Resets,
@@ -158,9 +158,9 @@
                         self.start_node(n);
                     }
                 }
-                Deed::KillNode(n) => {
+                Deed::KillNode(n, starts) => {
                     let rest = self.nodes[n].rest;
-                    if rest.is_some() && self.kill_node(n) {
+                    if self.nodes[n].starts == starts && rest.is_some() && self.kill_node(n) {
                         self.nodes[n].rest = None;
                         self.hands.push(self.cx.now + rest.unwrap_or(0), Deed::StartNode(n));
                     }
@@ -285,7 +285,7 @@
                 let kill_at = now + longest.max(LEAST_DEADLINE) + 700_000;
                 for n in &hit.nodes {
                     self.term_node(*n, Some(hit.until - hit.from));
-                    self.hands.push(kill_at, Deed::KillNode(*n));
+                    self.hands.push(kill_at, Deed::KillNode(*n, self.nodes[*n].starts));
                 }
             }
             What::Hup(_) => {
@@ -603,7 +603,8 @@
             }
             Blow::TermNode => {
                 self.term_node(node, Some(200_000));
-                self.hands.push(now + LEAST_DEADLINE + 700_000, Deed::KillNode(node));
+                self.hands
+                    .push(now + LEAST_DEADLINE + 700_000, Deed::KillNode(node, self.nodes[node].starts));
             }
             Blow::StallNode(ms) => {
                 let host = &mut self.nodes[node];
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -96,7 +96,7 @@
     pub(super) host: Host,
     pub(super) process: Option<Process>,
     pub(super) door: Option<FaultId>,
-    starts: u64,
+    pub(super) starts: u64,
     pub(super) busy_until: Micros,
     /// Started again so long after its end.
     pub(super) rest: Option<Micros>,
