--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,10 +5,12 @@
 //! [`Action`]s that it answers with. All types that it speaks are in [`interface`].
 #![forbid(unsafe_code)]
 
+mod audit;
 pub mod interface;
 pub mod rules;
 mod state;
 mod turns;
 
+pub use audit::Audit;
 pub use interface::*;
 pub use rules::Balancer;
--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -78,6 +78,13 @@
         (takes && !self.stalls(stalled)).then_some((self.places.len(), first))
     }
 
+    /// Flows that somebody waits for, all places, and bytes held.
+    pub(crate) fn audit(&self) -> (usize, usize, usize) {
+        let unwritten: usize = self.places.iter().map(|p| p.bytes.len()).sum();
+        let carried = self.places.iter().filter(|p| !p.abandoned).count();
+        (carried, self.places.len(), unwritten + self.input.len())
+    }
+
     /// It was given its first flow in this turn, and may be given another.
     pub(crate) fn shares(&self, most: usize) -> bool {
         let unbegun = |p: &Place| p.written == 0 && !p.bytes.is_empty() && !p.abandoned;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -57,10 +57,10 @@
 
 /// Transactions, flows, members and the decisions about them. See the [crate](crate) for how hosts drive it.
 pub struct Engine {
-    deadlines: Deadlines<Deadline>,
-    pool: Pool,
-    transactions: Transactions,
-    balancer: Balancer,
+    pub(crate) deadlines: Deadlines<Deadline>,
+    pub(crate) pool: Pool,
+    pub(crate) transactions: Transactions,
+    pub(crate) balancer: Balancer,
     /// Room for what the decisions say, and for flows that a read has ended.
     actions: Vec<Action>,
     ended: Vec<(FlowId, Outcome, Option<CacheNote>)>,
@@ -271,8 +271,11 @@
                 let mut actions = std::mem::take(&mut self.actions);
                 actions.drain(..).for_each(|action| self.carry_out(action, now));
                 self.actions = actions;
-            } else if !self.pool.write_out(now, &mut self.deadlines) {
-                return None;
+            } else {
+                self.transactions.drop_over();
+                if !self.pool.write_out(now, &mut self.deadlines) {
+                    return None;
+                }
             }
         }
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -79,6 +79,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
+mod audit;
 mod config;
 mod connection;
 mod deadlines;
@@ -90,6 +91,7 @@
 mod transactions;
 mod watch;
 
+pub use audit::Audit;
 pub use config::{Config, Limits};
 pub use deadlines::{Deadlines, Key as DeadlineKey};
 pub use engine::{Answers, Attempts, Engine, LONGEST_HELD, Member, OVERDUE, TakeError};
--- a/crates/lab/src/check/attempts.rs
+++ b/crates/lab/src/check/attempts.rs
@@ -9,7 +9,7 @@
 pub(super) fn check(cx: &Context<'_>, out: &mut Vec<Violation>) {
     let most = cx.rules.attempts as usize;
     for t in cx.tries() {
-        let attempts = cx.attempts(t.id);
+        let attempts = cx.attempts_since_crossed(t.id);
         if let Some(extra) = attempts.get(most) {
             let text = format!("{} attempts; {most} are allowed", attempts.len());
             out.push(cx.broken(Rule::Attempts, extra.last_byte, t, text));
--- a/crates/lab/src/check/crossing.rs
+++ b/crates/lab/src/check/crossing.rs
@@ -7,14 +7,15 @@
 
 use super::context::Context;
 use super::{Rule, Violation};
-use crate::ledger::{ClientEvent, ServerEvent};
+use crate::ledger::{ClientEvent, ConnNo, NodeNo, ServerEvent};
 
 pub(super) fn check(cx: &Context<'_>, out: &mut Vec<Violation>) {
     for t in cx.tries() {
         let crossed = cx.index.client(t.id).filter(|r| matches!(r.event, ClientEvent::Crossed { .. }));
         for (number, r) in crossed.enumerate() {
-            // The end may be seen some time after the kill.
-            if cx.killed(t.node, r.at - 1_000_000, r.at) {
+            // The try's own node is the one that it went to at last. The end may be seen some time after the kill.
+            let node = r.event.conn().and_then(|conn| opened_to(cx, conn)).unwrap_or(t.node);
+            if cx.killed(node, r.at - 1_000_000, r.at) {
                 continue;
             }
             if number > 0 {
@@ -36,3 +37,11 @@
         }
     }
 }
+
+/// The node that a client's connection went to.
+fn opened_to(cx: &Context<'_>, conn: ConnNo) -> Option<NodeNo> {
+    cx.index.client_conn(conn).find_map(|r| match r.event {
+        ClientEvent::Opened { node, .. } => Some(node),
+        _ => None,
+    })
+}
