--- a/crates/pool/src/need.rs
+++ b/crates/pool/src/need.rs
@@ -18,7 +18,7 @@
 /// So many windows ahead is the trend taken: to open what is needed takes about that long.
 const LEAD: f64 = 4.0;
 /// A flow's time counts as so many times the mean at most. Guards the mean against a stall.
-const CLIP: f64 = 8.0;
+const CLIP: f64 = 4.0;
 /// Weight of one more time in the mean as it is now, and in the steadier one and the spread, once there are many.
 const TIMES: (f64, f64) = (1.0 / 64.0, 1.0 / 512.0);
 /// Windows over which the least mean time is taken: two halves of so many.
--- a/crates/pool/src/pool/flows.rs
+++ b/crates/pool/src/pool/flows.rs
@@ -2,7 +2,7 @@
 
 use super::Pool;
 use super::conn::State;
-use super::tick::Room;
+use super::tick::{OFTEN, Room};
 use crate::{Care, Choice, ConnId, MemberId, Micros, Order, Place, Refusal, Ticket, Why, staffing};
 
 /// From this share of the limit on idle ages a connection that is to be kept is used before those used later.
@@ -32,7 +32,7 @@
             if self.conns[conn as usize].load() > 1 {
                 self.open_some(now, m);
             }
-            self.arm_member(now, m);
+            self.arm_member_at(m, now + OFTEN);
             let conn = self.conns[conn as usize].id(conn);
             // Guards the order of flows on it: the host has not heard yet of one that goes before.
             let unheard = |o: &Order| matches!(o, Order::Take { conn: on, .. } if *on == conn);
--- a/crates/pool/src/pool/member.rs
+++ b/crates/pool/src/pool/member.rs
@@ -182,12 +182,14 @@
     }
 
     /// From this long without progress on, a connection stalls. Far beyond what flows take: eight times the mean of
-    /// what a flow has left when it is looked at.
+    /// what a flow has left when it is looked at. Guards against pauses that teach patience with the next one: the mean
+    /// counts as three times the undisturbed one at most.
     pub(super) fn stall_mark(&self, connect_timeout: Micros) -> Micros {
         if !self.need.is_learnt() {
             return connect_timeout;
         }
-        let usual = 8.0 * self.need.time() * (1.0 + self.need.cv2()) / 2.0;
+        let time = self.need.time().min(3.0 * self.need.base_time());
+        let usual = 8.0 * time * (1.0 + self.need.cv2()) / 2.0;
         (usual as Micros).clamp(connect_timeout / 4, 4 * connect_timeout)
     }
 
--- a/crates/pool/src/pool/tick.rs
+++ b/crates/pool/src/pool/tick.rs
@@ -9,7 +9,7 @@
 /// A member with flows that wait is looked at after this long,
 pub(super) const SOON: Micros = 50_000;
 /// one where something happens after this long,
-const OFTEN: Micros = 200_000;
+pub(super) const OFTEN: Micros = 250_000;
 /// and one with connections, where nothing happens, after this long.
 const SELDOM: Micros = 2_000_000;
 /// For how long more flows are foreseen at a member: then they have come.
