--- a/src/net/pool_member.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -1,68 +1,72 @@
 //! Pool members: whom flows may go to, and the connections that they go on.
 
-use super::connection::{Connection, Flow};
-use super::deadlines::{Deadline, Deadlines, FlowId};
-use super::socket::{Handle, Socket};
-use lapisrudder::{Micros, Outcome, ServerId, Stage};
-use lapisrudder_codec::memcache::{Answer, Request};
+use crate::config::Limits;
+use crate::connection::Connection;
+use crate::deadlines;
+use crate::engine::Deadline;
+use crate::flow::{Flow, FlowId};
+use crate::order::{Conn, Order};
+use lapisrudder_codec::memcache::Answer;
+use lapisrudder_decisions::{Micros, Outcome, ServerId, Stage};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use tracing::warn;
 
+type Deadlines = deadlines::Deadlines<Deadline>;
+
+/// A turn that puts more flows than this on connections is a burst: from there on those to one member go on one
+/// connection, up to so many. In calm times each has its own, so that none waits for the answer of another.
+const BURST: usize = 16;
+const SHARED: usize = 8;
+
 struct PoolMember {
     endpoint: SocketAddr,
     origin: bool,
     /// Draining or gone: nothing new may be written to it.
     closed: bool,
-    connections: Vec<u64>,
+    connections: Vec<Conn>,
     /// Flows that wait for a connection, oldest first.
     waiting: VecDeque<Flow>,
     /// Connections to it at the most.
     most: usize,
+    /// The connection that was last given a flow.
+    latest: Option<Conn>,
 }
 
 /// How a flow has ended without an answer.
-pub type Lost = (FlowId, Outcome);
-
-pub struct Limits {
-    pub connect_timeout: Micros,
-    /// Idle connections are closed after this long, well before the member's machine does so.
-    pub idle: Micros,
-    /// Flows on one connection at a time.
-    pub multiplex: usize,
-    /// Connections to one member, to the origin, and to all.
-    pub per_member: usize,
-    pub to_origin: usize,
-    pub in_all: usize,
-}
+pub(crate) type Lost = (FlowId, Outcome);
 
-pub struct Pool {
+pub(crate) struct Pool {
     members: FxHashMap<ServerId, PoolMember>,
-    connections: FxHashMap<u64, Connection>,
+    connections: FxHashMap<Conn, Connection>,
     limits: Limits,
-    handle: Handle,
     next: u64,
+    /// Flows that were put on connections in this turn.
+    put: usize,
     /// Connections with something to write at the end of the turn.
-    unwritten: Vec<u64>,
-    pub lost: VecDeque<Lost>,
+    unwritten: Vec<Conn>,
+    pub(crate) lost: VecDeque<Lost>,
+    /// What the host is to do.
+    pub(crate) orders: VecDeque<Order>,
 }
 
 impl Pool {
-    pub fn new(limits: Limits, handle: &Handle) -> Pool {
+    pub(crate) fn new(limits: Limits) -> Pool {
         Pool {
             members: FxHashMap::default(),
             connections: FxHashMap::default(),
             limits,
-            handle: handle.clone(),
             next: 0,
+            put: 0,
             unwritten: Vec::new(),
             lost: VecDeque::new(),
+            orders: VecDeque::new(),
         }
     }
 
     /// What the list says of a member. Flows not yet begun never go to one that drains or is gone.
-    pub fn list(
+    pub(crate) fn list(
         &mut self,
         server: ServerId,
         endpoint: SocketAddr,
@@ -81,6 +85,7 @@
             connections: Vec::new(),
             waiting: VecDeque::new(),
             most,
+            latest: None,
         });
         (member.endpoint, member.origin, member.closed) = (endpoint, origin, stage != Stage::Live);
         if member.closed {
@@ -89,7 +94,7 @@
     }
 
     /// The list no longer has it. It is forgotten with its last connection.
-    pub fn gone(&mut self, server: ServerId, deadlines: &mut Deadlines) {
+    pub(crate) fn gone(&mut self, server: ServerId, deadlines: &mut Deadlines) {
         if let Some(member) = self.members.get_mut(&server) {
             member.closed = true;
             self.retire(server, deadlines);
@@ -105,28 +110,37 @@
         self.lost.extend(member.waiting.drain(..).map(|f| (f.id, Outcome::NeverSent)));
         let free = |c: &Connection| c.idle() || !c.up;
         let ids = member.connections.iter().copied();
-        let ids: Vec<u64> = ids.filter(|id| self.connections.get(id).is_some_and(free)).collect();
+        let ids: Vec<Conn> = ids.filter(|id| self.connections.get(id).is_some_and(free)).collect();
         ids.into_iter().for_each(|id| {
             self.remove(id, deadlines);
         });
     }
 
-    pub fn servers(&self) -> Vec<ServerId> {
+    pub(crate) fn servers(&self) -> Vec<ServerId> {
         self.members.keys().copied().collect()
     }
 
     /// Connections that the members there are may take, within the limit for all.
-    pub fn reserve(&self) -> usize {
+    pub(crate) fn reserve(&self) -> usize {
         let needs = |m: &PoolMember| if m.closed { m.connections.len() } else { m.most };
         self.members.values().map(needs).sum::<usize>().min(self.limits.in_all)
     }
 
-    pub fn any_open(&self) -> bool {
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    pub(crate) fn flows(&self) -> usize {
+        let waiting: usize = self.members.values().map(|m| m.waiting.len()).sum();
+        waiting + self.connections.values().map(Connection::flows).sum::<usize>()
+    }
+
+    pub(crate) fn any_open(&self) -> bool {
         self.members.values().any(|m| !m.closed)
     }
 
     /// Begins a flow.
-    pub fn send(&mut self, server: ServerId, flow: Flow, now: Micros, deadlines: &mut Deadlines) {
+    pub(crate) fn send(&mut self, server: ServerId, flow: Flow, now: Micros, deadlines: &mut Deadlines) {
         match self.members.get_mut(&server).filter(|m| !m.closed) {
             Some(member) => member.waiting.push_back(flow),
             None => return self.lost.push_back((flow.id, Outcome::NeverSent)),
@@ -137,39 +151,48 @@
     /// Finds connections for the flows that wait: an idle one, else a new one, else behind the fewest others.
     fn dispatch(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
         while let Some(member) = self.members.get(&server).filter(|m| !m.closed && !m.waiting.is_empty()) {
-            let known = |id: &u64| self.connections.get(id).filter(|c| c.endpoint == member.endpoint);
-            // The one used last: those that few requests need stay idle, and close before their member does so.
-            let idle = member.connections.iter().filter(|id| known(id).is_some_and(|c| c.idle()));
-            let idle = idle.max_by_key(|id| known(id).and_then(|c| c.deadline)).copied();
-            let coming = member.connections.iter().filter(|id| known(id).is_some_and(|c| !c.up)).count();
-            // Guards against connections that fall silent while their member answers on others: up to as many
-            // again may take their place.
+            let known = |id: &Conn| self.connections.get(id).filter(|c| c.endpoint == member.endpoint);
             let stalled = now - self.limits.connect_timeout;
-            let stalls = member.connections.iter().filter(|id| known(id).is_some_and(|c| c.stalls(stalled)));
-            let most = member.most + stalls.count().min(member.most);
-            let room = member.connections.len() < most && self.connections.len() < self.limits.in_all;
-            if idle.is_none() && coming >= member.waiting.len() {
-                return;
-            }
-            if idle.is_none() && (room || member.connections.is_empty()) {
-                if !self.connect(server, now, deadlines) {
-                    return self.not_connected(server, now, deadlines);
+            // Guards the node's processor in a burst: what many clients have asked for at once goes out in few writes,
+            // and comes back in few reads.
+            let shares = |id: &Conn| known(id).is_some_and(|c| c.shares(SHARED.min(self.limits.multiplex)));
+            let burst = self.put >= BURST && !member.origin;
+            let shared = member.latest.filter(|id| burst && shares(id));
+            // The one used last: those that few requests need stay idle, and close before their member does so.
+            let idle = || {
+                let idle = member.connections.iter().filter(|id| known(id).is_some_and(|c| c.idle()));
+                idle.max_by_key(|id| known(id).and_then(|c| c.deadline)).copied()
+            };
+            let mut to = shared.or_else(idle);
+            if to.is_none() {
+                let coming = member.connections.iter().filter(|id| known(id).is_some_and(|c| !c.up)).count();
+                if coming >= member.waiting.len() {
+                    return;
+                }
+                // Guards against connections that fall silent while their member answers on others: up to as many
+                // again may take their place.
+                let stalls = |id: &&Conn| known(id).is_some_and(|c| c.stalls(stalled));
+                let most = member.most + member.connections.iter().filter(stalls).count().min(member.most);
+                let room = member.connections.len() < most && self.connections.len() < self.limits.in_all;
+                if room || member.connections.is_empty() {
+                    self.connect(server, now, deadlines);
+                    continue;
                 }
-                continue;
+                to = self.least_busy(server, now);
             }
-            let Some(id) = idle.or_else(|| self.least_busy(server, now)) else { return };
+            let Some(id) = to else { return };
             let flow = self.members.get_mut(&server).and_then(|m| m.waiting.pop_front());
             flow.into_iter().for_each(|flow| self.put(id, flow, now, deadlines));
         }
     }
 
     /// The connection with the fewest flows that may take another; of those the one that got on last.
-    fn least_busy(&self, server: ServerId, now: Micros) -> Option<u64> {
+    fn least_busy(&self, server: ServerId, now: Micros) -> Option<Conn> {
         let member = self.members.get(&server)?;
         // Guards against a request that runs after its final answer: over HTTP the origin begins a request only
         // when the one before it is answered, and one called off meanwhile could not be taken back.
         let most = if member.origin { 1 } else { self.limits.multiplex };
-        let known = |id: &u64| self.connections.get(id).filter(|c| c.endpoint == member.endpoint);
+        let known = |id: &Conn| self.connections.get(id).filter(|c| c.endpoint == member.endpoint);
         let loads = member
             .connections
             .iter()
@@ -177,25 +200,17 @@
         loads.min().map(|(_, id)| id)
     }
 
-    /// Begins to connect; false if that failed at once.
-    fn connect(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) -> bool {
-        let Some(member) = self.members.get_mut(&server) else { return false };
-        let id = self.next;
+    /// Begins to connect.
+    fn connect(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
+        let Some(member) = self.members.get_mut(&server) else { return };
+        let id = Conn(self.next);
         self.next += 1;
-        let socket = Socket::connect(member.endpoint, &self.handle, move |_, node| node.member_ready(id));
-        let socket = match socket {
-            Ok(socket) => socket,
-            Err(e) => {
-                warn!(about = %member.endpoint, "cannot connect: {e}");
-                return false;
-            }
-        };
-        let mut connection = Connection::new(server, member.endpoint, member.origin, socket);
+        self.orders.push_back(Order::Connect { conn: id, to: member.endpoint });
+        let mut connection = Connection::new(server, member.endpoint, member.origin);
         let at = now + self.limits.connect_timeout;
         connection.deadline = Some(deadlines.add(at, Deadline::Connection(id)));
         member.connections.push(id);
         self.connections.insert(id, connection);
-        true
     }
 
     /// A connection did not come up. Flows beyond those that still have one to wait for go behind others, or
@@ -203,7 +218,7 @@
     fn not_connected(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
         loop {
             let Some(member) = self.members.get_mut(&server) else { return };
-            let coming = |id: &&u64| self.connections.get(id).is_some_and(|c| !c.up || c.origin);
+            let coming = |id: &&Conn| self.connections.get(id).is_some_and(|c| !c.up || c.origin);
             if member.waiting.len() <= member.connections.iter().filter(coming).count() {
                 return;
             }
@@ -216,68 +231,102 @@
     }
 
     /// Puts a flow on a connection that is up.
-    fn put(&mut self, id: u64, flow: Flow, now: Micros, deadlines: &mut Deadlines) {
+    fn put(&mut self, id: Conn, flow: Flow, now: Micros, deadlines: &mut Deadlines) {
         let Some(c) = self.connections.get_mut(&id) else { return };
         deadlines.remove(c.deadline.take());
         c.put(flow, now);
-        self.unwritten.push(id);
+        self.put += 1;
+        if let Some(member) = self.members.get_mut(&c.server) {
+            member.latest = Some(id);
+        }
+        if !std::mem::replace(&mut c.queued, true) {
+            self.unwritten.push(id);
+        }
     }
 
-    /// Writes what this turn has put on connections. Guards against a flow that goes out beside the final
-    /// answer of its transaction: all that has come in by now has been read first. False if there was nothing.
-    pub fn write_out(&mut self, now: Micros, deadlines: &mut Deadlines) -> bool {
-        let some = !self.unwritten.is_empty();
-        while let Some(id) = self.unwritten.pop() {
-            self.flush(id, now, deadlines);
-            self.freed(id, now, deadlines);
-        }
-        some
+    /// Orders the next write of what this turn has put on connections. Guards against a flow that goes out beside
+    /// the final answer of its transaction: all that has come in by now has been read first. False if there was
+    /// nothing to see to.
+    pub(crate) fn write_out(&mut self, now: Micros, deadlines: &mut Deadlines) -> bool {
+        let Some(id) = self.unwritten.pop() else {
+            self.put = 0;
+            return false;
+        };
+        self.flush(id, now, deadlines);
+        self.freed(id, now, deadlines);
+        true
     }
 
-    /// Writes as far as the socket takes it. Guards the drain rule: a flow that has waited for a connection or
+    /// Orders a write of what may still go out. Guards the drain rule: a flow that has waited for a connection or
     /// behind a full socket while its member began to drain must not begin. Nor may one whose transaction
     /// another flow has served in the same turn, before the decisions could call this one off.
-    fn flush(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
-        let Some(c) = self.connections.get_mut(&id).filter(|c| c.up) else { return };
+    fn flush(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
+        let Some(c) = self.connections.get_mut(&id) else { return };
+        c.queued = false;
+        if !c.up {
+            return;
+        }
         let closed = self.members.get(&c.server).is_none_or(|m| m.closed);
         c.drop_unbegun(closed, |flow| self.lost.push_back((flow, Outcome::NeverSent)));
-        if !c.write() {
+        // What was dropped may have been all that kept a connection whose other flows were given up.
+        if c.is_stale() || c.is_useless() {
             self.close(id, now, deadlines);
+        } else if c.transmit().next().is_some() {
+            self.orders.push_back(Order::Write { conn: id, look: c.is_fresh() });
+        }
+    }
+
+    pub(crate) fn transmit(&self, id: Conn) -> impl Iterator<Item = &[u8]> {
+        self.connections.get(&id).into_iter().flat_map(Connection::transmit)
+    }
+
+    pub(crate) fn transmitted(&mut self, id: Conn, bytes: usize) {
+        if let Some(c) = self.connections.get_mut(&id) {
+            c.transmitted(bytes);
+        }
+    }
+
+    /// A connect has come up.
+    pub(crate) fn connected(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
+        let Some(c) = self.connections.get_mut(&id).filter(|c| !c.up) else { return };
+        c.up = true;
+        self.freed(id, now, deadlines);
+    }
+
+    /// It may be written to again, if there is anything to write.
+    pub(crate) fn writable(&mut self, id: Conn) {
+        let Some(c) = self.connections.get_mut(&id).filter(|c| c.transmit().next().is_some()) else { return };
+        if !std::mem::replace(&mut c.queued, true) {
+            self.unwritten.push(id);
         }
     }
 
-    /// The callback of a member's connection. Answers are given as slices of what was read.
-    pub fn on_ready(
+    pub(crate) fn expects(&self, id: Conn) -> bool {
+        self.connections.get(&id).is_some_and(Connection::expects)
+    }
+
+    /// Takes the answers that are whole. False if the connection is over.
+    pub(crate) fn received(
         &mut self,
-        id: u64,
-        scratch: &mut [u8],
+        id: Conn,
+        bytes: &[u8],
+        ended: bool,
         now: Micros,
         deadlines: &mut Deadlines,
-        mut answered: impl FnMut(&Flow, &Request, Answer),
-    ) {
-        let Some(c) = self.connections.get_mut(&id) else { return };
-        if !c.up {
-            match c.comes_up() {
-                Ok(true) => self.freed(id, now, deadlines),
-                Ok(false) => return,
-                Err(e) => {
-                    warn!(about = %c.endpoint, "cannot connect: {e}");
-                    return self.close(id, now, deadlines);
-                }
-            }
-        }
-        self.unwritten.push(id);
-        while let Some(c) = self.connections.get_mut(&id) {
-            match c.read(scratch, &mut answered) {
-                None => return,
-                Some(true) => self.freed(id, now, deadlines),
-                Some(false) => self.close(id, now, deadlines),
-            }
+        mut answered: impl FnMut(&Flow, Answer),
+    ) -> bool {
+        // Nothing can come on a connection that is not up: its host has mixed them up.
+        let Some(c) = self.connections.get_mut(&id).filter(|c| c.up) else { return false };
+        let of_use = c.received(bytes, ended, &mut answered);
+        match of_use {
+            true => self.freed(id, now, deadlines),
+            false => self.close(id, now, deadlines),
         }
+        of_use
     }
 
     /// A connection with nothing on it takes what waits longest, or stands idle for a while.
-    fn freed(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
+    fn freed(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
         let Some(c) = self.connections.get_mut(&id).filter(|c| c.idle()) else { return };
         deadlines.remove(c.deadline.take());
         let member = self.members.get_mut(&c.server).filter(|m| !m.closed && m.endpoint == c.endpoint);
@@ -292,7 +341,7 @@
     }
 
     /// The time of a connection is over: it did not come up, or was idle for long.
-    pub fn on_deadline(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
+    pub(crate) fn on_deadline(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
         if let Some(c) = self.connections.get_mut(&id) {
             c.deadline = None;
             if !c.up {
@@ -303,7 +352,7 @@
     }
 
     /// Closes a connection, and finds others for what waits.
-    fn close(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
+    pub(crate) fn close(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
         match self.remove(id, deadlines) {
             Some((server, true)) => self.dispatch(server, now, deadlines),
             Some((server, false)) => self.not_connected(server, now, deadlines),
@@ -312,9 +361,10 @@
     }
 
     /// Closes a connection. Each flow on it ends, or waits for another. Gives the member and whether it was up.
-    fn remove(&mut self, id: u64, deadlines: &mut Deadlines) -> Option<(ServerId, bool)> {
+    fn remove(&mut self, id: Conn, deadlines: &mut Deadlines) -> Option<(ServerId, bool)> {
         let c = self.connections.remove(&id)?;
         deadlines.remove(c.deadline);
+        self.forget_socket(id, c.up);
         let (server, up) = (c.server, c.up);
         let mut moved = VecDeque::new();
         for end in c.close() {
@@ -336,9 +386,18 @@
         Some((server, up))
     }
 
+    /// The host's socket goes, too, unless it has not heard of the connection yet.
+    fn forget_socket(&mut self, id: Conn, up: bool) {
+        let unheard = |o: &Order| matches!(o, Order::Connect { conn, .. } if *conn == id);
+        match self.orders.iter().position(unheard).filter(|_| !up) {
+            Some(place) => drop(self.orders.remove(place)),
+            None => self.orders.push_back(Order::Close { conn: id }),
+        }
+    }
+
     /// Nobody waits for a flow any more. Its connection closes, which tells the member, unless that would
     /// break its neighbours. True if it was never sent.
-    pub fn abandon(
+    pub(crate) fn abandon(
         &mut self,
         server: ServerId,
         flow: FlowId,
@@ -364,124 +423,12 @@
         unsent
     }
 
-    pub fn close_idle(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
+    pub(crate) fn close_idle(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
         let idle = |c: &Connection| c.server == server && c.idle();
-        let ids: Vec<u64> = self.connections.iter().filter(|(_, c)| idle(c)).map(|(id, _)| *id).collect();
+        let ids: Vec<Conn> = self.connections.iter().filter(|(_, c)| idle(c)).map(|(id, _)| *id).collect();
         ids.into_iter().for_each(|id| self.close(id, now, deadlines));
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::super::connection::Call;
-    use super::*;
-    use crate::net::node::Node;
-    use calloop::EventLoop;
-    use std::cell::Cell;
-    use std::net::{TcpListener, TcpStream};
-    use std::rc::Rc;
-
-    const MEMBER: ServerId = ServerId(1);
-
-    /// A pool of one member, whose first connection is coming up, and what a flow needs.
-    struct Desk {
-        pool: Pool,
-        deadlines: Deadlines,
-        at: SocketAddr,
-        call: Rc<Call>,
-        _kept: (EventLoop<'static, Node>, TcpListener, TcpStream),
-    }
-
-    impl Desk {
-        /// Sends so many flows of one transaction.
-        fn new(origin: bool, flows: u32) -> Desk {
-            let events = EventLoop::try_new().unwrap();
-            let limits =
-                Limits { connect_timeout: 1, idle: 1, multiplex: 2, per_member: 1, to_origin: 1, in_all: 1 };
-            let mut pool = Pool::new(limits, &events.handle());
-            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-            let at = listener.local_addr().unwrap();
-            let call = Rc::new(Call { raw: (*b"mg k v O9\r\n").into(), answered: Cell::new(false) });
-            let mut deadlines = Deadlines::default();
-            pool.list(MEMBER, at, origin, Stage::Live, &mut deadlines);
-            pool.send(MEMBER, flow(0, &call), 0, &mut deadlines);
-            let (accepted, _) = listener.accept().unwrap();
-            let mut desk = Desk { pool, deadlines, at, call, _kept: (events, listener, accepted) };
-            if flows > 1 {
-                desk.comes_up();
-                (1..flows).for_each(|n| desk.pool.send(MEMBER, flow(n, &desk.call), 0, &mut desk.deadlines));
-            }
-            desk
-        }
-
-        fn comes_up(&mut self) {
-            self.pool.on_ready(0, &mut [0; 64], 0, &mut self.deadlines, |_, _, _| {});
-            self.pool.write_out(0, &mut self.deadlines);
-        }
-    }
-
-    fn flow(attempt: u32, call: &Rc<Call>) -> Flow {
-        let id = FlowId { request: lapisrudder::RequestId(1), attempt };
-        Flow { id, call: call.clone(), until: 9, moved: false }
-    }
-
-    #[test]
-    fn a_flow_that_has_waited_is_not_begun_if_it_may_no_longer_go() {
-        let ends = |happens: fn(&mut Desk)| {
-            let mut desk = Desk::new(false, 1);
-            happens(&mut desk);
-            desk.comes_up();
-            desk.pool.lost.into_iter().map(|(_, outcome)| outcome).collect::<Vec<_>>()
-        };
-        assert_eq!(ends(|_| {}), []);
-        assert_eq!(ends(|desk| desk.call.answered.set(true)), [Outcome::NeverSent]);
-        assert_eq!(
-            ends(|desk| desk.pool.list(MEMBER, desk.at, false, Stage::Draining, &mut desk.deadlines)),
-            [Outcome::NeverSent]
-        );
-        assert_eq!(ends(|desk| desk.pool.gone(MEMBER, &mut desk.deadlines)), [Outcome::NeverSent]);
-    }
-
-    #[test]
-    fn a_flow_leaves_a_connection_that_died_while_idle_and_a_new_id_gets_none_of_the_old() {
-        let mut desk = Desk::new(false, 1);
-        desk.comes_up();
-        std::io::Write::write_all(&mut desk._kept.2, b"EN O9 h0\r\n").unwrap();
-        while !desk.pool.connections[&0].idle() {
-            desk.comes_up();
-        }
-        desk._kept.2.shutdown(std::net::Shutdown::Both).unwrap();
-        while !desk.pool.connections[&0].is_stale() {}
-        desk.pool.send(MEMBER, flow(1, &desk.call), 0, &mut desk.deadlines);
-        desk.pool.write_out(0, &mut desk.deadlines);
-        assert!(desk.pool.lost.is_empty() && desk.pool.members[&MEMBER].waiting.len() == 1);
-        assert!(desk.pool.connections.keys().eq([&1]), "a new one is on its way");
-        desk.pool.gone(MEMBER, &mut desk.deadlines);
-        assert!(desk.pool.members.is_empty() && desk.pool.connections.is_empty());
-        desk.pool.list(ServerId(2), desk.at, false, Stage::Live, &mut desk.deadlines);
-        desk.pool.send(ServerId(2), flow(2, &desk.call), 0, &mut desk.deadlines);
-        assert!(desk.pool.connections.keys().eq([&2]));
-        assert_eq!(desk.deadlines.next(), Some(1), "and no deadline of the old ones is left");
-    }
-
-    #[test]
-    fn nothing_goes_behind_a_flow_that_stalls_and_another_connection_takes_its_place() {
-        let mut desk = Desk::new(false, 1);
-        desk.comes_up();
-        desk.pool.limits.in_all = 2;
-        desk.pool.send(MEMBER, flow(1, &desk.call), 1, &mut desk.deadlines);
-        assert_eq!(desk.pool.connections[&0].load(9, 0), Some((2, 0)), "behind the first, which is young");
-        desk.pool.send(MEMBER, flow(2, &desk.call), 2, &mut desk.deadlines);
-        assert_eq!(desk.pool.connections.len(), 2);
-        assert_eq!(desk.pool.members[&MEMBER].waiting.len(), 1);
-    }
-
-    #[test]
-    fn nothing_is_written_behind_another_on_a_connection_to_the_origin() {
-        for (origin, behind) in [(false, 2), (true, 1)] {
-            let desk = Desk::new(origin, 2);
-            assert_eq!(desk.pool.connections[&0].load(9, 0), Some((behind, 0)));
-            assert_eq!(desk.pool.members[&MEMBER].waiting.len(), 2 - behind);
-        }
-    }
-}
+mod tests;
