Let hosts poll orders late, put a flow beside others

In full: Let hosts poll orders late, put a flow beside others, and move a member to another address.

Need: an engine carries out orders at the end of its turn, and writes several flows of a burst as one.

Change: flows on a connection that ends before its host has heard of them wait again; names ended by both sides are passed over; Pool::beside and Pool::moved.

--- a/crates/pool/src/names.rs
+++ b/crates/pool/src/names.rs
@@ -147,6 +147,8 @@
     Useless,
     /// Its member drains or is gone.
     MemberLeft,
+    /// Its member is at another address now.
+    Moved,
     /// Another member needs its descriptor more.
     MakesRoom,
     /// The host asked for it.
@@ -199,6 +201,7 @@
             Why::HalfOpen => "from before its member fell silent",
             Why::Useless => "nobody waits on it",
             Why::MemberLeft => "its member left",
+            Why::Moved => "its member moved",
             Why::MakesRoom => "makes room",
             Why::Asked => "asked for",
         })
--- a/crates/pool/src/pool/conn.rs
+++ b/crates/pool/src/pool/conn.rs
@@ -47,6 +47,8 @@
     pub(super) stalled: bool,
     /// It counts among those of its member that take nothing: it stalls, or holds an abandoned flow.
     pub(super) blocked: bool,
+    /// It takes nothing more, and closes once it is idle.
+    pub(super) retiring: bool,
     /// It has brought an answer.
     pub(super) proven: bool,
     links: [Link; 3],
@@ -83,6 +85,7 @@
             moving: false,
             stalled: false,
             blocked: false,
+            retiring: false,
             proven: false,
             links: [Link::default(); 3],
             flows: VecDeque::new(),
--- a/crates/pool/src/pool/ends.rs
+++ b/crates/pool/src/pool/ends.rs
@@ -3,7 +3,7 @@
 use super::Pool;
 use super::conn::State;
 use super::member::Ends;
-use crate::{ConnId, End, Loss, Micros, Why};
+use crate::{ConnId, End, Loss, Micros, Order, Why};
 
 /// Ends by the other side within this time belong together.
 pub(super) const TOGETHER: Micros = 100_000;
@@ -46,7 +46,10 @@
     /// A connect failed, or a connection has ended: what that was. `sent`: something of a flow that is on it now was
     /// written.
     pub fn ended(&mut self, now: Micros, conn: ConnId, end: End, sent: bool) -> Loss {
-        let Some(at) = self.place_of(conn) else { return Loss::Closed };
+        let Some(at) = self.place_of(conn) else {
+            self.orders.retain(|o| !matches!(o, Order::Close { conn: closed, .. } if *closed == conn));
+            return Loss::Closed;
+        };
         let (m, state) = (self.conns[at as usize].member, self.conns[at as usize].state);
         if state == State::Coming {
             if end == End::ByHost {
--- a/crates/pool/src/pool/flows.rs
+++ b/crates/pool/src/pool/flows.rs
@@ -58,6 +58,22 @@
         Choice::Wait(ticket)
     }
 
+    /// Puts a flow behind those on a connection, where the host has cause to (one write for several); `None` if it takes
+    /// none.
+    pub fn beside(&mut self, now: Micros, conn: ConnId) -> Option<Place> {
+        let at = self.place_of(conn)?;
+        let (c, m) = (&self.conns[at as usize], self.conns[at as usize].member);
+        let state = &self.members[m as usize];
+        let takes = matches!(c.list, super::conn::In::Level(_)) && !state.closed && state.waiting.is_empty();
+        let unheard = |o: &Order| matches!(o, Order::Take { conn: on, .. } if *on == conn);
+        if !takes || self.orders.iter().any(unheard) {
+            return None;
+        }
+        self.turn(now, m);
+        self.members[m as usize].need.arrived(None);
+        Some(self.put(now, at))
+    }
+
     fn ticket(&mut self) -> Ticket {
         self.next_ticket += 1;
         Ticket(self.next_ticket)
@@ -136,12 +152,23 @@
 
     /// A flow that waited has left.
     pub fn withdrawn(&mut self, now: Micros, member: MemberId, ticket: Ticket) {
-        let Some(m) = self.find(member) else { return };
-        let waiting = &mut self.members[m as usize].waiting;
-        if let Ok(i) = waiting.binary_search_by_key(&ticket, |w| w.0) {
-            waiting.remove(i);
+        if let Some(m) = self.find(member) {
+            let waiting = &mut self.members[m as usize].waiting;
+            if let Ok(i) = waiting.binary_search_by_key(&ticket, |w| w.0) {
+                waiting.remove(i);
+                return;
+            }
+        }
+        // Its turn has come, and the host has not heard of it.
+        let of_it = |o: &Order| match o {
+            Order::Take { ticket: t, .. } | Order::GiveUp { ticket: t, .. } => *t == ticket,
+            _ => false,
+        };
+        if let Some(Order::Take { conn, place, .. }) =
+            self.orders.iter().position(of_it).and_then(|i| self.orders.remove(i))
+        {
+            self.unplaced(now, conn, place);
         }
-        self.turn(now, m);
     }
 
     // ---- Choice -------------------------------------------------------------------------------------------
@@ -278,6 +305,9 @@
         if state.closed {
             return self.close(now, at, Why::MemberLeft);
         }
+        if self.conns[at as usize].retiring {
+            return self.close(now, at, Why::Moved);
+        }
         if now >= self.conns[at as usize].retire_at {
             return self.close(now, at, Why::Age);
         }
--- a/crates/pool/src/pool/member.rs
+++ b/crates/pool/src/pool/member.rs
@@ -237,7 +237,7 @@
 
     /// Brings the count of those that take nothing up to date.
     pub(super) fn see_blocked(&mut self, conn: &mut Conn) {
-        let blocked = conn.stalled || conn.abandoned > 0;
+        let blocked = conn.stalled || conn.abandoned > 0 || conn.retiring;
         if blocked != conn.blocked {
             conn.blocked = blocked;
             if blocked {
--- a/crates/pool/src/pool/mod.rs
+++ b/crates/pool/src/pool/mod.rs
@@ -205,6 +205,25 @@
         self.foresee(now, at, per_s, until);
     }
 
+    /// A member is at another address: what goes to the old one takes nothing more, and closes once it is idle.
+    pub fn moved(&mut self, now: Micros, id: MemberId) {
+        let Some(at) = self.find(id) else { return };
+        let own = |c: &Conn| c.state != State::Free && c.member == at;
+        let all: Vec<u32> = (0..self.conns.len() as u32).filter(|c| own(&self.conns[*c as usize])).collect();
+        for conn in all {
+            let c = &mut self.conns[conn as usize];
+            if c.state == State::Coming || c.is_idle() {
+                self.close(now, conn, Why::Moved);
+            } else {
+                c.retiring = true;
+                self.members[at as usize].see_blocked(&mut self.conns[conn as usize]);
+                self.members[at as usize].unlist(&mut self.conns, conn);
+            }
+        }
+        self.serve(now, at);
+        self.arm_member(now, at);
+    }
+
     /// Closes the idle connections to a member.
     pub fn close_idle(&mut self, now: Micros, id: MemberId) {
         let Some(at) = self.find(id) else { return };
--- a/crates/pool/src/pool/tick.rs
+++ b/crates/pool/src/pool/tick.rs
@@ -285,7 +285,7 @@
         let state = &mut self.members[m as usize];
         let c = &mut self.conns[at as usize];
         state.in_flight -= c.load();
-        (c.stalled, c.abandoned) = (false, 0);
+        (c.stalled, c.abandoned, c.retiring) = (false, 0, false);
         state.see_blocked(c);
         let idle = c.list == super::conn::In::Idle;
         match c.state {
@@ -305,10 +305,34 @@
         c.generation = c.generation.wrapping_add(1);
         self.free.push(at);
         self.held -= 1;
+        self.take_back(now, at, m);
         self.arm_member(now, m);
         self.forget_if_over(m);
     }
 
+    /// Flows that were to go on a connection that is over, and that the host has not heard of yet, wait again.
+    fn take_back(&mut self, now: Micros, at: u32, m: u32) {
+        let gone = |o: &Order| match o {
+            Order::Take { ticket, conn, .. } if self.place_of(*conn).is_none() => {
+                (conn.0 & u64::from(u32::MAX) == u64::from(at)).then_some(*ticket)
+            }
+            _ => None,
+        };
+        let mut tickets: Vec<_> = self.orders.iter().filter_map(gone).collect();
+        if tickets.is_empty() {
+            return;
+        }
+        tickets.sort_unstable();
+        self.orders.retain(|o| !matches!(o, Order::Take { ticket, .. } if tickets.contains(ticket)));
+        for ticket in tickets.into_iter().rev() {
+            if self.members[m as usize].closed {
+                self.orders.push_back(Order::GiveUp { ticket, why: Refusal::Closed });
+            } else {
+                self.members[m as usize].waiting.push_front((ticket, now));
+            }
+        }
+    }
+
     /// Closes what is more than needed: idle, and unused for as long as a need counts.
     fn give_back(&mut self, now: Micros, m: u32) {
         let hold = Micros::from(self.settings.hold_ms) * 1000;
