Mend the merge of the simulator, and tell two examples apart

Cause: tries have a flag more since; two examples named cost wrote one file. Change: the simulator sets the flag; the example of the limits is follow_cost.

--- a/crates/lab/src/sim/people.rs
+++ b/crates/lab/src/sim/people.rs
@@ -472,7 +472,7 @@
                 class: ClassNo((usize::from(arrival.class) % self.classes.max(1)) as u8),
                 load: LoadNo(of.load.0),
                 node: NodeNo(this.node.map_or(of.node, |node| node.0 as u16)),
-                flags: TryFlags { retry: attempt > 0, write, bad: false },
+                flags: TryFlags { retry: attempt > 0, write, bad: false, borrowed: false },
             });
             if let (Some(at), Some(conn)) = (this.resent, self.crossed.remove(&id.0)) {
                 cx.ledger.clients.push(at - ZERO, ClientEvent::Crossed { req: id, conn: ConnNo(conn) });
--- a/crates/limits/examples/cost.rs
+++ b/crates/limits/examples/follow_cost.rs
@@ -1,4 +1,4 @@
-//! Nanoseconds a decision of `Follow` and `Held`: `cargo run --release -p lapisrudder-limits --example cost`. Median
+//! Nanoseconds a decision of `Follow` and `Held`: `cargo run --release -p lapisrudder-limits --example follow_cost`. Median
 //! of seven runs; run it with nothing else on the machine.
 
 use lapisrudder_limits::follow::{End, Follow, Settings};
