--- a/crates/lab/src/sim/hands.rs
+++ b/crates/lab/src/sim/hands.rs
@@ -206,7 +206,7 @@
             What::Slow { times } if on_discovery => {
                 let extra = millis(self.e.world.discovery.call_ms * (times - 1.0));
                 let slow = Link::Slow(Spread::Fixed(extra));
-                let ids = self.catalog.hosts.iter().map(|h| *h).collect::<Vec<_>>();
+                let ids = self.catalog.hosts.to_vec();
                 let ids = ids.into_iter().map(|h| self.cx.net.begin(Which::Host(h), Which::Any, false, slow));
                 let ids = ids.collect();
                 self.hands.links.insert(of, ids);
--- a/crates/lab/src/sim/homes.rs
+++ b/crates/lab/src/sim/homes.rs
@@ -17,7 +17,7 @@
 
 impl Homes {
     pub(super) fn note(&mut self, node: usize, key: u64, place: usize) {
-        if lapisrudder_model::mix::mix(key) % ONE_IN != 0 {
+        if !lapisrudder_model::mix::mix(key).is_multiple_of(ONE_IN) {
             return;
         }
         self.reads += 1;
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -499,10 +499,9 @@
 
     fn write_discovery(&mut self, cx: &mut Cx) {
         let Some(discovery) = self.discovery.as_ref().filter(|d| d.up) else { return };
-        match discovery.sock.write(cx, self.watch.transmit()) {
-            Ok(n) => self.watch.transmitted(n),
-            // The read that follows tells.
-            Err(_) => {}
+        // Where it fails, the read that follows tells.
+        if let Ok(n) = discovery.sock.write(cx, self.watch.transmit()) {
+            self.watch.transmitted(n);
         }
     }
 
@@ -722,7 +721,7 @@
 
     fn check(&mut self, cx: &mut Cx) {
         audit::turn(self, cx);
-        if self.turns % cx.checks.every == 0 {
+        if self.turns.is_multiple_of(cx.checks.every) {
             audit::books(self, cx);
         }
     }
