Tell the limits of ports, and of connects to members that find no descriptor

Need: clients must make room where a flow needs a new connection and the machine gives fewer descriptors than it said; the limits knew nothing of ephemeral ports. Change: the node tells how many ports there are and how many connections to members are open, and the limits that a connect to a member failed with EMFILE or ENFILE.

--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -22,12 +22,18 @@
 pub struct Members<D: Noted> {
     sockets: FxHashMap<Conn, Member<D>>,
     handle: LoopHandle<'static, D>,
+    /// A connect found no descriptor: the process has no more, or else the machine.
+    shortage: Option<bool>,
 }
 
+/// The errors of a connect for want of a descriptor: the process has no more, or the machine.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+
 impl<D: Noted<Owner: From<Conn>>> Members<D> {
     /// None so far.
     pub fn new(handle: &LoopHandle<'static, D>) -> Self {
-        Members { sockets: FxHashMap::default(), handle: handle.clone() }
+        Members { sockets: FxHashMap::default(), handle: handle.clone(), shortage: None }
     }
 
     /// Begins to connect.
@@ -36,11 +42,20 @@
             Ok(socket) => drop(self.sockets.insert(conn, Member { socket, at, up: false })),
             Err(e) => {
                 warn!(about = %at, "cannot connect: {e}");
+                if let Some(code @ (EMFILE | ENFILE)) = e.raw_os_error() {
+                    self.shortage = Some(code == EMFILE);
+                }
                 engine.broken(now, conn);
             }
         }
     }
 
+    /// Whether a connect found no descriptor since the last look: true if the process has no more, false if the
+    /// machine has none.
+    pub fn took_shortage(&mut self) -> Option<bool> {
+        self.shortage.take()
+    }
+
     /// Writes as far as the socket takes it.
     pub fn write(&mut self, conn: Conn, look: bool, engine: &mut Engine, now: Micros) {
         let Some(member) = self.sockets.get(&conn) else { return };
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -117,6 +117,8 @@
     memory: u64,
     /// What the process took of it when that was last looked at.
     resident: (Micros, u64),
+    /// Ephemeral ports that the machine has; 0 where it does not say.
+    ports: u64,
 }
 
 impl Node {
@@ -158,6 +160,7 @@
             descriptors: config.sockets,
             memory: config.memory_mb << 20,
             resident: (now, 0),
+            ports: ephemeral_ports(),
             options: config.options,
         };
         node.listed(Scope::Remembered, config.known);
@@ -368,9 +371,13 @@
             // What clients may hold leaves the others theirs; EMFILE tells if something else took them.
             descriptors: Used::default(),
             memory: Used { used: self.resident.1, limit: self.memory },
-            ports: Used::default(),
+            // As if all went to the busiest member: no fewer are used than are told.
+            ports: Used { used: self.engine.connections() as u64, limit: self.ports },
         };
         self.server.resources(now, &resources);
+        if let Some(own) = self.members.took_shortage() {
+            self.server.short(own, now);
+        }
         self.server.keep_limits(now, &mut self.deadlines);
     }
 
@@ -428,6 +435,16 @@
     }
 }
 
+/// Ephemeral ports that the machine has; 0 where the system does not say.
+fn ephemeral_ports() -> u64 {
+    let told = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
+    let mut ends = told.split_whitespace().map(str::parse::<u64>);
+    match (ends.next(), ends.next()) {
+        (Some(Ok(first)), Some(Ok(last))) => (last + 1).saturating_sub(first),
+        _ => 0,
+    }
+}
+
 /// Memory that the process holds now; 0 where the system does not say.
 fn resident_bytes() -> u64 {
     let told = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -213,6 +213,12 @@
         }
     }
 
+    /// A connect to a member found no descriptor: clients make room, so that the next one finds it.
+    pub fn short(&mut self, own: bool, now: Micros) {
+        // Nobody waits to be told; the spare one stays.
+        let _ = self.admission.ran_out(now, own);
+    }
+
     fn take_spare(&mut self) {
         self.spare = File::open(SPARE).ok();
         self.admission.spare(self.spare.is_some());
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -7,6 +7,7 @@
 use lapisrudder_lab::stand::{Scripted, member};
 use std::collections::VecDeque;
 use std::io::ErrorKind;
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -163,3 +164,16 @@
     drop(crowd);
     assert!(usual(&node, 4, 40).len() == 40, "back to normal");
 }
+
+#[test]
+fn a_flow_finds_a_descriptor_though_the_machine_gave_fewer_than_it_said() {
+    let world = world(spec(&["c"]), ids(40));
+    let node = Node::limited(&world, 200);
+    let pid = node.child.id().to_string();
+    let lowered = Command::new("prlimit").args(["--nofile=40:40", "--pid", &pid]).status();
+    assert!(lowered.expect("prlimit").success());
+    // More silent connections than there are descriptors; the member has none yet.
+    let crowd: Vec<_> = (0..80).filter_map(|n| node.client_from([127, 0, 6, n]).ok()).collect();
+    let served = usual(&node, 4, 40).len();
+    assert!(crowd.len() >= 40 && served == 40, "{served} of 40");
+}
