--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,7 +6,9 @@
 #![forbid(unsafe_code)]
 
 mod audit;
+mod health;
 pub mod interface;
+mod pressure;
 mod room;
 pub mod rules;
 mod state;
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -3,10 +3,11 @@
 //! goes to the least-connection server; a key moves when its server is over the high mark while another is
 //! under the low one, or at twice the high mark. All else is an exception to that, in a section of its own.
 
+use crate::health::{self, Suspicion};
 use crate::interface::*;
-use crate::room;
 use crate::state::*;
 use crate::turns::{self, Turns};
+use crate::{pressure, room};
 use lapisrudder_limits::follow::{End, Sent, Settings as Room};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -40,26 +41,14 @@
 /// balancers. Danger: twenty at each of hundreds, or one at each of thousands, were a jam by themselves.
 const RETRY_EARN: f64 = 0.15;
 const RETRY_SAVED: f64 = 60.0;
-/// First spell for which a suspect server is left alone; it doubles this often at most.
-const SUSPECT: Micros = 400_000;
-const SUSPECT_DOUBTED: Micros = 4 * SUSPECT;
-const DOUBLINGS: u32 = 4;
-/// Connections of a server that fail in a row, with no answer between, before it is suspect.
-const BREAKS: u32 = 3;
 /// A server that the list no longer has is forgotten this long after its last answer; a drained one (which an
 /// old list may bring back) after the other.
 const DOUBT_LASTS: Micros = 60_000_000;
 const DRAIN_LASTS: Micros = 3_600_000_000;
 /// Time over which the rate that warm servers carry is taken.
-const RATE_SPAN: f64 = 3e6;
-/// Pressure (time of cache answers over their aim) from which surplus is shed, later by what it is worth, and
-/// from which all is; over the span shedding grows. Where balancers outnumber servers, and no surplus can go
-/// first, each learns of a jam too late to wait. Danger: surplus that is let in chokes servers on its own.
-const SHED_FROM: f64 = 0.08;
-const SHED_JAM: f64 = 0.9;
-const SHED_BLIND: f64 = 0.45;
-const SHED_SPAN: f64 = 0.3;
-const SHED_MOST: f64 = 0.9;
+const RATE_SPAN: f64 = 10e6;
+/// Detours avoid cold servers while so many of all are warm.
+const DETOUR_WARM: f64 = 0.25;
 /// A share is saved up for two seconds, and for this many requests at least: so many come in a row by chance.
 /// Danger: at a depth of one, half of the work inside a share was taken for surplus.
 const CHANCE_DEPTH: f64 = 6.0;
@@ -211,17 +200,19 @@
         let aim = self.settings.classes.get(new.class).map_or(1_000_000, |c| c.aim);
         let r = Request::new(new, if heavy { 2.0 } else { 1.0 }, aim, surplus, self.now);
         self.requests.0.insert(id, r);
-        if self.sheds(surplus) { self.end(id, out) } else { self.route(id, out) }
+        self.route(id, true, out);
     }
 
-    fn route(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    /// Danger: in a jam of warm servers, writes for the origin and reads for a cold one were shed, too.
+    fn route(&mut self, id: RequestId, new: bool, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(id) else { return };
-        let (load, key, write) = (r.load, r.key, r.new.write);
+        let (load, key, write, surplus) = (r.load, r.key, r.new.write, r.surplus);
         let aside = self.settings.mode == Mode::Aside;
         if aside && (write || self.origin.joined.contains_key(&key)) {
             return self.ask_origin(id, out);
         }
         match self.keys_server(key, load) {
+            Some(i) if new && (surplus || self.warmth(i) >= 1.0) && self.sheds(surplus) => self.end(id, out),
             Some(i) if !aside && !write && self.fetches(key, i) && !self.origin_room() => self.hold(id, out),
             Some(i) => self.send(id, i, out),
             None => self.end(id, out),
@@ -233,26 +224,30 @@
         let hotter = self.hotter(key);
         let recorded = self.table.peek(key).map(|e| e.server).and_then(|id| self.servers.find(id));
         let recorded = recorded.filter(|&i| self.servers.all[i].ready() && !hotter);
-        if let Some(i) = recorded.filter(|&i| self.stays(i, load)) {
-            if self.usable(i, load) {
-                return Some(i);
+        let home = match recorded.filter(|&i| self.stays(i, load)) {
+            Some(i) => i,
+            None => {
+                // A key that the marks move leaves its server, which may tie with the others.
+                let moved: Vec<ServerId> = recorded.iter().map(|&i| self.servers.all[i].id).collect();
+                let to = self.least(key, load, &moved, true).or(recorded)?;
+                self.table.record(key, self.servers.all[to].id);
+                to
             }
-            // Danger: a brief suspicion or a cold start would scatter all keys of a server for good. Its keys
-            // take a detour and the entry stays.
-            let detour = self.least(key, load, &[self.servers.all[i].id]);
-            return detour.or(recorded.filter(|_| self.cold_room(i, load)));
+        };
+        if self.usable(home, load) {
+            return Some(home);
         }
-        // A key that the marks move leaves its server, which may tie with the others.
-        let moved: Vec<ServerId> = recorded.iter().map(|&i| self.servers.all[i].id).collect();
-        let to = self.least(key, load, &moved).or(recorded.filter(|&i| self.cold_room(i, load)))?;
-        self.table.record(key, self.servers.all[to].id);
-        Some(to)
+        // Danger: a brief suspicion or a cold start would scatter all keys of a server for good. They take a
+        // detour and the entry stays.
+        let detour = self.least(key, load, &[self.servers.all[home].id], false);
+        detour.or(Some(home).filter(|&i| self.cold_room(i, load)))
     }
 
     /// Danger: a key hotter than a server jams it, and small balancers see it late. By its share of our
     /// requests it is worth many; each balancer draws one of those. True if doubled: it is placed anew.
     fn hotter(&mut self, key: Key) -> bool {
         self.learned.requests.add(self.now, 1.0, HOT_FADES);
+        self.learned.request_rate.add(self.now, 1.0, RATE_SPAN);
         let Some(e) = self.table.entry(key) else { return false };
         e.uses.add(self.now, 1.0, HOT_FADES);
         let worth = (e.uses.count / self.learned.requests.count * self.servers.count).ceil() as u32;
@@ -315,16 +310,23 @@
     /// server breaks ties in proportion to weight: so balancers that share nothing agree on a key's server.
     /// Danger: with ties up to the mean only, half of the servers are out of it at any time, another half at
     /// each balancer: a key had as many homes, and the caches held that many copies instead of other keys.
-    fn least(&self, key: Key, load: f64, not: &[ServerId]) -> Option<usize> {
+    /// A home may be one that can take nothing just now: balancers differ by what each has met there.
+    fn least(&self, key: Key, load: f64, not: &[ServerId], home: bool) -> Option<usize> {
         let all: Vec<(usize, f64)> = self.servers.ready().map(|i| (i, self.relative(i))).collect();
         let mean = all.iter().map(|(_, r)| r).sum::<f64>() / self.servers.count;
         let server = |i: usize| &self.servers.all[i];
-        let other = |&(i, _): &(usize, f64)| !not.contains(&server(i).id) && self.cold_room(i, load);
+        let other =
+            |&(i, _): &(usize, f64)| !not.contains(&server(i).id) && (home || self.cold_room(i, load));
         let mut from: Vec<(usize, f64)> = all.into_iter().filter(other).collect();
         // Danger: when all look bad the fault is likely not theirs; suspicion must not empty the fleet.
-        if from.iter().any(|&(i, _)| self.usable(i, load)) {
+        if !home && from.iter().any(|&(i, _)| self.usable(i, load)) {
             from.retain(|&(i, _)| self.usable(i, load));
         }
+        // Danger: which cold server has room changes with each request; detours would find no copy.
+        let warm = from.iter().filter(|&&(i, _)| self.warmth(i) >= 1.0).count() as f64;
+        if !home && warm >= DETOUR_WARM * self.servers.count {
+            from.retain(|&(i, _)| self.warmth(i) >= 1.0);
+        }
         let band = from.iter().map(|(_, r)| *r).fold(f64::MAX, f64::min).max(LOW_FLOOR).max(TIED * mean);
         let rank = |i: usize| -self.servers.size(i) / chance(key, server(i).id).ln();
         from.retain(|(_, r)| *r <= band);
@@ -362,7 +364,7 @@
         let turns = self.turns(i).spent(load, now);
         let s = &mut self.servers.all[i];
         s.sent(now, load, turns);
-        s.suspicion.trial(now, DOUBLINGS);
+        s.suspicion.trial(now);
         out.push(Action::Send { request: id, server, until });
     }
 
@@ -465,7 +467,7 @@
         let r = self.requests.get(id)?;
         // Where only the connection failed, the server may well be the one that holds the key.
         let tried: Vec<ServerId> = r.attempts.iter().filter(|a| !a.broke).map(|a| a.server).collect();
-        let i = self.least(r.key, r.load, &tried)?;
+        let i = self.least(r.key, r.load, &tried, false)?;
         let room = self.settings.mode == Mode::Aside || !self.fetches(r.key, i) || self.origin_room();
         (room && self.may_go(r, i)).then_some(i)
     }
@@ -529,12 +531,12 @@
             s.heard(now);
         }
         match end.outcome {
-            Outcome::Served | Outcome::Miss => s.suspicion = Backoff::default(),
+            Outcome::Served | Outcome::Miss => s.suspicion = Suspicion::default(),
             // Danger: where connections break now and then, each break would send all keys of a server that
             // answers well on a detour, all misses. Only breaks in a row, with no answer between, count.
             Outcome::ConnectFailed | Outcome::Broken => {
                 s.breaks += 1;
-                if s.breaks >= BREAKS {
+                if health::broken(s.breaks, self.met()) {
                     self.strike(i);
                 }
             }
@@ -544,7 +546,10 @@
             _ => {}
         }
         // Load that a warm server has carried; what was merely sent says nothing of capacity in a jam.
-        if end.outcome == Outcome::Served && self.servers.all[i].ready() && self.warmth(i) >= 1.0 {
+        if matches!(end.outcome, Outcome::Served | Outcome::Miss)
+            && self.servers.all[i].ready()
+            && self.warmth(i) >= 1.0
+        {
             let warm = self.servers.ready().filter(|&i| self.warmth(i) >= 1.0);
             let weight: f64 = warm.map(|i| self.servers.all[i].listed.weight).sum();
             self.learned.warm_rate.add(now, load / weight.max(0.01), RATE_SPAN);
@@ -590,11 +595,15 @@
         self.copy(id, out);
     }
 
-    /// Suspicion; its first spell is longer where the list speaks against the server too.
     fn strike(&mut self, i: usize) {
+        let met = self.met();
         let s = &mut self.servers.all[i];
-        let first = if s.doubted.is_some() { SUSPECT_DOUBTED } else { SUSPECT };
-        s.suspicion.strike(self.now, first, DOUBLINGS);
+        s.suspicion.strike(self.now, met, s.doubted.is_some());
+    }
+
+    /// After how long a server is asked again, on the mean.
+    fn met(&self) -> Micros {
+        health::met(self.servers.count, self.learned.request_rate.per_s)
     }
 
     /// Danger: a slow or lossy way to a zone looks like all its servers failing, one by one. While far more
@@ -608,7 +617,7 @@
         }
         let late = |p: &Fading| p.mean(self.now, PACE_FADES, 0.0, KIND_SURE);
         let own = self.servers.paths.get(&self.settings.zone).map_or(0.0, late);
-        let worse = if self.learned.pressure.mean < SHED_BLIND { PATH_WORSE } else { f64::MAX };
+        let worse = if self.learned.pressure.mean < pressure::BLIND { PATH_WORSE } else { f64::MAX };
         let bad = |(_, p): &(&u32, &Fading)| late(p) > own + worse;
         self.servers.bad_paths = self.servers.paths.iter().filter(bad).map(|(zone, _)| *zone).collect();
         self.servers.bad_paths.contains(&zone)
@@ -650,13 +659,10 @@
         !self.learned.quota[tenant].take(self.now, rate, (2.0 * rate).max(CHANCE_DEPTH))
     }
 
-    /// In a shortage surplus goes, in a jam most of the rest; were it all, no answer would tell of its end.
     fn sheds(&mut self, surplus: bool) -> bool {
-        let blind = self.settings.siblings as f64 > self.servers.count && self.settings.tenants.is_empty();
-        let jam = if blind { SHED_BLIND } else { SHED_JAM };
-        let early = SHED_FROM + self.settings.over_share_worth;
-        let (from, most) = if surplus { (early, 1.0) } else { (jam, SHED_MOST) };
-        self.rng.random::<f64>() < ((self.learned.pressure.mean - from) / SHED_SPAN).min(most)
+        let level = self.learned.pressure.mean;
+        let part = pressure::shed(&self.settings, self.servers.count, level, surplus);
+        self.rng.random::<f64>() < part
     }
 
     // ---- The origin, and reads held for it ------------------------------------------------------------
@@ -732,7 +738,7 @@
             let Some(r) = self.requests.get(waiting).filter(|r| r.held()) else { continue };
             let (load, again) = (r.load, served || r.attempts.is_empty());
             match self.keys_server(key, load).filter(|_| again) {
-                _ if self.settings.mode == Mode::Through => self.route(waiting, out),
+                _ if self.settings.mode == Mode::Through => self.route(waiting, false, out),
                 Some(i) => self.send(waiting, i, out),
                 None => self.ask_origin(waiting, out),
             }
@@ -747,7 +753,7 @@
             let mut ids = ids.into_iter();
             while let Some(id) = ids.next() {
                 match self.requests.get(id).filter(|r| r.held()) {
-                    Some(r) if r.attempts.is_empty() => self.route(id, out),
+                    Some(r) if r.attempts.is_empty() => self.route(id, false, out),
                     Some(_) => self.ask_origin(id, out),
                     None => continue,
                 }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,6 +1,7 @@
 //! Bookkeeping that [`crate::rules`] decides on: running means, attempts, the key table, the agenda.
 //! Nothing here chooses.
 
+use crate::health::Suspicion;
 use crate::interface::*;
 use crate::turns::Turns;
 use lapisrudder_limits::follow::{self, Follow, Sent};
@@ -308,21 +309,25 @@
     }
 }
 
-/// Load a second, over a fading span.
+/// Load a second, over a fading span, or since the first sample if that is less: a balancer that has just started
+/// would take itself for one that sees next to nothing.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Rate {
     /// As it was before the last sample. Danger: with it a balancer that sees little takes each sample for a
     /// rate: those with a request in ten seconds added up to four times what they all send.
     pub per_s: f64,
-    with_last: f64,
+    sum: f64,
     at: Micros,
+    since: Option<Micros>,
 }
 
 impl Rate {
     pub fn add(&mut self, now: Micros, load: f64, span: f64) {
-        let kept = (-(now - self.at) as f64 / span).exp();
-        let per_s = self.with_last * kept;
-        *self = Rate { per_s, with_last: per_s + load * 1e6 / span, at: now };
+        let since = *self.since.get_or_insert(now);
+        let before = self.sum * (-(now - self.at) as f64 / span).exp();
+        let seen = span * (1.0 - (-(now - since) as f64 / span).exp());
+        // Danger: two samples within a moment are no rate.
+        (self.per_s, self.sum, self.at) = (before * 1e6 / seen.max(1e6), before + load, now);
     }
 }
 
@@ -346,7 +351,7 @@
     pub load: f64,
     /// The first send since the last sign of life.
     pub unheard: Option<Micros>,
-    pub suspicion: Backoff,
+    pub suspicion: Suspicion,
     /// Connections that failed since the last sign of life.
     pub breaks: u32,
     /// Time of its hits over what is usual for its kind.
@@ -562,8 +567,9 @@
     pub hints: Mean,
     /// Requests by tenant still inside its share.
     pub quota: Vec<Bucket>,
-    /// Requests taken.
+    /// Requests taken, and how many a second.
     pub requests: Fading,
+    pub request_rate: Rate,
     /// Time to a served answer, by class.
     pub took: Vec<Mean>,
     /// Time of cache answers over their aim.
@@ -628,36 +634,6 @@
     }
 }
 
-/// Spells that double with each strike, until cleared.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Backoff {
-    strikes: u32,
-    first: Micros,
-    until: Micros,
-}
-
-impl Backoff {
-    pub fn over(&self, now: Micros) -> bool {
-        self.until <= now
-    }
-
-    /// Begins a spell; one that runs already goes on as it is.
-    pub fn strike(&mut self, now: Micros, first: Micros, doublings: u32) {
-        if self.over(now) || self.strikes == 0 {
-            self.first = first;
-            self.until = now + (first << self.strikes.min(doublings));
-            self.strikes += 1;
-        }
-    }
-
-    /// After a spell one trial may pass; the next waits for another spell of this length.
-    pub fn trial(&mut self, now: Micros, doublings: u32) {
-        if self.over(now) && self.strikes > 0 {
-            self.until = now + (self.first << self.strikes.min(doublings));
-        }
-    }
-}
-
 /// The requests in hand, and those answered that still have attempts out.
 #[derive(Default)]
 pub(crate) struct Requests(pub FxHashMap<RequestId, Request>);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -87,6 +87,19 @@
         self.ended_noted(id, attempt, server, outcome, Some(CacheNote::Hit))
     }
 
+    /// The first attempt has ended so long after it was sent.
+    pub fn ended_after(
+        &mut self,
+        request: RequestId,
+        server: ServerId,
+        outcome: Outcome,
+        took: Micros,
+    ) -> Vec<Action> {
+        let note = (outcome == Outcome::Served).then_some(CacheNote::Hit);
+        let end = Ended { request, attempt: 0, server, took, outcome, note, finished: true, report: vec![] };
+        self.event(Event::Ended(end))
+    }
+
     pub fn ended_noted(
         &mut self,
         request: RequestId,
