--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -63,7 +63,7 @@
             idle: (conn_idle / 4).min(IDLE_MOST),
             multiplex,
             per_member: (PER_MEMBER / siblings).max(2),
-            idle_per_member: share(2 * PER_MEMBER),
+            idle_per_member: share(PER_MEMBER),
             to_origin: (TO_ORIGIN / siblings).max(2),
             to_origin_per_member: share(TO_ORIGIN / TO_ORIGIN_AT),
             in_all,
