Derive how many connections a member may have instead of keeping it at each

Need: the number was chosen when a member was listed and again when the list was recounted, by the same test twice. Change: the pool keeps the one figure that depends on the list (the origin's) and asks a function for the rest.

--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -27,8 +27,6 @@
     connections: Vec<Conn>,
     /// Flows that wait for a connection, oldest first.
     waiting: VecDeque<Flow>,
-    /// Connections to it at the most.
-    most: usize,
     /// The connection that was last given a flow.
     latest: Option<Conn>,
 }
@@ -49,6 +47,8 @@
     idle: BTreeSet<(deadlines::Key, Conn)>,
     /// So many of them are kept.
     idle_most: usize,
+    /// Connections to the origin at the most.
+    to_origin: usize,
     pub(crate) lost: VecDeque<Lost>,
     /// What the host is to do.
     pub(crate) orders: VecDeque<Order>,
@@ -59,6 +59,7 @@
         Pool {
             members: FxHashMap::default(),
             connections: FxHashMap::default(),
+            to_origin: limits.to_origin,
             limits,
             next: 0,
             put: 0,
@@ -82,14 +83,12 @@
         if stage == Stage::Gone {
             return self.gone(server, deadlines);
         }
-        let most = if origin { self.limits.to_origin } else { self.limits.per_member };
         let member = self.members.entry(server).or_insert_with(|| PoolMember {
             endpoint,
             origin,
             closed: false,
             connections: Vec::new(),
             waiting: VecDeque::new(),
-            most,
             latest: None,
         });
         (member.endpoint, member.origin, member.closed) = (endpoint, origin, stage != Stage::Live);
@@ -113,10 +112,12 @@
     pub(crate) fn recount(&mut self) {
         let open = self.members.values().filter(|m| !m.closed && !m.origin).count() as f64;
         self.idle_most = (self.limits.idle_per_member * open).ceil().max(1.0) as usize;
-        let to_origin = (self.limits.to_origin_per_member * open) as usize;
-        for m in self.members.values_mut() {
-            m.most = if m.origin { to_origin.max(self.limits.to_origin) } else { self.limits.per_member };
-        }
+        self.to_origin = ((self.limits.to_origin_per_member * open) as usize).max(self.limits.to_origin);
+    }
+
+    /// Connections to a member at the most.
+    fn most(&self, member: &PoolMember) -> usize {
+        if member.origin { self.to_origin } else { self.limits.per_member }
     }
 
     /// Nothing new goes to a member: what waits ends, and connections without a flow close.
@@ -137,7 +138,7 @@
 
     /// Connections that the members there are may take, within the limit for all.
     pub(crate) fn reserve(&self) -> usize {
-        let needs = |m: &PoolMember| if m.closed { m.connections.len() } else { m.most };
+        let needs = |m: &PoolMember| if m.closed { m.connections.len() } else { self.most(m) };
         self.members.values().map(needs).sum::<usize>().min(self.limits.in_all)
     }
 
@@ -198,7 +199,8 @@
                 // Guards against connections that fall silent while their member answers on others: up to as many
                 // again may take their place.
                 let stalls = |id: &&Conn| known(id).is_some_and(|c| c.stalls(stalled));
-                let most = member.most + member.connections.iter().filter(stalls).count().min(member.most);
+                let most = self.most(member);
+                let most = most + member.connections.iter().filter(stalls).count().min(most);
                 let room = member.connections.len() < most && self.connections.len() < self.limits.in_all;
                 if room || member.connections.is_empty() {
                     self.connect(server, now, deadlines);
--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -225,8 +225,7 @@
 #[test]
 fn in_a_burst_flows_to_one_member_share_a_connection_up_to_a_number() {
     let mut desk = Desk::new(false, 1);
-    desk.pool.limits = Limits { in_all: 99, multiplex: 32, ..desk.pool.limits };
-    desk.pool.members.get_mut(&MEMBER).unwrap().most = 99;
+    desk.pool.limits = Limits { in_all: 99, multiplex: 32, per_member: 99, ..desk.pool.limits };
     (1..60).for_each(|n| desk.send(n, 0));
     (0..60).for_each(|n| desk.comes_up(n));
     (0..60).for_each(|n| assert_eq!(desk.answer(n, "EN O9\r\n"), (true, 1)));
@@ -281,7 +280,7 @@
             desk.pool.list(ServerId(server), desk.at, false, Stage::Live, &mut desk.deadlines);
         }
         desk.pool.recount();
-        desk.pool.members[&MEMBER].most
+        desk.pool.most(&desk.pool.members[&MEMBER])
     };
     assert_eq!((most(&mut desk, 12), most(&mut desk, 60)), (2, 4));
 }
