Continue a known list of any version in the plug-in, as the daemon does

Cause: the plug-in still read version 0 of a known list as none, through a filter at its call of Discovery::new, since lists given as members carry a 0 of their own. Change: the plan says whether there is a version; a known list of version 0 is now continued.

--- a/crates/client/src/builder.rs
+++ b/crates/client/src/builder.rs
@@ -98,8 +98,8 @@
 pub(crate) struct Plan {
     pub name: String,
     pub discovery: Option<SocketAddr>,
-    /// The list in hand, and its version.
-    pub known: Option<(u64, Vec<Target>)>,
+    /// The list in hand, and its version where discovery gave it one.
+    pub known: Option<(Option<u64>, Vec<Target>)>,
     /// For the names of zones and kinds in lists.
     pub options: Options,
     pub settings: Settings,
@@ -302,11 +302,11 @@
         let known = match (self.members, self.known) {
             (Some(members), _) => {
                 let target = |member| target(member, &options, &settings);
-                Some((0, members.into_iter().map(target).collect::<Result<_, _>>()?))
+                Some((None, members.into_iter().map(target).collect::<Result<_, _>>()?))
             }
             (None, Some(text)) => {
                 let list = MemberList::decode(&mut text.into_bytes(), &options)?;
-                Some((list.revision, list.targets))
+                Some((Some(list.revision), list.targets))
             }
             (None, None) if self.discovery.is_none() => return Err(StartError::NoMembers),
             (None, None) => None,
--- a/crates/client/src/thread.rs
+++ b/crates/client/src/thread.rs
@@ -174,10 +174,8 @@
         let now = clock.now();
         let (handle, origin_kind) = (events.handle(), plan.settings.origin_kind);
         let config = engine::Config { settings: plan.settings, seed: plan.seed, limits: plan.limits };
-        let (revision, known) = plan.known.map_or((0, None), |(revision, list)| (revision, Some(list)));
-        let discovery = plan
-            .discovery
-            .map(|at| Discovery::new(at, Some(revision).filter(|r| *r > 0), &handle, Owner::Discovery));
+        let (revision, known) = plan.known.map_or((None, None), |(revision, list)| (revision, Some(list)));
+        let discovery = plan.discovery.map(|at| Discovery::new(at, revision, &handle, Owner::Discovery));
         let mut host = Host {
             clock,
             scratch: vec![0; SCRATCH],
