--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -26,7 +26,6 @@
 mod sock;
 mod story;
 mod strike;
-mod watch;
 mod world;
 
 pub use checks::Breach;
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -6,17 +6,16 @@
 use super::front::{Deadline, Front, News as FrontNews};
 use super::sock::{Ending, Read, Sock};
 use super::strike::{Blow, Moment, Scene};
-use super::watch::{Do, News, Watch};
 use super::world::Address;
 use crate::Micros;
 use crate::ledger::{DiscoveryEvent, Listed, NodeNo, ServerNo};
 use bytes::Bytes;
 use lapisrudder_codec::memcache::OwnedRequest;
-use lapisrudder_config::{Options, Platform, Target, digest, micros};
+use lapisrudder_config::{MemberList, Options, Platform, Target, digest, micros};
 use lapisrudder_decisions::{Key, RequestId, Scope, Settings, Stage};
 use lapisrudder_engine::{
     Answer, Answers, Conn as Name, Deadlines, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request,
-    TakeError,
+    TakeError, Watch, WatchNews, WatchOrder,
 };
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use lapisrudder_model::network::{Conn, Host, Side};
@@ -219,7 +218,7 @@
         if self.front.is_behind() || !self.ready.is_empty() || self.front.waits() {
             return Some(Micros::MIN);
         }
-        let own = [self.due.next(), self.engine.next_wake(), self.front.due(), self.watch.next()];
+        let own = [self.due.next(), self.engine.next_wake(), self.front.due(), self.watch.next_wake()];
         own.into_iter().flatten().min()
     }
 
@@ -404,20 +403,24 @@
         let Some(discovery) = &mut self.discovery else { return };
         if !discovery.up {
             if discovery.sock.is_reset() {
-                let news = self.watch.not_up();
-                self.discovery_news(Some(news), cx);
+                let news = self.watch.broken("reset");
+                self.discovery_news(news, cx);
             }
             return;
         }
-        self.watch.up();
+        self.watch.connected();
+        self.watch.writable();
         self.see_to_watch(cx);
         loop {
             let Some(discovery) = &mut self.discovery else { return };
+            let options = &self.options;
+            let decode =
+                |body: &mut [u8]| MemberList::decode(body, options).map(|list| (list.revision, list));
             let news = match discovery.sock.read(cx, CHUNK) {
                 Read::Nothing => return,
-                Read::Bytes(bytes) => self.watch.received(&bytes, false, &self.options, cx.now),
+                Read::Bytes(bytes) => self.watch.received(cx.now, &bytes, false, decode),
                 Read::Over(_) => {
-                    let news = self.watch.received(&[], true, &self.options, cx.now);
+                    let news = self.watch.received(cx.now, &[], true, decode);
                     return self.discovery_news(news, cx);
                 }
             };
@@ -429,9 +432,10 @@
         }
     }
 
-    fn discovery_news(&mut self, news: Option<News>, cx: &mut Cx) {
+    fn discovery_news(&mut self, news: Option<WatchNews<MemberList>>, cx: &mut Cx) {
         match news {
-            Some(News::List { scope, targets }) => {
+            Some(WatchNews::List(MemberList { all, targets, .. })) => {
+                let scope = if all { Scope::Full } else { Scope::Changes };
                 if targets.iter().any(|t| t.listed.stage != lapisrudder_decisions::Stage::Live) {
                     let scene = Scene { node: Some(self.number), ..Scene::default() };
                     cx.moment(Moment::ToldDrain, scene);
@@ -439,7 +443,7 @@
                 self.told(scope, &targets, cx);
                 self.listed(scope, targets);
             }
-            Some(News::Failed) => self.engine.list_failed(),
+            Some(WatchNews::Failed) => self.engine.list_failed(),
             None => {}
         }
         self.see_to_watch(cx);
@@ -479,26 +483,29 @@
 
     /// Carries out what the watch on discovery wants.
     fn see_to_watch(&mut self, cx: &mut Cx) {
-        for todo in std::mem::take(&mut self.watch.todo) {
-            match todo {
-                Do::Close => {
+        while let Some(order) = self.watch.poll_order() {
+            match order {
+                WatchOrder::Close => {
                     if let Some(discovery) = self.discovery.take() {
                         self.owners.remove(&discovery.sock.conn);
                         discovery.sock.close(cx);
                     }
                 }
-                Do::Connect(at) => {
-                    let conn = cx.connect(self.host, Address::of(at).host);
+                WatchOrder::Connect { to } => {
+                    let conn = cx.connect(self.host, Address::of(to).host);
                     self.owners.insert(conn, Owner::Discovery);
                     self.discovery = Some(MemberSock { sock: Sock::new(conn, Side::Client), up: false });
                 }
-                Do::Write => self.write_discovery(cx),
+                WatchOrder::Write => self.write_discovery(cx),
             }
         }
     }
 
     fn write_discovery(&mut self, cx: &mut Cx) {
-        let Some(discovery) = self.discovery.as_ref().filter(|d| d.up) else { return };
+        let Some(discovery) = self.discovery.as_ref().filter(|d| d.up && !self.watch.transmit().is_empty())
+        else {
+            return;
+        };
         // Where it fails, the read that follows tells.
         if let Ok(n) = discovery.sock.write(cx, self.watch.transmit()) {
             self.watch.transmitted(n);
@@ -526,10 +533,8 @@
                 }
             }
         }
-        if self.watch.next().is_some_and(|at| at <= cx.now) {
-            let news = self.watch.on_deadline();
-            self.discovery_news(Some(news), cx);
-        }
+        let news = self.watch.wake(cx.now);
+        self.discovery_news(news, cx);
         self.engine.wake(cx.now);
     }
 
@@ -671,7 +676,7 @@
                 }
             },
             Order::Watch => {
-                self.watch.watch(cx.now);
+                self.watch.begin(cx.now);
                 self.see_to_watch(cx);
             }
         }
