Add the operators' address: status, members out by hand, and a drain that ends

A call is parsed in `codec` and answered once it binds, at the end of the turn that read it; 18 descriptors are set aside, a caller beyond 16 puts out the one silent for longest. Not taken: a thread for it, which would need locks round the node to say anything true. At the end of a ban it counts as cold from its told start, or from now: discovery tells of a restart seconds late. A drain is one mechanism for all occasions (`limits::drain`): each connection has its moment in a window and is let go from then on, at once if nothing is owed, else after its answers. The planned restart's own loop is gone. Not taken: closing all at one moment, which sends all clients to the other nodes together.

Ruled out on the way: none of the calls came late at the node (log), so load is not the cause. Tests: tests/operations.rs on sockets; overlay, window and parser in memory.

--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -7,5 +7,6 @@
 
 pub mod catalog;
 pub mod http;
+pub mod management;
 pub mod memcache;
 pub mod spoil;
--- a/crates/config/src/effective.rs
+++ b/crates/config/src/effective.rs
@@ -104,7 +104,8 @@
         None => file(key),
     };
     let known = format!("{} members at revision {}", platform.known.len(), platform.revision);
-    let Environment { name, listen, discovery, .. } = environment;
+    let Environment { name, listen, discovery, management, .. } = environment;
+    let at = platform.management.map_or_else(|| "none".to_string(), |at| at.to_string());
     let mut all = vec![
         ("name", platform.name.as_str().into(), or_file("name", "EDGE_NAME", name)),
         ("listen", platform.listen.to_string().into(), or_file("listen", "EDGE_LISTEN", listen)),
@@ -113,6 +114,7 @@
             platform.discovery.to_string().into(),
             or_file("discovery", "EDGE_DISCOVERY", discovery),
         ),
+        ("management", at.into(), or_file("management", "EDGE_MANAGEMENT", management)),
         ("seed", format!("{:x}", platform.seed).into(), file("seed")),
         ("limits.memory_mb", platform.memory_mb.into(), file("limits.memory_mb")),
         ("limits.sockets", platform.sockets.into(), file("limits.sockets")),
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -23,6 +23,8 @@
     pub listen: Option<String>,
     /// `EDGE_DISCOVERY`.
     pub discovery: Option<String>,
+    /// `EDGE_MANAGEMENT`.
+    pub management: Option<String>,
 }
 
 impl Environment {
@@ -33,6 +35,7 @@
             name: env::var("EDGE_NAME").ok(),
             listen: env::var("EDGE_LISTEN").ok(),
             discovery: env::var("EDGE_DISCOVERY").ok(),
+            management: env::var("EDGE_MANAGEMENT").ok(),
         }
     }
 }
@@ -46,6 +49,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call; nowhere by default.
+    pub management: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// Over this the node is killed. Default 192.
@@ -72,6 +77,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    management: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -114,10 +120,22 @@
         in_env: Option<&String>,
         in_file: Option<&String>,
     ) -> Option<SocketAddr> {
-        let Some(value) = in_env.or(in_file) else {
+        let found = self.address_if_any(key, variable, in_env, in_file);
+        if in_env.or(in_file).is_none() {
             self.at(key, Fault::Missing { variable });
-            return None;
-        };
+        }
+        found
+    }
+
+    /// The same, where there need not be one.
+    fn address_if_any(
+        &mut self,
+        key: &str,
+        variable: &'static str,
+        in_env: Option<&String>,
+        in_file: Option<&String>,
+    ) -> Option<SocketAddr> {
+        let value = in_env.or(in_file)?;
         let address = value.parse().ok();
         if address.is_none() {
             let fault = Fault::Address { value: value.clone() };
@@ -168,6 +186,9 @@
         }
         let listen = found.address("listen", "EDGE_LISTEN", env.listen.as_ref(), raw.listen.as_ref());
         let discovery = found.address("discovery", "EDGE_DISCOVERY", in_env, raw.discovery.as_ref());
+        let in_env = env.management.as_ref().filter(|a| !a.is_empty());
+        let management =
+            found.address_if_any("management", "EDGE_MANAGEMENT", in_env, raw.management.as_ref());
         let known = MemberList::check(raw.known.unwrap_or_default(), &options).unwrap_or_else(|e| {
             found.at("known", e.into());
             MemberList::default()
@@ -179,6 +200,7 @@
             name: env.name.clone().or(raw.name).unwrap_or_else(|| "lapisrudder".into()),
             listen,
             discovery,
+            management,
             seed: u64::from_str_radix(&raw.seed, 16).unwrap_or_else(|_| digest(&raw.seed)),
             memory_mb,
             sockets,
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -141,7 +141,7 @@
 }
 
 /// A server as the list has it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listed {
     pub server: ServerId,
     pub zone: u32,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,6 +8,7 @@
 mod audit;
 mod health;
 pub mod interface;
+pub mod maintenance;
 mod pressure;
 mod room;
 pub mod rules;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -8,6 +8,7 @@
 use crate::request::Request;
 use crate::transactions::{FlowState, Transaction, Transactions};
 use lapisrudder_codec::memcache::{self, ReadNote};
+use lapisrudder_decisions::maintenance::{Ban, Maintenance, NoBan};
 use lapisrudder_decisions::{
     Action, Balancer, CacheNote, Event, Listed, Micros, Outcome, RequestId, Scope, ServerId,
 };
@@ -64,6 +65,8 @@
     /// Room for what the decisions say, and for flows that a read has ended.
     actions: Vec<Action>,
     ended: Vec<(FlowId, Outcome, Option<CacheNote>)>,
+    /// What discovery tells, and who is out by hand.
+    maintenance: Maintenance<SocketAddr>,
     classes: usize,
     origin_kind: Option<u32>,
     attempts: Attempts,
@@ -88,6 +91,7 @@
             transactions: Transactions::default(),
             actions: Vec::new(),
             ended: Vec::new(),
+            maintenance: Maintenance::new(settings.origin_kind),
             classes: settings.classes.len(),
             origin_kind: settings.origin_kind,
             attempts: Attempts::default(),
@@ -211,19 +215,64 @@
 
     /// News of the list.
     pub fn listed(&mut self, scope: Scope, members: Vec<Member>) {
+        let told = members.into_iter().map(|m| (m.listed, m.endpoint)).collect();
+        let members = self.maintenance.listed(scope, told);
+        self.effective(scope, members);
+    }
+
+    /// Takes a member out by hand: from here on nothing new goes to it, whatever the list says, until
+    /// [`put_back`](Engine::put_back).
+    ///
+    /// # Errors
+    /// It cannot be.
+    pub fn take_out(&mut self, server: ServerId, ban: Ban) -> Result<(), NoBan> {
+        let seen = self.maintenance.ban(server, ban)?;
+        self.changed(seen);
+        Ok(())
+    }
+
+    /// The same as another process of the node has it: the member may not have been listed here yet.
+    pub fn adopt_ban(&mut self, server: ServerId, ban: Ban) {
+        let seen = self.maintenance.adopt(server, ban);
+        self.changed(seen);
+    }
+
+    /// A member may serve again.
+    ///
+    /// # Errors
+    /// It never was listed.
+    pub fn put_back(&mut self, now: Micros, server: ServerId) -> Result<(), NoBan> {
+        let seen = self.maintenance.lift(server, now)?;
+        self.changed(seen);
+        Ok(())
+    }
+
+    /// What discovery has told, and who is out by hand.
+    pub fn maintenance(&self) -> &Maintenance<SocketAddr> {
+        &self.maintenance
+    }
+
+    fn changed(&mut self, seen: Option<(Listed, SocketAddr)>) {
+        if let Some(member) = seen {
+            self.effective(Scope::Changes, vec![member]);
+        }
+    }
+
+    /// The list as the rules and the pool are to see it.
+    fn effective(&mut self, scope: Scope, members: Vec<(Listed, SocketAddr)>) {
         if scope != Scope::Changes {
             for server in self.pool.servers() {
-                if !members.iter().any(|m| m.listed.server == server) {
+                if !members.iter().any(|(listed, _)| listed.server == server) {
                     self.pool.gone(server, &mut self.deadlines);
                 }
             }
         }
-        for m in &members {
-            let origin = self.origin_kind == Some(m.listed.kind);
-            self.pool.list(m.listed.server, m.endpoint, origin, m.listed.stage, &mut self.deadlines);
+        for (listed, endpoint) in &members {
+            let origin = self.origin_kind == Some(listed.kind);
+            self.pool.list(listed.server, *endpoint, origin, listed.stage, &mut self.deadlines);
         }
         self.pool.recount();
-        let list = members.into_iter().map(|m| m.listed).collect();
+        let list = members.into_iter().map(|(listed, _)| listed).collect();
         self.transactions.events.push_back(Event::Servers { scope, list });
     }
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -26,6 +26,7 @@
 mod books;
 pub mod caps;
 mod chains;
+pub mod drain;
 mod flights;
 pub mod hazard;
 mod intake;
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -83,6 +83,8 @@
     drained: usize,
     /// When it was last sent something, or began to be over.
     since: Micros,
+    /// When it arrived, if it has not spoken yet; else long ago.
+    pub since_arrival: Micros,
     /// When this is to be looked at again.
     pub deadline: Option<Key>,
 }
@@ -104,6 +106,7 @@
             errors: 0,
             drained: 0,
             since: now,
+            since_arrival: now,
             deadline: None,
         }
     }
@@ -113,11 +116,6 @@
         self.slots.is_empty() && self.sent == self.output.len()
     }
 
-    /// Between requests: nothing is owed, and nothing of a command has come.
-    pub fn idle(&self) -> bool {
-        self.quiet() && self.phase == Phase::Open && self.input.is_empty() && !self.unread
-    }
-
     /// Looks whether something has come that no callback has told of yet.
     pub fn look(&mut self) -> bool {
         self.unread |= self.socket.has_unread();
@@ -195,6 +193,7 @@
                 // A read that finds nothing would cost as much as one that does, for each command.
                 self.unsure = held + n < scratch.len();
                 self.unread = !self.unsure;
+                self.since_arrival = Micros::MIN;
                 n
             }
             Ok(None) => {
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -6,6 +6,10 @@
 pub enum Deadline {
     /// A client's connection must have got on by now.
     Client(u64),
+    /// A caller on the operators' address must have got on by now.
+    Caller(u64),
+    /// Clients' connections are let go.
+    LetGo,
     /// Accepting was paused for want of descriptors.
     Accept,
     /// A stopping node may end, if no client is left.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod deadlines;
+mod management;
 mod node;
 mod virtual_server;
 
@@ -29,6 +30,10 @@
     Client(u64),
     Member(Conn),
     Discovery,
+    /// The operators' address.
+    Management,
+    /// Somebody who calls there.
+    Caller(u64),
 }
 
 impl From<Conn> for Owner {
@@ -66,6 +71,8 @@
     Log(#[from] log::StartError),
     #[error("cannot listen on {at}: {source}")]
     Listen { at: SocketAddr, source: io::Error },
+    #[error("management: cannot listen on {at}: {source}")]
+    Management { at: SocketAddr, source: io::Error },
     #[error(transparent)]
     Limits(#[from] lapisrudder_limits::SettingsError),
     #[error("the loop failed: {0}")]
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -2,10 +2,13 @@
 
 use super::client::SCRATCH;
 use super::deadlines::{Deadline, Deadlines};
+use super::management::{self, Management};
 use super::virtual_server::{self, VirtualServer};
 use super::{CLIENTS_SHARE, Handle, OWN_SOCKETS, Owner, Ready};
+use lapisrudder::maintenance::{Ban, NoBan};
 use lapisrudder::wire::{Options, digest, micros};
-use lapisrudder::{Micros, RequestId, Scope, Settings};
+use lapisrudder::{Micros, RequestId, Scope, ServerId, Settings};
+use lapisrudder_codec::management::{BadCall, Call, answer, parse};
 use lapisrudder_codec::memcache::OwnedRequest;
 use lapisrudder_config::{Config, Target};
 use lapisrudder_engine::{
@@ -14,6 +17,7 @@
 use lapisrudder_host::{Clock, Discovery, Members, News};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use rustc_hash::FxHashMap;
+use std::io::Write;
 use std::time::Duration;
 use tracing::{debug, info, warn};
 
@@ -98,6 +102,7 @@
     scratch: Vec<u8>,
     deadlines: Deadlines,
     server: VirtualServer,
+    management: Option<Management>,
     members: Members<Ready>,
     discovery: Discovery<Ready>,
     ledger: Ledger,
@@ -128,7 +133,12 @@
         let now = clock.now();
         let settings = Settings::from(&config.options);
         let bounds = &config.options.bounds;
-        let sockets = config.sockets - OWN_SOCKETS;
+        let management = config
+            .management
+            .map(|at| Management::new(at, handle).map_err(|source| super::Error::Management { at, source }));
+        let management = management.transpose()?;
+        let own = OWN_SOCKETS + management.as_ref().map_or(0, |_| management::SOCKETS);
+        let sockets = config.sockets - own;
         let limits = Limits::shared(
             settings.siblings,
             micros(bounds.connect_timeout_s),
@@ -146,6 +156,7 @@
             scratch: vec![0; SCRATCH],
             deadlines: Deadlines::default(),
             server,
+            management,
             members: Members::new(handle),
             discovery: Discovery::new(config.discovery, config.remembered(), handle, Owner::Discovery),
             ledger: Ledger::default(),
@@ -165,7 +176,13 @@
         };
         node.listed(Scope::Remembered, config.known);
         node.turn([]);
-        println!("{} listens on {}", config.name, node.server.address().unwrap_or(config.listen));
+        let mut told =
+            format!("{} listens on {}\n", config.name, node.server.address().unwrap_or(config.listen));
+        if let Some(at) = node.management.as_ref().and_then(|m| m.address().ok()) {
+            told += &format!("{} is managed at {at}\n", config.name);
+        }
+        // Nobody need read it.
+        let _ = std::io::stdout().write_all(told.as_bytes());
         Ok(node)
     }
 
@@ -198,6 +215,11 @@
                 let Node { members, scratch, engine, server, ledger, .. } = self;
                 members.on_ready(conn, scratch, engine, &mut Front { server, ledger, now }, now);
             }
+            Owner::Management => {
+                let (management, deadlines) = (self.management.iter_mut(), &mut self.deadlines);
+                management.for_each(|m| m.accept(now, deadlines));
+            }
+            Owner::Caller(id) => self.management.iter_mut().for_each(|m| m.on_ready(id)),
             Owner::Discovery => {
                 self.discovery.on_ready(&mut self.scratch, &self.options, now);
                 self.discovery_news();
@@ -238,6 +260,49 @@
         }
     }
 
+    // ---- Operators ------------------------------------------------------------------------------------
+
+    /// Answers the operators' calls, each once it binds.
+    fn calls(&mut self) {
+        let now = self.clock.now();
+        while let Some((caller, line)) = self.management.as_mut().and_then(Management::poll_call) {
+            let call = parse(&line).and_then(|call| call.ok_or(BadCall::NoEnd));
+            let told = self.call(call, now);
+            self.management.iter_mut().for_each(|m| m.answer(caller, &told, now, &mut self.deadlines));
+        }
+    }
+
+    fn call(&mut self, call: Result<Call, BadCall>, now: Micros) -> String {
+        let asked = call.map_or_else(|bad| bad.to_string(), |call| call.to_string());
+        let told = match call {
+            Err(bad) => answer(Err::<&str, _>(bad)),
+            Ok(Call::Status) => match (self.server.says_ready(), &self.phase) {
+                (true, Phase::Serving) => answer(Ok::<_, BadCall>("ready")),
+                (_, Phase::Serving) if self.server.ready => answer(Err::<&str, _>("draining")),
+                (_, Phase::Serving) => answer(Err::<&str, _>("no member may be used yet")),
+                _ => answer(Err::<&str, _>("stopping")),
+            },
+            Ok(Call::MaintOn(name)) => {
+                let ban = Ban { name: name.into(), since: now };
+                answer(self.engine.take_out(ServerId(digest(name)), ban).map(|()| "out").map_err(why_not))
+            }
+            Ok(Call::MaintOff(name)) => {
+                let back = self.engine.put_back(now, ServerId(digest(name)));
+                answer(back.map(|()| "may serve").map_err(why_not))
+            }
+            Ok(Call::Standby) => {
+                self.server.set_standby(true, now, &mut self.deadlines);
+                answer(Ok::<_, BadCall>("draining"))
+            }
+            Ok(Call::Active) => {
+                self.server.set_standby(false, now, &mut self.deadlines);
+                answer(Ok::<_, BadCall>("serving"))
+            }
+        };
+        info!(about = %asked, "management: {}", told.trim_end());
+        told
+    }
+
     // ---- What happens goes to the engine --------------------------------------------------------------
 
     fn client_news(&mut self) {
@@ -324,6 +389,8 @@
         while let Some(deadline) = self.deadlines.pop_due(now) {
             match deadline {
                 Deadline::Client(id) => self.server.on_deadline(id, now, &mut self.deadlines),
+                Deadline::Caller(id) => self.management.iter_mut().for_each(|m| m.on_deadline(id, now)),
+                Deadline::LetGo => self.server.let_go(now, &mut self.deadlines),
                 Deadline::Accept => {
                     self.server.resume(&mut self.deadlines);
                     self.accept(now);
@@ -402,6 +469,7 @@
         if !self.server.ready && self.engine.any_open() {
             self.server.now_ready(self.clock.now());
         }
+        self.calls();
         self.send_out();
         if matches!(self.phase, Phase::Leaving | Phase::Draining) && self.server.is_empty() {
             self.phase = Phase::Over;
@@ -435,6 +503,14 @@
     }
 }
 
+/// Why a member cannot be taken out or put back, as an operator is told.
+fn why_not(no: NoBan) -> &'static str {
+    match no {
+        NoBan::NeverListed => "no such server was ever listed",
+        NoBan::IsOrigin => "it is the origin",
+    }
+}
+
 /// Ephemeral ports that the machine has; 0 where the system does not say.
 fn ephemeral_ports() -> u64 {
     let told = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -8,6 +8,7 @@
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{self, Command, OwnedRequest};
+use lapisrudder_limits::drain::{Drain, Release};
 use lapisrudder_limits::{
     Accepting, Admission, ConnId, EventKind, Facts, Intake, Order, Resources, SettingsError, Shortage,
     Ticket, Verdict,
@@ -67,8 +68,12 @@
     spare: Option<File>,
     /// Nothing is accepted until then.
     paused: Option<Key>,
-    /// Between requests connections close: the node is stopping, and soon gone.
-    draining: bool,
+    /// Connections are let go between requests, for good or until that is taken back.
+    drain: Option<Drain>,
+    /// When it is looked again whose time has come.
+    round: Option<Key>,
+    /// Operators have told the node to drain: `mn` gets a no.
+    standby: bool,
     /// `mn` is answered.
     pub ready: bool,
     asked_ready: Vec<u64>,
@@ -85,6 +90,11 @@
 
 /// The request ids of `mn`, which is no transaction, lie above all others.
 const READY: u64 = 1 << 63;
+/// The answers to `mn`.
+const READY_LINE: &[u8] = b"MN\r\n";
+const NOT_READY: &[u8] = b"SERVER_ERROR draining\r\n";
+/// How often connections are looked at that are to be let go: a hundredth of the time that they have.
+const LOOK_ROUND: Micros = 15_000;
 
 impl VirtualServer {
     pub fn new(at: SocketAddr, admission: Admission, handle: &Handle) -> io::Result<VirtualServer> {
@@ -110,7 +120,9 @@
             handle: handle.clone(),
             spare: None,
             paused: None,
-            draining: false,
+            drain: None,
+            round: None,
+            standby: false,
             ready: false,
             asked_ready: Vec::new(),
             next_client: 0,
@@ -342,11 +354,54 @@
         while self.accept(now, deadlines) {}
         self.token.take().into_iter().for_each(|token| self.handle.remove(token));
         self.listener = None;
-        self.draining = true;
-        let idle: Vec<u64> = self.clients.iter().filter(|(_, c)| c.idle()).map(|(id, _)| *id).collect();
-        for id in idle {
-            self.close_idle(id, now, deadlines);
+        self.begin_drain(Drain::at_once(now), now, deadlines);
+    }
+
+    /// Operators tell the node to drain, or to serve again. Again is no harm.
+    pub fn set_standby(&mut self, standby: bool, now: Micros, deadlines: &mut Deadlines) {
+        if std::mem::replace(&mut self.standby, standby) == standby {
+            return;
+        }
+        if standby {
+            for id in std::mem::take(&mut self.asked_ready) {
+                self.answer(id, RequestId(READY), &[NOT_READY], now);
+            }
+            self.begin_drain(Drain::standby(now), now, deadlines);
+        } else {
+            self.drain = None;
+        }
+    }
+
+    /// It answers `mn` with a yes.
+    pub fn says_ready(&self) -> bool {
+        self.ready && !self.standby
+    }
+
+    /// Clients' connections are let go from now on.
+    fn begin_drain(&mut self, drain: Drain, now: Micros, deadlines: &mut Deadlines) {
+        self.drain = Some(drain);
+        self.let_go(now, deadlines);
+    }
+
+    /// Lets go the connections whose time has come.
+    pub fn let_go(&mut self, now: Micros, deadlines: &mut Deadlines) {
+        let Some(drain) = self.drain else { return };
+        let release = |(id, c): (&u64, &mut Client)| {
+            // What has come was asked before the connection closed: it is heard first.
+            let unread = c.room() && c.look();
+            let release = drain.release(*id, c.since_arrival, now, c.activity());
+            (release != Release::Stays).then_some((*id, release, unread))
+        };
+        let released: Vec<_> = self.clients.iter_mut().filter_map(release).collect();
+        for (id, release, unread) in released {
+            match release {
+                _ if unread => self.touched.push(id),
+                Release::Close => self.part(id, now, deadlines),
+                _ => self.clients.get_mut(&id).into_iter().for_each(Client::finish),
+            }
         }
+        deadlines.remove(self.round.take());
+        self.round = Some(deadlines.add(now + LOOK_ROUND, Deadline::LetGo));
     }
 
     fn remove(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
@@ -406,7 +461,7 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         // A client that closed its sending side only may still read what is ready.
         let flushed = client.flush(now).is_ok();
-        if state == State::Over || !flushed || self.draining && client.idle() && !client.look() {
+        if state == State::Over || !flushed {
             return self.remove(id, now, deadlines);
         }
         if client.unread && (client.room() || client.lingers()) {
@@ -465,8 +520,9 @@
                             }
                             None
                         }
-                        Command::Ready if self.ready => {
-                            client.slots.push_back(Slot::Ready(b"MN\r\n".to_vec()));
+                        Command::Ready if self.standby || self.ready => {
+                            let line = if self.standby { NOT_READY } else { READY_LINE };
+                            client.slots.push_back(Slot::Ready(line.to_vec()));
                             None
                         }
                         Command::Ready => {
@@ -516,7 +572,7 @@
             let Some(client) = self.clients.get_mut(&id) else { continue };
             client.dirty = false;
             client.unread |= client.flush(now).is_err();
-            if client.unread || client.lingers() || self.draining {
+            if client.unread || client.lingers() {
                 self.touched.push(id);
             }
             self.admission.state(now, client.conn, client.activity());
@@ -536,7 +592,7 @@
     pub fn now_ready(&mut self, now: Micros) {
         self.ready = true;
         for id in std::mem::take(&mut self.asked_ready) {
-            self.answer(id, RequestId(READY), &[b"MN\r\n"], now);
+            self.answer(id, RequestId(READY), &[READY_LINE], now);
         }
     }
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -36,7 +36,7 @@
         "{bad}:2: log.level: invalid type: integer `3`, expected a string\n{bad}:4: log.linse: unknown field \
          `linse`, expected one of `level`, `format`, `window_ms`, `repeats`, `lines`\n"
     );
-    let of_json = format!("{json}:6: limits.sockets: 5: sockets must be at least 64\n");
+    let of_json = format!("{json}:7: limits.sockets: 5: sockets must be at least 64\n");
     let of_example = "configuration of n0 is sound: 0 pool members known\n".to_string();
     for (platform, operators, out, err) in [
         (Some(EXAMPLE), None, of_example.clone(), String::new()),
@@ -72,7 +72,7 @@
     assert!(good && err.is_empty(), "{err}");
     for line in [
         "# platform: name = \"n9\"  # environment EDGE_NAME".to_string(),
-        format!("# platform: limits.sockets = 1024  # {EXAMPLE}:6"),
+        format!("# platform: limits.sockets = 1024  # {EXAMPLE}:7"),
         "# platform: settings.over-share-worth = 1.0  # default".into(),
         "[log]".into(),
         "level = \"warn\"  # argument --log-level".into(),
@@ -128,7 +128,11 @@
     let json = file("reload.json", &fs::read_to_string(EXAMPLE).expect("it"));
     let toml = file("reload.toml", "[log]\nformat = \"json\"\n");
     let mut child = program(&["serve", "--config", toml.to_str().expect("UTF-8")])
-        .envs([("EDGE_LISTEN", "127.0.0.1:0"), ("EDGE_DISCOVERY", "127.0.0.1:1")])
+        .envs([
+            ("EDGE_LISTEN", "127.0.0.1:0"),
+            ("EDGE_DISCOVERY", "127.0.0.1:1"),
+            ("EDGE_MANAGEMENT", "127.0.0.1:0"),
+        ])
         .env("EDGE_CONFIG", &json)
         .spawn()
         .expect("it starts");
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -134,6 +134,8 @@
 pub struct Node {
     pub child: Child,
     pub address: SocketAddr,
+    /// The operators' address, where it has one.
+    management: Option<SocketAddr>,
     config: String,
     _output: BufReader<ChildStdout>,
 }
@@ -174,10 +176,23 @@
 
     /// The same, under settings of the operators'.
     pub fn under(discovery: SocketAddr, sockets: u32, operators: Option<&str>) -> Node {
+        Node::run(discovery, sockets, operators, false)
+    }
+
+    /// A ready node with an operators' address.
+    pub fn managed(world: &World<Books>, sockets: u32) -> Node {
+        let discovery = world.addresses().discovery(0).expect("discovery");
+        let node = Node::run(discovery, sockets, None, true);
+        node.until_ready();
+        node
+    }
+
+    fn run(discovery: SocketAddr, sockets: u32, operators: Option<&str>, managed: bool) -> Node {
         let config = format!(
             r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{SETTINGS}}}"#
         );
         let mut program = program(&config, &[("EDGE_DISCOVERY", &discovery.to_string())]);
+        program.envs(managed.then_some(("EDGE_MANAGEMENT", "127.0.0.1:0")));
         let config = program.get_envs().find(|(name, _)| *name == "EDGE_CONFIG").and_then(|(_, file)| file);
         let config = config.expect("a file").to_string_lossy().into_owned();
         if let Some(settings) = operators {
@@ -187,10 +202,29 @@
         }
         let mut child = program.spawn().expect("the program starts");
         let mut output = BufReader::new(child.stdout.take().expect("its output"));
-        let mut line = String::new();
-        output.read_line(&mut line).expect("a line");
-        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-        Node { child, address, config, _output: output }
+        let mut told = || {
+            let mut line = String::new();
+            output.read_line(&mut line).expect("a line");
+            line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
+        };
+        let address = told();
+        let management = managed.then(told);
+        Node { child, address, management, config, _output: output }
+    }
+
+    /// One line on a connection of its own to the operators' address; gives the answer.
+    pub fn call(&self, line: &str) -> String {
+        self.caller(line).answer()
+    }
+
+    /// The same, but the answer is not waited for.
+    pub fn caller(&self, said: &str) -> Client {
+        let stream =
+            TcpStream::connect(self.management.expect("an operators' address")).expect("a connection");
+        stream.set_read_timeout(Some(WIDE)).expect("set");
+        let mut caller = Client(BufReader::new(stream));
+        caller.send(said);
+        caller
     }
 
     /// Waits until it may be put to use.
