Replace a process in place: listener, clients and bans go over, nobody is turned back

Old and new process talk over a Unix socket in `$TMPDIR`; frames are versioned, bounded and checksummed (`crates/takeover`, no I/O). The old one gives its listener, list and version, bans and drain state, and from the new one's yes on each client's connection as it comes free, with what was read of its next command (SCM_RIGHTS, by rustix). Descriptors are lent by agreement: what the old one keeps only falls, what the new one gets only grows, both together never exceed the limit. If either ends the talk the other goes on with all of it. Not taken: SO_REUSEPORT alone. It remains the fall-back, but what waits in the old listener's queue when that closes is reset, and clients' idle connections would have to close, each a chance to cross a request. Not taken: closing idle clients in the old process, tried as `Drain::replaced` before and deleted. Not taken: two live sets of settings for the old; it keeps its own to its end.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -404,6 +404,12 @@
         self.pool.reserve()
     }
 
+    /// Holds so many connections to members at the most from now on: another process of the node holds others. Flows
+    /// that are out stay.
+    pub fn hold_connections(&mut self, in_all: usize, now: Micros) {
+        self.pool.hold_to(in_all, now, &mut self.deadlines);
+    }
+
     /// Transactions that are owed a final answer.
     pub fn open(&self) -> usize {
         self.transactions.open
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -120,6 +120,16 @@
         if member.origin { self.to_origin } else { self.limits.per_member }
     }
 
+    /// So many connections to all of them at the most from now on; idle ones beyond close.
+    pub(crate) fn hold_to(&mut self, in_all: usize, now: Micros, deadlines: &mut Deadlines) {
+        self.limits.in_all = in_all;
+        while self.connections.len() > in_all
+            && let Some((_, id)) = self.idle.pop_first()
+        {
+            self.close(id, now, deadlines);
+        }
+    }
+
     /// Nothing new goes to a member: what waits ends, and connections without a flow close.
     fn retire(&mut self, server: ServerId, deadlines: &mut Deadlines) {
         let Some(member) = self.members.get_mut(&server) else { return };
--- a/crates/host/src/socket.rs
+++ b/crates/host/src/socket.rs
@@ -56,6 +56,16 @@
         }
     }
 
+    /// Takes it off the loop, open as it is.
+    ///
+    /// # Errors
+    /// If the system does not let it be named anew.
+    pub fn into_stream(self) -> io::Result<TcpStream> {
+        let stream = self.stream.clone();
+        drop(self);
+        Rc::try_unwrap(stream).or_else(|shared| shared.try_clone())
+    }
+
     /// Whether a begun connect has come up.
     ///
     /// # Errors
--- a/crates/limits/src/drain.rs
+++ b/crates/limits/src/drain.rs
@@ -10,8 +10,6 @@
 /// Connections of a drained node are let go over this long. At 4 s none may be left that had a request in the last
 /// 2 s: the last goes at 1.5 s, with half a second to spare.
 const STANDBY: Micros = 1_200_000;
-/// Connections of a process that another one replaces: it has 3.7 s at the most, and answers that are out may need 3.
-const REPLACED: Micros = 600_000;
 /// One that has not spoken yet is given this long for its first request. Guards a client whose request is on its way.
 const FRESH: Micros = 200_000;
 
@@ -39,11 +37,6 @@
         Drain { from: now + NOTICED, over: STANDBY }
     }
 
-    /// Another process takes the place of this one, and takes all new connections by now.
-    pub fn replaced(now: Micros) -> Drain {
-        Drain { from: now, over: REPLACED }
-    }
-
     /// The process must end soon: all go now.
     pub fn at_once(now: Micros) -> Drain {
         Drain { from: now, over: 0 }
@@ -98,12 +91,12 @@
         ] {
             assert_eq!(drain.release(1, 10, now, activity), expected, "{now} {activity:?}");
         }
-        let (replaced, fresh) = (Drain::replaced(0), 1_000_000);
+        let (standby, fresh) = (Drain::standby(0), 1_800_000);
         assert_eq!(
-            replaced.release(1, fresh, fresh, Activity::Idle),
+            standby.release(1, fresh, fresh, Activity::Idle),
             Release::Stays,
             "it may be about to ask"
         );
-        assert_eq!(replaced.release(1, fresh, fresh + FRESH, Activity::Idle), Release::Close);
+        assert_eq!(standby.release(1, fresh, fresh + FRESH, Activity::Idle), Release::Close);
     }
 }
--- /dev/null
+++ b/crates/takeover/src/lib.rs
@@ -0,0 +1,108 @@
+//! One process of a node takes the place of another (a hot restart): what the two tell each other, and who may hold
+//! how much while both run.
+//!
+//! No I/O and no clock. Messages are framed ([`encode`], [`decode`]): versioned, bounded, checksummed. Anything that
+//! is not such a frame ends the talk, and the new process begins as if there had been no old one. Sockets that go along
+//! with a message are the host's matter.
+//!
+//! ```
+//! use lapisrudder_takeover::{Message, decode, encode};
+//!
+//! let frame = encode(&Message::Ready);
+//! assert_eq!(decode(&frame[..7]), Ok(None), "not whole yet");
+//! assert_eq!(decode(&frame), Ok(Some((Message::Ready, frame.len()))));
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs, unreachable_pub)]
+
+mod frame;
+mod shares;
+
+pub use frame::{BadFrame, MOST, VERSION, decode, encode};
+pub use shares::{LEAST, Lender};
+
+use serde::{Deserialize, Serialize};
+
+/// A member that operators have taken out.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Ban {
+    /// The member's number.
+    pub id: u64,
+    /// Its name.
+    pub name: String,
+    /// When it was taken out, in microseconds since 1970.
+    pub since: i64,
+}
+
+/// A member as discovery has told it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Member {
+    /// Its number.
+    pub id: u64,
+    /// Its zone, as a place in the settings.
+    pub zone: u32,
+    /// Its kind, the same.
+    pub kind: u32,
+    /// Its cell.
+    pub cell: u32,
+    /// It drains.
+    pub drains: bool,
+    /// Its size against others.
+    pub weight: f64,
+    /// When it last started, in microseconds since 1970.
+    pub since: Option<i64>,
+    /// Where it answers.
+    pub endpoint: String,
+}
+
+/// How much the new process may hold while the old one runs.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Grant {
+    /// Descriptors.
+    pub descriptors: usize,
+    /// Of the clients' places, so many are still held by the old process.
+    pub clients_kept: usize,
+}
+
+/// What one process tells the other.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Message {
+    /// New to old, first: it wants to take the place of the node of that name.
+    Hello {
+        /// The node's name.
+        name: String,
+    },
+    /// Old to new, first: what is worth having. The clients' listener goes along.
+    State {
+        /// Operators have told the node to drain.
+        standby: bool,
+        /// Who is out by hand.
+        bans: Vec<Ban>,
+        /// Where the list is from.
+        discovery: String,
+        /// Its version; none where no list is held.
+        revision: Option<u64>,
+        /// The list.
+        members: Vec<Member>,
+        /// How much the new process may hold.
+        grant: Grant,
+    },
+    /// Old to new: that is another amount now.
+    Grant(Grant),
+    /// New to old: it serves, and takes all new connections from here on.
+    Ready,
+    /// Old to new: a client's connection goes along, on which nothing is owed.
+    Client {
+        /// What was read of its next command.
+        input: Vec<u8>,
+    },
+    /// Either way: operators have taken a member out.
+    Out(Ban),
+    /// Either way: that member may serve again.
+    Back {
+        /// The member's number.
+        id: u64,
+    },
+    /// Either way: operators have told the node to drain, or to serve again.
+    Standby(bool),
+}
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -7,6 +7,7 @@
 use lapisrudder_limits::{Activity, ConnId};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
+use std::net::TcpStream;
 
 /// Commands of one connection that may wait for their answers. Guards memory: no more are read until some
 /// have been answered.
@@ -75,6 +76,8 @@
     /// The last read did not fill its room, so all bytes that had come were read; whether the peer has closed behind
     /// them is not known.
     pub unsure: bool,
+    /// It goes to another process once nothing is owed on it: nothing more is taken meanwhile.
+    pub leaving: bool,
     /// It is on the list of those to look at again.
     pub listed: bool,
     /// It is to be sent what the turn has brought.
@@ -101,6 +104,7 @@
             phase: Phase::Open,
             unread: false,
             unsure: false,
+            leaving: false,
             listed: false,
             dirty: false,
             errors: 0,
@@ -151,7 +155,10 @@
 
     /// May be given another command.
     pub fn room(&self) -> bool {
-        self.phase == Phase::Open && self.slots.len() < PIPELINE && self.output.len() - self.sent < UNREAD
+        self.phase == Phase::Open
+            && !self.leaving
+            && self.slots.len() < PIPELINE
+            && self.output.len() - self.sent < UNREAD
     }
 
     /// Takes no more commands.
@@ -223,6 +230,16 @@
         Drained::Nothing
     }
 
+    /// Nothing is owed on it, and it may go on at another process.
+    pub fn can_leave(&self) -> bool {
+        self.leaving && self.quiet() && self.phase == Phase::Open
+    }
+
+    /// The connection, and what was read of its next command.
+    pub fn into_parts(self) -> io::Result<(TcpStream, Vec<u8>)> {
+        Ok((self.socket.into_stream()?, self.input))
+    }
+
     /// Sends ready answers as far as the socket takes them.
     pub fn flush(&mut self, now: Micros) -> io::Result<()> {
         while let Some(Slot::Ready(_)) = self.slots.front() {
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -10,6 +10,10 @@
     Caller(u64),
     /// Clients' connections are let go.
     LetGo,
+    /// Clients' connections go to the process that takes the place of this one.
+    HandOver,
+    /// A process before this one that said nothing must be gone by now.
+    Alone,
     /// Accepting was paused for want of descriptors.
     Accept,
     /// A stopping node may end, if no client is left.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod deadlines;
 mod management;
 mod node;
+mod takeover;
 mod virtual_server;
 
 use calloop::signals::{Signal, Signals};
@@ -34,6 +35,10 @@
     Management,
     /// Somebody who calls there.
     Caller(u64),
+    /// Where another process of this node may ask to take its place, the one that does, and the one before this.
+    Door,
+    Successor,
+    Predecessor,
 }
 
 impl From<Conn> for Owner {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,13 +1,14 @@
 //! The daemon as a host of the engine: sockets, clients and discovery on one side, the engine on the other.
 
 use super::client::SCRATCH;
-use super::deadlines::{Deadline, Deadlines};
+use super::deadlines::{Deadline, Deadlines, Key as DeadlineKey};
 use super::management::{self, Management};
+use super::takeover::{self, Door, Link};
 use super::virtual_server::{self, VirtualServer};
 use super::{CLIENTS_SHARE, Handle, OWN_SOCKETS, Owner, Ready};
 use lapisrudder::maintenance::{Ban, NoBan};
 use lapisrudder::wire::{Options, digest, micros};
-use lapisrudder::{Micros, RequestId, Scope, ServerId, Settings};
+use lapisrudder::{Listed, Micros, RequestId, Scope, ServerId, Settings, Stage};
 use lapisrudder_codec::management::{BadCall, Call, answer, parse};
 use lapisrudder_codec::memcache::OwnedRequest;
 use lapisrudder_config::{Config, Target};
@@ -16,8 +17,12 @@
 };
 use lapisrudder_host::{Clock, Discovery, Members, News};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
+use lapisrudder_takeover::{self as talk, Grant, Lender, Message};
 use rustc_hash::FxHashMap;
 use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::PathBuf;
 use std::time::Duration;
 use tracing::{debug, info, warn};
 
@@ -28,6 +33,13 @@
 const STOP_TAKING: Micros = 150_000;
 const LAST_CALL: Micros = 450_000;
 const LONGEST_WAIT: Micros = 3_000_000;
+/// A process before this one that said nothing is gone this long after the start of this: 6 s until this one's yes,
+/// 3.7 s until its end.
+const ALONE_AFTER: Micros = 10_000_000;
+/// So many clients' connections go to the next process at a time, and so often. Guards the limit on descriptors: what
+/// it may hold grows with what this one has closed.
+const A_HAND: usize = 16;
+const HAND_EVERY: Micros = 5_000;
 /// How often the process's memory is looked at.
 const MEMORY_EVERY: Micros = 1_000_000;
 
@@ -97,7 +109,28 @@
     Over,
 }
 
+/// The process that takes the place of this one.
+struct Successor {
+    link: Link,
+    lender: Lender,
+    /// It serves.
+    ready: bool,
+}
+
 pub struct Node {
+    handle: Handle,
+    /// Where processes of this node meet, and the way in there.
+    place: Option<PathBuf>,
+    door: Option<Door>,
+    predecessor: Option<Link>,
+    /// One that has just come, and said nothing yet.
+    knocking: Option<Link>,
+    successor: Option<Successor>,
+    /// When clients go there again.
+    handing: Option<DeadlineKey>,
+    /// Clients' connections that the process before this one still has.
+    clients_elsewhere: usize,
+    name: String,
     clock: Clock,
     scratch: Vec<u8>,
     deadlines: Deadlines,
@@ -112,8 +145,12 @@
     longest_wait: Micros,
     /// The shortest time within which a class wants its answers.
     shortest_aim: Micros,
+    /// Descriptors that are neither a client's nor a member's.
+    own: usize,
     /// Descriptors for clients and members together.
     sockets: usize,
+    /// Descriptors of the node, which two processes may share.
+    all_descriptors: usize,
     /// Transactions that may be held at a time, and bytes of their commands.
     most_held: usize,
     most_bytes: usize,
@@ -137,8 +174,20 @@
             .management
             .map(|at| Management::new(at, handle).map_err(|source| super::Error::Management { at, source }));
         let management = management.transpose()?;
-        let own = OWN_SOCKETS + management.as_ref().map_or(0, |_| management::SOCKETS);
-        let sockets = config.sockets - own;
+        let place = takeover::meeting_place(&config.name, config.listen);
+        let asked = place.as_ref().map(|place| takeover::ask(place, &config.name, handle));
+        let silent = matches!(asked, Some(Err(_)));
+        let before = asked.unwrap_or(Ok(None)).unwrap_or_else(|e| {
+            warn!("takeover: nothing of use from the process before: {e}");
+            None
+        });
+        let (state, handed, predecessor) = match before {
+            Some((state, listener, link)) => (Some(state), Some(listener), Some(link)),
+            None => (None, None, None),
+        };
+        let handed = handed.filter(|l| l.local_addr().is_ok_and(|at| at == config.listen));
+        let own = OWN_SOCKETS + takeover::SOCKETS + management.as_ref().map_or(0, |_| management::SOCKETS);
+        let sockets = config.sockets.saturating_sub(own);
         let limits = Limits::shared(
             settings.siblings,
             micros(bounds.connect_timeout_s),
@@ -147,11 +196,22 @@
             sockets / 2,
         );
         let admission = Admission::new(operators.limits, config.seed, now)?;
-        let server = VirtualServer::new(config.listen, admission, handle)
+        let server = VirtualServer::new(config.listen, handed, admission, handle)
             .map_err(|source| super::Error::Listen { at: config.listen, source })?;
         let longest = config.options.request_classes.iter().map(|c| micros(c.give_up_s)).max();
         let aims = config.options.request_classes.iter().map(|c| micros(c.slo_s));
         let mut node = Node {
+            handle: handle.clone(),
+            place,
+            door: None,
+            predecessor,
+            knocking: None,
+            successor: None,
+            handing: None,
+            clients_elsewhere: 0,
+            name: config.name.clone(),
+            own,
+            all_descriptors: config.sockets,
             clock,
             scratch: vec![0; SCRATCH],
             deadlines: Deadlines::default(),
@@ -174,7 +234,17 @@
             ports: ephemeral_ports(),
             options: config.options,
         };
-        node.listed(Scope::Remembered, config.known);
+        match state {
+            Some(state) => node.begin_after(state, config.known),
+            None => {
+                node.listed(Scope::Remembered, config.known);
+                node.open_door();
+            }
+        }
+        if silent {
+            node.hold_to(config.sockets / 2, now);
+            node.deadlines.add(now + ALONE_AFTER, Deadline::Alone);
+        }
         node.turn([]);
         let mut told =
             format!("{} listens on {}\n", config.name, node.server.address().unwrap_or(config.listen));
@@ -220,6 +290,9 @@
                 management.for_each(|m| m.accept(now, deadlines));
             }
             Owner::Caller(id) => self.management.iter_mut().for_each(|m| m.on_ready(id)),
+            Owner::Door => self.somebody_knocks(),
+            Owner::Successor => self.hear_successor(now),
+            Owner::Predecessor => self.hear_predecessor(now),
             Owner::Discovery => {
                 self.discovery.on_ready(&mut self.scratch, &self.options, now);
                 self.discovery_news();
@@ -251,7 +324,7 @@
     /// The operators end the node: what was taken is answered, then it ends.
     pub fn stop(&mut self) {
         if self.phase == Phase::Serving {
-            self.phase = Phase::Stopping;
+            self.phase = if self.is_replaced() { Phase::Leaving } else { Phase::Stopping };
             self.server.stopping();
             let now = self.clock.now();
             self.deadlines.add(now + ACCEPTS_ON, Deadline::Leave);
@@ -276,6 +349,7 @@
         let asked = call.map_or_else(|bad| bad.to_string(), |call| call.to_string());
         let told = match call {
             Err(bad) => answer(Err::<&str, _>(bad)),
+            Ok(Call::Status) if self.is_replaced() => answer(Err::<&str, _>("replaced by another process")),
             Ok(Call::Status) => match (self.server.says_ready(), &self.phase) {
                 (true, Phase::Serving) => answer(Ok::<_, BadCall>("ready")),
                 (_, Phase::Serving) if self.server.ready => answer(Err::<&str, _>("draining")),
@@ -284,25 +358,231 @@
             },
             Ok(Call::MaintOn(name)) => {
                 let ban = Ban { name: name.into(), since: now };
-                answer(self.engine.take_out(ServerId(digest(name)), ban).map(|()| "out").map_err(why_not))
+                let out = self.engine.take_out(ServerId(digest(name)), ban.clone());
+                if out.is_ok() {
+                    self.tell(&Message::Out(of_ban(ServerId(digest(name)), &ban)));
+                }
+                answer(out.map(|()| "out").map_err(why_not))
             }
             Ok(Call::MaintOff(name)) => {
                 let back = self.engine.put_back(now, ServerId(digest(name)));
+                if back.is_ok() {
+                    self.tell(&Message::Back { id: digest(name) });
+                }
                 answer(back.map(|()| "may serve").map_err(why_not))
             }
-            Ok(Call::Standby) => {
-                self.server.set_standby(true, now, &mut self.deadlines);
-                answer(Ok::<_, BadCall>("draining"))
-            }
-            Ok(Call::Active) => {
-                self.server.set_standby(false, now, &mut self.deadlines);
-                answer(Ok::<_, BadCall>("serving"))
+            Ok(call @ (Call::Standby | Call::Active)) => {
+                let standby = call == Call::Standby;
+                self.server.set_standby(standby, now, &mut self.deadlines);
+                self.tell(&Message::Standby(standby));
+                answer(Ok::<_, BadCall>(if standby { "draining" } else { "serving" }))
             }
         };
         info!(about = %asked, "management: {}", told.trim_end());
         told
     }
 
+    // ---- One process takes the place of another -----------------------------------------------------
+
+    /// Holds so many descriptors from now on; the rest are another process's.
+    fn hold_to(&mut self, descriptors: usize, now: Micros) {
+        self.descriptors = descriptors;
+        self.sockets = descriptors.saturating_sub(self.own);
+        self.engine.hold_connections(self.sockets / 2, now);
+    }
+
+    fn open_door(&mut self) {
+        let Some(place) = &self.place else { return };
+        match Door::open(place, &self.handle) {
+            Ok(door) => self.door = Some(door),
+            // Another process of this node could still listen beside this one.
+            Err(e) => info!("takeover: no other process can ask: {e}"),
+        }
+    }
+
+    fn is_replaced(&self) -> bool {
+        self.successor.as_ref().is_some_and(|s| s.ready)
+    }
+
+    /// Begins with what the process before this one has.
+    fn begin_after(&mut self, state: Message, known: Vec<Target>) {
+        let now = self.clock.now();
+        let Message::State { standby, bans, discovery, revision, members, grant } = state else { return };
+        let theirs: Option<Vec<Target>> = members.iter().map(to_target).collect();
+        let theirs = theirs.filter(|_| discovery == self.discovery.address().to_string());
+        if let (Some(theirs), Some(revision)) = (theirs, revision) {
+            self.discovery.remember(revision);
+            self.listed(Scope::Remembered, theirs);
+        } else {
+            self.listed(Scope::Remembered, known);
+        }
+        for ban in bans {
+            self.engine.adopt_ban(ServerId(ban.id), Ban { name: ban.name, since: ban.since });
+        }
+        self.server.set_standby(standby, now, &mut self.deadlines);
+        self.granted(grant, now);
+        info!(descriptors = grant.descriptors, "takeover: beside the process before");
+    }
+
+    fn granted(&mut self, grant: Grant, now: Micros) {
+        self.clients_elsewhere = grant.clients_kept;
+        self.hold_to(grant.descriptors, now);
+    }
+
+    /// This process serves: new connections are its own, and whoever comes next asks here.
+    fn take_over(&mut self) {
+        if let Some(link) = &mut self.predecessor {
+            link.say(&Message::Ready, None);
+            if let Err(e) = self.server.begin_accepting() {
+                warn!("cannot accept: {e}");
+            }
+            self.open_door();
+        }
+        self.speak();
+    }
+
+    /// Tells the other process, if there is one.
+    fn tell(&mut self, message: &Message) {
+        self.predecessor.iter_mut().for_each(|link| link.say(message, None));
+        self.successor.iter_mut().for_each(|s| s.link.say(message, None));
+        self.speak();
+    }
+
+    /// Sends what was said. An error comes back when the other is heard.
+    fn speak(&mut self) {
+        self.predecessor.iter_mut().for_each(|link| _ = link.flush());
+        self.successor.iter_mut().for_each(|s| _ = s.link.flush());
+    }
+
+    fn somebody_knocks(&mut self) {
+        let Some(link) = self.door.as_ref().and_then(Door::accept) else { return };
+        // One at a time: another finds its talk ended, and begins without.
+        if self.successor.is_none() && self.phase == Phase::Serving {
+            self.knocking = Some(link);
+        }
+    }
+
+    fn hear_predecessor(&mut self, now: Micros) {
+        let Some((heard, over)) = self.predecessor.as_mut().map(Link::hear) else { return };
+        for (message, along) in heard {
+            match message {
+                Message::Grant(grant) => self.granted(grant, now),
+                Message::Client { input } => {
+                    let stream = along.map(TcpStream::from);
+                    stream
+                        .into_iter()
+                        .for_each(|s| self.server.adopt(s, input.clone(), now, &mut self.deadlines));
+                }
+                other => self.agree(other, now),
+            }
+        }
+        if let Some(why) = over {
+            info!("takeover: alone from here on: {why}");
+            self.predecessor = None;
+            self.clients_elsewhere = 0;
+            self.hold_to(self.all_descriptors, now);
+        }
+    }
+
+    fn hear_successor(&mut self, now: Micros) {
+        let asks = self.successor.is_none();
+        let link = self.successor.as_mut().map(|s| &mut s.link).or(self.knocking.as_mut());
+        let Some((heard, over)) = link.map(Link::hear) else { return };
+        for (message, _) in heard {
+            match message {
+                Message::Hello { name } if asks && name == self.name => self.lend(now),
+                Message::Ready if self.is_lending() => self.yield_to(now),
+                other => self.agree(other, now),
+            }
+        }
+        let Some(why) = over else { return };
+        self.knocking = None;
+        let Some(mut successor) = self.successor.take() else { return };
+        info!("takeover: the other process is gone, going on: {why}");
+        self.hold_to(self.all_descriptors, now);
+        if successor.ready {
+            if let Err(e) = self.server.take_clients_back() {
+                warn!("cannot accept: {e}");
+            }
+            for (stream, input) in successor.link.unsent() {
+                self.server.adopt(stream, input, now, &mut self.deadlines);
+            }
+            self.open_door();
+        }
+    }
+
+    fn is_lending(&self) -> bool {
+        self.successor.as_ref().is_some_and(|s| !s.ready)
+    }
+
+    /// Another process wants to take the place of this one: it gets what is worth having, and room beside this one.
+    fn lend(&mut self, now: Micros) {
+        let Some((mut link, listener)) = self.knocking.take().zip(self.server.listener()) else { return };
+        let lender = Lender::new(self.all_descriptors, held_descriptors());
+        let maintenance = self.engine.maintenance();
+        let state = Message::State {
+            standby: self.server.is_standby(),
+            bans: maintenance.bans().map(|(id, ban)| of_ban(id, ban)).collect(),
+            discovery: self.discovery.address().to_string(),
+            revision: self.discovery.revision(),
+            members: maintenance.told().map(|(listed, at)| of_member(listed, *at)).collect(),
+            grant: lender.grant(self.server.count()),
+        };
+        link.say(&state, Some(listener));
+        self.successor = Some(Successor { link, lender, ready: false });
+        info!("takeover: another process begins beside this one");
+        self.speak();
+        self.hand_over(now);
+    }
+
+    /// The other process serves.
+    fn yield_to(&mut self, now: Micros) {
+        self.successor.iter_mut().for_each(|s| s.ready = true);
+        self.server.yield_clients(&mut self.deadlines);
+        self.door = None;
+        if self.phase == Phase::Stopping {
+            self.phase = Phase::Leaving;
+        }
+        info!("takeover: another process serves, clients go to it");
+        self.hand_over(now);
+    }
+
+    /// Hands clients' connections over on which nothing is owed, and says how much the other may hold by now.
+    fn hand_over(&mut self, now: Micros) {
+        let Some(successor) = &mut self.successor else { return };
+        let room = successor.lender.kept().saturating_sub(held_descriptors());
+        if successor.ready {
+            for (stream, input) in self.server.leavers(A_HAND, now, &mut self.deadlines) {
+                successor.link.say(&Message::Client { input }, Some(OwnedFd::from(stream)));
+            }
+            self.engine.hold_connections(0, now);
+        } else {
+            // It goes on with as many as it has, and what is left of its own is both sides'.
+            self.engine.hold_connections(self.engine.connections() + room / 2, now);
+        }
+        let _ = successor.link.flush();
+        let news = successor.lender.holds(held_descriptors(), self.server.count());
+        if let Some(grant) = news {
+            successor.link.say(&Message::Grant(grant), None);
+            let _ = successor.link.flush();
+        }
+        self.deadlines.remove(self.handing.take());
+        self.handing = Some(self.deadlines.add(now + HAND_EVERY, Deadline::HandOver));
+    }
+
+    /// What operators have told the other process holds here, too.
+    fn agree(&mut self, message: Message, now: Micros) {
+        match message {
+            Message::Out(ban) => {
+                self.engine.adopt_ban(ServerId(ban.id), Ban { name: ban.name, since: ban.since });
+            }
+            // It was listed there, and so it was here or will be.
+            Message::Back { id } => _ = self.engine.put_back(now, ServerId(id)),
+            Message::Standby(standby) => self.server.set_standby(standby, now, &mut self.deadlines),
+            _ => {}
+        }
+    }
+
     // ---- What happens goes to the engine --------------------------------------------------------------
 
     fn client_news(&mut self) {
@@ -395,6 +675,11 @@
                     self.server.resume(&mut self.deadlines);
                     self.accept(now);
                 }
+                Deadline::HandOver => self.hand_over(now),
+                Deadline::Alone if self.predecessor.is_none() && self.successor.is_none() => {
+                    self.hold_to(self.all_descriptors, now);
+                }
+                Deadline::Alone => {}
                 Deadline::Leave => self.phase = Phase::Leaving,
                 Deadline::StopAccepting => {
                     self.phase = Phase::Draining;
@@ -430,8 +715,12 @@
             self.resident = (now, resident_bytes());
         }
         let resources = Resources {
-            connections: self.sockets - self.engine.reserve(),
-            clients_room: self.descriptors / CLIENTS_SHARE,
+            connections: match &self.successor {
+                // What is not the clients' now stays as it is: nothing that could go to the next process is closed.
+                Some(s) => self.server.count() + s.lender.kept().saturating_sub(held_descriptors()) / 2,
+                None => self.sockets.saturating_sub(self.engine.reserve()),
+            },
+            clients_room: (self.all_descriptors / CLIENTS_SHARE).saturating_sub(self.clients_elsewhere),
             in_flight: self.most_held,
             aim: self.shortest_aim,
             buffer_bytes: self.most_bytes,
@@ -468,10 +757,12 @@
         }
         if !self.server.ready && self.engine.any_open() {
             self.server.now_ready(self.clock.now());
+            self.take_over();
         }
         self.calls();
         self.send_out();
-        if matches!(self.phase, Phase::Leaving | Phase::Draining) && self.server.is_empty() {
+        let handed = self.successor.as_ref().is_none_or(|s| s.link.is_flushed());
+        if matches!(self.phase, Phase::Leaving | Phase::Draining) && self.server.is_empty() && handed {
             self.phase = Phase::Over;
         }
     }
@@ -511,6 +802,41 @@
     }
 }
 
+fn of_ban(id: ServerId, ban: &Ban) -> talk::Ban {
+    talk::Ban { id: id.0, name: ban.name.clone(), since: ban.since }
+}
+
+fn of_member(listed: &Listed, endpoint: SocketAddr) -> talk::Member {
+    talk::Member {
+        id: listed.server.0,
+        zone: listed.zone,
+        kind: listed.kind,
+        cell: listed.cell,
+        drains: listed.stage == Stage::Draining,
+        weight: listed.weight,
+        since: listed.since,
+        endpoint: endpoint.to_string(),
+    }
+}
+
+fn to_target(m: &talk::Member) -> Option<Target> {
+    let listed = Listed {
+        server: ServerId(m.id),
+        zone: m.zone,
+        kind: m.kind,
+        cell: m.cell,
+        stage: if m.drains { Stage::Draining } else { Stage::Live },
+        weight: m.weight,
+        since: m.since,
+    };
+    Some(Target { listed, endpoint: m.endpoint.parse().ok()? })
+}
+
+/// Descriptors that the process holds now; none where the system does not say.
+fn held_descriptors() -> usize {
+    std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count)
+}
+
 /// Ephemeral ports that the machine has; 0 where the system does not say.
 fn ephemeral_ports() -> u64 {
     let told = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -19,6 +19,7 @@
 use std::fs::File;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::rc::Rc;
 use tracing::{debug, info, warn};
 
@@ -90,6 +91,8 @@
 
 /// The request ids of `mn`, which is no transaction, lie above all others.
 const READY: u64 = 1 << 63;
+/// So much of a command goes along with its connection to another process at the most.
+const HANDED_INPUT: usize = 64 << 10;
 /// The answers to `mn`.
 const READY_LINE: &[u8] = b"MN\r\n";
 const NOT_READY: &[u8] = b"SERVER_ERROR draining\r\n";
@@ -97,26 +100,25 @@
 const LOOK_ROUND: Micros = 15_000;
 
 impl VirtualServer {
-    pub fn new(at: SocketAddr, admission: Admission, handle: &Handle) -> io::Result<VirtualServer> {
-        let listener = socket2::Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
-        listener.set_reuse_address(true)?;
-        listener.bind(&at.into())?;
-        listener.listen(BACKLOG)?;
-        listener.set_nonblocking(true)?;
-        let listener = Rc::new(TcpListener::from(listener));
-        let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
-        let token = handle
-            .insert_source(source, |_, _, ready| {
-                ready.sockets.push(Owner::Listener);
-                Ok(PostAction::Continue)
-            })
-            .map_err(|e| io::Error::other(e.error))?;
+    /// Listens there, or goes on where another process of this node has listened: then nothing is accepted before
+    /// [`VirtualServer::begin_accepting`].
+    pub fn new(
+        at: SocketAddr,
+        handed: Option<TcpListener>,
+        admission: Admission,
+        handle: &Handle,
+    ) -> io::Result<VirtualServer> {
+        let waits = handed.is_some();
+        let listener = Rc::new(match handed {
+            Some(listener) => listener,
+            None => listen(at)?,
+        });
         let mut server = VirtualServer {
             clients: FxHashMap::default(),
             names: FxHashMap::default(),
             admission,
             listener: Some(listener),
-            token: Some(token),
+            token: None,
             handle: handle.clone(),
             spare: None,
             paused: None,
@@ -133,9 +135,84 @@
             news: VecDeque::new(),
         };
         server.take_spare();
+        if !waits {
+            server.begin_accepting()?;
+        }
         Ok(server)
     }
 
+    /// Clients may come.
+    pub fn begin_accepting(&mut self) -> io::Result<()> {
+        let Some(listener) = self.listener.clone().filter(|_| self.token.is_none()) else { return Ok(()) };
+        let source = Generic::new(listener, Interest::READ, Mode::Level);
+        let token = self.handle.insert_source(source, |_, _, ready| {
+            ready.sockets.push(Owner::Listener);
+            Ok(PostAction::Continue)
+        });
+        self.token = Some(token.map_err(|e| io::Error::other(e.error))?);
+        Ok(())
+    }
+
+    /// The listener, for another process of this node.
+    pub fn listener(&self) -> Option<OwnedFd> {
+        self.listener.as_ref()?.try_clone().ok().map(OwnedFd::from)
+    }
+
+    /// Another process takes all new connections from here on, and those there are as they come free.
+    pub fn yield_clients(&mut self, deadlines: &mut Deadlines) {
+        deadlines.remove(self.paused.take());
+        self.token.take().into_iter().for_each(|token| self.handle.remove(token));
+        self.drain = None;
+    }
+
+    /// That process is gone: all is as before.
+    pub fn take_clients_back(&mut self) -> io::Result<()> {
+        for (id, client) in self.clients.iter_mut().filter(|(_, c)| c.leaving) {
+            client.leaving = false;
+            self.touched.push(*id);
+        }
+        self.begin_accepting()
+    }
+
+    /// Connections for the other process, so many at the most, with what was read of their next command. Nothing more
+    /// is taken on any other that may go once its answers are out.
+    pub fn leavers(
+        &mut self,
+        most: usize,
+        now: Micros,
+        deadlines: &mut Deadlines,
+    ) -> Vec<(TcpStream, Vec<u8>)> {
+        for client in self.clients.values_mut() {
+            client.leaving = client.input.len() <= HANDED_INPUT;
+        }
+        let free: Vec<u64> =
+            self.clients.iter().filter(|(_, c)| c.can_leave()).map(|(id, _)| *id).take(most).collect();
+        let leave = |id| {
+            let mut client = self.clients.remove(&id)?;
+            self.names.remove(&client.conn);
+            self.admission.left(now, client.conn);
+            deadlines.remove(client.deadline.take());
+            client.into_parts().ok()
+        };
+        free.into_iter().filter_map(leave).collect()
+    }
+
+    /// Goes on with a connection that another process had, or could not hand over.
+    pub fn adopt(&mut self, stream: TcpStream, input: Vec<u8>, now: Micros, deadlines: &mut Deadlines) {
+        let Ok(peer) = stream.peer_addr() else { return };
+        let Some(id) = self.arrived(stream, peer, now, deadlines) else { return };
+        if let Some(client) = self.clients.get_mut(&id) {
+            (client.input, client.unread, client.since_arrival) = (input, true, Micros::MIN);
+            self.admission.spoke(now, client.conn);
+            self.touched.push(id);
+        }
+    }
+
+    /// Connections of clients.
+    pub fn count(&self) -> usize {
+        self.clients.len()
+    }
+
     pub fn address(&self) -> Option<SocketAddr> {
         self.listener.as_ref()?.local_addr().ok()
     }
@@ -154,7 +231,7 @@
 
     /// Takes new connections as far as the limits have it. True if more may wait.
     pub fn accept(&mut self, now: Micros, deadlines: &mut Deadlines) -> bool {
-        let Some(listener) = self.listener.clone() else { return false };
+        let Some(listener) = self.listener.clone().filter(|_| self.token.is_some()) else { return false };
         let most = match self.admission.accepting(now) {
             Accepting::Take(most) => most,
             Accepting::Pause { until } => {
@@ -164,7 +241,7 @@
         };
         for _ in 0..most {
             match listener.accept() {
-                Ok((stream, peer)) => self.arrived(stream, peer, now, deadlines),
+                Ok((stream, peer)) => _ = self.arrived(stream, peer, now, deadlines),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
@@ -179,12 +256,22 @@
         most > 0
     }
 
-    fn arrived(&mut self, stream: TcpStream, peer: SocketAddr, now: Micros, deadlines: &mut Deadlines) {
+    /// A connection that may get in; gives its number.
+    fn arrived(
+        &mut self,
+        stream: TcpStream,
+        peer: SocketAddr,
+        now: Micros,
+        deadlines: &mut Deadlines,
+    ) -> Option<u64> {
         let speaks = stream.set_nonblocking(true).is_ok() && stream.peek(&mut [0]).is_ok_and(|n| n > 0);
         let (conn, mut victim) = match self.admission.arrived(now, peer.ip(), speaks) {
             Verdict::Keep { conn } => (conn, None),
             Verdict::KeepAndClose { conn, victim } => (conn, Some(victim)),
-            Verdict::Refuse { retry_ms, .. } => return tell_busy(stream, retry_ms),
+            Verdict::Refuse { retry_ms, .. } => {
+                tell_busy(stream, retry_ms);
+                return None;
+            }
         };
         while let Some(other) = victim {
             let id = self.names.get(&other).copied();
@@ -193,7 +280,8 @@
             }
             victim = self.admission.instead(now, conn, other);
             if victim.is_none() {
-                return tell_busy(stream, None);
+                tell_busy(stream, None);
+                return None;
             }
         }
         let id = self.next_client;
@@ -202,8 +290,12 @@
             Ok(socket) => {
                 self.clients.insert(id, Client::new(conn, socket, now));
                 self.names.insert(conn, id);
+                Some(id)
+            }
+            Err(_) => {
+                self.admission.left(now, conn);
+                None
             }
-            Err(_) => self.admission.left(now, conn),
         }
     }
 
@@ -372,6 +464,11 @@
         }
     }
 
+    /// Operators have told the node to drain.
+    pub fn is_standby(&self) -> bool {
+        self.standby
+    }
+
     /// It answers `mn` with a yes.
     pub fn says_ready(&self) -> bool {
         self.ready && !self.standby
@@ -597,6 +694,17 @@
     }
 }
 
+/// Listens; another process of this node may do so, too.
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let listener = socket2::Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    listener.set_reuse_address(true)?;
+    rustix::net::sockopt::set_socket_reuseport(&listener, true)?;
+    listener.bind(&at.into())?;
+    listener.listen(BACKLOG)?;
+    listener.set_nonblocking(true)?;
+    Ok(TcpListener::from(listener))
+}
+
 /// After accepting has failed for another reason than want of descriptors, it is tried again this soon.
 const ACCEPT_AGAIN: Micros = 50_000;
 
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -136,6 +136,10 @@
     pub address: SocketAddr,
     /// The operators' address, where it has one.
     management: Option<SocketAddr>,
+    discovery: SocketAddr,
+    sockets: u32,
+    /// Its `$TMPDIR`.
+    folder: Option<String>,
     config: String,
     _output: BufReader<ChildStdout>,
 }
@@ -187,12 +191,61 @@
         node
     }
 
+    /// A ready node at an address of its own, which another process may take the place of.
+    pub fn replaceable(world: &World<Books>, sockets: u32) -> Node {
+        static COUNT: AtomicUsize = AtomicUsize::new(0);
+        // An address of 127/8 that nobody else has: the port need not be free elsewhere.
+        let [a, b] = (std::process::id() as u16).to_be_bytes();
+        let host = 1 + COUNT.fetch_add(1, Ordering::SeqCst) % 250;
+        let listen = SocketAddr::from(([127, a | 128, b, host as u8], 11211));
+        let folder = format!("{}/{}-{host}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let discovery = world.addresses().discovery(0).expect("discovery");
+        Node::at(listen, Some(&folder), discovery, sockets)
+    }
+
+    /// Another process in the place of this one, once it is ready; the old one is told to stop.
+    pub fn replace(&mut self) -> Node {
+        let new = Node::beside(self);
+        self.signal("-TERM");
+        new
+    }
+
+    /// Another ready process beside this one.
+    pub fn beside(old: &Node) -> Node {
+        Node::at(old.address, old.folder.as_deref(), old.discovery, old.sockets)
+    }
+
+    /// Where the processes of this node meet: the one file there.
+    pub fn meeting_place(&self) -> std::path::PathBuf {
+        let mut files = std::fs::read_dir(self.folder.as_ref().expect("a folder")).expect("it");
+        files.next().expect("a file").expect("it").path()
+    }
+
+    fn at(listen: SocketAddr, folder: Option<&str>, discovery: SocketAddr, sockets: u32) -> Node {
+        let node = Node::run_at(listen, folder, discovery, sockets, None, true);
+        until(|| node.call("status\n") == "ok ready\n");
+        node
+    }
+
     fn run(discovery: SocketAddr, sockets: u32, operators: Option<&str>, managed: bool) -> Node {
+        Node::run_at(([127, 0, 0, 1], 0).into(), None, discovery, sockets, operators, managed)
+    }
+
+    fn run_at(
+        listen: SocketAddr,
+        folder: Option<&str>,
+        discovery: SocketAddr,
+        sockets: u32,
+        operators: Option<&str>,
+        managed: bool,
+    ) -> Node {
         let config = format!(
-            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{SETTINGS}}}"#
+            r#"{{"name":"n","listen":"{listen}","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{SETTINGS}}}"#
         );
         let mut program = program(&config, &[("EDGE_DISCOVERY", &discovery.to_string())]);
         program.envs(managed.then_some(("EDGE_MANAGEMENT", "127.0.0.1:0")));
+        program.envs(folder.map(|folder| ("TMPDIR", folder)));
         let config = program.get_envs().find(|(name, _)| *name == "EDGE_CONFIG").and_then(|(_, file)| file);
         let config = config.expect("a file").to_string_lossy().into_owned();
         if let Some(settings) = operators {
@@ -209,7 +262,8 @@
         };
         let address = told();
         let management = managed.then(told);
-        Node { child, address, management, config, _output: output }
+        let folder = folder.map(String::from);
+        Node { child, address, management, discovery, sockets, folder, config, _output: output }
     }
 
     /// One line on a connection of its own to the operators' address; gives the answer.
@@ -269,6 +323,12 @@
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
+    pub fn at(address: SocketAddr) -> std::io::Result<Client> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(WIDE))?;
+        Ok(Client(BufReader::new(stream)))
+    }
+
     pub fn send(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).expect("written");
     }
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -4,6 +4,8 @@
 mod harness;
 
 use harness::*;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::thread;
 use std::time::Duration;
 
@@ -97,3 +99,133 @@
     let mut ids = ids(4000).skip(2);
     until(|| ids.next().is_some_and(|id| client.read(&id, 60_000) == by("a", &id)));
 }
+
+#[test]
+fn another_process_takes_the_place_of_one_under_load_and_nobody_is_turned_back() {
+    const CLIENTS: usize = 24;
+    let world = world(spec(&["a", "b"]), ids(200 * CLIENTS));
+    let mut node = Node::replaceable(&world, 384);
+    let (address, over) = (node.address, Arc::new(AtomicBool::new(false)));
+    let served = Arc::new(AtomicUsize::new(0));
+    let asks = |n: usize| {
+        let (over, served) = (over.clone(), served.clone());
+        move || {
+            let mut ended = Vec::new();
+            let mut client = None;
+            for ask in 0.. {
+                if over.load(SeqCst) {
+                    break;
+                }
+                // Some keep their connection, some come anew each time.
+                let fresh = n.is_multiple_of(3);
+                let client = match &mut client {
+                    Some(client) if !fresh => client,
+                    old => match Client::at(address) {
+                        Ok(client) => old.insert(client),
+                        Err(e) => {
+                            ended.push(format!("connect: {e}"));
+                            continue;
+                        }
+                    },
+                };
+                let id = (ask % 200 * CLIENTS + n).to_string();
+                match client.try_ask(&format!("mg k{id} v O{id} Pc=read,d=60000\r\n")) {
+                    Ok(answer) if answer.starts_with("value of") => _ = served.fetch_add(1, SeqCst),
+                    Ok(answer) if answer.starts_with("SERVER_ERROR busy") => {}
+                    Ok(answer) => ended.push(format!("{answer:?}")),
+                    Err(e) => ended.push(e.to_string()),
+                }
+            }
+            ended
+        }
+    };
+    let clients: Vec<_> = (0..CLIENTS).map(|n| thread::spawn(asks(n))).collect();
+    for _ in 0..20 {
+        let before = served.load(SeqCst);
+        until(|| served.load(SeqCst) > before + 10 * CLIENTS);
+        let new = node.replace();
+        assert!(node.child.wait().unwrap().success());
+        node = new;
+    }
+    over.store(true, SeqCst);
+    let mut ended: Vec<String> = clients.into_iter().flat_map(|c| c.join().unwrap()).collect();
+    ended.truncate(20);
+    assert_eq!(ended, Vec::<String>::new(), "of {}", served.load(SeqCst));
+}
+
+#[test]
+fn a_ban_and_a_drain_outlive_a_replacement_and_hold_in_both() {
+    let world = world(spec(&["a", "b"]), ids(4000));
+    let mut old = Node::replaceable(&world, 384);
+    assert_eq!(old.call("maint-on a\n"), "ok out\n");
+    let mut new = old.replace();
+    assert!(old.child.wait().unwrap().success());
+    let before = asked(&world, "a");
+    let mut client = new.client();
+    (0..200).for_each(|id| assert_eq!(client.read(&id.to_string(), 60_000), by("b", &id.to_string())));
+    assert_eq!(asked(&world, "a"), before);
+    // The one that is on its way out is called, and the other one holds to it.
+    let third = Node::beside(&new);
+    assert_eq!(new.call("maint-off a\n"), "ok may serve\n");
+    assert_eq!(new.call("standby\n"), "ok draining\n");
+    until(|| third.call("status\n") == "fail draining\n");
+    assert_eq!(third.call("active\n"), "ok serving\n");
+    new.signal("-TERM");
+    assert!(new.child.wait().unwrap().success());
+    let mut client = third.client();
+    let mut ids = ids(4000).skip(200);
+    until(|| {
+        thread::sleep(Duration::from_millis(2));
+        ids.next().is_some_and(|id| client.read(&id, 60_000) == by("a", &id))
+    });
+}
+
+#[test]
+fn if_the_new_process_dies_the_old_one_goes_on_and_the_next_takes_its_place() {
+    let world = world(spec(&["a"]), ids(4000));
+    let mut old = Node::replaceable(&world, 384);
+    let mut client = old.client();
+    assert_eq!(client.read("1", 60_000), by("a", "1"));
+    let mut new = Node::beside(&old);
+    // The client is the new one's by now, or will be.
+    until(|| old.call("status\n") == "fail replaced by another process\n");
+    new.child.kill().unwrap();
+    new.child.wait().unwrap();
+    until(|| old.call("status\n") == "ok ready\n");
+    let mut client = old.client();
+    assert_eq!(client.read("2", 60_000), by("a", "2"));
+    let third = old.replace();
+    assert!(old.child.wait().unwrap().success());
+    assert_eq!(client.read("3", 60_000), by("a", "3"), "the same connection, at the third process");
+    assert_eq!(third.call("status\n"), "ok ready\n");
+}
+
+#[test]
+fn whatever_lies_where_processes_meet_a_node_starts() {
+    let world = world(spec(&["a"]), ids(10));
+    for left in 0..4 {
+        let mut old = Node::replaceable(&world, 384);
+        let place = old.meeting_place();
+        // A peer that says nothing, or nonsense, or is gone, and a file that is no socket.
+        old.child.kill().unwrap();
+        old.child.wait().unwrap();
+        std::fs::remove_file(&place).unwrap();
+        let said: &[u8] = match left {
+            0 => b"HTTP/1.1 400 Bad Request\r\n\r\n",
+            1 => b"LRto\xff\xff\0\0\0\0\0\0\0\0",
+            _ => b"",
+        };
+        match left {
+            3 => std::fs::write(&place, "no socket").unwrap(),
+            _ => {
+                let listener = std::os::unix::net::UnixListener::bind(&place).unwrap();
+                thread::spawn(move || {
+                    let (mut peer, _) = listener.accept()?;
+                    std::io::Write::write_all(&mut peer, said)
+                });
+            }
+        }
+        let new = Node::beside(&old);
+        assert_eq!(new.client().read("1", 60_000), by("a", "1"), "{left}");
+    }
+}
