Take changed settings on SIGHUP: classes by generation, and a bad file changes nothing

Cause: only discovery's address and the operators' settings were taken at SIGHUP.

A class has a place in the engine, and settings that change get new places for what has changed; a place is used again once nothing is open under it (`engine::generations`). A dropped name is known for 2 s more, since clients are told 1.2 s after the node. A file is checked whole first: each class says name, effect, deadline and aim, numbers are positive and bounded, and no key of the file in force is missing. Not taken: defaults for what a changed file lacks; half a file would then be a sound one.

--- a/crates/config/src/json.rs
+++ b/crates/config/src/json.rs
@@ -4,24 +4,51 @@
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 use std::borrow::Cow;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// The line, from 1, of the value at a dotted path; `None` where there is none.
+/// The line, from 1, of the value at a dotted path, in which a number is a place in a list; `None` where there is
+/// none.
 pub(crate) fn line_of(text: &[u8], path: &str) -> Option<usize> {
     let text = std::str::from_utf8(text).ok()?;
     let mut at = text;
     for key in path.split('.') {
-        #[derive(serde::Deserialize)]
-        #[serde(transparent)]
-        struct Level<'t>(#[serde(borrow)] BTreeMap<Cow<'t, str>, &'t RawValue>);
-        let level: Level = serde_json::from_str(at).ok()?;
-        at = level.0.get(key)?.get();
+        at = match key.parse::<usize>() {
+            Ok(place) => serde_json::from_str::<Vec<&RawValue>>(at).ok()?.get(place)?.get(),
+            Err(_) => level(at)?.get(key)?.get(),
+        };
     }
     // What was found is a slice of the text.
     let offset = at.as_ptr() as usize - text.as_ptr() as usize;
     Some(line_at(text, offset))
 }
 
+fn level(text: &str) -> Option<BTreeMap<Cow<'_, str>, &RawValue>> {
+    #[derive(serde::Deserialize)]
+    #[serde(transparent)]
+    struct Level<'t>(#[serde(borrow)] BTreeMap<Cow<'t, str>, &'t RawValue>);
+    serde_json::from_str::<Level>(text).ok().map(|level| level.0)
+}
+
+/// Every dotted key of a text. Places in a list are told by `[]`, alike for all.
+pub(crate) fn keys(text: &[u8]) -> BTreeSet<String> {
+    fn walk(value: &serde_json::Value, at: &str, keys: &mut BTreeSet<String>) {
+        match value {
+            serde_json::Value::Object(fields) => fields.iter().for_each(|(name, value)| {
+                let key = if at.is_empty() { name.clone() } else { format!("{at}.{name}") };
+                walk(value, &key, keys);
+                keys.insert(key);
+            }),
+            serde_json::Value::Array(values) => {
+                values.iter().for_each(|value| walk(value, &format!("{at}[]"), keys));
+            }
+            _ => {}
+        }
+    }
+    let mut keys = BTreeSet::new();
+    walk(&serde_json::from_slice(text).unwrap_or_default(), "", &mut keys);
+    keys
+}
+
 /// The line, from 1, on which an offset lies.
 pub(crate) fn line_at(text: &str, offset: usize) -> usize {
     1 + text.bytes().take(offset).filter(|b| *b == b'\n').count()
--- a/crates/config/src/options.rs
+++ b/crates/config/src/options.rs
@@ -251,6 +251,7 @@
                 _ => Group::All,
             },
             repeat_window: micros(c.window_s),
+            max_attempts: None,
         }
     }
 }
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -3,8 +3,9 @@
 use crate::json;
 use crate::members::{MemberList, RawList, Target};
 use crate::options::{Options, digest};
-use crate::problem::{Fault, Place, Problem};
+use crate::problem::{Fault, Place, Problem, Problems};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::env;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -12,6 +13,11 @@
 /// Fewest descriptors with which a node can serve: those of the loop, and some for each side.
 pub const LEAST_SOCKETS: usize = 64;
 
+/// A class waits for at most this long, in s: no transaction is held for longer.
+const LONGEST_S: f64 = 3600.0;
+/// Attempts for one request at the most.
+const MOST_ATTEMPTS: u32 = 1000;
+
 /// The variables that a node is told by. All but the first go before what the file says.
 #[derive(Clone, Debug, Default)]
 pub struct Environment {
@@ -63,9 +69,27 @@
     pub known: Vec<Target>,
     /// The settings.
     pub options: Options,
+    /// All keys that the file has.
+    keys: BTreeSet<String>,
 }
 
 impl Platform {
+    /// What the file of an earlier reading had and this one lacks. The remembered list is nobody's setting.
+    ///
+    /// # Errors
+    /// A problem for each key.
+    pub fn has_all_of(&self, earlier: &Platform, path: &Path) -> Result<(), Problems> {
+        let lost =
+            earlier.keys.difference(&self.keys).filter(|key| key.split(['.', '[']).next() != Some("known"));
+        let problem = |key: &String| Problem {
+            place: Place::File { path: path.into(), line: None },
+            key: key.clone(),
+            fault: Fault::Vanished,
+        };
+        let problems: Vec<Problem> = lost.map(problem).collect();
+        if problems.is_empty() { Ok(()) } else { Err(Problems::new(problems)) }
+    }
+
     /// The version that a watch may continue: none where no list is held. A list that is held may be the first, 0.
     pub fn remembered(&self) -> Option<u64> {
         Some(self.revision).filter(|_| !self.known.is_empty())
@@ -112,6 +136,40 @@
         self.problems.push(Problem { place, key: key.into(), fault });
     }
 
+    /// What a class must say. Guards open requests, too: a file that says less is refused as a whole.
+    fn classes(&mut self, options: &Options) {
+        self.lacks("settings.bounds.attempts-cap");
+        for (place, class) in options.request_classes.iter().enumerate() {
+            let key = |name: &str| format!("settings.request-classes.{place}.{name}");
+            for (name, value) in [("give-up-s", class.give_up_s), ("slo-s", class.slo_s)] {
+                if self.lacks(&key(name)) {
+                } else if !value.is_finite() || value <= 0.0 {
+                    self.at(&key(name), Fault::NotPositive { value });
+                } else if value > LONGEST_S {
+                    self.at(&key(name), Fault::TooMuch { value, most: LONGEST_S });
+                }
+            }
+            if !self.lacks(&key("effect")) && !["free", "guarded", "single_shot"].contains(&&*class.effect) {
+                self.at(&key("effect"), Fault::Effect { value: class.effect.clone() });
+            }
+            let twin = options.request_classes.iter().take(place).any(|other| other.name == class.name);
+            if !self.lacks(&key("name")) && twin {
+                self.at(&key("name"), Fault::Twice { name: class.name.clone() });
+            }
+        }
+    }
+
+    /// A key that there must be is missing; that is told.
+    fn lacks(&mut self, key: &str) -> bool {
+        let lacks = json::line_of(self.text, key).is_none();
+        if lacks {
+            let line = key.rsplit_once('.').and_then(|(whole, _)| json::line_of(self.text, whole));
+            let place = Place::File { path: self.path.into(), line };
+            self.problems.push(Problem { place, key: key.into(), fault: Fault::Lacks });
+        }
+        lacks
+    }
+
     /// An address: the variable goes before what the file says.
     fn address(
         &mut self,
@@ -170,8 +228,14 @@
         if options.request_classes.is_empty() {
             found.at("settings.request-classes", Fault::NoClasses);
         }
+        found.classes(&options);
+        if options.bounds.attempts_cap > MOST_ATTEMPTS {
+            let (value, most) = (options.bounds.attempts_cap.into(), MOST_ATTEMPTS.into());
+            found.at("settings.bounds.attempts-cap", Fault::TooMuch { value, most });
+        }
         let bounds = &options.bounds;
         for (key, value) in [
+            ("settings.bounds.attempts-cap", bounds.attempts_cap.into()),
             ("settings.bounds.conn-idle-s", bounds.conn_idle_s),
             ("settings.bounds.connect-timeout-s", bounds.connect_timeout_s),
             ("settings.bounds.multiplex", bounds.multiplex as f64),
@@ -207,6 +271,7 @@
             revision: known.revision,
             known: known.targets,
             options,
+            keys: json::keys(text),
         })
     }
 }
--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -60,6 +60,32 @@
     /// Without classes nothing can be served.
     #[error("there are no request classes")]
     NoClasses,
+    /// A key that there must be is missing.
+    #[error("is missing")]
+    Lacks,
+    /// A file that is read again lacks a key that the one in force has.
+    #[error("is missing, and the file in force has it")]
+    Vanished,
+    /// No such effect.
+    #[error("{value:?} is none of free, guarded, single_shot")]
+    Effect {
+        /// What stands there.
+        value: String,
+    },
+    /// Two classes of one name.
+    #[error("{name:?} names another class, too")]
+    Twice {
+        /// The name.
+        name: String,
+    },
+    /// A number beyond all use.
+    #[error("{value} must be at most {most}")]
+    TooMuch {
+        /// What stands there.
+        value: f64,
+        /// The most.
+        most: f64,
+    },
     /// A number that must be above 0.
     #[error("{value} must be above 0")]
     NotPositive {
--- a/crates/config/tests/problems.rs
+++ b/crates/config/tests/problems.rs
@@ -11,9 +11,9 @@
     {"uid": "a", "endpoint": "127.0.0.1:5", "az": "z", "model": "cache", "state": "up"}]},
   "settings": {
     "zones": ["z"], "host-types": ["cache"], "unheard-of": [{}],
-    "bounds": {"multiplex": 32,
+    "bounds": {"multiplex": 32, "attempts-cap": 3,
       "conn-idle-s": 60.0},
-    "request-classes": [{"name": "read", "worth": 5}]
+    "request-classes": [{"name": "read", "effect": "free", "give-up-s": 2.5, "slo-s": 0.75, "worth": 5}]
   }
 }"#;
 
@@ -47,7 +47,7 @@
         (&[("32", "0")], &["p.json:9: settings.bounds.multiplex: 0 must be above 0"]),
         (&[("60.0", "-0.5")], &["p.json:10: settings.bounds.conn-idle-s: -0.5 must be above 0"]),
         (
-            &[(r#"[{"name": "read", "worth": 5}]"#, "[]")],
+            &[(r#"[{"name": "read", "effect": "free", "give-up-s": 2.5, "slo-s": 0.75, "worth": 5}]"#, "[]")],
             &["p.json:11: settings.request-classes: there are no request classes"],
         ),
         (
@@ -56,6 +56,40 @@
                 "p.json:11: settings.request-classes[0].worth: bad JSON: invalid type: string \"much\", expected f64",
             ],
         ),
+        (&[(r#""give-up-s": 2.5, "#, "")], &["p.json:11: settings.request-classes.0.give-up-s: is missing"]),
+        (&[("2.5", "-5")], &["p.json:11: settings.request-classes.0.give-up-s: -5 must be above 0"]),
+        (
+            &[("2.5", "1e9")],
+            &["p.json:11: settings.request-classes.0.give-up-s: 1000000000 must be at most 3600"],
+        ),
+        (&[("0.75", "0")], &["p.json:11: settings.request-classes.0.slo-s: 0 must be above 0"]),
+        (
+            &[("0.75", "\"1\"")],
+            &[
+                "p.json:11: settings.request-classes[0].slo-s: bad JSON: invalid type: string \"1\", expected f64",
+            ],
+        ),
+        (
+            &[("\"free\"", "\"twice\"")],
+            &[
+                r#"p.json:11: settings.request-classes.0.effect: "twice" is none of free, guarded, single_shot"#,
+            ],
+        ),
+        (&[(r#""effect": "free", "#, "")], &["p.json:11: settings.request-classes.0.effect: is missing"]),
+        (&[(r#""name": "read", "#, "")], &["p.json:11: settings.request-classes.0.name: is missing"]),
+        (&[(r#", "attempts-cap": 3"#, "")], &["p.json:9: settings.bounds.attempts-cap: is missing"]),
+        (
+            &[(r#""attempts-cap": 3"#, r#""attempts-cap": 0"#)],
+            &["p.json:9: settings.bounds.attempts-cap: 0 must be above 0"],
+        ),
+        (
+            &[(r#""attempts-cap": 3"#, r#""attempts-cap": 2000000"#)],
+            &["p.json:9: settings.bounds.attempts-cap: 2000000 must be at most 1000"],
+        ),
+        (
+            &[(r#""attempts-cap": 3"#, r#""attempts-cap": -1"#)],
+            &["p.json:9: settings.bounds.attempts-cap: bad JSON: invalid value: integer `-1`, expected u32"],
+        ),
         (&[("\"settings\"", "\"setting\"")], &["p.json:13: bad JSON: missing field `settings`"]),
         (&[("}]\n", "\n")], &["p.json:13: bad JSON: expected `,` or `]`"]),
         (
@@ -177,3 +211,21 @@
         assert!(is(&error), "{error}");
     }
 }
+
+#[test]
+fn a_file_that_is_read_again_may_not_lack_what_the_one_in_force_has() {
+    let parse = |text: &str| {
+        Platform::parse(text.as_bytes(), Path::new("p.json"), &Environment::default(), true).expect("sound")
+    };
+    let force = parse(GOOD);
+    let lost = |from: &str, to: &str| {
+        assert!(GOOD.contains(from));
+        let again = parse(&GOOD.replace(from, to)).has_all_of(&force, Path::new("p.json"));
+        again.map_or_else(|e| e.iter().map(Problem::to_string).collect(), |()| Vec::new())
+    };
+    let vanished = |key: &str| vec![format!("p.json: {key}: is missing, and the file in force has it")];
+    assert_eq!(lost(r#", "worth": 5"#, ""), vanished("settings.request-classes[].worth"));
+    assert_eq!(lost(r#""zones": ["z"],"#, r#""zones": ["z"], "new": 1,"#), Vec::<String>::new());
+    assert_eq!(lost(r#""cores": 0.5, "#, ""), vanished("limits.cores"));
+    assert_eq!(lost(r#""rev": 4, "#, ""), Vec::<String>::new(), "the remembered list is no setting");
+}
--- a/crates/config/tests/sources.rs
+++ b/crates/config/tests/sources.rs
@@ -14,7 +14,7 @@
     path
 }
 
-const PLATFORM: &str = "{\"listen\":\"127.0.0.1:0\",\n\"discovery\":\"127.0.0.1:1\",\"settings\":{\"bounds\":{\n\"cancel\":true},\"request-classes\":[{\"name\":\"read\"}]}}";
+const PLATFORM: &str = "{\"listen\":\"127.0.0.1:0\",\n\"discovery\":\"127.0.0.1:1\",\"settings\":{\"bounds\":{\n\"cancel\":true,\"attempts-cap\":1},\"request-classes\":[{\"name\":\"read\",\"effect\":\"free\",\"give-up-s\":1,\"slo-s\":1}]}}";
 
 fn sources(name: &str, operators: &str) -> Sources {
     Sources {
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -49,7 +49,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Class {
     /// Full worth is earned inside this time.
     pub aim: Micros,
@@ -60,6 +60,8 @@
     pub effect: Effect,
     pub group: Group,
     pub repeat_window: Micros,
+    /// Attempts for one request, where this is not what all settings say: those have changed since it was taken.
+    pub max_attempts: Option<u32>,
 }
 
 /// One tenant and its share.
@@ -132,6 +134,13 @@
     pub report_queue: Option<usize>,
 }
 
+impl Settings {
+    /// Attempts for one request of a class, the first included.
+    pub fn attempts(&self, class: usize) -> usize {
+        self.classes.get(class).and_then(|c| c.max_attempts).unwrap_or(self.max_attempts) as usize
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub enum Stage {
     #[default]
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// Other settings. Requests in hand go on under the classes that they came with.
+    pub fn reconfigure(&mut self, settings: Settings) {
+        self.learned.fit(&settings, self.now);
+        self.settings = settings;
+    }
+
     /// Takes one event and adds what is to be done about it to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -474,7 +480,7 @@
 
     fn may_go(&self, r: &Request, to: usize) -> bool {
         let allowed = |a: &Attempt| a.fate == Fate::NeverRan || self.repeat_allowed(r.new.class, a, to);
-        r.attempts.len() < self.settings.max_attempts as usize
+        r.attempts.len() < self.settings.attempts(r.new.class)
             && r.attempts.iter().all(allowed)
             && self.in_budget(r)
     }
@@ -596,8 +602,7 @@
     }
 
     fn strike(&mut self, i: usize) {
-        let met = self.met();
-        let s = &mut self.servers.all[i];
+        let (met, s) = (self.met(), &mut self.servers.all[i]);
         s.suspicion.strike(self.now, met, s.doubted.is_some());
     }
 
@@ -660,8 +665,7 @@
     }
 
     fn sheds(&mut self, surplus: bool) -> bool {
-        let level = self.learned.pressure.mean;
-        let part = pressure::shed(&self.settings, self.servers.count, level, surplus);
+        let part = pressure::shed(&self.settings, self.servers.count, self.learned.pressure.mean, surplus);
         self.rng.random::<f64>() < part
     }
 
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -591,6 +591,13 @@
         let quota = settings.tenants.iter().map(|t| Bucket::new(t.quota_per_s, now)).collect();
         Learned { took, quota, retries: Turns::new(part, now), ..Learned::default() }
     }
+
+    /// Makes room for other settings; what was learnt stays.
+    pub fn fit(&mut self, settings: &Settings, now: Micros) {
+        self.took.resize(settings.classes.len().max(self.took.len()), Mean::default());
+        let new = settings.tenants.iter().skip(self.quota.len());
+        self.quota.extend(new.map(|t| Bucket::new(t.quota_per_s, now)));
+    }
 }
 
 /// What a held request waits for: reads of a key for the same fetch, a write for its own.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,8 +1,9 @@
 //! The one type that hosts drive: where happenings become events, and actions orders.
 
-use crate::config::Config;
+use crate::config::{Config, Limits};
 use crate::deadlines::{Deadline, Deadlines};
 use crate::flow::{Call, Flow, FlowId};
+use crate::generations::Generations;
 use crate::order::{Answer, Conn, Final, Order};
 use crate::pool::Pool;
 use crate::request::Request;
@@ -10,7 +11,7 @@
 use lapisrudder_codec::memcache::{self, ReadNote};
 use lapisrudder_decisions::maintenance::{Ban, Maintenance, NoBan};
 use lapisrudder_decisions::{
-    Action, Balancer, CacheNote, Event, Listed, Micros, Outcome, RequestId, Scope, ServerId,
+    Action, Balancer, CacheNote, Event, Listed, Micros, Outcome, RequestId, Scope, ServerId, Settings,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -67,7 +68,7 @@
     ended: Vec<(FlowId, Outcome, Option<CacheNote>)>,
     /// What discovery tells, and who is out by hand.
     maintenance: Maintenance<SocketAddr>,
-    classes: usize,
+    classes: Generations,
     origin_kind: Option<u32>,
     attempts: Attempts,
 }
@@ -84,21 +85,32 @@
 impl Engine {
     /// Begins with no member.
     pub fn new(config: Config, now: Micros) -> Engine {
-        let Config { settings, seed, limits } = config;
+        let Config { mut settings, seed, limits } = config;
+        let classes = Generations::new(&mut settings);
         Engine {
             deadlines: Deadlines::default(),
             pool: Pool::new(limits),
             transactions: Transactions::default(),
             actions: Vec::new(),
             ended: Vec::new(),
+            classes,
             maintenance: Maintenance::new(settings.origin_kind),
-            classes: settings.classes.len(),
             origin_kind: settings.origin_kind,
             attempts: Attempts::default(),
             balancer: Balancer::new(seed, settings, now),
         }
     }
 
+    /// Takes other settings on, and gives the place of each of their classes, by which requests of theirs are taken
+    /// from here on. Transactions in hand go on under the class that they were taken under.
+    pub fn reconfigure(&mut self, mut settings: Settings, limits: Limits) -> Vec<usize> {
+        let open: Vec<usize> = self.transactions.all.values().map(|t| t.call.request.class).collect();
+        let places = self.classes.next(&mut settings, |place| open.contains(&place));
+        self.pool.relimit(limits);
+        self.balancer.reconfigure(settings);
+        places
+    }
+
     // ---- Clients --------------------------------------------------------------------------------------
 
     /// A transaction in hand has this id of a client's: [`Engine::take`] would refuse another.
@@ -121,7 +133,7 @@
         if self.is_named(request.command.id()) {
             return Err(TakeError::IdInUse);
         }
-        if request.class >= self.classes {
+        if request.class >= self.classes.len() {
             return Err(TakeError::UnknownClass);
         }
         if self.transactions.all.contains_key(&transaction) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -85,6 +85,7 @@
 mod deadlines;
 mod engine;
 mod flow;
+mod generations;
 mod order;
 mod pool;
 mod request;
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -120,6 +120,12 @@
         if member.origin { self.to_origin } else { self.limits.per_member }
     }
 
+    /// Other limits from now on, but for how many connections there may be in all.
+    pub(crate) fn relimit(&mut self, limits: Limits) {
+        self.limits = Limits { in_all: self.limits.in_all, ..limits };
+        self.recount();
+    }
+
     /// So many connections to all of them at the most from now on; idle ones beyond close.
     pub(crate) fn hold_to(&mut self, in_all: usize, now: Micros, deadlines: &mut Deadlines) {
         self.limits.in_all = in_all;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The node on real sockets: one thread, one loop.
 
+mod classes;
 mod client;
 mod deadlines;
 mod management;
@@ -9,13 +10,14 @@
 
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, LoopHandle};
-use lapisrudder_config::{self as config, Config, Sources};
+use lapisrudder_config::{self as config, Config, Platform, Sources};
 use lapisrudder_engine::Conn;
 use lapisrudder_host::Noted;
 use lapisrudder_log::{self as log, Log};
 use node::Node;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use thiserror::Error;
 use tracing::{Level, error, info};
 
@@ -94,13 +96,14 @@
         .handle()
         .insert_source(signals, |event, _, ready| ready.signals.push(event.signal()))
         .map_err(|e| Error::Signals(e.error))?;
+    let mut force = config.platform.clone();
     let mut node = Node::new(config, &events.handle())?;
     let mut ready = Ready::default();
     while !node.is_over() {
         events.dispatch(node.until_next(), &mut ready).map_err(Error::Loop)?;
         for signal in ready.signals.drain(..) {
             match signal {
-                Signal::SIGHUP => reload(&sources, &log, &mut node),
+                Signal::SIGHUP => reload(&sources, &mut force, &log, &mut node),
                 signal => {
                     info!(?signal, "told to stop");
                     node.stop();
@@ -114,9 +117,12 @@
 }
 
 /// Reads all configuration again. If anything is wrong with it, nothing of it is used.
-fn reload(sources: &Sources, log: &Log, node: &mut Node) {
-    match sources.reload() {
+fn reload(sources: &Sources, force: &mut Platform, log: &Log, node: &mut Node) {
+    let path = sources.environment.config.as_deref().unwrap_or(Path::new(""));
+    let sound = |config: Config| config.platform.has_all_of(force, path).map(|()| config);
+    match sources.reload().and_then(sound) {
         Ok(config) => {
+            *force = config.platform.clone();
             log.apply(log_settings(&config.operators.log));
             node.reload(config);
         }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,5 +1,6 @@
 //! The daemon as a host of the engine: sockets, clients and discovery on one side, the engine on the other.
 
+use super::classes::Classes;
 use super::client::SCRATCH;
 use super::deadlines::{Deadline, Deadlines, Key as DeadlineKey};
 use super::management::{self, Management};
@@ -11,7 +12,7 @@
 use lapisrudder::{Listed, Micros, RequestId, Scope, ServerId, Settings, Stage};
 use lapisrudder_codec::management::{BadCall, Call, answer, parse};
 use lapisrudder_codec::memcache::OwnedRequest;
-use lapisrudder_config::{Config, Target};
+use lapisrudder_config::{Config, Platform, Target};
 use lapisrudder_engine::{
     Answer, Answers, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request, TakeError,
 };
@@ -141,6 +142,7 @@
     ledger: Ledger,
     engine: Engine,
     options: Options,
+    classes: Classes,
     phase: Phase,
     longest_wait: Micros,
     /// The shortest time within which a class wants its answers.
@@ -188,18 +190,10 @@
         let handed = handed.filter(|l| l.local_addr().is_ok_and(|at| at == config.listen));
         let own = OWN_SOCKETS + takeover::SOCKETS + management.as_ref().map_or(0, |_| management::SOCKETS);
         let sockets = config.sockets.saturating_sub(own);
-        let limits = Limits::shared(
-            settings.siblings,
-            micros(bounds.connect_timeout_s),
-            micros(bounds.conn_idle_s),
-            bounds.multiplex,
-            sockets / 2,
-        );
+        let limits = limits(&config.options, settings.siblings, sockets);
         let admission = Admission::new(operators.limits, config.seed, now)?;
         let server = VirtualServer::new(config.listen, handed, admission, handle)
             .map_err(|source| super::Error::Listen { at: config.listen, source })?;
-        let longest = config.options.request_classes.iter().map(|c| micros(c.give_up_s)).max();
-        let aims = config.options.request_classes.iter().map(|c| micros(c.slo_s));
         let mut node = Node {
             handle: handle.clone(),
             place,
@@ -223,8 +217,9 @@
             engine: Engine::new(lapisrudder_engine::Config { settings, seed: config.seed, limits }, now),
             phase: Phase::Serving,
             sockets,
-            shortest_aim: aims.min().unwrap_or(0),
-            longest_wait: longest.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT),
+            shortest_aim: shortest_aim(&config.options),
+            longest_wait: longest_wait(&config.options),
+            classes: Classes::new(&config.options),
             most_held: bounds.most_held.max(1),
             // The rest is for what is read and sent.
             most_bytes: (config.memory_mb as usize) << 18,
@@ -304,20 +299,31 @@
         self.server.accept(now, &mut self.deadlines);
     }
 
-    /// The configuration may have changed: discovery may have moved, and the operators' settings hold at once. What
-    /// else the platform's file says holds from the next start on.
+    /// The configuration may have changed. Limits, settings and discovery's address hold from here on; what else the
+    /// platform's file says, from the next start on.
     pub fn reload(&mut self, config: Config) {
-        if let Err(what) = self.server.reload(self.clock.now(), config.operators.limits) {
+        let now = self.clock.now();
+        if let Err(what) = self.server.reload(now, config.operators.limits) {
             // Checked when the file was read; the old ones stay.
             warn!("reload: {what}");
         }
-        let discovery = config.platform.discovery;
-        if discovery == self.discovery.address() {
-            info!("reload: discovery stays where it is");
-            return;
+        let Platform { options, discovery, .. } = config.platform;
+        let settings = Settings::from(&options);
+        let limits = limits(&options, settings.siblings, self.sockets);
+        let places = self.engine.reconfigure(settings, limits);
+        self.classes.next(&options, &places, now);
+        // Requests that are open may wait for as long as they did.
+        self.longest_wait = self.longest_wait.max(longest_wait(&options));
+        self.shortest_aim = shortest_aim(&options);
+        self.most_held = options.bounds.most_held.max(1);
+        let renamed = options.zones != self.options.zones || options.host_types != self.options.host_types;
+        self.options = options;
+        info!(classes = %self.classes, "reload: settings taken");
+        if discovery == self.discovery.address() && !renamed {
+            return info!("reload: discovery stays where it is");
         }
         info!("reload: discovery is now at {discovery}");
-        self.discovery.move_to(discovery, self.clock.now());
+        self.discovery.move_to(discovery, now);
         self.discovery_news();
     }
 
@@ -611,10 +617,10 @@
         let now = self.clock.now();
         let request = command.get();
         let name = request.named(b"c").unwrap_or_default();
-        let class = self.options.request_classes.iter().position(|c| c.name.as_bytes() == name);
-        let Some(class) = class else {
+        let Some(class) = self.classes.find(name, now) else {
             return self.server.reject(client, id, "unknown class", now);
         };
+        let (worth, recallable, class) = (class.worth, class.recallable, class.place);
         let Some(wait) = request.wait_ms() else {
             return self.server.reject(client, id, "bad time to wait", now);
         };
@@ -622,13 +628,7 @@
             return self.server.reject(client, id, TakeError::IdInUse, now);
         }
         let due = now + (wait as Micros).saturating_mul(1000).clamp(0, LONGEST_HELD);
-        let facts = Facts {
-            worth: self.options.request_classes[class].worth,
-            left: due - now,
-            bytes: command.bytes(),
-            class,
-            recallable: self.options.request_classes[class].may_repeat(),
-        };
+        let facts = Facts { worth, left: due - now, bytes: command.bytes(), class, recallable };
         let ticket = match self.server.intake(client, &facts, now) {
             Intake::Take { ticket } => ticket,
             Intake::Refuse { retry_ms, .. } => {
@@ -802,6 +802,22 @@
     }
 }
 
+fn limits(options: &Options, siblings: u32, sockets: usize) -> Limits {
+    let bounds = &options.bounds;
+    let (connect, idle) = (micros(bounds.connect_timeout_s), micros(bounds.conn_idle_s));
+    Limits::shared(siblings, connect, idle, bounds.multiplex, sockets / 2)
+}
+
+fn longest_wait(options: &Options) -> Micros {
+    let longest = options.request_classes.iter().map(|c| micros(c.give_up_s)).max();
+    longest.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT)
+}
+
+/// The shortest time within which a class wants its answers.
+fn shortest_aim(options: &Options) -> Micros {
+    options.request_classes.iter().map(|c| micros(c.slo_s)).min().unwrap_or(0)
+}
+
 fn of_ban(id: ServerId, ban: &Ban) -> talk::Ban {
     talk::Ban { id: id.0, name: ban.name.clone(), since: ban.since }
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -165,7 +165,7 @@
     // Both are sound.
     fs::write(&json, sound.replace("127.0.0.1:21500", "127.0.0.1:2")).expect("written");
     node.hang_up();
-    let line = node.told("reload");
+    let line = node.told("reload: discovery");
     assert!(line.contains("INFO lapisrudder::net::node: reload: discovery is now at 127.0.0.1:2"), "{line}");
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -13,7 +13,7 @@
 }
 
 pub fn class(effect: Effect) -> Class {
-    Class { aim: 500 * MS, worth: 1.0, late_worth: 0.0, effect, group: Group::All, repeat_window: S }
+    Class { aim: 500 * MS, worth: 1.0, effect, repeat_window: S, ..Class::default() }
 }
 
 /// Classes 0, 1, 2 are safe, keyed, unsafe.
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -229,3 +229,59 @@
         assert_eq!(new.client().read("1", 60_000), by("a", "1"), "{left}");
     }
 }
+
+#[test]
+fn settings_change_whole_or_not_at_all() {
+    let world = world(spec(&["a"]), ids(4000));
+    let (a, control) = (no(&world, "a"), world.control());
+    let node = Node::managed(&world, 1024);
+    let file = std::cell::RefCell::new(String::new());
+    node.reload(|text| file.replace(text.into()) + "");
+    let good = file.into_inner();
+    let (read, more) = ("\"name\":\"read\"", "\"name\":\"more\"");
+    let class = |name: &str| {
+        format!(
+            r#"{{"effect":"free","give-up-s":2.5,"group":"all",{name},"slo-s":0.75,"window-s":5.0,"worth":5.0}},"#
+        )
+    };
+    let added = good.replace("\"request-classes\":[", &format!("\"request-classes\":[{}", class(more)));
+    let asks = |client: &mut Client, class: &str, id: usize| {
+        client.ask(&format!("mg k{id} v O{id} Pc={class},d=60000\r\n"))
+    };
+    let mut client = node.client();
+    assert_eq!(asks(&mut client, "more", 1), "CLIENT_ERROR unknown class\r\n");
+    // Of a bad file nothing is taken, and the next good one is.
+    for bad in [
+        "",
+        &added[..added.len() / 2],
+        &added.replace("2.5", "-1"),
+        &added.replace("\"effect\":\"free\",", ""),
+    ] {
+        node.reload(|_| bad.into());
+        assert_eq!(node.call("status\n"), "ok ready\n");
+        assert_eq!(asks(&mut client, "more", 2), "CLIENT_ERROR unknown class\r\n");
+    }
+    node.reload(|_| added.clone());
+    let mut ids = (10..4000).filter(|id| id % 7 == 0);
+    let mut next = || ids.next().expect("an id");
+    until(|| {
+        let id = next();
+        asks(&mut node.client(), "more", id) == by("a", &id.to_string())
+    });
+    // One that is open when its class goes is answered; the class is known for a while, and then no longer.
+    control.pause(a, 60_000_000).unwrap();
+    let mut open = node.client();
+    let before = asked(&world, "a");
+    open.send("mg k8 v O8 Pc=read,d=60000\r\n");
+    until(|| asked(&world, "a") == before + 1);
+    let dropped = added.replace(read, "\"name\":\"kept\"");
+    assert_ne!(dropped, added);
+    node.reload(|_| dropped.clone());
+    until(|| asks(&mut node.client(), "gone", next()) == "CLIENT_ERROR unknown class\r\n");
+    control.pause(a, 0).unwrap();
+    assert_eq!(open.answer(), by("a", "8"));
+    until(|| {
+        thread::sleep(Duration::from_millis(20));
+        asks(&mut node.client(), "read", next()) == "CLIENT_ERROR unknown class\r\n"
+    });
+}
