--- a/crates/client/src/request.rs
+++ b/crates/client/src/request.rs
@@ -34,7 +34,7 @@
         }
     }
 
-    /// Writes a key; a value holds at most 64 KiB.
+    /// Writes a key; a value holds at most 4 MiB.
     pub fn write(key: impl Into<Bytes>, value: impl Into<Bytes>) -> Request {
         Request { value: Some(value.into()), ..Request::read(key) }
     }
--- a/crates/client/src/thread.rs
+++ b/crates/client/src/thread.rs
@@ -5,7 +5,7 @@
 use crate::queue::{Answer, Command, Queue, Reply};
 use crate::response::{BadRequest, Error, Response};
 use crate::stats::{MemberStats, Phase, Stats};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use calloop::{EventLoop, ping};
 use lapisrudder_config::{Options, Target};
 use lapisrudder_decisions::{Micros, RequestId, Scope, ServerId, Stage};
@@ -117,6 +117,8 @@
 #[derive(Default)]
 struct Ledger {
     owed: FxHashMap<RequestId, Reply>,
+    /// Large values of which not all has come. Callers get them whole.
+    large: FxHashMap<RequestId, BytesMut>,
     stats: Stats,
 }
 
@@ -141,6 +143,25 @@
         };
         self.answer(transaction, Ok(answer));
     }
+
+    fn begins(&mut self, transaction: RequestId, _: &engine::Request, length: usize) -> bool {
+        let owed = self.owed.contains_key(&transaction);
+        if owed {
+            self.large.insert(transaction, BytesMut::with_capacity(length));
+        }
+        owed
+    }
+
+    fn piece(&mut self, transaction: RequestId, bytes: &[u8]) -> bool {
+        self.large.get_mut(&transaction).into_iter().for_each(|value| value.extend_from_slice(bytes));
+        true
+    }
+
+    fn ends(&mut self, transaction: RequestId) {
+        if let Some(value) = self.large.remove(&transaction) {
+            self.answer(transaction, Ok(Response::Value(value.freeze())));
+        }
+    }
 }
 
 struct Host {
@@ -300,10 +321,11 @@
     }
 
     fn left(&mut self, id: RequestId) {
+        self.ledger.large.remove(&id);
         if self.ledger.owed.remove(&id).is_some() {
             self.ledger.stats.left += 1;
             if self.held.remove(&id).is_none() {
-                self.engine.left(id);
+                self.engine.left(self.clock.now(), id);
             }
         }
     }
@@ -385,6 +407,10 @@
                 };
                 self.ledger.answer(transaction, Err(error));
             }
+            Order::Break { transaction } => {
+                self.ledger.large.remove(&transaction);
+                self.ledger.answer(transaction, Err(Error::Failed { may_have_run: true }));
+            }
             Order::Watch => {
                 if let Some(discovery) = &mut self.discovery {
                     discovery.watch(now);
--- a/crates/codec/src/http.rs
+++ b/crates/codec/src/http.rs
@@ -19,15 +19,22 @@
     pub keep: bool,
     /// The body; owned where it came in chunks.
     pub body: Cow<'a, [u8]>,
+    /// Bytes of a body that follows, where that is too large to be taken whole: `body` is empty.
+    pub behind: usize,
 }
 
 /// The response at the start of a buffer, behind interim ones. `ended` tells that the peer has closed; a body
 /// of more than `most` bytes is refused by what its head tells.
 pub fn parse_response(buffer: &[u8], ended: bool, most: usize) -> Parsed<Response<'_>> {
+    parse_response_or_head(buffer, ended, most, most)
+}
+
+/// The same, but a body of known length and more than `whole` bytes is told by its head alone.
+pub fn parse_response_or_head(buffer: &[u8], ended: bool, whole: usize, most: usize) -> Parsed<Response<'_>> {
     // Guards the stack: a peer may send any number of interim responses.
     let mut start = 0;
     loop {
-        match parse_one(&buffer[start..], ended, most)? {
+        match parse_one(&buffer[start..], ended, whole, most)? {
             Some((response, used)) if (100..200).contains(&response.status) => start += used,
             Some((response, used)) => return Ok(Some((response, start + used))),
             None => return Ok(None),
@@ -35,7 +42,7 @@
     }
 }
 
-fn parse_one(buffer: &[u8], ended: bool, most: usize) -> Parsed<Response<'_>> {
+fn parse_one(buffer: &[u8], ended: bool, whole: usize, most: usize) -> Parsed<Response<'_>> {
     let mut headers = [httparse::EMPTY_HEADER; 48];
     let mut head = httparse::Response::new(&mut headers);
     // Guards the verdict against where the bytes are cut: no more of a head is ever looked at.
@@ -47,16 +54,21 @@
     let status = head.code.unwrap_or(0);
     let keep = keeps(head.headers, head.version);
     let declined = is_in(head.headers, "srv-declined", "1");
-    let found = |body, used, keep| Ok(Some((Response { status, declined, keep, body }, used)));
+    let found = |body, used, keep| Ok(Some((Response { status, declined, keep, body, behind: 0 }, used)));
     if (100..200).contains(&status) || matches!(status, 204 | 304) {
         return found(Cow::Borrowed(&[][..]), from, keep);
     }
     let chunked = is_in(head.headers, "transfer-encoding", "chunked");
-    match body(buffer, from, named_in(head.headers, "content-length"), chunked, most)? {
+    let lengths = || named_in(head.headers, "content-length");
+    if !chunked && let Some(behind) = length(lengths(), most)?.filter(|length| *length > whole) {
+        let body = Cow::Borrowed(&[][..]);
+        return Ok(Some((Response { status, declined, keep, body, behind }, from)));
+    }
+    match body(buffer, from, lengths(), chunked, whole)? {
         Body::Whole(body, used) => found(body, used, keep),
         Body::Partial => Ok(None),
         // Without a length the body lasts until the peer closes.
-        Body::NoLength if buffer.len() - from > most => Err("body too long"),
+        Body::NoLength if buffer.len() - from > whole => Err("body too long"),
         Body::NoLength if ended => found(Cow::Borrowed(&buffer[from..]), buffer.len(), false),
         Body::NoLength => Ok(None),
     }
@@ -99,17 +111,22 @@
             None => Body::Partial,
         });
     }
-    // Guards against a value cut short: two lengths that differ tell nothing.
-    let Some(length) = lengths.map(decimal::<usize>).reduce(|a, b| a.filter(|_| a == b)) else {
-        return Ok(Body::NoLength);
-    };
-    let length = length.filter(|l| *l <= most).ok_or("bad content length")?;
+    let Some(length) = length(lengths, most)? else { return Ok(Body::NoLength) };
     Ok(match buffer.get(from..from + length) {
         Some(body) => Body::Whole(Cow::Borrowed(body), from + length),
         None => Body::Partial,
     })
 }
 
+/// The length that a head tells, if it does.
+fn length<'h>(lengths: impl Iterator<Item = &'h [u8]>, most: usize) -> Result<Option<usize>, &'static str> {
+    // Guards against a value cut short: two lengths that differ tell nothing.
+    let Some(length) = lengths.map(decimal::<usize>).reduce(|a, b| a.filter(|_| a == b)) else {
+        return Ok(None);
+    };
+    length.filter(|l| *l <= most).ok_or("bad content length").map(Some)
+}
+
 fn chunks(buffer: &[u8], most: usize) -> Parsed<Vec<u8>> {
     let (mut body, mut at) = (Vec::new(), 0);
     loop {
@@ -166,6 +183,7 @@
             declined: false,
             keep,
             body: Cow::Borrowed(body.as_bytes()),
+            behind: 0,
         };
         let declined = Response { status: 503, declined: true, ..ok("", true) };
         let cases = [
@@ -220,6 +238,10 @@
         for (text, ended, expected) in cases {
             assert_eq!(parse_response(text.as_bytes(), ended, 9), expected, "{text:?}");
         }
+        let large = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nab";
+        let told = parse_response_or_head(large.as_bytes(), false, 9, 12);
+        assert_eq!(told, Ok(Some((Response { behind: 12, ..ok("", true) }, 39))));
+        assert_eq!(parse_response_or_head(large.as_bytes(), false, 9, 11), Err("bad content length"));
         let interim = "HTTP/1.1 103 E\r\n\r\n".repeat(7000);
         assert_eq!(parse_response(interim.as_bytes(), false, 9), Ok(None));
     }
--- a/crates/codec/src/http/server.rs
+++ b/crates/codec/src/http/server.rs
@@ -185,7 +185,7 @@
             out.clear();
             write_response(&Reply { status, declined, last, load, body: b"ab" }, &mut out);
             let body = Cow::Borrowed(&b"ab"[..]);
-            let expected = Response { status, declined, keep: !last, body };
+            let expected = Response { status, declined, keep: !last, body, behind: 0 };
             assert_eq!(parse_response(&out, false, 9), Ok(Some((expected, out.len()))));
         }
     }
--- a/crates/codec/src/memcache.rs
+++ b/crates/codec/src/memcache.rs
@@ -10,8 +10,10 @@
 pub const MAX_LINE: usize = 2048;
 /// Bytes of a key at the most.
 pub const MAX_KEY: usize = 250;
+/// Bytes of a value up to which commands and answers are taken whole; larger ones are told by their heads.
+pub const MAX_WHOLE: usize = 64 * 1024;
 /// Bytes of a value at the most.
-pub const MAX_VALUE: usize = 64 * 1024;
+pub const MAX_VALUE: usize = 4 << 20;
 
 /// What a parser makes of a buffer: a message and the bytes it took, or nothing yet, or lost framing.
 pub type Parsed<T> = Result<Option<(T, usize)>, &'static str>;
@@ -67,6 +69,13 @@
         /// How the read went, where it was told.
         note: Option<ReadNote>,
     },
+    /// `VA` with a value of more than [`MAX_WHOLE`] bytes: it follows, and then a line end. Only the line was taken.
+    Begins {
+        /// Bytes of the value.
+        length: usize,
+        /// How the read went, where it was told.
+        note: Option<ReadNote>,
+    },
     /// `HD`: a write was served.
     Receipt {
         /// What [`is_receipt`] takes.
@@ -164,6 +173,15 @@
     Ok(Some((command, used)))
 }
 
+/// How many bytes the command at the start of a buffer has in all, where its line is whole and its value is larger than
+/// [`MAX_WHOLE`].
+pub fn large_command(buffer: &[u8]) -> Option<usize> {
+    let (line, used) = line(buffer).ok()??;
+    let mut words = words(line);
+    let length = words.next().filter(|name| *name == b"ms").and_then(|_| words.nth(1)).and_then(decimal)?;
+    ((MAX_WHOLE + 1)..=MAX_VALUE).contains(&length).then_some(used + length + 2)
+}
+
 /// What a list of names and values has under a name.
 pub fn named<'a>(list: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
     list.split(|b| *b == b',').find_map(|pair| pair.strip_prefix(name)?.strip_prefix(b"="))
@@ -247,7 +265,11 @@
         b"VA" if !write => {
             // Judged by the line alone: what is told to be huge is never waited for.
             let length = words(line).nth(1).and_then(decimal).filter(|l| *l <= MAX_VALUE);
-            let Some((value, used)) = block(buffer, used, length.ok_or("bad value length")?)? else {
+            let length = length.ok_or("bad value length")?;
+            if length > MAX_WHOLE {
+                return Ok(Some((Answer::Begins { length, note }, used)));
+            }
+            let Some((value, used)) = block(buffer, used, length)? else {
                 return Ok(None);
             };
             return Ok(Some((Answer::Value { value, note }, used)));
@@ -294,7 +316,8 @@
             ("ms k x O9\r\n", Err("bad data length")),
             ("ms k -1 O9\r\n", Err("bad data length")),
             ("ms k 99999999999999999999 O9\r\n", Err("bad data length")),
-            ("ms k 65537 O9\r\n", Err("object too large")),
+            ("ms k 65537 O9\r\n", Ok(None)),
+            ("ms k 4194305 O9\r\n", Err("object too large")),
             ("ms k 0 v\r\n\r\n", Ok(Some((Command::Bad("no request id"), 12)))),
             ("mn\r\n", Ok(Some((Command::Ready, 4)))),
             ("quit\r\n", Ok(Some((Command::Quit, 6)))),
@@ -322,7 +345,9 @@
             ("EN\r\n", Err("unknown answer")),
             ("EN h0\r\n", Err("answer to another request")),
             ("HD O9 c77\r\n", Err("unknown answer")),
-            ("VA 65537 O9\r\n", Err("bad value length")),
+            ("VA 65537 O9 h1\r\nab", Ok(Some((Answer::Begins { length: 65_537, note: hit }, 16)))),
+            ("VA 4194304 O9\r\n", Ok(Some((Answer::Begins { length: MAX_VALUE, note: None }, 15)))),
+            ("VA 4194305 O9\r\n", Err("bad value length")),
             ("VA 3221225472 O9\r\nab", Err("bad value length")),
             ("VA -2 O9\r\nab", Err("bad value length")),
             ("VA x O9\r\n", Err("bad value length")),
@@ -351,6 +376,21 @@
         }
     }
 
+    #[test]
+    fn a_large_command_tells_its_size_by_its_line() {
+        for (text, size) in [
+            ("ms k 65537 O9\r\nab", Some(65_537 + 17)),
+            ("ms k 4194304 O9\r\n", Some(MAX_VALUE + 19)),
+            ("ms k 4194305 O9\r\n", None),
+            ("ms k 65536 O9\r\n", None),
+            ("ms k 65537 O9", None),
+            ("mg k 65537 O9\r\n", None),
+            ("ms k -1 O9\r\n", None),
+        ] {
+            assert_eq!(large_command(text.as_bytes()), size, "{text:?}");
+        }
+    }
+
     #[test]
     fn a_command_is_passed_on_unchanged_but_for_the_time_left() {
         for (text, passed) in [
--- a/crates/codec/src/memcache/answer.rs
+++ b/crates/codec/src/memcache/answer.rs
@@ -10,6 +10,10 @@
                 out.extend_from_slice(format!("VA {} O", value.len()).as_bytes());
                 note
             }
+            Answer::Begins { length, note } => {
+                out.extend_from_slice(format!("VA {length} O").as_bytes());
+                note
+            }
             Answer::Receipt { note, .. } => {
                 out.extend_from_slice(b"HD O");
                 note
--- a/crates/codec/src/memcache/owned.rs
+++ b/crates/codec/src/memcache/owned.rs
@@ -223,7 +223,7 @@
         ] {
             assert_eq!(OwnedRequest::compose(&parts).unwrap(), parse(text).0);
         }
-        let long = [b'x'; super::super::MAX_VALUE + 1];
+        let long = vec![b'x'; super::super::MAX_VALUE + 1];
         for (parts, what) in [
             (Parts { key: b"", ..read }, "bad key"),
             (Parts { key: &long[..251], ..read }, "bad key"),
--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -3,7 +3,7 @@
 use crate::deadlines::Key;
 use crate::flow::{Flow, FlowId};
 use lapisrudder_codec::http;
-use lapisrudder_codec::memcache::{self, Answer, MAX_LINE, MAX_VALUE};
+use lapisrudder_codec::memcache::{self, Answer, MAX_LINE, MAX_VALUE, MAX_WHOLE, ReadNote};
 use lapisrudder_decisions::{Micros, Outcome, ServerId};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -12,10 +12,29 @@
 /// Buffers larger than this are given back once empty.
 const KEPT: usize = 4 << 10;
 /// Bytes of answers that are not whole at the most. Guards memory: a peer may send on and on where nothing is due.
-const HELD: usize = 2 * (MAX_LINE + MAX_VALUE + 2);
+const HELD: usize = 2 * (MAX_LINE + MAX_WHOLE + 2);
 /// So many bytes at first are put behind a part of an answer, to see whether it is whole with them.
 const STEP: usize = 4 << 10;
 
+/// What comes of a flow on a connection.
+pub(crate) enum Heard<'a> {
+    /// Its answer, or the head of one whose value follows.
+    Answer(Answer<'a>),
+    /// A piece of that value.
+    Piece(&'a [u8]),
+    /// All of it has come.
+    End(Option<ReadNote>),
+}
+
+/// The value of the first flow comes in pieces.
+struct Body {
+    left: usize,
+    /// Of the line end behind it.
+    tail: &'static [u8],
+    note: Option<ReadNote>,
+    keep: bool,
+}
+
 /// A flow on a connection. Its answer comes after those of the flows before it.
 struct Place {
     flow: Flow,
@@ -39,6 +58,9 @@
     /// Room for the bytes of the next flow.
     spare: Vec<u8>,
     places: VecDeque<Place>,
+    body: Option<Body>,
+    /// Nothing is to be read: the value's client takes no more for now.
+    pub held: bool,
     /// It has brought an answer.
     proven: bool,
     /// It is to be seen to at the end of the turn.
@@ -56,6 +78,8 @@
             input: Vec::new(),
             spare: Vec::new(),
             places: VecDeque::new(),
+            body: None,
+            held: false,
             proven: false,
             queued: false,
         }
@@ -73,11 +97,19 @@
     /// Flows on it, if another may go behind them, and how long the first has been here, negated. Guards against
     /// a connection whose answers have stopped: where one stalls, or was given up, nothing new waits.
     pub(crate) fn load(&self, most: usize, stalled: Micros) -> Option<(usize, Micros)> {
-        let takes = self.up && self.places.len() < most && self.places.iter().all(|p| !p.abandoned);
+        let takes = self.up
+            && self.body.is_none()
+            && self.places.len() < most
+            && self.places.iter().all(|p| !p.abandoned);
         let first = self.places.front().map_or(0, |p| -p.put);
         (takes && !self.stalls(stalled)).then_some((self.places.len(), first))
     }
 
+    /// A large value comes on it: nothing else does until its end.
+    pub(crate) fn streams(&self) -> bool {
+        self.body.is_some()
+    }
+
     /// Flows that somebody waits for, all places, and bytes held.
     pub(crate) fn audit(&self) -> (usize, usize, usize) {
         let unwritten: usize = self.places.iter().map(|p| p.bytes.len()).sum();
@@ -175,7 +207,7 @@
         &mut self,
         bytes: &[u8],
         ended: bool,
-        answered: &mut impl FnMut(&Flow, Answer),
+        answered: &mut impl FnMut(&Flow, Heard) -> bool,
     ) -> bool {
         let keep = match self.take(bytes, ended, answered) {
             Ok(keep) => keep,
@@ -193,7 +225,7 @@
         &mut self,
         mut bytes: &[u8],
         ended: bool,
-        answered: &mut impl FnMut(&Flow, Answer),
+        answered: &mut impl FnMut(&Flow, Heard) -> bool,
     ) -> Result<bool, &'static str> {
         let (mut keep, mut step) = (true, STEP);
         while keep && !self.input.is_empty() && (ended || !bytes.is_empty()) {
@@ -233,19 +265,50 @@
         &mut self,
         buffer: &[u8],
         ended: bool,
-        answered: &mut impl FnMut(&Flow, Answer),
+        answered: &mut impl FnMut(&Flow, Heard) -> bool,
     ) -> Result<(usize, bool), &'static str> {
         let (mut taken, mut keep) = (0, true);
         while let Some(place) = self.places.front().filter(|p| keep && p.bytes.is_empty()) {
             let rest = &buffer[taken..];
-            let command = &place.flow.call.request.command;
-            let mut pass = |answer| {
+            if let Some(body) = &mut self.body {
+                let piece = &rest[..body.left.min(rest.len())];
+                if !piece.is_empty() {
+                    // What nobody waits for is skipped: others wait behind it.
+                    self.held = !place.abandoned && !answered(&place.flow, Heard::Piece(piece));
+                }
+                body.left -= piece.len();
+                let line_end = &rest[piece.len()..];
+                let line_end = &line_end[..body.tail.len().min(line_end.len())];
+                if body.left == 0 && !body.tail.starts_with(line_end) {
+                    return Err("bad data chunk");
+                }
+                taken += piece.len();
+                if body.left > 0 || line_end.len() < body.tail.len() {
+                    break;
+                }
+                taken += line_end.len();
                 if !place.abandoned {
-                    answered(&place.flow, answer);
+                    answered(&place.flow, Heard::End(body.note));
                 }
-            };
+                (keep, self.body, self.held, self.proven) = (body.keep, None, false, true);
+                self.places.pop_front();
+                continue;
+            }
+            let command = &place.flow.call.request.command;
+            let mut pass = |answer| !place.abandoned && answered(&place.flow, Heard::Answer(answer));
             taken += if self.origin {
-                let Some((response, used)) = http::parse_response(rest, ended, MAX_VALUE)? else { break };
+                let response = http::parse_response_or_head(rest, ended, MAX_WHOLE, MAX_VALUE)?;
+                let Some((response, used)) = response else { break };
+                if response.behind > 0 {
+                    let (left, keep) = (response.behind, response.keep);
+                    if response.status != 200 || command.is_write() {
+                        return Err("body too long");
+                    }
+                    let wanted = pass(Answer::Begins { length: left, note: None });
+                    self.begin(Body { left, tail: b"", note: None, keep }, wanted);
+                    taken += used;
+                    continue;
+                }
                 keep = response.keep;
                 pass(match response.status {
                     200 if command.is_write() && !memcache::is_receipt(&response.body) => {
@@ -262,6 +325,12 @@
                 else {
                     break;
                 };
+                if let Answer::Begins { length, note } = answer {
+                    let wanted = pass(answer);
+                    self.begin(Body { left: length, tail: b"\r\n", note, keep: true }, wanted);
+                    taken += used;
+                    continue;
+                }
                 pass(answer);
                 used
             };
@@ -271,6 +340,12 @@
         Ok((taken, keep))
     }
 
+    /// The value of the first flow follows. It is read past where it is not wanted.
+    fn begin(&mut self, body: Body, wanted: bool) {
+        self.body = Some(body);
+        self.places.iter_mut().take(1).for_each(|place| place.abandoned |= !wanted);
+    }
+
     /// Stops waiting for a flow; true if not all of it was sent. One that has not begun leaves.
     pub(crate) fn abandon(&mut self, flow: FlowId) -> bool {
         let Some(i) = self.places.iter().position(|p| p.flow.id == flow) else { return false };
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,6 +1,7 @@
 //! The one type that hosts drive: where happenings become events, and actions orders.
 
 use crate::config::{Config, Limits};
+use crate::connection::Heard;
 use crate::deadlines::{Deadline, Deadlines};
 use crate::flow::{Call, Flow, FlowId};
 use crate::generations::Generations;
@@ -35,6 +36,21 @@
 pub trait Answers {
     /// Passes it on while the buffer lives. Slices that are kept are copied by the host.
     fn served(&mut self, transaction: RequestId, request: &Request, answer: Answer<'_>);
+
+    /// A value that is too large to be passed on whole begins: it comes in pieces from here on, and is the transaction's
+    /// one final answer. False if that is not wanted; the flow has failed then.
+    fn begins(&mut self, _transaction: RequestId, _request: &Request, _length: usize) -> bool {
+        false
+    }
+
+    /// A piece of such a value. False if the host has no room for more: nothing is read from that connection until
+    /// [`Engine::resume`].
+    fn piece(&mut self, _transaction: RequestId, _bytes: &[u8]) -> bool {
+        true
+    }
+
+    /// All pieces of it have come.
+    fn ends(&mut self, _transaction: RequestId) {}
 }
 
 impl<F: FnMut(RequestId, &Request, Answer<'_>)> Answers for F {
@@ -66,6 +82,7 @@
     /// Room for what the decisions say, and for flows that a read has ended.
     actions: Vec<Action>,
     ended: Vec<(FlowId, Outcome, Option<CacheNote>)>,
+    begun: Vec<FlowId>,
     /// What discovery tells, and who is out by hand.
     maintenance: Maintenance<SocketAddr>,
     classes: Generations,
@@ -93,6 +110,7 @@
             transactions: Transactions::default(),
             actions: Vec::new(),
             ended: Vec::new(),
+            begun: Vec::new(),
             classes,
             maintenance: Maintenance::new(settings.origin_kind),
             origin_kind: settings.origin_kind,
@@ -143,13 +161,18 @@
         let due = request.due;
         let deadline = Some(self.deadlines.add(due + OVERDUE, Deadline::Transaction(transaction)));
         let call = Arc::new(Call::new(request));
-        self.transactions.add(transaction, Transaction { call, due, deadline, flows: Vec::new() });
+        self.transactions
+            .add(transaction, Transaction { call, due, deadline, flows: Vec::new(), streams: None });
         Ok(())
     }
 
     /// The client of a transaction has left, or the host has answered it itself: nothing more is owed, and what is
     /// out is called off. False if it had its answer before.
-    pub fn left(&mut self, transaction: RequestId) -> bool {
+    pub fn left(&mut self, now: Micros, transaction: RequestId) -> bool {
+        if let Some(flow) = self.transactions.streams(transaction) {
+            self.give_up(flow, Outcome::Cancelled, now);
+            return true;
+        }
         let owed = self.transactions.answer(transaction, &mut self.deadlines).is_some();
         if owed {
             self.transactions.events.push_back(Event::ClientLeft { request: transaction });
@@ -169,6 +192,18 @@
         self.pool.writable(conn);
     }
 
+    /// The host has room again for the pieces of a value: where to read on.
+    pub fn resume(&mut self, transaction: RequestId) -> Option<Conn> {
+        let flow = self.transactions.streams(transaction)?;
+        let server = self.transactions.all.get(&transaction)?.flows.get(flow.attempt as usize)?.server;
+        self.pool.resume(server, flow)
+    }
+
+    /// Nothing is to be read from a connection now: its value's client takes no more for the time being.
+    pub fn holds(&self, conn: Conn) -> bool {
+        self.pool.holds(conn)
+    }
+
     /// Bytes have come on a connection. False if it is of no further use: nothing more need be read from it.
     pub fn received(&mut self, now: Micros, conn: Conn, bytes: &[u8], answers: &mut impl Answers) -> bool {
         self.read(now, conn, bytes, false, answers)
@@ -199,24 +234,54 @@
         over: bool,
         answers: &mut impl Answers,
     ) -> bool {
-        let Engine { pool, deadlines, transactions, ended, .. } = self;
-        let of_use = pool.received(conn, bytes, over, now, deadlines, |flow, answer| {
+        let Engine { pool, deadlines, transactions, ended, begun, .. } = self;
+        let of_use = pool.received(conn, bytes, over, now, deadlines, |flow, heard| {
+            let id = flow.id.request;
+            let answer = match heard {
+                Heard::Answer(answer) => answer,
+                Heard::Piece(bytes) => {
+                    transactions.got_on(id, now);
+                    return answers.piece(id, bytes);
+                }
+                Heard::End(note) => {
+                    answers.ends(id);
+                    ended.push((flow.id, Outcome::Served, told(&note)));
+                    return true;
+                }
+            };
             let (outcome, note) = judge(&answer);
             // The first that serves is passed on; what comes later for the same transaction is dropped.
-            if outcome == Outcome::Served && flow.call.answer() {
-                transactions.open -= 1;
+            if outcome == Outcome::Served && !flow.call.answered() {
+                let request = &flow.call.request;
                 match answer {
+                    memcache::Answer::Begins { length, .. } => {
+                        if answers.begins(id, request, length) {
+                            flow.call.answer();
+                            transactions.open -= 1;
+                            begun.push(flow.id);
+                            return true;
+                        }
+                        ended.push((flow.id, Outcome::Error, None));
+                        return false;
+                    }
                     memcache::Answer::Value { value, .. } => {
-                        answers.served(flow.id.request, &flow.call.request, Answer::Value(value));
+                        answers.served(id, request, Answer::Value(value))
                     }
                     memcache::Answer::Receipt { receipt, .. } => {
-                        answers.served(flow.id.request, &flow.call.request, Answer::Receipt(receipt));
+                        answers.served(id, request, Answer::Receipt(receipt));
                     }
                     _ => {}
                 }
+                flow.call.answer();
+                transactions.open -= 1;
             }
             ended.push((flow.id, outcome, note));
+            // A large value that nobody waits for is not read.
+            !matches!(answer, memcache::Answer::Begins { .. })
         });
+        for flow in begun.drain(..) {
+            transactions.begun(flow, now, deadlines);
+        }
         for (flow, outcome, note) in ended.drain(..) {
             transactions.flow_ended(flow, outcome, note, now, deadlines);
         }
@@ -305,7 +370,11 @@
         while let Some(deadline) = self.deadlines.pop_due(now) {
             match deadline {
                 Deadline::Wake => self.transactions.events.push_back(Event::Wake),
-                Deadline::Flow(flow) => self.give_up(flow, Outcome::TimedOut, now),
+                Deadline::Flow(flow) => match self.transactions.stalls_at(flow) {
+                    // It has got on since.
+                    Some(at) if at > now => self.transactions.wait_on(flow, at, &mut self.deadlines),
+                    _ => self.give_up(flow, Outcome::TimedOut, now),
+                },
                 Deadline::Transaction(id) => {
                     self.end(id, |may_have_run| Final::Overdue { may_have_run });
                     self.transactions.events.push_back(Event::ClientLeft { request: id });
@@ -328,6 +397,9 @@
             while let Some((flow, outcome)) = self.pool.lost.pop_front() {
                 self.transactions.flow_ended(flow, outcome, None, now, &mut self.deadlines);
             }
+            if let Some(transaction) = self.transactions.torn.pop() {
+                return Some(Order::Break { transaction });
+            }
             if let Some(event) = self.transactions.events.pop_front() {
                 self.balancer.handle(now, event, &mut self.actions);
                 let mut actions = std::mem::take(&mut self.actions);
@@ -443,19 +515,20 @@
     }
 }
 
+fn told(note: &Option<ReadNote>) -> Option<CacheNote> {
+    note.map(|note| match note {
+        ReadNote::Hit => CacheNote::Hit,
+        ReadNote::Fetched => CacheNote::Fetched,
+        ReadNote::OthersFetch => CacheNote::OthersFetch,
+    })
+}
+
 /// What an answer means for a flow.
 fn judge(answer: &memcache::Answer) -> (Outcome, Option<CacheNote>) {
-    let told = |note: &Option<ReadNote>| {
-        note.map(|note| match note {
-            ReadNote::Hit => CacheNote::Hit,
-            ReadNote::Fetched => CacheNote::Fetched,
-            ReadNote::OthersFetch => CacheNote::OthersFetch,
-        })
-    };
     match answer {
-        memcache::Answer::Value { note, .. } | memcache::Answer::Receipt { note, .. } => {
-            (Outcome::Served, told(note))
-        }
+        memcache::Answer::Value { note, .. }
+        | memcache::Answer::Begins { note, .. }
+        | memcache::Answer::Receipt { note, .. } => (Outcome::Served, told(note)),
         memcache::Answer::Miss { note } => (Outcome::Miss, told(note)),
         memcache::Answer::Busy => (Outcome::Full, None),
         memcache::Answer::Failed => (Outcome::Error, None),
--- a/crates/engine/src/order.rs
+++ b/crates/engine/src/order.rs
@@ -39,6 +39,11 @@
         /// The answer.
         answer: Final,
     },
+    /// A value that has begun to be passed on ends short of its length: its client must see that.
+    Break {
+        /// The transaction.
+        transaction: RequestId,
+    },
     /// Ask discovery to be told of changes to the list from now on; nothing if that runs already.
     Watch,
 }
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -1,11 +1,10 @@
 //! Pool members: whom flows may go to, and the connections that they go on.
 
 use crate::config::Limits;
-use crate::connection::Connection;
+use crate::connection::{Connection, Heard};
 use crate::deadlines::{self, Deadline};
 use crate::flow::{Flow, FlowId};
 use crate::order::{Conn, Order};
-use lapisrudder_codec::memcache::Answer;
 use lapisrudder_decisions::{Micros, Outcome, ServerId, Stage};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, VecDeque};
@@ -217,7 +216,11 @@
                 let stalls = |id: &&Conn| known(id).is_some_and(|c| c.stalls(stalled));
                 let most = self.most(member);
                 let most = most + member.connections.iter().filter(stalls).count().min(most);
-                let room = member.connections.len() < most && self.connections.len() < self.limits.in_all;
+                // Guards small requests against slow readers of large values, who would have all connections.
+                let streams = |id: &&Conn| known(id).is_some_and(Connection::streams);
+                let streams = member.connections.iter().filter(streams).count();
+                let room =
+                    member.connections.len() - streams < most && self.connections.len() < self.limits.in_all;
                 if room || member.connections.is_empty() {
                     self.connect(server, now, deadlines);
                     continue;
@@ -349,6 +352,18 @@
         self.connections.get(&id).is_some_and(Connection::expects)
     }
 
+    pub(crate) fn holds(&self, id: Conn) -> bool {
+        self.connections.get(&id).is_some_and(|c| c.held)
+    }
+
+    /// Gives the connection on which a flow was held back, which is read on from here on.
+    pub(crate) fn resume(&mut self, server: ServerId, flow: FlowId) -> Option<Conn> {
+        let mut ids = self.members.get(&server)?.connections.iter().copied();
+        let id = ids.find(|id| self.connections.get(id).is_some_and(|c| c.held && c.carries(flow)))?;
+        self.connections.get_mut(&id)?.held = false;
+        Some(id)
+    }
+
     /// Takes the answers that are whole. False if the connection is over.
     pub(crate) fn received(
         &mut self,
@@ -357,7 +372,7 @@
         ended: bool,
         now: Micros,
         deadlines: &mut Deadlines,
-        mut answered: impl FnMut(&Flow, Answer),
+        mut answered: impl FnMut(&Flow, Heard) -> bool,
     ) -> bool {
         // Nothing can come on a connection that is not up: its host has mixed them up.
         let Some(c) = self.connections.get_mut(&id).filter(|c| c.up) else { return false };
--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -78,8 +78,10 @@
 
     fn answer(&mut self, id: u64, bytes: &str) -> (bool, usize) {
         let mut count = 0;
-        let of_use =
-            self.pool.received(Conn(id), bytes.as_bytes(), false, 0, &mut self.deadlines, |_, _| count += 1);
+        let of_use = self.pool.received(Conn(id), bytes.as_bytes(), false, 0, &mut self.deadlines, |_, _| {
+            count += 1;
+            true
+        });
         (of_use, count)
     }
 
@@ -263,7 +265,8 @@
         let flow = Flow { id, call: desk.call.clone(), until: 9, moved: false };
         desk.pool.send(*server, flow, Micros::from(n), &mut desk.deadlines);
         desk.comes_up(u64::from(n));
-        desk.pool.received(Conn(u64::from(n)), b"EN O9\r\n", false, n.into(), &mut desk.deadlines, |_, _| {});
+        desk.pool
+            .received(Conn(u64::from(n)), b"EN O9\r\n", false, n.into(), &mut desk.deadlines, |_, _| true);
     }
     let mut kept: Vec<u64> = desk.pool.connections.keys().map(|c| c.0).collect();
     kept.sort_unstable();
--- a/crates/engine/src/transactions.rs
+++ b/crates/engine/src/transactions.rs
@@ -22,6 +22,18 @@
     pub due: Micros,
     pub deadline: Option<Key>,
     pub flows: Vec<FlowState>,
+    /// The attempt whose value is being passed on.
+    pub streams: Option<Stream>,
+}
+
+/// A value that is being passed on.
+#[derive(Clone, Copy)]
+pub(crate) struct Stream {
+    attempt: u32,
+    /// When it began. The time that a server took ends here: the rest is as slow as the client reads.
+    began: Micros,
+    /// When a piece of it last came.
+    got_on: Micros,
 }
 
 impl Transaction {
@@ -46,8 +58,14 @@
     pub events: VecDeque<Event>,
     /// Transactions that may be over.
     over: Vec<RequestId>,
+    /// Those whose value ended short of its length.
+    pub torn: Vec<RequestId>,
 }
 
+/// A value that is being passed on, and of which nothing has come for so long, is given up. Guards descriptors against a
+/// server that stalls for good; a client that does not read is closed after as long.
+const STALLED: Micros = 30_000_000;
+
 /// A call under its client's id.
 struct Named(Arc<Call>);
 
@@ -88,6 +106,50 @@
         self.all.insert(id, transaction);
     }
 
+    /// The value of a flow begins to be passed on: no deadline holds from here on.
+    pub(crate) fn begun(&mut self, flow: FlowId, now: Micros, deadlines: &mut Deadlines<Deadline>) {
+        let Some(transaction) = self.all.get_mut(&flow.request) else { return };
+        transaction.streams = Some(Stream { attempt: flow.attempt, began: now, got_on: now });
+        deadlines.remove(transaction.deadline.take());
+        self.events.push_back(Event::Started { request: flow.request, attempt: flow.attempt });
+        if let Some(state) =
+            self.all.get_mut(&flow.request).and_then(|t| t.flows.get_mut(flow.attempt as usize))
+        {
+            deadlines.remove(state.deadline.take());
+        }
+        self.wait_on(flow, now + STALLED, deadlines);
+    }
+
+    /// The flow whose value is being passed on.
+    pub(crate) fn streams(&self, request: RequestId) -> Option<FlowId> {
+        let transaction = self.all.get(&request)?;
+        let attempt = transaction.streams?.attempt;
+        let open = transaction.flows.get(attempt as usize)?.ended.is_none();
+        open.then_some(FlowId { request, attempt })
+    }
+
+    /// When the value of a flow counts as stalled, as it looks now.
+    pub(crate) fn stalls_at(&self, flow: FlowId) -> Option<Micros> {
+        self.streams(flow.request).filter(|streams| *streams == flow)?;
+        self.all.get(&flow.request)?.streams.map(|stream| stream.got_on + STALLED)
+    }
+
+    /// A piece has come.
+    pub(crate) fn got_on(&mut self, request: RequestId, now: Micros) {
+        if let Some(stream) = self.all.get_mut(&request).and_then(|t| t.streams.as_mut()) {
+            stream.got_on = now;
+        }
+    }
+
+    /// Sets the deadline of a flow.
+    pub(crate) fn wait_on(&mut self, flow: FlowId, at: Micros, deadlines: &mut Deadlines<Deadline>) {
+        let state = self.all.get_mut(&flow.request).and_then(|t| t.flows.get_mut(flow.attempt as usize));
+        if let Some(state) = state.filter(|s| s.ended.is_none()) {
+            deadlines.remove(state.deadline.take());
+            state.deadline = Some(deadlines.add(at, Deadline::Flow(flow)));
+        }
+    }
+
     /// Books the end of a server-side flow, once.
     pub(crate) fn flow_ended(
         &mut self,
@@ -104,15 +166,23 @@
         };
         state.ended = Some(outcome);
         deadlines.remove(state.deadline.take());
-        let finished = transaction.call.answered();
+        let (server, sent) = (state.server, state.sent);
+        let stream = transaction.streams.filter(|stream| stream.attempt == flow.attempt);
+        if outcome != Outcome::Served && stream.is_some() {
+            self.torn.push(flow.request);
+        }
+        // Danger: the end of another copy called off the one whose value was being passed on.
+        let streams = transaction.streams.filter(|other| other.attempt != flow.attempt);
+        let streams = streams.and_then(|other| transaction.flows.get(other.attempt as usize));
+        let finished = transaction.call.answered() && streams.is_none_or(|other| other.ended.is_some());
         if finished {
             deadlines.remove(transaction.deadline.take());
         }
         self.events.push_back(Event::Ended(Ended {
             request: flow.request,
             attempt: flow.attempt,
-            server: state.server,
-            took: now - state.sent,
+            server,
+            took: stream.map_or(now, |stream| stream.began) - sent,
             outcome,
             note,
             finished,
--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -113,7 +113,9 @@
             }
         }
         engine.writable(conn);
-        loop {
+        // Backpressure: what a value's client cannot take stays with its server, and is read on when the engine
+        // resumes.
+        while !engine.holds(conn) {
             match member.socket.read(scratch) {
                 Ok(None) => return,
                 Ok(Some(0)) => return engine.ended(now, conn, answers),
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -568,13 +568,13 @@
                     if let Some(owed) = self.ledger.take(RequestId(request)) {
                         self.front.over(owed.ticket, false, cx.now);
                         self.flows.left(request);
-                        self.engine.left(RequestId(request));
+                        self.engine.left(cx.now, RequestId(request));
                     }
                 }
                 FrontNews::Recall { ticket, retry_ms } => {
                     let Some(&request) = self.ledger.tickets.get(&ticket) else { continue };
                     self.end(request, format!("SERVER_ERROR busy {retry_ms}\r\n").as_bytes(), cx);
-                    self.engine.left(request);
+                    self.engine.left(cx.now, request);
                 }
             }
         }
@@ -654,6 +654,8 @@
                 self.members.insert(conn, MemberSock { sock: Sock::new(on, Side::Client), up: false });
                 self.flows.connect(conn, to);
             }
+            // Its front takes no large values.
+            Order::Break { .. } => {}
             Order::Write { conn, look } => self.write(conn, look, cx),
             Order::Close { conn } => {
                 if let Some(member) = self.members.remove(&conn) {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -3,7 +3,7 @@
 use super::Socket;
 use super::deadlines::Key;
 use lapisrudder::{Micros, RequestId};
-use lapisrudder_codec::memcache::{MAX_LINE, MAX_VALUE};
+use lapisrudder_codec::memcache::{MAX_LINE, MAX_WHOLE};
 use lapisrudder_limits::{Activity, ConnId};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
@@ -32,11 +32,35 @@
 const COPIED: usize = 8 << 10;
 
 /// The room that one read needs at most: what is left of a command, and as much again to read into.
-pub const SCRATCH: usize = 2 * (MAX_LINE + MAX_VALUE + 2);
+pub const SCRATCH: usize = 2 * (MAX_LINE + MAX_WHOLE + 2);
+
+/// A large value is read from its server while less than this is left of it for its client, or there is room for more
+/// of all clients'; and again from there on.
+const HIGH: usize = 64 << 10;
+const LOW: usize = 16 << 10;
+/// Sent bytes that the room for answers may begin with before they are dropped.
+const SENT: usize = 64 << 10;
+/// A large value of which nothing comes for this long is given up. Guards the budget for those.
+const UPLOAD_STALLS: Micros = 10_000_000;
 
 pub enum Slot {
     Waiting(RequestId),
     Ready(Vec<u8>),
+    /// A large value that is passed on as it comes: what of it has come before its turn, and whether that is all.
+    Stream {
+        request: RequestId,
+        bytes: Vec<u8>,
+        over: bool,
+    },
+}
+
+/// A command with a large value that comes in.
+pub struct Upload {
+    pub bytes: Vec<u8>,
+    /// Bytes of the command in all.
+    pub total: usize,
+    /// There is room for it; before that nothing more of it is read.
+    pub admitted: bool,
 }
 
 #[derive(PartialEq)]
@@ -66,6 +90,12 @@
     socket: Socket,
     /// Part of a command that has been read.
     pub input: Vec<u8>,
+    /// A command with a large value, of which `input` has nothing.
+    pub upload: Option<Upload>,
+    /// So many bytes of its answers are counted in the sum over all clients.
+    pub counted: usize,
+    /// The server of a large value waits until its client has read on.
+    stalled: bool,
     /// Answers owed, in the order of the commands.
     pub slots: VecDeque<Slot>,
     output: Vec<u8>,
@@ -98,6 +128,9 @@
             conn,
             socket,
             input: Vec::new(),
+            upload: None,
+            stalled: false,
+            counted: 0,
             slots: VecDeque::new(),
             output: Vec::new(),
             sent: 0,
@@ -134,6 +167,8 @@
     /// What it is doing, as the limits see it.
     pub fn activity(&self) -> Activity {
         match self.phase {
+            // It is nobody who only holds a place: its value comes in.
+            Phase::Open if self.upload.is_some() => Activity::Owed,
             Phase::Open if self.quiet() && !self.unread => {
                 if self.input.is_empty() {
                     Activity::Idle
@@ -182,6 +217,7 @@
             Phase::Lingering => LINGER,
             Phase::Parting => PARTING,
             _ if self.sent < self.output.len() => UNREAD_FOR,
+            _ if self.upload.as_ref().is_some_and(|u| u.admitted) => UPLOAD_STALLS,
             // The transactions have deadlines of their own, and the limits know how long the others may stay.
             _ => return None,
         };
@@ -211,6 +247,23 @@
         Some(&scratch[..held + read])
     }
 
+    /// Reads on a command with a large value, no further than its end. Gives it once it is whole; `None` means that the
+    /// peer has closed.
+    pub fn read_upload(&mut self, scratch: &mut [u8], now: Micros) -> Option<Option<Vec<u8>>> {
+        let Some(upload) = self.upload.as_mut().filter(|u| u.admitted) else { return Some(None) };
+        let room = (upload.total - upload.bytes.len()).min(scratch.len());
+        match self.socket.read(&mut scratch[..room]) {
+            Ok(Some(0)) | Err(_) => return None,
+            Ok(Some(n)) => {
+                upload.bytes.extend_from_slice(&scratch[..n]);
+                self.since = now;
+            }
+            Ok(None) => self.unread = false,
+        }
+        let whole = upload.bytes.len() == upload.total;
+        Some(self.upload.take_if(|_| whole).map(|upload| upload.bytes))
+    }
+
     /// Keeps what is not taken of what was read.
     pub fn keep(&mut self, rest: &[u8]) {
         self.input.clear();
@@ -232,7 +285,7 @@
 
     /// Nothing is owed on it, and it may go on at another process.
     pub fn can_leave(&self) -> bool {
-        self.leaving && self.quiet() && self.phase == Phase::Open
+        self.leaving && self.quiet() && self.upload.is_none() && self.phase == Phase::Open
     }
 
     /// The connection, and what was read of its next command.
@@ -242,14 +295,26 @@
 
     /// Sends ready answers as far as the socket takes them.
     pub fn flush(&mut self, now: Micros) -> io::Result<()> {
-        while let Some(Slot::Ready(_)) = self.slots.front() {
-            if let Some(Slot::Ready(bytes)) = self.slots.pop_front() {
-                self.output.extend_from_slice(&bytes);
+        while let Some(slot) = self.slots.front_mut() {
+            match slot {
+                Slot::Waiting(_) => break,
+                Slot::Ready(bytes) => self.output.append(bytes),
+                Slot::Stream { bytes, over, .. } => {
+                    self.output.append(bytes);
+                    bytes.shrink_to(KEPT);
+                    if !*over {
+                        break;
+                    }
+                }
             }
+            self.slots.pop_front();
         }
         while self.sent < self.output.len() {
             match self.socket.write(&[IoSlice::new(&self.output[self.sent..])])? {
-                0 => return Ok(()),
+                0 => {
+                    self.compact();
+                    return Ok(());
+                }
                 n => self.sent += n,
             }
             self.since = now;
@@ -266,6 +331,66 @@
         Ok(())
     }
 
+    /// Drops what was sent, where that is much. Guards memory: the answers of a slow reader would pile up behind it.
+    fn compact(&mut self) {
+        if self.sent >= SENT {
+            self.output.drain(..self.sent);
+            self.sent = 0;
+        }
+    }
+
+    /// The answer to a command is a large value, which comes in pieces: `head` is its line.
+    pub fn begin(&mut self, request: RequestId, head: Vec<u8>) {
+        let waits = |s: &&mut Slot| matches!(s, Slot::Waiting(r) if *r == request);
+        if let Some(slot) = self.slots.iter_mut().find(waits) {
+            *slot = Slot::Stream { request, bytes: head, over: false };
+        }
+    }
+
+    /// A piece of it. False if there is no room for another.
+    pub fn piece(&mut self, request: RequestId, piece: &[u8], room: bool, now: Micros) -> io::Result<bool> {
+        let ours = |s: &Slot| matches!(s, Slot::Stream { request: r, .. } if *r == request);
+        let Some(place) = self.slots.iter().position(ours) else { return Ok(true) };
+        match self.slots.get_mut(place) {
+            Some(Slot::Stream { bytes, .. }) if place > 0 || !bytes.is_empty() => {
+                bytes.extend_from_slice(piece);
+                if place == 0 {
+                    self.flush(now)?;
+                }
+            }
+            _ => self.answer(&[piece], now)?,
+        }
+        self.compact();
+        self.stalled = self.held() >= HIGH && !room;
+        Ok(!self.stalled)
+    }
+
+    /// Bytes of answers that it holds.
+    pub fn held(&self) -> usize {
+        let slots = self.slots.iter().map(|slot| match slot {
+            Slot::Waiting(_) => 0,
+            Slot::Ready(bytes) | Slot::Stream { bytes, .. } => bytes.len(),
+        });
+        slots.sum::<usize>() + self.output.len() - self.sent
+    }
+
+    /// All of it has come.
+    pub fn end(&mut self, request: RequestId) {
+        let ours = |s: &&mut Slot| matches!(s, Slot::Stream { request: r, .. } if *r == request);
+        if let Some(Slot::Stream { bytes, over, .. }) = self.slots.iter_mut().find(ours) {
+            bytes.extend_from_slice(b"\r\n");
+            (*over, self.stalled) = (true, false);
+        }
+    }
+
+    /// The large value whose server may go on, if one waits and its client has read on.
+    pub fn resumes(&mut self) -> Option<RequestId> {
+        let Some(Slot::Stream { request, .. }) = self.slots.front() else { return None };
+        let ready = self.stalled && self.output.len() - self.sent < LOW;
+        self.stalled &= !ready;
+        ready.then_some(*request)
+    }
+
     /// Takes the answer whose turn it is. A small one goes out with all others of the turn; a large one is sent at
     /// once, straight from its parts, and only what the socket leaves is copied.
     pub fn answer(&mut self, parts: &[&[u8]], now: Micros) -> io::Result<()> {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -11,7 +11,7 @@
 use lapisrudder::wire::{Options, digest, micros};
 use lapisrudder::{Listed, Micros, RequestId, Scope, ServerId, Settings, Stage};
 use lapisrudder_codec::management::{BadCall, Call, answer, parse};
-use lapisrudder_codec::memcache::OwnedRequest;
+use lapisrudder_codec::memcache::{MAX_WHOLE, OwnedRequest};
 use lapisrudder_config::{Config, Platform, Target};
 use lapisrudder_engine::{
     Answer, Answers, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request, TakeError,
@@ -48,6 +48,8 @@
 struct Owed {
     client: u64,
     ticket: Ticket,
+    /// Its value is being passed on.
+    streams: bool,
 }
 
 /// Whom the engine's transactions are for.
@@ -81,7 +83,7 @@
 impl Answers for Front<'_> {
     /// Passes the answer on, straight from where it was read.
     fn served(&mut self, transaction: RequestId, request: &Request, answer: Answer<'_>) {
-        let Some(Owed { client, ticket }) = self.ledger.take(transaction) else { return };
+        let Some(Owed { client, ticket, .. }) = self.ledger.take(transaction) else { return };
         let id = request.command.id();
         match answer {
             Answer::Value(value) => {
@@ -96,6 +98,27 @@
         }
         self.server.over(ticket, true, self.now);
     }
+
+    fn begins(&mut self, transaction: RequestId, request: &Request, length: usize) -> bool {
+        let Some(owed) = self.ledger.owed.get_mut(&transaction) else { return false };
+        owed.streams = true;
+        let mut head = format!("VA {length} O").into_bytes();
+        head.extend_from_slice(request.command.id());
+        head.extend_from_slice(b"\r\n");
+        self.server.begin(owed.client, transaction, head);
+        true
+    }
+
+    fn piece(&mut self, transaction: RequestId, bytes: &[u8]) -> bool {
+        let Some(owed) = self.ledger.owed.get(&transaction) else { return true };
+        self.server.piece(owed.client, transaction, bytes, self.now)
+    }
+
+    fn ends(&mut self, transaction: RequestId) {
+        let Some(Owed { client, ticket, .. }) = self.ledger.take(transaction) else { return };
+        self.server.end(client, transaction);
+        self.server.over(ticket, true, self.now);
+    }
 }
 
 #[derive(PartialEq)]
@@ -229,6 +252,9 @@
             ports: ephemeral_ports(),
             options: config.options,
         };
+        // A third of the memory is for large values on their way to servers, a quarter for other commands. What clients
+        // have not read may take an eighth: it is held in room up to twice as large.
+        node.server.set_budgets((node.memory / 3) as usize, (node.memory / 8) as usize);
         match state {
             Some(state) => node.begin_after(state, config.known),
             None => {
@@ -253,7 +279,7 @@
 
     /// How long the loop may wait.
     pub fn until_next(&self) -> Option<Duration> {
-        if self.server.is_behind() {
+        if self.server.is_behind() || !self.server.resumed.is_empty() {
             return Some(Duration::ZERO);
         }
         let deadlines =
@@ -600,13 +626,17 @@
                 virtual_server::News::Left { request } => {
                     if let Some(owed) = self.ledger.take(request) {
                         self.server.over(owed.ticket, false, self.clock.now());
-                        self.engine.left(request);
+                        self.engine.left(self.clock.now(), request);
                     }
                 }
                 virtual_server::News::Recall { ticket, retry_ms } => {
                     let Some(&request) = self.ledger.tickets.get(&ticket) else { continue };
+                    // What has begun to be passed on is not taken back.
+                    if self.ledger.owed.get(&request).is_none_or(|owed| owed.streams) {
+                        continue;
+                    }
                     self.end(request, format!("SERVER_ERROR busy {retry_ms}\r\n").as_bytes());
-                    self.engine.left(request);
+                    self.engine.left(self.clock.now(), request);
                 }
             }
         }
@@ -628,7 +658,9 @@
             return self.server.reject(client, id, TakeError::IdInUse, now);
         }
         let due = now + (wait as Micros).saturating_mul(1000).clamp(0, LONGEST_HELD);
-        let facts = Facts { worth, left: due - now, bytes: command.bytes(), class, recallable };
+        // Large values have a budget of their own.
+        let bytes = command.bytes().min(MAX_WHOLE);
+        let facts = Facts { worth, left: due - now, bytes, class, recallable };
         let ticket = match self.server.intake(client, &facts, now) {
             Intake::Take { ticket } => ticket,
             Intake::Refuse { retry_ms, .. } => {
@@ -640,7 +672,7 @@
         let repeated = request.named(b"r") == Some(b"1");
         let request = Request { command, key, class, tenant: 0, hint: None, repeated, due };
         match self.engine.take(now, id, request) {
-            Ok(()) => self.ledger.add(id, Owed { client, ticket }),
+            Ok(()) => self.ledger.add(id, Owed { client, ticket, streams: false }),
             Err(what) => {
                 self.server.over(ticket, false, now);
                 self.server.reject(client, id, what, now);
@@ -701,9 +733,12 @@
 
     /// The final answer, in one line.
     fn end(&mut self, id: RequestId, line: &[u8]) {
-        if let Some(Owed { client, ticket }) = self.ledger.take(id) {
+        if let Some(Owed { client, ticket, streams }) = self.ledger.take(id) {
             let now = self.clock.now();
-            self.server.answer(client, id, &[line], now);
+            match streams {
+                true => self.server.tear(client, now, &mut self.deadlines),
+                false => self.server.answer(client, id, &[line], now),
+            }
             self.server.over(ticket, false, now);
         }
     }
@@ -746,6 +781,11 @@
         self.sweep();
         self.keep_limits();
         self.server.read_on(&mut self.scratch, self.clock.now(), &mut self.deadlines);
+        for transaction in std::mem::take(&mut self.server.resumed) {
+            if let Some(conn) = self.engine.resume(transaction) {
+                self.ready(Owner::Member(conn));
+            }
+        }
         loop {
             self.client_news();
             let now = self.clock.now();
@@ -786,6 +826,7 @@
                     self.end(transaction, b"SERVER_ERROR failed\r\n");
                 }
             },
+            Order::Break { transaction } => self.end(transaction, b""),
             Order::Watch => {
                 self.discovery.watch(now);
                 self.discovery_news();
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -1,7 +1,7 @@
 //! The clients' side: the listener, and the connections that it has accepted. Who gets in, who is kept and for how
 //! long, and what is taken in is decided by [`lapisrudder_limits`]; this carries it out.
 
-use super::client::{Client, Drained, Slot};
+use super::client::{Client, Drained, Slot, Upload};
 use super::deadlines::{Deadline, Deadlines, Key};
 use super::{Handle, Owner, Socket};
 use calloop::generic::Generic;
@@ -10,8 +10,8 @@
 use lapisrudder_codec::memcache::{self, Command, OwnedRequest};
 use lapisrudder_limits::drain::{Drain, Release};
 use lapisrudder_limits::{
-    Accepting, Admission, ConnId, EventKind, Facts, Intake, Order, Resources, SettingsError, Shortage,
-    Ticket, Verdict,
+    Accepting, Activity, Admission, ConnId, EventKind, Facts, Intake, Order, Resources, SettingsError,
+    Shortage, Ticket, Verdict,
 };
 use rustc_hash::FxHashMap;
 use socket2::{Domain, Protocol, Type};
@@ -87,6 +87,17 @@
     /// Clients to look at again, and when, in order.
     unsure: VecDeque<(Micros, u64)>,
     pub news: VecDeque<News>,
+    /// Large values whose servers may go on.
+    pub resumed: Vec<RequestId>,
+    /// Bytes set aside for commands with large values, by transaction for those that are taken; the most; and who waits
+    /// for room.
+    /// Bytes of answers that clients have not taken; beyond that many each gets but a little of its large value.
+    unread: usize,
+    unread_most: usize,
+    uploads: usize,
+    taken_in: FxHashMap<RequestId, usize>,
+    uploads_most: usize,
+    waiting: VecDeque<u64>,
 }
 
 /// The request ids of `mn`, which is no transaction, lie above all others.
@@ -133,6 +144,13 @@
             dirty: Vec::new(),
             unsure: VecDeque::new(),
             news: VecDeque::new(),
+            resumed: Vec::new(),
+            unread: 0,
+            unread_most: usize::MAX,
+            uploads: 0,
+            taken_in: FxHashMap::default(),
+            uploads_most: usize::MAX,
+            waiting: VecDeque::new(),
         };
         server.take_spare();
         if !waits {
@@ -183,12 +201,13 @@
         deadlines: &mut Deadlines,
     ) -> Vec<(TcpStream, Vec<u8>)> {
         for client in self.clients.values_mut() {
-            client.leaving = client.input.len() <= HANDED_INPUT;
+            client.leaving = client.input.len() <= HANDED_INPUT && client.upload.is_none();
         }
         let free: Vec<u64> =
             self.clients.iter().filter(|(_, c)| c.can_leave()).map(|(id, _)| *id).take(most).collect();
         let leave = |id| {
             let mut client = self.clients.remove(&id)?;
+            self.unread -= client.counted;
             self.names.remove(&client.conn);
             self.admission.left(now, client.conn);
             deadlines.remove(client.deadline.take());
@@ -208,6 +227,79 @@
         }
     }
 
+    /// Commands with large values may take so many bytes, and answers that clients have not taken so many.
+    pub fn set_budgets(&mut self, uploads: usize, unread: usize) {
+        (self.uploads_most, self.unread_most) = (uploads, unread);
+    }
+
+    /// Sets room aside for a command with a large value: it is held once as it came and once as it is passed on. The
+    /// largest finds room while no other has any.
+    fn admit(&mut self, id: u64) {
+        let Some(upload) = self.clients.get_mut(&id).and_then(|c| c.upload.as_mut()) else { return };
+        let needs = 2 * upload.total;
+        if !upload.admitted && (self.uploads == 0 || self.uploads + needs <= self.uploads_most) {
+            (upload.admitted, self.uploads) = (true, self.uploads + needs);
+            self.touched.push(id);
+        } else if !upload.admitted {
+            self.waiting.push_back(id);
+        }
+    }
+
+    /// Room that was set aside is free again: who waits longest gets it.
+    fn free(&mut self, bytes: usize) {
+        self.uploads -= bytes.min(self.uploads);
+        for _ in 0..self.waiting.len() {
+            let before = self.uploads;
+            self.waiting.pop_front().into_iter().for_each(|id| self.admit(id));
+            if bytes == 0 || self.uploads == before {
+                break;
+            }
+        }
+    }
+
+    fn over_with(&mut self, request: RequestId) {
+        if let Some(bytes) = self.taken_in.remove(&request) {
+            self.free(bytes);
+        }
+    }
+
+    /// The answer to a command is a large value, which comes in pieces.
+    pub fn begin(&mut self, id: u64, request: RequestId, head: Vec<u8>) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.begin(request, head);
+            if !std::mem::replace(&mut client.dirty, true) {
+                self.dirty.push(id);
+            }
+        }
+    }
+
+    /// A piece of it. False if there is no room for another.
+    pub fn piece(&mut self, id: u64, request: RequestId, piece: &[u8], now: Micros) -> bool {
+        let Some(client) = self.clients.get_mut(&id) else { return true };
+        let room = client.piece(request, piece, self.unread < self.unread_most, now);
+        // After an error the next read tells that the connection is over.
+        client.unread |= room.is_err();
+        if !std::mem::replace(&mut client.dirty, true) {
+            self.dirty.push(id);
+        }
+        count(&mut self.unread, client);
+        room.unwrap_or(true)
+    }
+
+    /// All of it has come.
+    pub fn end(&mut self, id: u64, request: RequestId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.end(request);
+        if !std::mem::replace(&mut client.dirty, true) {
+            self.dirty.push(id);
+        }
+    }
+
+    /// It ends short of its length: the connection closes, which tells its client.
+    pub fn tear(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
+        self.remove(id, now, deadlines);
+    }
+
     /// Connections of clients.
     pub fn count(&self) -> usize {
         self.clients.len()
@@ -486,7 +578,8 @@
         let release = |(id, c): (&u64, &mut Client)| {
             // What has come was asked before the connection closed: it is heard first.
             let unread = c.room() && c.look();
-            let release = drain.release(*id, c.since_arrival, now, c.activity());
+            let activity = if c.upload.is_some() { Activity::Unfinished } else { c.activity() };
+            let release = drain.release(*id, c.since_arrival, now, activity);
             (release != Release::Stays).then_some((*id, release, unread))
         };
         let released: Vec<_> = self.clients.iter_mut().filter_map(release).collect();
@@ -503,14 +596,20 @@
 
     fn remove(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
         let Some(mut client) = self.clients.remove(&id) else { return };
+        self.unread -= client.counted;
         self.names.remove(&client.conn);
         self.admission.left(now, client.conn);
         deadlines.remove(client.deadline.take());
-        let left = client.slots.into_iter().filter_map(|s| match s {
-            Slot::Waiting(request) if request.0 != READY => Some(News::Left { request }),
+        let left = client.slots.iter().filter_map(|s| match s {
+            Slot::Waiting(request) | Slot::Stream { request, over: false, .. } if request.0 != READY => {
+                Some(*request)
+            }
             _ => None,
         });
-        self.news.extend(left);
+        let left: Vec<RequestId> = left.collect();
+        self.news.extend(left.iter().map(|request| News::Left { request: *request }));
+        left.into_iter().for_each(|request| self.over_with(request));
+        self.free(client.upload.filter(|u| u.admitted).map_or(0, |u| 2 * u.total));
         self.resume(deadlines);
     }
 
@@ -552,7 +651,7 @@
                     State::Over
                 }
             },
-            Ok(()) => self.read(id, scratch),
+            Ok(()) => self.read(id, scratch, now),
             Err(_) => State::Over,
         };
         let Some(client) = self.clients.get_mut(&id) else { return };
@@ -561,7 +660,10 @@
         if state == State::Over || !flushed {
             return self.remove(id, now, deadlines);
         }
-        if client.unread && (client.room() || client.lingers()) {
+        self.resumed.extend(client.resumes());
+        count(&mut self.unread, client);
+        let waits = client.upload.as_ref().is_some_and(|u| !u.admitted);
+        if client.unread && (client.room() && !waits || client.lingers()) {
             self.touched.push(id);
         }
         if client.unsure && !std::mem::replace(&mut client.listed, true) {
@@ -591,10 +693,20 @@
         }
     }
 
-    fn read(&mut self, id: u64, scratch: &mut [u8]) -> State {
+    fn read(&mut self, id: u64, scratch: &mut [u8], now: Micros) -> State {
         let Some(client) = self.clients.get_mut(&id).filter(|c| c.unread && c.room()) else {
             return State::Open;
         };
+        if client.upload.is_some() {
+            return match client.read_upload(scratch, now) {
+                None => State::Over,
+                Some(None) => State::Open,
+                Some(Some(whole)) => {
+                    self.uploaded(id, &whole);
+                    State::Open
+                }
+            };
+        }
         let Some(buffer) = client.read(scratch) else { return State::Over };
         let mut taken = 0;
         while client.room() {
@@ -642,12 +754,46 @@
         }
         // Guards against a stall: whole commands may be left over here, and no edge tells of those.
         client.unread |= !client.room();
-        client.keep(&buffer[taken..]);
+        let rest = &buffer[taken..];
+        if let Some(total) = memcache::large_command(rest).filter(|_| client.room()) {
+            client.upload = Some(Upload { bytes: rest.to_vec(), total, admitted: false });
+            client.unread = true;
+            client.keep(&[]);
+            self.admit(id);
+        } else {
+            client.keep(rest);
+        }
         State::Open
     }
 
+    /// A command with a large value is whole.
+    fn uploaded(&mut self, id: u64, whole: &[u8]) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let bad = match memcache::parse_command(whole) {
+            Ok(Some((Command::Request(request), used))) if used == whole.len() => {
+                self.next_request += 1;
+                let number = RequestId(self.next_request);
+                client.slots.push_back(Slot::Waiting(number));
+                if let Some(command) = OwnedRequest::of(&request, whole) {
+                    self.news.push_back(News::Command { client: id, request: number, command });
+                }
+                self.taken_in.insert(number, 2 * whole.len());
+                return;
+            }
+            Ok(Some((Command::Bad(what), _))) => what,
+            other => {
+                client.finish();
+                other.err().unwrap_or("bad command")
+            }
+        };
+        client.slots.push_back(Slot::Ready(error(bad)));
+        client.erred();
+        self.free(2 * whole.len());
+    }
+
     /// The answer to a command; `parts` are sent as they are where its turn has come.
     pub fn answer(&mut self, id: u64, request: RequestId, parts: &[&[u8]], now: Micros) {
+        self.over_with(request);
         let Some(client) = self.clients.get_mut(&id) else { return };
         let waits = |s: &Slot| matches!(s, Slot::Waiting(r) if *r == request);
         let Some(place) = client.slots.iter().position(waits) else { return };
@@ -669,6 +815,8 @@
             let Some(client) = self.clients.get_mut(&id) else { continue };
             client.dirty = false;
             client.unread |= client.flush(now).is_err();
+            self.resumed.extend(client.resumes());
+            count(&mut self.unread, client);
             if client.unread || client.lingers() {
                 self.touched.push(id);
             }
@@ -705,6 +853,12 @@
     Ok(TcpListener::from(listener))
 }
 
+/// Counts anew what a client has not taken, in the sum over all.
+fn count(unread: &mut usize, client: &mut Client) {
+    let held = client.held();
+    *unread = *unread + held - std::mem::replace(&mut client.counted, held);
+}
+
 /// After accepting has failed for another reason than want of descriptors, it is tried again this soon.
 const ACCEPT_AGAIN: Micros = 50_000;
 
