Say once what large answers and the hand-over said several times; drop a dead field

`Engine::read` booked an answer in two places (answered, open); a host that does not want a large value is asked first now, and one place books. `Transactions::begun` took back a flow's deadline that `wait_on`, called right after, takes back itself. Marking a client to be sent to stood four times in `virtual_server.rs`. A client's bytes that came with its connection were cloned to be passed on once. `can_leave` checked for an upload, which `leaving` rules out. `Node::descriptors` was only written since the clients' room goes by those of both processes. No assertion changed.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -250,30 +250,30 @@
                 }
             };
             let (outcome, note) = judge(&answer);
+            let request = &flow.call.request;
+            if let memcache::Answer::Begins { length, .. } = answer
+                && !flow.call.answered()
+                && !answers.begins(id, request, length)
+            {
+                ended.push((flow.id, Outcome::Error, None));
+                return false;
+            }
             // The first that serves is passed on; what comes later for the same transaction is dropped.
-            if outcome == Outcome::Served && !flow.call.answered() {
-                let request = &flow.call.request;
+            if outcome == Outcome::Served && flow.call.answer() {
+                transactions.open -= 1;
                 match answer {
-                    memcache::Answer::Begins { length, .. } => {
-                        if answers.begins(id, request, length) {
-                            flow.call.answer();
-                            transactions.open -= 1;
-                            begun.push(flow.id);
-                            return true;
-                        }
-                        ended.push((flow.id, Outcome::Error, None));
-                        return false;
+                    memcache::Answer::Begins { .. } => {
+                        begun.push(flow.id);
+                        return true;
                     }
                     memcache::Answer::Value { value, .. } => {
-                        answers.served(id, request, Answer::Value(value))
+                        answers.served(id, request, Answer::Value(value));
                     }
                     memcache::Answer::Receipt { receipt, .. } => {
                         answers.served(id, request, Answer::Receipt(receipt));
                     }
                     _ => {}
                 }
-                flow.call.answer();
-                transactions.open -= 1;
             }
             ended.push((flow.id, outcome, note));
             // A large value that nobody waits for is not read.
--- a/crates/engine/src/transactions.rs
+++ b/crates/engine/src/transactions.rs
@@ -112,11 +112,6 @@
         transaction.streams = Some(Stream { attempt: flow.attempt, began: now, got_on: now });
         deadlines.remove(transaction.deadline.take());
         self.events.push_back(Event::Started { request: flow.request, attempt: flow.attempt });
-        if let Some(state) =
-            self.all.get_mut(&flow.request).and_then(|t| t.flows.get_mut(flow.attempt as usize))
-        {
-            deadlines.remove(state.deadline.take());
-        }
         self.wait_on(flow, now + STALLED, deadlines);
     }
 
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -285,7 +285,7 @@
 
     /// Nothing is owed on it, and it may go on at another process.
     pub fn can_leave(&self) -> bool {
-        self.leaving && self.quiet() && self.upload.is_none() && self.phase == Phase::Open
+        self.leaving && self.quiet() && self.phase == Phase::Open
     }
 
     /// The connection, and what was read of its next command.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -179,8 +179,7 @@
     /// Transactions that may be held at a time, and bytes of their commands.
     most_held: usize,
     most_bytes: usize,
-    /// All descriptors, and all memory in bytes.
-    descriptors: usize,
+    /// All memory in bytes.
     memory: u64,
     /// What the process took of it when that was last looked at.
     resident: (Micros, u64),
@@ -246,7 +245,6 @@
             most_held: bounds.most_held.max(1),
             // The rest is for what is read and sent.
             most_bytes: (config.memory_mb as usize) << 18,
-            descriptors: config.sockets,
             memory: config.memory_mb << 20,
             resident: (now, 0),
             ports: ephemeral_ports(),
@@ -418,7 +416,6 @@
 
     /// Holds so many descriptors from now on; the rest are another process's.
     fn hold_to(&mut self, descriptors: usize, now: Micros) {
-        self.descriptors = descriptors;
         self.sockets = descriptors.saturating_sub(self.own);
         self.engine.hold_connections(self.sockets / 2, now);
     }
@@ -500,10 +497,9 @@
             match message {
                 Message::Grant(grant) => self.granted(grant, now),
                 Message::Client { input } => {
-                    let stream = along.map(TcpStream::from);
-                    stream
-                        .into_iter()
-                        .for_each(|s| self.server.adopt(s, input.clone(), now, &mut self.deadlines));
+                    if let Some(along) = along {
+                        self.server.adopt(TcpStream::from(along), input, now, &mut self.deadlines);
+                    }
                 }
                 other => self.agree(other, now),
             }
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -267,9 +267,7 @@
     pub fn begin(&mut self, id: u64, request: RequestId, head: Vec<u8>) {
         if let Some(client) = self.clients.get_mut(&id) {
             client.begin(request, head);
-            if !std::mem::replace(&mut client.dirty, true) {
-                self.dirty.push(id);
-            }
+            mark(&mut self.dirty, id, client);
         }
     }
 
@@ -279,9 +277,7 @@
         let room = client.piece(request, piece, self.unread < self.unread_most, now);
         // After an error the next read tells that the connection is over.
         client.unread |= room.is_err();
-        if !std::mem::replace(&mut client.dirty, true) {
-            self.dirty.push(id);
-        }
+        mark(&mut self.dirty, id, client);
         count(&mut self.unread, client);
         room.unwrap_or(true)
     }
@@ -290,9 +286,7 @@
     pub fn end(&mut self, id: u64, request: RequestId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.end(request);
-        if !std::mem::replace(&mut client.dirty, true) {
-            self.dirty.push(id);
-        }
+        mark(&mut self.dirty, id, client);
     }
 
     /// It ends short of its length: the connection closes, which tells its client.
@@ -804,9 +798,7 @@
         client.slots.pop_front();
         // After an error the next read tells that the connection is over.
         client.unread |= client.answer(parts, now).is_err();
-        if !std::mem::replace(&mut client.dirty, true) {
-            self.dirty.push(id);
-        }
+        mark(&mut self.dirty, id, client);
     }
 
     /// Sends what there is to be sent: all answers of the turn to a client in one write.
@@ -853,6 +845,13 @@
     Ok(TcpListener::from(listener))
 }
 
+/// It is to be sent what the turn has brought.
+fn mark(dirty: &mut Vec<u64>, id: u64, client: &mut Client) {
+    if !std::mem::replace(&mut client.dirty, true) {
+        dirty.push(id);
+    }
+}
+
 /// Counts anew what a client has not taken, in the sum over all.
 fn count(unread: &mut usize, client: &mut Client) {
     let held = client.held();
