Judge the look that ended the wait in the lab's test of usage, not a later one

Cause: `cpu_us` adds up running threads, so it falls when the thread of another test ends. The asserted look is the one that ended the loop.

--- a/crates/lab/src/node/sample.rs
+++ b/crates/lab/src/node/sample.rs
@@ -63,13 +63,13 @@
         let before = usage(pid).unwrap_or_default();
         let open: Vec<_> = (0..20).map(|_| fs::File::open("/proc/self/stat")).collect();
         let begun = Instant::now();
-        let spent = || cpu_us(pid).unwrap_or_default() >= before.cpu_us + 30_000;
-        let mut x = 1u64;
-        // Until the count shows it, however busy the machine is.
-        while !spent() && begun.elapsed() < Duration::from_secs(20) {
+        let (mut x, mut after) = (1u64, before);
+        // Until the count shows it, however busy the machine is. The count falls when the thread of another test ends: it
+        // is the look that ended this that is judged, not one after it.
+        while after.cpu_us < before.cpu_us + 30_000 && begun.elapsed() < Duration::from_secs(20) {
             x = (0..10_000).fold(x, |x, n| std::hint::black_box(x.wrapping_mul(n)));
+            after = usage(pid).unwrap_or_default();
         }
-        let after = usage(pid).unwrap_or_default();
         assert!(after.cpu_us >= before.cpu_us + 30_000, "{before:?} {after:?}");
         assert!(after.fds >= 20 && after.rss_kib > 1000 && open.len() == 20, "{after:?}");
         assert!(usage(0).is_err());
