Check addresses, positive numbers and body lengths in one place each

Found on reading the change again. An optional address took the same four parameters as one that must be there: what is said under a key is one value now (`Said`), and the two differ by the one check. Deadlines of classes and the bounds were tested for being positive by two copies of one condition; `positive` serves both, and the most attempts. The length of each HTTP response was worked out twice, for the head and again for its body: now once, and handed on.

--- a/crates/codec/src/http.rs
+++ b/crates/codec/src/http.rs
@@ -59,12 +59,12 @@
         return found(Cow::Borrowed(&[][..]), from, keep);
     }
     let chunked = is_in(head.headers, "transfer-encoding", "chunked");
-    let lengths = || named_in(head.headers, "content-length");
-    if !chunked && let Some(behind) = length(lengths(), most)?.filter(|length| *length > whole) {
+    let length = if chunked { None } else { length(named_in(head.headers, "content-length"), most)? };
+    if let Some(behind) = length.filter(|length| *length > whole) {
         let body = Cow::Borrowed(&[][..]);
         return Ok(Some((Response { status, declined, keep, body, behind }, from)));
     }
-    match body(buffer, from, lengths(), chunked, whole)? {
+    match body(buffer, from, length, chunked, whole)? {
         Body::Whole(body, used) => found(body, used, keep),
         Body::Partial => Ok(None),
         // Without a length the body lasts until the peer closes.
@@ -97,21 +97,21 @@
     NoLength,
 }
 
-/// The body behind a head of `from` bytes.
-fn body<'a, 'h>(
-    buffer: &'a [u8],
+/// The body behind a head of `from` bytes, of the length that the head tells, or in chunks of `most` bytes in all.
+fn body(
+    buffer: &[u8],
     from: usize,
-    lengths: impl Iterator<Item = &'h [u8]>,
+    length: Option<usize>,
     chunked: bool,
     most: usize,
-) -> Result<Body<'a>, &'static str> {
+) -> Result<Body<'_>, &'static str> {
     if chunked {
         return Ok(match chunks(&buffer[from..], most)? {
             Some((body, used)) => Body::Whole(Cow::Owned(body), from + used),
             None => Body::Partial,
         });
     }
-    let Some(length) = length(lengths, most)? else { return Ok(Body::NoLength) };
+    let Some(length) = length else { return Ok(Body::NoLength) };
     Ok(match buffer.get(from..from + length) {
         Some(body) => Body::Whole(Cow::Borrowed(body), from + length),
         None => Body::Partial,
--- a/crates/codec/src/http/server.rs
+++ b/crates/codec/src/http/server.rs
@@ -53,7 +53,8 @@
     let named = |name| named_in(head.headers, name);
     let keep = super::keeps(head.headers, head.version);
     let chunked = super::is_in(head.headers, "transfer-encoding", "chunked");
-    let found = match body(buffer, from, named("content-length"), chunked, most)? {
+    let length = if chunked { None } else { super::length(named("content-length"), most)? };
+    let found = match body(buffer, from, length, chunked, most)? {
         super::Body::Whole(body, used) => (body, used),
         super::Body::NoLength => (Cow::Borrowed(&[][..]), from),
         super::Body::Partial => return Ok(None),
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -16,7 +16,7 @@
 /// A class waits for at most this long, in s: no transaction is held for longer.
 const LONGEST_S: f64 = 3600.0;
 /// Attempts for one request at the most.
-const MOST_ATTEMPTS: u32 = 1000;
+const MOST_ATTEMPTS: f64 = 1000.0;
 
 /// The variables that a node is told by. All but the first go before what the file says.
 #[derive(Clone, Debug, Default)]
@@ -142,11 +142,8 @@
         for (place, class) in options.request_classes.iter().enumerate() {
             let key = |name: &str| format!("settings.request-classes.{place}.{name}");
             for (name, value) in [("give-up-s", class.give_up_s), ("slo-s", class.slo_s)] {
-                if self.lacks(&key(name)) {
-                } else if !value.is_finite() || value <= 0.0 {
-                    self.at(&key(name), Fault::NotPositive { value });
-                } else if value > LONGEST_S {
-                    self.at(&key(name), Fault::TooMuch { value, most: LONGEST_S });
+                if !self.lacks(&key(name)) {
+                    self.positive(&key(name), value, LONGEST_S);
                 }
             }
             if !self.lacks(&key("effect")) && !["free", "guarded", "single_shot"].contains(&&*class.effect) {
@@ -159,6 +156,15 @@
         }
     }
 
+    /// A number must be above 0 and no more than that.
+    fn positive(&mut self, key: &str, value: f64, most: f64) {
+        if !value.is_finite() || value <= 0.0 {
+            self.at(key, Fault::NotPositive { value });
+        } else if value > most {
+            self.at(key, Fault::TooMuch { value, most });
+        }
+    }
+
     /// A key that there must be is missing; that is told.
     fn lacks(&mut self, key: &str) -> bool {
         let lacks = json::line_of(self.text, key).is_none();
@@ -170,46 +176,48 @@
         lacks
     }
 
-    /// An address: the variable goes before what the file says.
-    fn address(
-        &mut self,
-        key: &str,
-        variable: &'static str,
-        in_env: Option<&String>,
-        in_file: Option<&String>,
-    ) -> Option<SocketAddr> {
-        let found = self.address_if_any(key, variable, in_env, in_file);
-        if in_env.or(in_file).is_none() {
-            self.at(key, Fault::Missing { variable });
+    /// An address that there must be.
+    fn address(&mut self, said: Said) -> Option<SocketAddr> {
+        if said.value().is_none() {
+            self.at(said.key, Fault::Missing { variable: said.variable });
         }
-        found
+        self.address_if_any(said)
     }
 
-    /// The same, where there need not be one.
-    fn address_if_any(
-        &mut self,
-        key: &str,
-        variable: &'static str,
-        in_env: Option<&String>,
-        in_file: Option<&String>,
-    ) -> Option<SocketAddr> {
-        let value = in_env.or(in_file)?;
+    /// One that there need not be.
+    fn address_if_any(&mut self, said: Said) -> Option<SocketAddr> {
+        let value = said.value()?;
         let address = value.parse().ok();
         if address.is_none() {
             let fault = Fault::Address { value: value.clone() };
-            match in_env {
+            match said.in_env {
                 Some(_) => self.problems.push(Problem {
-                    place: Place::Variable(variable),
+                    place: Place::Variable(said.variable),
                     key: String::new(),
                     fault,
                 }),
-                None => self.at(key, fault),
+                None => self.at(said.key, fault),
             }
         }
         address
     }
 }
 
+/// What is said under a key: the variable goes before the file.
+#[derive(Clone, Copy)]
+struct Said<'s> {
+    key: &'static str,
+    variable: &'static str,
+    in_env: Option<&'s String>,
+    in_file: Option<&'s String>,
+}
+
+impl<'s> Said<'s> {
+    fn value(&self) -> Option<&'s String> {
+        self.in_env.or(self.in_file)
+    }
+}
+
 impl Platform {
     /// Checks what the platform's file says, together with the variables. On a reread (`again`), `EDGE_DISCOVERY`
     /// is that of the start: it must not pin what the file says by now.
@@ -229,30 +237,25 @@
             found.at("settings.request-classes", Fault::NoClasses);
         }
         found.classes(&options);
-        if options.bounds.attempts_cap > MOST_ATTEMPTS {
-            let (value, most) = (options.bounds.attempts_cap.into(), MOST_ATTEMPTS.into());
-            found.at("settings.bounds.attempts-cap", Fault::TooMuch { value, most });
-        }
         let bounds = &options.bounds;
-        for (key, value) in [
-            ("settings.bounds.attempts-cap", bounds.attempts_cap.into()),
-            ("settings.bounds.conn-idle-s", bounds.conn_idle_s),
-            ("settings.bounds.connect-timeout-s", bounds.connect_timeout_s),
-            ("settings.bounds.multiplex", bounds.multiplex as f64),
+        for (key, value, most) in [
+            ("settings.bounds.attempts-cap", bounds.attempts_cap.into(), MOST_ATTEMPTS),
+            ("settings.bounds.conn-idle-s", bounds.conn_idle_s, f64::INFINITY),
+            ("settings.bounds.connect-timeout-s", bounds.connect_timeout_s, f64::INFINITY),
+            ("settings.bounds.multiplex", bounds.multiplex as f64, f64::INFINITY),
         ] {
-            if !value.is_finite() || value <= 0.0 {
-                found.at(key, Fault::NotPositive { value });
-            }
+            found.positive(key, value, most);
         }
         let RawLimits { memory_mb, sockets } = raw.limits;
         if sockets < LEAST_SOCKETS {
             found.at("limits.sockets", Fault::Sockets { value: sockets, least: LEAST_SOCKETS });
         }
-        let listen = found.address("listen", "EDGE_LISTEN", env.listen.as_ref(), raw.listen.as_ref());
-        let discovery = found.address("discovery", "EDGE_DISCOVERY", in_env, raw.discovery.as_ref());
+        let said = |key, variable, in_env, in_file| Said { key, variable, in_env, in_file };
+        let listen = found.address(said("listen", "EDGE_LISTEN", env.listen.as_ref(), raw.listen.as_ref()));
+        let discovery = found.address(said("discovery", "EDGE_DISCOVERY", in_env, raw.discovery.as_ref()));
         let in_env = env.management.as_ref().filter(|a| !a.is_empty());
         let management =
-            found.address_if_any("management", "EDGE_MANAGEMENT", in_env, raw.management.as_ref());
+            found.address_if_any(said("management", "EDGE_MANAGEMENT", in_env, raw.management.as_ref()));
         let known = MemberList::check(raw.known.unwrap_or_default(), &options).unwrap_or_else(|e| {
             found.at("known", e.into());
             MemberList::default()
