Put sockets on the loop by one function, and send what is said to the other process at once

Found on reading the change again. Five places (sockets, the clients' listener, the operators', the door and the talk between two processes) built the same source with the same callback; `host::watch` does it. Every `Link::say` was followed by a `flush`, by hand or through `Node::speak`, which is gone: `say` sends. What fails there comes back when the other is heard, as before.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -17,4 +17,4 @@
 pub use clock::Clock;
 pub use discovery::{Discovery, News};
 pub use members::Members;
-pub use socket::{Noted, Socket};
+pub use socket::{Noted, Socket, watch};
--- a/crates/host/src/socket.rs
+++ b/crates/host/src/socket.rs
@@ -5,6 +5,7 @@
 use socket2::{Domain, Protocol, SockAddr, Type};
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::fd::AsFd;
 use std::rc::Rc;
 
 /// The data of a host's loop: it notes whose sockets one dispatch has told of, in order. They are seen to when the
@@ -17,6 +18,24 @@
     fn ready(&mut self, owner: Self::Owner);
 }
 
+/// Puts something on the loop, which notes its owner when it is ready.
+///
+/// # Errors
+/// If the system does not let it be watched.
+pub fn watch<D: Noted, S: AsFd + 'static>(
+    source: S,
+    interest: Interest,
+    mode: Mode,
+    handle: &LoopHandle<'static, D>,
+    owner: D::Owner,
+) -> io::Result<RegistrationToken> {
+    let note = move |_, _: &mut _, noted: &mut D| {
+        noted.ready(owner);
+        Ok(PostAction::Continue)
+    };
+    handle.insert_source(Generic::new(source, interest, mode), note).map_err(|e| io::Error::other(e.error))
+}
+
 /// A non-blocking socket on the loop. It leaves the loop and closes when it is dropped.
 pub struct Socket<D: Noted> {
     stream: Rc<TcpStream>,
@@ -33,13 +52,7 @@
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
-        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-        let token = handle
-            .insert_source(source, move |_, _, noted| {
-                noted.ready(owner);
-                Ok(PostAction::Continue)
-            })
-            .map_err(|e| io::Error::other(e.error))?;
+        let token = watch(stream.clone(), Interest::BOTH, Mode::Edge, handle, owner)?;
         Ok(Socket { stream, token, handle: handle.clone() })
     }
 
--- a/src/net/management.rs
+++ b/src/net/management.rs
@@ -2,10 +2,10 @@
 
 use super::deadlines::{Deadline, Deadlines};
 use super::{Handle, Owner, Socket};
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use calloop::{Interest, Mode, RegistrationToken};
 use lapisrudder::Micros;
 use lapisrudder_codec::management::{MAX_CALL, parse};
+use lapisrudder_host::watch;
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::{SocketAddr, TcpListener};
@@ -48,13 +48,7 @@
         let listener = TcpListener::bind(at)?;
         listener.set_nonblocking(true)?;
         let listener = Rc::new(listener);
-        let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
-        let token = handle
-            .insert_source(source, |_, _, ready| {
-                ready.sockets.push(Owner::Management);
-                Ok(PostAction::Continue)
-            })
-            .map_err(|e| io::Error::other(e.error))?;
+        let token = watch(listener.clone(), Interest::READ, Mode::Level, handle, Owner::Management)?;
         let (callers, whole) = (BTreeMap::new(), Vec::new());
         Ok(Management { listener, token, handle: handle.clone(), callers, next: 0, whole })
     }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -467,20 +467,12 @@
             }
             self.open_door();
         }
-        self.speak();
     }
 
     /// Tells the other process, if there is one.
     fn tell(&mut self, message: &Message) {
         self.predecessor.iter_mut().for_each(|link| link.say(message, None));
         self.successor.iter_mut().for_each(|s| s.link.say(message, None));
-        self.speak();
-    }
-
-    /// Sends what was said. An error comes back when the other is heard.
-    fn speak(&mut self) {
-        self.predecessor.iter_mut().for_each(|link| _ = link.flush());
-        self.successor.iter_mut().for_each(|s| _ = s.link.flush());
     }
 
     fn somebody_knocks(&mut self) {
@@ -559,7 +551,6 @@
         link.say(&state, Some(listener));
         self.successor = Some(Successor { link, lender, ready: false });
         info!("takeover: another process begins beside this one");
-        self.speak();
         self.hand_over(now);
     }
 
@@ -588,11 +579,8 @@
             // It goes on with as many as it has, and what is left of its own is both sides'.
             self.engine.hold_connections(self.engine.connections() + room / 2, now);
         }
-        let _ = successor.link.flush();
-        let news = successor.lender.holds(held_descriptors(), self.server.count());
-        if let Some(grant) = news {
+        if let Some(grant) = successor.lender.holds(held_descriptors(), self.server.count()) {
             successor.link.say(&Message::Grant(grant), None);
-            let _ = successor.link.flush();
         }
         self.deadlines.remove(self.handing.take());
         self.handing = Some(self.deadlines.add(now + HAND_EVERY, Deadline::HandOver));
--- a/src/net/takeover.rs
+++ b/src/net/takeover.rs
@@ -2,8 +2,8 @@
 //! said is [`lapisrudder_takeover`]'s matter; what follows from it, the node's.
 
 use super::{Handle, Owner};
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use calloop::{Interest, Mode, RegistrationToken};
+use lapisrudder_host::watch;
 use lapisrudder_takeover::{BadFrame, Message, decode, encode};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
@@ -77,18 +77,16 @@
     /// Puts it on the loop.
     fn watch(&mut self, handle: &Handle, owner: Owner) -> io::Result<()> {
         self.stream.set_nonblocking(true)?;
-        let source = Generic::new(self.stream.clone(), Interest::BOTH, Mode::Edge);
-        let told = handle.insert_source(source, move |_, _, ready| {
-            ready.sockets.push(owner);
-            Ok(PostAction::Continue)
-        });
-        self.token = Some((told.map_err(|e| io::Error::other(e.error))?, handle.clone()));
+        let token = watch(self.stream.clone(), Interest::BOTH, Mode::Edge, handle, owner)?;
+        self.token = Some((token, handle.clone()));
         Ok(())
     }
 
-    /// Says something; a socket may go along. [`Link::flush`] sends it.
+    /// Says something, as far as the peer takes it by now; a socket may go along. An error comes back when the peer is
+    /// heard.
     pub fn say(&mut self, message: &Message, along: Option<OwnedFd>) {
         self.outgoing.push_back(Outgoing { frame: encode(message), sent: 0, along });
+        let _ = self.flush();
     }
 
     /// All that was said has been sent.
@@ -97,7 +95,7 @@
     }
 
     /// Sends as far as the peer takes it.
-    pub fn flush(&mut self) -> Result<(), Error> {
+    fn flush(&mut self) -> Result<(), Error> {
         while let Some(next) = self.outgoing.front_mut() {
             let slices = [IoSlice::new(next.frame.get(next.sent..).unwrap_or_default())];
             let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
@@ -208,7 +206,6 @@
     stream.set_write_timeout(Some(ANSWERS_IN))?;
     let mut link = Link::new(stream);
     link.say(&Message::Hello { name: name.into() }, None);
-    link.flush()?;
     loop {
         if let Some((message, along)) = link.take()? {
             let Message::State { .. } = message else { return Err(Error::Unexpected) };
@@ -240,13 +237,7 @@
         listener.set_nonblocking(true)?;
         fs::rename(&beside, place)?;
         let listener = Rc::new(listener);
-        let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
-        let token = handle
-            .insert_source(source, |_, _, ready| {
-                ready.sockets.push(Owner::Door);
-                Ok(PostAction::Continue)
-            })
-            .map_err(|e| io::Error::other(e.error))?;
+        let token = watch(listener.clone(), Interest::READ, Mode::Level, handle, Owner::Door)?;
         Ok(Door { listener, token, handle: handle.clone() })
     }
 
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -4,10 +4,10 @@
 use super::client::{Client, Drained, Slot, Upload};
 use super::deadlines::{Deadline, Deadlines, Key};
 use super::{Handle, Owner, Socket};
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use calloop::{Interest, Mode, RegistrationToken};
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{self, Command, OwnedRequest};
+use lapisrudder_host::watch;
 use lapisrudder_limits::drain::{Drain, Release};
 use lapisrudder_limits::{
     Accepting, Activity, Admission, ConnId, EventKind, Facts, Intake, Order, Resources, SettingsError,
@@ -162,12 +162,7 @@
     /// Clients may come.
     pub fn begin_accepting(&mut self) -> io::Result<()> {
         let Some(listener) = self.listener.clone().filter(|_| self.token.is_none()) else { return Ok(()) };
-        let source = Generic::new(listener, Interest::READ, Mode::Level);
-        let token = self.handle.insert_source(source, |_, _, ready| {
-            ready.sockets.push(Owner::Listener);
-            Ok(PostAction::Continue)
-        });
-        self.token = Some(token.map_err(|e| io::Error::other(e.error))?);
+        self.token = Some(watch(listener, Interest::READ, Mode::Level, &self.handle, Owner::Listener)?);
         Ok(())
     }
 
