Look at the descriptors once a step of the hand-over, not in every turn

Cause: while another process begins beside it, `keep_limits` read the directory of the process's descriptors in every turn of the loop, and `hand_over` read it twice in each of its steps of 5 ms. One look a step serves all three uses; how many clients may be held is kept until the next step, so that the bound is at most as loose as before.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -139,6 +139,9 @@
     lender: Lender,
     /// It serves.
     ready: bool,
+    /// Clients that this process may still hold. What is not theirs stays as it is, so that nothing is closed that
+    /// could go to the other one.
+    clients: usize,
 }
 
 pub struct Node {
@@ -549,7 +552,7 @@
             grant: lender.grant(self.server.count()),
         };
         link.say(&state, Some(listener));
-        self.successor = Some(Successor { link, lender, ready: false });
+        self.successor = Some(Successor { link, lender, ready: false, clients: 0 });
         info!("takeover: another process begins beside this one");
         self.hand_over(now);
     }
@@ -569,17 +572,19 @@
     /// Hands clients' connections over on which nothing is owed, and says how much the other may hold by now.
     fn hand_over(&mut self, now: Micros) {
         let Some(successor) = &mut self.successor else { return };
-        let room = successor.lender.kept().saturating_sub(held_descriptors());
         if successor.ready {
             for (stream, input) in self.server.leavers(A_HAND, now, &mut self.deadlines) {
                 successor.link.say(&Message::Client { input }, Some(OwnedFd::from(stream)));
             }
-            self.engine.hold_connections(0, now);
-        } else {
-            // It goes on with as many as it has, and what is left of its own is both sides'.
-            self.engine.hold_connections(self.engine.connections() + room / 2, now);
         }
-        if let Some(grant) = successor.lender.holds(held_descriptors(), self.server.count()) {
+        let (held, clients) = (held_descriptors(), self.server.count());
+        // What is left of its own is both sides'.
+        let room = successor.lender.kept().saturating_sub(held) / 2;
+        successor.clients = clients + room;
+        // Until the other serves, this process goes on with as many connections to members as it has.
+        let members = if successor.ready { 0 } else { self.engine.connections() + room };
+        self.engine.hold_connections(members, now);
+        if let Some(grant) = successor.lender.holds(held, clients) {
             successor.link.say(&Message::Grant(grant), None);
         }
         self.deadlines.remove(self.handing.take());
@@ -735,8 +740,7 @@
         }
         let resources = Resources {
             connections: match &self.successor {
-                // What is not the clients' now stays as it is: nothing that could go to the next process is closed.
-                Some(s) => self.server.count() + s.lender.kept().saturating_sub(held_descriptors()) / 2,
+                Some(successor) => successor.clients,
                 None => self.sockets.saturating_sub(self.engine.reserve()),
             },
             clients_room: (self.all_descriptors / CLIENTS_SHARE).saturating_sub(self.clients_elsewhere),
