Choose the first list before discovery is built, and give the old process's state a type

The node built its watch with the platform's remembered version and then changed it for the one of the process before, for which `Watch` and `Discovery` each had a `remember`; both are gone, since what the old process said is known by then. What it says went through the node as a `Message` that each user had to take apart; it is a `State` now. The form on the wire is the same JSON. Behaviour is as before; tests of takeover, engine, host, operations and node pass.

--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -95,11 +95,6 @@
         self.revision
     }
 
-    /// Another process has told the list of that version: the first call continues it.
-    pub fn remember(&mut self, revision: u64) {
-        self.revision = Some(revision);
-    }
-
     /// Goes to another address. Guards against a call to the old one that hangs: it is dropped, and all of the
     /// list is asked for at once, since nobody knows that versions count the same there.
     pub fn move_to(&mut self, at: SocketAddr, now: Micros) {
--- a/crates/host/src/discovery.rs
+++ b/crates/host/src/discovery.rs
@@ -56,11 +56,6 @@
         self.watch.revision()
     }
 
-    /// Another process has told the list of that version: the first call continues it.
-    pub fn remember(&mut self, revision: u64) {
-        self.watch.remember(revision);
-    }
-
     /// Goes to another address, and asks for all of the list there.
     pub fn move_to(&mut self, at: SocketAddr, now: Micros) {
         self.watch.move_to(at, now);
--- a/crates/takeover/src/frame.rs
+++ b/crates/takeover/src/frame.rs
@@ -72,7 +72,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{Ban, Grant, Member};
+    use crate::{Ban, Grant, Member, State};
 
     fn messages() -> Vec<Message> {
         let ban = Ban { id: u64::MAX, name: "s-1".into(), since: -1 };
@@ -89,14 +89,14 @@
         let grant = Grant { descriptors: 100, clients_kept: 4 };
         vec![
             Message::Hello { name: "n\u{fc}".into() },
-            Message::State {
+            Message::State(State {
                 standby: true,
                 bans: vec![ban.clone()],
                 discovery: "127.0.0.1:2".into(),
                 revision: Some(0),
                 members: vec![member],
                 grant,
-            },
+            }),
             Message::Grant(grant),
             Message::Ready,
             Message::Client { input: vec![0, 255, b'\r'] },
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -64,6 +64,23 @@
     pub clients_kept: usize,
 }
 
+/// What the old process has that is worth having.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct State {
+    /// Operators have told the node to drain.
+    pub standby: bool,
+    /// Who is out by hand.
+    pub bans: Vec<Ban>,
+    /// Where the list is from.
+    pub discovery: String,
+    /// Its version; none where no list is held.
+    pub revision: Option<u64>,
+    /// The list.
+    pub members: Vec<Member>,
+    /// How much the new process may hold.
+    pub grant: Grant,
+}
+
 /// What one process tells the other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
@@ -73,20 +90,7 @@
         name: String,
     },
     /// Old to new, first: what is worth having. The clients' listener goes along.
-    State {
-        /// Operators have told the node to drain.
-        standby: bool,
-        /// Who is out by hand.
-        bans: Vec<Ban>,
-        /// Where the list is from.
-        discovery: String,
-        /// Its version; none where no list is held.
-        revision: Option<u64>,
-        /// The list.
-        members: Vec<Member>,
-        /// How much the new process may hold.
-        grant: Grant,
-    },
+    State(State),
     /// Old to new: that is another amount now.
     Grant(Grant),
     /// New to old: it serves, and takes all new connections from here on.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -18,7 +18,7 @@
 };
 use lapisrudder_host::{Clock, Discovery, Members, News};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
-use lapisrudder_takeover::{self as talk, Grant, Lender, Message};
+use lapisrudder_takeover::{self as talk, Grant, Lender, Message, State};
 use rustc_hash::FxHashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -192,7 +192,8 @@
 
 impl Node {
     pub fn new(config: Config, handle: &Handle) -> Result<Node, super::Error> {
-        let Config { platform: config, operators } = config;
+        let Config { platform: mut config, operators } = config;
+        let remembered = (config.remembered(), std::mem::take(&mut config.known));
         let clock = Clock::default();
         let now = clock.now();
         let settings = Settings::from(&config.options);
@@ -219,6 +220,9 @@
         let admission = Admission::new(operators.limits, config.seed, now)?;
         let server = VirtualServer::new(config.listen, handed, admission, handle)
             .map_err(|source| super::Error::Listen { at: config.listen, source })?;
+        // The list of the process before is newer than what the platform remembers.
+        let theirs = state.as_ref().and_then(|state| list_of(state, config.discovery));
+        let (revision, known) = theirs.unwrap_or(remembered);
         let mut node = Node {
             handle: handle.clone(),
             place,
@@ -237,7 +241,7 @@
             server,
             management,
             members: Members::new(handle),
-            discovery: Discovery::new(config.discovery, config.remembered(), handle, Owner::Discovery),
+            discovery: Discovery::new(config.discovery, revision, handle, Owner::Discovery),
             ledger: Ledger::default(),
             engine: Engine::new(lapisrudder_engine::Config { settings, seed: config.seed, limits }, now),
             phase: Phase::Serving,
@@ -256,12 +260,10 @@
         // A third of the memory is for large values on their way to servers, a quarter for other commands. What clients
         // have not read may take an eighth: it is held in room up to twice as large.
         node.server.set_budgets((node.memory / 3) as usize, (node.memory / 8) as usize);
+        node.listed(Scope::Remembered, known);
         match state {
-            Some(state) => node.begin_after(state, config.known),
-            None => {
-                node.listed(Scope::Remembered, config.known);
-                node.open_door();
-            }
+            Some(state) => node.begin_after(state),
+            None => node.open_door(),
         }
         if silent {
             node.hold_to(config.sockets / 2, now);
@@ -436,24 +438,15 @@
         self.successor.as_ref().is_some_and(|s| s.ready)
     }
 
-    /// Begins with what the process before this one has.
-    fn begin_after(&mut self, state: Message, known: Vec<Target>) {
+    /// Begins with what the process before this one has, but for its list.
+    fn begin_after(&mut self, state: State) {
         let now = self.clock.now();
-        let Message::State { standby, bans, discovery, revision, members, grant } = state else { return };
-        let theirs: Option<Vec<Target>> = members.iter().map(to_target).collect();
-        let theirs = theirs.filter(|_| discovery == self.discovery.address().to_string());
-        if let (Some(theirs), Some(revision)) = (theirs, revision) {
-            self.discovery.remember(revision);
-            self.listed(Scope::Remembered, theirs);
-        } else {
-            self.listed(Scope::Remembered, known);
-        }
-        for ban in bans {
+        for ban in state.bans {
             self.engine.adopt_ban(ServerId(ban.id), Ban { name: ban.name, since: ban.since });
         }
-        self.server.set_standby(standby, now, &mut self.deadlines);
-        self.granted(grant, now);
-        info!(descriptors = grant.descriptors, "takeover: beside the process before");
+        self.server.set_standby(state.standby, now, &mut self.deadlines);
+        self.granted(state.grant, now);
+        info!(descriptors = state.grant.descriptors, "takeover: beside the process before");
     }
 
     fn granted(&mut self, grant: Grant, now: Micros) {
@@ -543,7 +536,7 @@
         let Some((mut link, listener)) = self.knocking.take().zip(self.server.listener()) else { return };
         let lender = Lender::new(self.all_descriptors, held_descriptors());
         let maintenance = self.engine.maintenance();
-        let state = Message::State {
+        let state = State {
             standby: self.server.is_standby(),
             bans: maintenance.bans().map(|(id, ban)| of_ban(id, ban)).collect(),
             discovery: self.discovery.address().to_string(),
@@ -551,7 +544,7 @@
             members: maintenance.told().map(|(listed, at)| of_member(listed, *at)).collect(),
             grant: lender.grant(self.server.count()),
         };
-        link.say(&state, Some(listener));
+        link.say(&Message::State(state), Some(listener));
         self.successor = Some(Successor { link, lender, ready: false, clients: 0 });
         info!("takeover: another process begins beside this one");
         self.hand_over(now);
@@ -864,6 +857,15 @@
     }
 }
 
+/// The list that another process has, if it is of that discovery, and its version.
+fn list_of(state: &State, discovery: SocketAddr) -> Option<(Option<u64>, Vec<Target>)> {
+    if state.revision.is_none() || state.discovery != discovery.to_string() {
+        return None;
+    }
+    let targets = state.members.iter().map(to_target).collect::<Option<_>>()?;
+    Some((state.revision, targets))
+}
+
 fn to_target(m: &talk::Member) -> Option<Target> {
     let listed = Listed {
         server: ServerId(m.id),
--- a/src/net/takeover.rs
+++ b/src/net/takeover.rs
@@ -4,7 +4,7 @@
 use super::{Handle, Owner};
 use calloop::{Interest, Mode, RegistrationToken};
 use lapisrudder_host::watch;
-use lapisrudder_takeover::{BadFrame, Message, decode, encode};
+use lapisrudder_takeover::{BadFrame, Message, State, decode, encode};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
@@ -147,9 +147,7 @@
         let Some((message, used)) = decode(&self.input)? else { return Ok(None) };
         self.input.drain(..used);
         let along = match message {
-            Message::State { .. } | Message::Client { .. } => {
-                Some(self.came.pop_front().ok_or(Error::NoSocket)?)
-            }
+            Message::State(_) | Message::Client { .. } => Some(self.came.pop_front().ok_or(Error::NoSocket)?),
             _ => None,
         };
         Ok(Some((message, along)))
@@ -200,7 +198,7 @@
 
 /// Asks the process that serves at present for what it has. `None` where there is none; gives what it said, the
 /// clients' listener, and the talk, which goes on.
-pub fn ask(place: &Path, name: &str, handle: &Handle) -> Result<Option<(Message, TcpListener, Link)>, Error> {
+pub fn ask(place: &Path, name: &str, handle: &Handle) -> Result<Option<(State, TcpListener, Link)>, Error> {
     let Ok(stream) = UnixStream::connect(place) else { return Ok(None) };
     stream.set_read_timeout(Some(ANSWERS_IN))?;
     stream.set_write_timeout(Some(ANSWERS_IN))?;
@@ -208,11 +206,11 @@
     link.say(&Message::Hello { name: name.into() }, None);
     loop {
         if let Some((message, along)) = link.take()? {
-            let Message::State { .. } = message else { return Err(Error::Unexpected) };
+            let Message::State(state) = message else { return Err(Error::Unexpected) };
             let listener = TcpListener::from(along.ok_or(Error::NoSocket)?);
             listener.set_nonblocking(true)?;
             link.watch(handle, Owner::Predecessor)?;
-            return Ok(Some((message, listener, link)));
+            return Ok(Some((state, listener, link)));
         }
         if !link.read()? {
             return Err(io::Error::from(io::ErrorKind::TimedOut).into());
