Let a budget of its own decide on room for large writes, and read all commands by one loop

The room for large writes was a decision inside the socket code, spread over four fields, without a test, and not what its comment said: one that did not fit when room came went to the end of the row, where others could pass it for good. `limits::budget` decides now, without I/O: who waits longest is next. A command whose value had come in pieces was parsed, numbered and answered by a second copy of the reading loop; both go through the one loop. After lost framing the rest of the buffer is dropped at once, where it was kept unread until the connection ended. A waiting upload was put on the list of those to read twice a turn.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -24,6 +24,7 @@
 
 pub mod admission;
 mod books;
+pub mod budget;
 pub mod caps;
 mod chains;
 pub mod drain;
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -63,6 +63,13 @@
     pub admitted: bool,
 }
 
+impl Upload {
+    /// The room that is to be set aside for it: it is held once as it came and once as it is passed on.
+    pub fn needs(&self) -> usize {
+        2 * self.total
+    }
+}
+
 #[derive(PartialEq)]
 enum Phase {
     Open,
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -8,6 +8,7 @@
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{self, Command, OwnedRequest};
 use lapisrudder_host::watch;
+use lapisrudder_limits::budget::Budget;
 use lapisrudder_limits::drain::{Drain, Release};
 use lapisrudder_limits::{
     Accepting, Activity, Admission, ConnId, EventKind, Facts, Intake, Order, Resources, SettingsError,
@@ -89,15 +90,12 @@
     pub news: VecDeque<News>,
     /// Large values whose servers may go on.
     pub resumed: Vec<RequestId>,
-    /// Bytes set aside for commands with large values, by transaction for those that are taken; the most; and who waits
-    /// for room.
     /// Bytes of answers that clients have not taken; beyond that many each gets but a little of its large value.
     unread: usize,
     unread_most: usize,
-    uploads: usize,
+    /// Bytes set aside for commands with large values, and of them those for each that was taken.
+    uploads: Budget,
     taken_in: FxHashMap<RequestId, usize>,
-    uploads_most: usize,
-    waiting: VecDeque<u64>,
 }
 
 /// The request ids of `mn`, which is no transaction, lie above all others.
@@ -147,10 +145,8 @@
             resumed: Vec::new(),
             unread: 0,
             unread_most: usize::MAX,
-            uploads: 0,
+            uploads: Budget::new(usize::MAX),
             taken_in: FxHashMap::default(),
-            uploads_most: usize::MAX,
-            waiting: VecDeque::new(),
         };
         server.take_spare();
         if !waits {
@@ -224,30 +220,21 @@
 
     /// Commands with large values may take so many bytes, and answers that clients have not taken so many.
     pub fn set_budgets(&mut self, uploads: usize, unread: usize) {
-        (self.uploads_most, self.unread_most) = (uploads, unread);
+        (self.uploads, self.unread_most) = (Budget::new(uploads), unread);
     }
 
-    /// Sets room aside for a command with a large value: it is held once as it came and once as it is passed on. The
-    /// largest finds room while no other has any.
-    fn admit(&mut self, id: u64) {
-        let Some(upload) = self.clients.get_mut(&id).and_then(|c| c.upload.as_mut()) else { return };
-        let needs = 2 * upload.total;
-        if !upload.admitted && (self.uploads == 0 || self.uploads + needs <= self.uploads_most) {
-            (upload.admitted, self.uploads) = (true, self.uploads + needs);
-            self.touched.push(id);
-        } else if !upload.admitted {
-            self.waiting.push_back(id);
-        }
+    /// Room that was set aside is free again.
+    fn free(&mut self, bytes: usize) {
+        let next = self.uploads.free(bytes);
+        self.admit(next);
     }
 
-    /// Room that was set aside is free again: who waits longest gets it.
-    fn free(&mut self, bytes: usize) {
-        self.uploads -= bytes.min(self.uploads);
-        for _ in 0..self.waiting.len() {
-            let before = self.uploads;
-            self.waiting.pop_front().into_iter().for_each(|id| self.admit(id));
-            if bytes == 0 || self.uploads == before {
-                break;
+    /// Reads on the commands with large values for which there is room now.
+    fn admit(&mut self, ids: Vec<u64>) {
+        for id in ids {
+            if let Some(upload) = self.clients.get_mut(&id).and_then(|c| c.upload.as_mut()) {
+                upload.admitted = true;
+                self.touched.push(id);
             }
         }
     }
@@ -598,7 +585,14 @@
         let left: Vec<RequestId> = left.collect();
         self.news.extend(left.iter().map(|request| News::Left { request: *request }));
         left.into_iter().for_each(|request| self.over_with(request));
-        self.free(client.upload.filter(|u| u.admitted).map_or(0, |u| 2 * u.total));
+        match client.upload {
+            Some(upload) if upload.admitted => self.free(upload.needs()),
+            Some(_) => {
+                let next = self.uploads.leave(id);
+                self.admit(next);
+            }
+            None => {}
+        }
         self.resume(deadlines);
     }
 
@@ -686,23 +680,31 @@
         let Some(client) = self.clients.get_mut(&id).filter(|c| c.unread && c.room()) else {
             return State::Open;
         };
-        if client.upload.is_some() {
-            return match client.read_upload(scratch, now) {
-                None => State::Over,
-                Some(None) => State::Open,
-                Some(Some(whole)) => {
-                    self.uploaded(id, &whole);
-                    State::Open
+        let uploaded = client.upload.as_ref().map(Upload::needs);
+        let whole;
+        let buffer = match uploaded {
+            Some(_) => match client.read_upload(scratch, now) {
+                Some(Some(bytes)) => {
+                    whole = bytes;
+                    &whole[..]
                 }
-            };
-        }
-        let Some(buffer) = client.read(scratch) else { return State::Over };
+                Some(None) => return State::Open,
+                None => return State::Over,
+            },
+            None => match client.read(scratch) {
+                Some(buffer) => buffer,
+                None => return State::Over,
+            },
+        };
+        let mut newest = None;
         let mut taken = 0;
         while client.room() {
             let bad = match memcache::parse_command(&buffer[taken..]) {
                 Ok(None) => break,
                 Err(what) => {
                     client.finish();
+                    // Nobody knows where another command would begin.
+                    taken = buffer.len();
                     Some(what)
                 }
                 Ok(Some((command, used))) => {
@@ -712,6 +714,7 @@
                         Command::Request(request) => {
                             self.next_request += 1;
                             let number = RequestId(self.next_request);
+                            newest = Some(number);
                             client.slots.push_back(Slot::Waiting(number));
                             if let Some(command) = OwnedRequest::of(&request, raw) {
                                 self.news.push_back(News::Command { client: id, request: number, command });
@@ -745,41 +748,23 @@
         client.unread |= !client.room();
         let rest = &buffer[taken..];
         if let Some(total) = memcache::large_command(rest).filter(|_| client.room()) {
-            client.upload = Some(Upload { bytes: rest.to_vec(), total, admitted: false });
+            let mut upload = Upload { bytes: rest.to_vec(), total, admitted: false };
+            upload.admitted = self.uploads.ask(id, upload.needs());
+            client.upload = Some(upload);
             client.unread = true;
             client.keep(&[]);
-            self.admit(id);
         } else {
             client.keep(rest);
         }
+        match (uploaded, newest) {
+            (Some(bytes), Some(request)) => _ = self.taken_in.insert(request, bytes),
+            // It was no request after all.
+            (Some(bytes), None) => self.free(bytes),
+            (None, _) => {}
+        }
         State::Open
     }
 
-    /// A command with a large value is whole.
-    fn uploaded(&mut self, id: u64, whole: &[u8]) {
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        let bad = match memcache::parse_command(whole) {
-            Ok(Some((Command::Request(request), used))) if used == whole.len() => {
-                self.next_request += 1;
-                let number = RequestId(self.next_request);
-                client.slots.push_back(Slot::Waiting(number));
-                if let Some(command) = OwnedRequest::of(&request, whole) {
-                    self.news.push_back(News::Command { client: id, request: number, command });
-                }
-                self.taken_in.insert(number, 2 * whole.len());
-                return;
-            }
-            Ok(Some((Command::Bad(what), _))) => what,
-            other => {
-                client.finish();
-                other.err().unwrap_or("bad command")
-            }
-        };
-        client.slots.push_back(Slot::Ready(error(bad)));
-        client.erred();
-        self.free(2 * whole.len());
-    }
-
     /// The answer to a command; `parts` are sent as they are where its turn has come.
     pub fn answer(&mut self, id: u64, request: RequestId, parts: &[&[u8]], now: Micros) {
         self.over_with(request);
