Give up an attempt whole where no second copy may be out, and never call a begun one unsent

Seen in review: a flow partly written behind another was told as NeverSent when it was given up, though its rest was still written (connection.rs, abandon): an unsafe effect could be had twice. Ruled out: the decisions (they send again only after TimedOut or NeverSent). At fault: pool/mod.rs abandon, engine.rs give_up. Connects that find no descriptor here were told as ConnectFailed and made their member suspect (host/members.rs): NeverSent now. Settings read again may number kinds anew; engine and overlay kept the origin's old kind.

--- a/crates/decisions/src/audit.rs
+++ b/crates/decisions/src/audit.rs
@@ -1,6 +1,6 @@
 //! What a balancer holds, for checks that nothing leaks and that its books agree with those of whoever drives it.
 
-use crate::Balancer;
+use crate::{Balancer, ServerId};
 
 /// Counts of everything that grows. See [`Balancer::audit`].
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -24,6 +24,12 @@
 }
 
 impl Balancer {
+    /// What a server has in flight of ours as the marks count it, heavy requests counted 2; nothing for one that is not
+    /// remembered.
+    pub fn in_flight(&self, server: ServerId) -> f64 {
+        self.servers.find(server).map_or(0.0, |i| self.servers.all[i].load)
+    }
+
     /// Counts everything.
     pub fn audit(&self) -> Audit {
         Audit {
--- a/crates/decisions/src/maintenance.rs
+++ b/crates/decisions/src/maintenance.rs
@@ -47,6 +47,11 @@
         Maintenance { servers: LruCache::unbounded(), bans: BTreeMap::new(), origin_kind }
     }
 
+    /// Another kind is the origin's from now on.
+    pub fn set_origin_kind(&mut self, kind: Option<u32>) {
+        self.origin_kind = kind;
+    }
+
     /// The effective form of what discovery tells.
     pub fn listed(&mut self, scope: Scope, list: Vec<(Listed, P)>) -> Vec<(Listed, P)> {
         if matches!(scope, Scope::Full | Scope::Remembered) {
--- a/crates/engine/src/audit.rs
+++ b/crates/engine/src/audit.rs
@@ -33,6 +33,11 @@
 }
 
 impl Engine {
+    /// What a member has in flight as the decisions count it.
+    pub fn in_flight(&self, server: decisions::ServerId) -> f64 {
+        self.balancer.in_flight(server)
+    }
+
     /// Counts everything. For the end of a turn, when [`Engine::poll_order`] has given none: then `flows` is
     /// `carried` and `waiting` together, and `decisions.out`.
     pub fn audit(&self) -> Audit {
--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -26,6 +26,17 @@
     End(Option<ReadNote>),
 }
 
+/// How far a flow was when nobody waited for it any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Abandoned {
+    /// Nothing of it was written.
+    Unbegun,
+    /// Some of it was; the rest goes out if the connection lives on.
+    Begun,
+    /// All of it was.
+    Sent,
+}
+
 /// The value of the first flow comes in pieces.
 struct Body {
     left: usize,
@@ -346,15 +357,15 @@
         self.places.iter_mut().take(1).for_each(|place| place.abandoned |= !wanted);
     }
 
-    /// Stops waiting for a flow; true if not all of it was sent. One that has not begun leaves.
-    pub(crate) fn abandon(&mut self, flow: FlowId) -> bool {
-        let Some(i) = self.places.iter().position(|p| p.flow.id == flow) else { return false };
+    /// Stops waiting for a flow; tells how far it was. One that has not begun leaves.
+    pub(crate) fn abandon(&mut self, flow: FlowId) -> Abandoned {
+        let Some(i) = self.places.iter().position(|p| p.flow.id == flow) else { return Abandoned::Sent };
         if self.places[i].written == 0 && !self.places[i].bytes.is_empty() {
             self.places.remove(i);
-            return true;
+            return Abandoned::Unbegun;
         }
         self.places[i].abandoned = true;
-        !self.places[i].bytes.is_empty()
+        if self.places[i].bytes.is_empty() { Abandoned::Sent } else { Abandoned::Begun }
     }
 
     /// What becomes of the flows on a connection that is over: how they end, or that they may go on another.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -87,6 +87,8 @@
     maintenance: Maintenance<SocketAddr>,
     classes: Generations,
     origin_kind: Option<u32>,
+    /// Two attempts of a request may be out together.
+    second_copies: bool,
     attempts: Attempts,
 }
 
@@ -114,6 +116,7 @@
             classes,
             maintenance: Maintenance::new(settings.origin_kind),
             origin_kind: settings.origin_kind,
+            second_copies: settings.second_copies,
             attempts: Attempts::default(),
             balancer: Balancer::new(seed, settings, now),
         }
@@ -124,6 +127,8 @@
     pub fn reconfigure(&mut self, mut settings: Settings, limits: Limits) -> Vec<usize> {
         let open: Vec<usize> = self.transactions.all.values().map(|t| t.call.request.class).collect();
         let places = self.classes.next(&mut settings, |place| open.contains(&place));
+        (self.origin_kind, self.second_copies) = (settings.origin_kind, settings.second_copies);
+        self.maintenance.set_origin_kind(settings.origin_kind);
         self.pool.relimit(limits);
         self.balancer.reconfigure(settings);
         places
@@ -220,6 +225,12 @@
         self.read(now, conn, &[], true, answers);
     }
 
+    /// The host could not open a connection for want of something of its own, such as a descriptor: nobody was asked,
+    /// and its member is not to blame.
+    pub fn not_opened(&mut self, now: Micros, conn: Conn) {
+        self.pool.not_opened(conn, now, &mut self.deadlines);
+    }
+
     /// A connection did not come up, was reset, could not be written to, or was found with something on it before a
     /// write ([`Order::Write`]).
     pub fn broken(&mut self, now: Micros, conn: Conn) {
@@ -463,7 +474,12 @@
         let transaction = self.transactions.all.get(&flow.request);
         let state = transaction.and_then(|t| t.flows.get(flow.attempt as usize));
         let Some(server) = state.filter(|f| f.ended.is_none()).map(|f| f.server) else { return };
-        let unsent = self.pool.abandon(server, flow, now, &mut self.deadlines);
+        // Danger: where two copies may not be out together, what is sent elsewhere next would be a second one while this
+        // connection stays open for the other flows on it.
+        let last = self.second_copies
+            || outcome != Outcome::TimedOut
+            || transaction.is_none_or(|t| t.call.answered());
+        let unsent = self.pool.abandon(server, flow, !last, now, &mut self.deadlines);
         let outcome = if unsent { Outcome::NeverSent } else { outcome };
         self.transactions.flow_ended(flow, outcome, None, now, &mut self.deadlines);
     }
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -1,7 +1,7 @@
 //! Pool members: whom flows may go to, and the connections that they go on.
 
 use crate::config::Limits;
-use crate::connection::{Connection, Heard};
+use crate::connection::{Abandoned, Connection, Heard};
 use crate::deadlines::{self, Deadline};
 use crate::flow::{Flow, FlowId};
 use crate::order::{Conn, Order};
@@ -260,9 +260,18 @@
         self.connections.insert(id, connection);
     }
 
+    /// The host found nothing to connect with: flows that have no other connection to wait for were never sent.
+    /// Guards members against being blamed for what the node itself lacks.
+    pub(crate) fn not_opened(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
+        if let Some((server, _)) = self.remove(id, deadlines) {
+            self.not_connected(server, Outcome::NeverSent, now, deadlines);
+        }
+    }
+
     /// A connection did not come up. Flows beyond those that still have one to wait for go behind others, or
-    /// wait on, where the member has connections. Guards against taking a full table for a dead machine.
-    fn not_connected(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
+    /// wait on, where the member has connections; the rest end with this outcome. Guards against taking a full table
+    /// for a dead machine.
+    fn not_connected(&mut self, server: ServerId, outcome: Outcome, now: Micros, deadlines: &mut Deadlines) {
         loop {
             let Some(member) = self.members.get_mut(&server) else { return };
             let coming = |id: &&Conn| self.connections.get(id).is_some_and(|c| !c.up || c.origin);
@@ -272,7 +281,7 @@
             let Some(flow) = member.waiting.pop_front() else { return };
             match self.least_busy(server, now) {
                 Some(id) => self.put(id, flow, now, deadlines),
-                None => self.lost.push_back((flow.id, Outcome::ConnectFailed)),
+                None => self.lost.push_back((flow.id, outcome)),
             }
         }
     }
@@ -428,7 +437,7 @@
     pub(crate) fn close(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
         match self.remove(id, deadlines) {
             Some((server, true)) => self.dispatch(server, now, deadlines),
-            Some((server, false)) => self.not_connected(server, now, deadlines),
+            Some((server, false)) => self.not_connected(server, Outcome::ConnectFailed, now, deadlines),
             None => {}
         }
     }
@@ -469,11 +478,12 @@
     }
 
     /// Nobody waits for a flow any more. Its connection closes, which tells the member, unless that would
-    /// break its neighbours. True if it was never sent.
+    /// break its neighbours; `called_off` it does so all the same. True if it was never sent whole, nor ever will be.
     pub(crate) fn abandon(
         &mut self,
         server: ServerId,
         flow: FlowId,
+        called_off: bool,
         now: Micros,
         deadlines: &mut Deadlines,
     ) -> bool {
@@ -487,13 +497,16 @@
         let Some((id, c)) = id.and_then(|id| Some((id, self.connections.get_mut(&id)?))) else {
             return false;
         };
-        let unsent = c.abandon(flow);
-        if c.is_useless() {
+        let abandoned = c.abandon(flow);
+        let closes = c.is_useless() || called_off && abandoned != Abandoned::Unbegun;
+        if closes {
             self.close(id, now, deadlines);
         } else {
             self.freed(id, now, deadlines);
         }
-        unsent
+        // Danger: the rest of one that was begun is still written where the connection lives on, and then it runs: it was
+        // told as never sent, and its effect repeated elsewhere.
+        abandoned == Abandoned::Unbegun || abandoned == Abandoned::Begun && closes
     }
 
     pub(crate) fn close_idle(&mut self, server: ServerId, now: Micros, deadlines: &mut Deadlines) {
--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -204,11 +204,54 @@
     let mut desk = Desk::new(false, 2);
     assert_eq!(desk.carry_out(), [(Conn(0), false)]);
     let given_up = FlowId { request: RequestId(1), attempt: 0 };
-    assert!(!desk.pool.abandon(MEMBER, given_up, 0, &mut desk.deadlines), "it was sent");
+    assert!(!desk.pool.abandon(MEMBER, given_up, false, 0, &mut desk.deadlines), "it was sent");
     assert_eq!(desk.pool.connections[&Conn(0)].load(9, 0), None, "nothing goes behind it");
     assert_eq!(desk.answer(0, "EN O9\r\nEN O9\r\n"), (true, 1));
 }
 
+/// Danger: one that was begun behind another was told as never sent when it was given up, and the rest of it went out
+/// all the same: its effect could be had twice.
+#[test]
+fn what_was_begun_counts_as_never_sent_only_if_its_connection_closes() {
+    for (written, called_off, never_sent, lives) in [
+        (0, false, true, true),
+        (0, true, true, true),
+        (1, false, false, true),
+        (1, true, true, false),
+        (99, false, false, true),
+        (99, true, false, false),
+    ] {
+        let mut desk = Desk::new(false, 1);
+        desk.comes_up(0);
+        desk.send(1, 0);
+        assert!(desk.pool.write_out(0, &mut desk.deadlines));
+        desk.pool.transmitted(Conn(0), written);
+        let given_up = FlowId { request: RequestId(1), attempt: 1 };
+        let unsent = desk.pool.abandon(MEMBER, given_up, called_off, 0, &mut desk.deadlines);
+        let case = format!("{written} bytes written, called off: {called_off}");
+        assert_eq!(unsent, never_sent, "{case}");
+        assert_eq!(desk.pool.connections.contains_key(&Conn(0)), lives, "{case}");
+        assert_eq!(desk.waits(Conn(0)).is_empty(), written != 1 || !lives, "{case}: the rest still goes out");
+        let neighbours = if lives { vec![] } else { vec![Outcome::Broken] };
+        assert_eq!(desk.outcomes(), neighbours, "{case}");
+    }
+}
+
+/// Danger: three connects that found no descriptor here made their member suspect.
+#[test]
+fn what_found_no_descriptor_was_never_sent_and_goes_behind_others_where_there_are_any() {
+    let mut desk = Desk::new(false, 1);
+    desk.pool.not_opened(Conn(0), 0, &mut desk.deadlines);
+    assert_eq!(desk.outcomes(), [Outcome::NeverSent]);
+    assert_eq!((desk.pool.connections.len(), desk.deadlines.len()), (0, 0));
+    let mut desk = Desk::new(false, 1);
+    desk.comes_up(0);
+    (desk.pool.limits.per_member, desk.pool.limits.in_all) = (2, 2);
+    desk.send(1, 0);
+    desk.pool.not_opened(Conn(1), 0, &mut desk.deadlines);
+    assert_eq!((desk.outcomes(), desk.pool.connections[&Conn(0)].flows()), (vec![], 2));
+}
+
 #[test]
 fn what_nobody_asked_for_ends_a_connection_and_is_held_within_bounds() {
     let mut desk = Desk::new(false, 1);
--- a/crates/engine/tests/books.rs
+++ b/crates/engine/tests/books.rs
@@ -68,3 +68,93 @@
         assert_eq!(decisions.origin_out, 0.0, "{books:?}");
     }
 }
+
+fn read(engine: &mut Engine, now: i64, number: u64, key: u64) -> Vec<Order> {
+    let id = format!("a{number}");
+    let parts = Parts { key: b"k", id: id.as_bytes(), class: b"read", wait_ms: 900, ..Parts::default() };
+    let command = OwnedRequest::compose(&parts).unwrap();
+    let due = now + 900_000;
+    let request = Request { command, key: Key(key), class: 0, tenant: 0, hint: None, repeated: false, due };
+    engine.take(now, RequestId(number), request).unwrap();
+    drain(engine, now)
+}
+
+/// Danger: connects that found no descriptor here counted as failures of their member, and sent its keys on detours.
+#[test]
+fn a_member_is_not_suspect_for_what_the_host_lacks() {
+    for ours in [true, false] {
+        let mut engine = engine();
+        drain(&mut engine, 0);
+        let list = |server: u64| Member {
+            listed: Listed { server: ServerId(server), weight: 1.0, ..Listed::default() },
+            endpoint: ([127, 0, 0, 1], 11200 + server as u16).into(),
+        };
+        engine.listed(Scope::Changes, vec![list(9)]);
+        let Some(Order::Connect { conn, to: home }) = read(&mut engine, 10, 1, 12).first().cloned() else {
+            panic!("no connect")
+        };
+        let fails = |engine: &mut Engine, now, conn| {
+            if ours { engine.not_opened(now, conn) } else { engine.broken(now, conn) }
+        };
+        fails(&mut engine, 20, conn);
+        // It is tried elsewhere, which comes to nothing either.
+        for order in drain(&mut engine, 20) {
+            if let Order::Connect { conn, .. } = order {
+                fails(&mut engine, 20, conn);
+            }
+        }
+        drain(&mut engine, 20);
+        for number in 2..5 {
+            let orders = read(&mut engine, 30, number, 12);
+            let connects = orders.iter().filter_map(|o| match o {
+                Order::Connect { conn, to } => Some((*conn, *to)),
+                _ => None,
+            });
+            for (conn, to) in connects.collect::<Vec<_>>() {
+                assert!(!ours || to == home, "the key's own member is asked again, though not opened before");
+                fails(&mut engine, 30, conn);
+            }
+            drain(&mut engine, 30);
+        }
+        let asked = read(&mut engine, 40, 9, 12);
+        let to = asked.iter().find_map(|o| match o {
+            Order::Connect { to, .. } => Some(*to),
+            _ => None,
+        });
+        assert_eq!(to == Some(home), ours, "after as many failures of its own it is suspect");
+        assert_eq!(engine.audit().decisions.load, engine.audit().decisions.out as f64);
+    }
+}
+
+/// Settings read again may number the kinds of member anew.
+#[test]
+fn the_origin_is_of_the_kind_that_the_settings_name_now() {
+    let mut engine = engine();
+    drain(&mut engine, 0);
+    let class = Class { aim: 750_000, worth: 1.0, ..Class::default() };
+    let settings = Settings {
+        classes: vec![class],
+        max_attempts: 3,
+        siblings: 1,
+        mode: Mode::Aside,
+        origin_kind: Some(0),
+        ..Settings::default()
+    };
+    engine.reconfigure(settings, lapisrudder_engine::Limits::default());
+    let member = |server, kind| Member {
+        listed: Listed { server: ServerId(server), kind, weight: 1.0, ..Listed::default() },
+        endpoint: ([127, 0, 0, 1], 11200 + server as u16).into(),
+    };
+    engine.listed(Scope::Full, vec![member(7, 1), member(8, 0)]);
+    drain(&mut engine, 5);
+    for key in 0..20 {
+        let orders = read(&mut engine, 10, key, key);
+        assert!(
+            orders.iter().all(|o| !matches!(o, Order::Connect { to, .. } if to.port() == 11208)),
+            "a read goes to a cache server first, not to the origin: {orders:?}"
+        );
+    }
+    let ban = lapisrudder_decisions::maintenance::Ban { name: "o".into(), since: 0 };
+    assert!(engine.take_out(ServerId(8), ban.clone()).is_err(), "nothing could stand in for it");
+    assert!(engine.take_out(ServerId(7), ban).is_ok());
+}
--- a/crates/engine/tests/world/mod.rs
+++ b/crates/engine/tests/world/mod.rs
@@ -71,6 +71,8 @@
 
 pub struct World {
     now: Micros,
+    /// Two attempts of a request may be out together.
+    copies: bool,
     engine: Engine,
     lines: BTreeMap<Conn, Line>,
     /// Transactions that are owed an answer.
@@ -105,7 +107,8 @@
 }
 
 impl World {
-    pub fn new(seed: u64) -> World {
+    /// `copies`: two attempts of a request may be out together.
+    pub fn new(seed: u64, copies: bool) -> World {
         let class = Class { aim: 200_000, worth: 1.0, ..Class::default() };
         let write = Class { effect: Effect::Unsafe, ..class.clone() };
         let settings = Settings {
@@ -115,7 +118,7 @@
             siblings: 1,
             max_attempts: 3,
             may_cancel: true,
-            second_copies: true,
+            second_copies: copies,
             max_retry_after: 2_000_000,
             ask_within: 1_000_000,
             must_ask: true,
@@ -136,6 +139,7 @@
         engine.listed(Scope::Full, members);
         World {
             now: 0,
+            copies,
             engine,
             lines: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -181,7 +185,7 @@
             }
             Step::Room { pick, bytes } => {
                 if let Some((_, line)) = self.up(pick) {
-                    line.room = usize::from(bytes);
+                    line.room = if bytes == u16::MAX { usize::MAX } else { usize::from(bytes) };
                 }
                 Ok(())
             }
@@ -394,7 +398,9 @@
         let bytes: Vec<u8> = self.engine.transmit(conn).flatten().copied().collect();
         check(!bytes.is_empty(), || format!("nothing to write on {conn:?}"))?;
         let taken = bytes.len().min(line.room);
-        line.room -= taken;
+        if line.room != usize::MAX {
+            line.room -= taken;
+        }
         let mut left = taken;
         let mut begun = Vec::new();
         for part in self.engine.transmit(conn) {
@@ -402,14 +408,17 @@
             left -= left.min(part.len());
         }
         let whole = line.peer.take(&bytes[..taken])?;
+        let server = line.server;
         self.engine.transmitted(conn, taken);
         for begun in &begun {
             // A drain counts from a flow's first byte; nothing goes out beside a final answer.
-            check(self.live.contains(&line.server), || {
-                format!("{begun} begins at {:?}, which drains", line.server)
-            })?;
+            check(self.live.contains(&server), || format!("{begun} begins at {server:?}, which drains"))?;
             let wanted = self.open.values().any(|asked| asked.id == *begun);
             check(wanted, || format!("{begun} begins, and nobody waits for it"))?;
+            let out = |(c, l): (&Conn, &Line)| *c != conn && l.over.is_none() && l.peer.holds(begun);
+            check(self.copies || !self.lines.iter().any(out), || {
+                format!("{begun} begins while another copy is out on an open connection")
+            })?;
             self.sent += 1;
         }
         for whole in whole {
@@ -419,9 +428,8 @@
             let write = asked.is_some_and(|asked| asked.write);
             check(!write || *runs == 1, || format!("{whole} must not run twice"))?;
         }
-        check(line.peer.open() <= if line.server.0 == ORIGIN { 1 } else { 4 }, || {
-            "too many on one connection".into()
-        })
+        let open = self.lines.get(&conn).map_or(0, |l| l.peer.open());
+        check(open <= if server.0 == ORIGIN { 1 } else { 4 }, || "too many on one connection".into())
     }
 
     /// Books that must agree at the end of each turn.
@@ -430,6 +438,7 @@
             format!("{} are open, and the engine holds {}", self.open.len(), self.engine.open())
         })?;
         check(self.engine.connections() == self.lines.len(), || "the connections differ".into())?;
+        self.counts()?;
         // One beyond the limit for a member that had none.
         check(self.lines.len() <= 10 + usize::from(SERVERS), || format!("{} connections", self.lines.len()))?;
         let late = |(id, asked): &(&RequestId, &Asked)| (asked.due + OVERDUE < self.now).then_some(**id);
@@ -441,6 +450,28 @@
         })
     }
 
+    /// What the decisions count as in flight is what is: all that they sent and heard no end of, and at each member
+    /// what it works on, where nothing waits at the host and nobody has given anything up.
+    fn counts(&self) -> Result<(), Broken> {
+        let books = self.engine.audit();
+        let (out, load) = (books.decisions.out, books.decisions.load);
+        check(load == out as f64 && books.flows == out, || format!("{load} in flight: {books:?}"))?;
+        if books.waiting > 0 || books.places > books.carried {
+            return Ok(());
+        }
+        for server in (0..u64::from(SERVERS)).map(ServerId) {
+            let lines = || self.lines.values().filter(|l| l.server == server);
+            let told = lines().all(|l| l.up && l.over.is_none() && l.room == usize::MAX);
+            let works: Option<usize> = lines().map(|l| l.peer.works_on()).sum();
+            let Some(works) = works.filter(|_| told) else { continue };
+            let counted = self.engine.in_flight(server);
+            check(counted == works as f64, || {
+                format!("{server:?} works on {works}, and {counted} are counted")
+            })?;
+        }
+        Ok(())
+    }
+
     /// Nothing more happens: all is answered, and in the end nothing is left.
     pub fn finish(&mut self) -> Result<(), Broken> {
         for _ in 0..40 {
@@ -450,6 +481,8 @@
         check(self.open.is_empty(), || format!("{} were lost", self.open.len()))?;
         let held = self.engine.flows();
         check(held == 0, || format!("{held} flows are held for nobody"))?;
+        let load = self.engine.audit().decisions.load;
+        check(load == 0.0, || format!("{load} in flight at rest"))?;
         check(self.lines.is_empty(), || format!("connections are held: {:?}", self.lines.keys()))
     }
 }
--- a/crates/engine/tests/world/peer.rs
+++ b/crates/engine/tests/world/peer.rs
@@ -62,6 +62,16 @@
         self.got.len()
     }
 
+    /// It has got a request of that id and not answered it.
+    pub fn holds(&self, id: &str) -> bool {
+        self.got.iter().any(|got| got.id == id)
+    }
+
+    /// What it works on: requests that it has got, one in part included; nothing where what it sent cannot be read.
+    pub fn works_on(&self) -> Option<usize> {
+        (!self.spoilt).then(|| self.got.len() + usize::from(!self.input.is_empty()))
+    }
+
     /// It has got something that it has not answered, or never will.
     pub fn is_busy(&self) -> bool {
         self.spoilt || !self.got.is_empty() || !self.input.is_empty()
--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -30,6 +30,18 @@
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
 
+/// The machine's other shortages: of memory for a socket, of room for its buffers, of ephemeral ports.
+const ENOMEM: i32 = 12;
+const EADDRNOTAVAIL: i32 = 99;
+const ENOBUFS: i32 = 105;
+
+/// A connect failed for want of something here; nobody was asked.
+fn is_ours(e: &std::io::Error) -> bool {
+    let lacks = |code| matches!(code, EMFILE | ENFILE | ENOMEM | EADDRNOTAVAIL | ENOBUFS);
+    // Without a code it was the loop that could not watch the socket.
+    e.raw_os_error().is_none_or(lacks)
+}
+
 impl<D: Noted<Owner: From<Conn>>> Members<D> {
     /// None so far.
     pub fn new(handle: &LoopHandle<'static, D>) -> Self {
@@ -45,7 +57,7 @@
                 if let Some(code @ (EMFILE | ENFILE)) = e.raw_os_error() {
                     self.shortage = Some(code == EMFILE);
                 }
-                engine.broken(now, conn);
+                if is_ours(&e) { engine.not_opened(now, conn) } else { engine.broken(now, conn) }
             }
         }
     }
