Let an old list open nothing, keep count over a server's return, and hold nothing for a gone origin

Old lists: after a move a whole list of a lower version re-opened draining and gone servers where gone binds (rules.rs, called_running, forget_gone). The watch now tells such lists apart (Old); one that still says the same after 15 s counts anew. Counts: a server that left with something out was forgotten at once, and its return began at 0 (forget_gone).

--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -169,7 +169,7 @@
     Changes,
     /// The whole list; a server not on it is gone.
     Full,
-    /// The list as this instance last had it; it may be old.
+    /// A whole list that may be old: as this instance last had it, or older than one that came before.
     Remembered,
     /// A call failed or the subscription broke; the list in hand still holds.
     Lost,
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -47,8 +47,6 @@
 const DRAIN_LASTS: Micros = 3_600_000_000;
 /// Time over which the rate that warm servers carry is taken.
 const RATE_SPAN: f64 = 10e6;
-/// Detours avoid cold servers while so many of all are warm.
-const DETOUR_WARM: f64 = 0.25;
 /// A share is saved up for two seconds, and for this many requests at least: so many come in a row by chance.
 /// Danger: at a depth of one, half of the work inside a share was taken for surplus.
 const CHANCE_DEPTH: f64 = 6.0;
@@ -90,6 +88,7 @@
     /// Other settings. Requests in hand go on under the classes that they came with.
     pub fn reconfigure(&mut self, settings: Settings) {
         self.learned.fit(&settings, self.now);
+        self.servers.origin_kind = settings.origin_kind;
         self.settings = settings;
     }
 
@@ -138,7 +137,7 @@
         for listed in list {
             match self.servers.place(listed.server) {
                 Ok(i) if listed.stage == Stage::Gone => self.called_gone(i),
-                Ok(i) => self.called_running(i, listed),
+                Ok(i) => self.called_running(i, listed, scope == Scope::Remembered),
                 Err(_) if listed.stage == Stage::Gone => {}
                 Err(i) => self.servers.all.insert(i, Server::new(listed, self.now, self.own)),
             }
@@ -150,6 +149,7 @@
                 Origin::new(room::at_origin(&self.settings, self.servers.count, self.own), self.now);
         }
         (0..self.servers.kinds.len()).for_each(|kind| self.resize(kind));
+        self.drain_queue(out);
     }
 
     /// Danger: a drained or gone server must get nothing new. We use no grace: both count at once.
@@ -157,29 +157,29 @@
     /// and what they answer or fail to answer decides.
     fn called_gone(&mut self, i: usize) {
         let s = &mut self.servers.all[i];
-        if self.settings.gone_is_advice {
-            s.doubted.get_or_insert(self.now);
-        } else {
+        s.doubted.get_or_insert(self.now);
+        if !self.settings.gone_is_advice {
             s.listed.stage = Stage::Gone;
         }
     }
 
-    /// Danger: an old list that comes back calls drained servers live; only a later start lifts a drain.
-    fn called_running(&mut self, i: usize, listed: Listed) {
+    /// Danger: an old list calls drained and gone servers live; only a later start or newer word lifts that.
+    fn called_running(&mut self, i: usize, listed: Listed, old: bool) {
         let s = &mut self.servers.all[i];
         if listed.since > s.born {
             return s.restart(listed, self.now, self.own);
         }
-        let drained = self.settings.gone_is_advice && s.listed.stage == Stage::Draining;
-        let stage = if drained { Stage::Draining } else { listed.stage };
+        let closed = s.listed.stage != Stage::Live && (old || self.settings.gone_is_advice);
+        let stage = if closed { s.listed.stage } else { listed.stage };
         (s.doubted, s.listed) = (None, Listed { stage, ..listed });
     }
 
+    /// Danger: one that is back while something of before is out would lose count of what it has in flight.
     fn forget_gone(&mut self) {
         let now = self.now;
         self.servers.all.retain(|s| {
-            let lasts = if s.listed.stage == Stage::Draining { DRAIN_LASTS } else { DOUBT_LASTS };
-            s.listed.stage != Stage::Gone && s.unseen_since().is_none_or(|since| now - since < lasts)
+            let lasts = if s.listed.stage == Stage::Live { DOUBT_LASTS } else { DRAIN_LASTS };
+            s.load > 0.0 || s.unseen_since().is_none_or(|since| now - since < lasts)
         });
     }
 
@@ -328,11 +328,6 @@
         if !home && from.iter().any(|&(i, _)| self.usable(i, load)) {
             from.retain(|&(i, _)| self.usable(i, load));
         }
-        // Danger: which cold server has room changes with each request; detours would find no copy.
-        let warm = from.iter().filter(|&&(i, _)| self.warmth(i) >= 1.0).count() as f64;
-        if !home && warm >= DETOUR_WARM * self.servers.count {
-            from.retain(|&(i, _)| self.warmth(i) >= 1.0);
-        }
         let band = from.iter().map(|(_, r)| *r).fold(f64::MAX, f64::min).max(LOW_FLOOR).max(TIED * mean);
         let rank = |i: usize| -self.servers.size(i) / chance(key, server(i).id).ln();
         from.retain(|(_, r)| *r <= band);
@@ -676,8 +671,10 @@
         self.table.peek(key).is_none_or(|e| e.holder != Some(self.servers.all[i].id))
     }
 
+    /// Danger: what is held for an origin that has left the list would wait for nothing.
     fn origin_room(&self) -> bool {
-        self.origin.follow.room(self.now)
+        let gone = self.settings.mode == Mode::Aside && self.servers.live_origin().is_none();
+        gone || self.origin.follow.room(self.now)
     }
 
     /// Holds a request until there is room at the origin.
@@ -713,10 +710,11 @@
     }
 
     /// A request is worth holding for half its aim; the other half is for its service.
+    /// Danger: one whose time was over already was held until a wake-up; to give up is to answer now.
     fn give_up_later(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(id) else { return };
         let until = (r.arrived + r.aim / 2).min(r.new.due - LAST_MOMENT);
-        self.later(until, Task::GiveUp(id), out);
+        if until > self.now { self.later(until, Task::GiveUp(id), out) } else { self.end(id, out) }
     }
 
     fn ask_origin(&mut self, id: RequestId, out: &mut Vec<Action>) {
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -434,7 +434,8 @@
     /// Weight of the ready servers, and their number.
     pub weight: f64,
     pub count: f64,
-    origin_kind: Option<u32>,
+    /// The kind whose servers are the origin.
+    pub origin_kind: Option<u32>,
 }
 
 impl Fleet {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -98,4 +98,4 @@
 pub use engine::{Answers, Attempts, Engine, LONGEST_HELD, Member, OVERDUE, TakeError};
 pub use order::{Answer, Conn, Final, Order};
 pub use request::Request;
-pub use watch::{Watch, WatchNews, WatchOrder};
+pub use watch::{Told, Watch, WatchNews, WatchOrder};
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -15,6 +15,10 @@
 /// and calls that it takes in wait for up to 2 s. Given up sooner each was worked through for nobody and made anew: of a
 /// hundred nodes five lists a second were thrown away and one came.
 const IN_TURN: Micros = 5_000_000;
+/// A discovery that lags behind has caught up after this long, and tells what has changed: a machine's silence is noticed
+/// within 12 s. One that still says the same counts anew, and what it says holds. Danger: nodes that were told by a
+/// discovery in its last moments that all had gone would refuse everything.
+const CATCHES_UP: Micros = 15_000_000;
 /// Answers longer than this are not read.
 const LONGEST: usize = 4 << 20;
 const PATH: &str = "/catalog/members";
@@ -38,10 +42,24 @@
 pub enum WatchNews<T> {
     /// A list, as the host decoded it. The next call is out already.
     List(T),
+    /// The same, and it is whole, but older than one that came before, here or at another address: a discovery that
+    /// lags behind, or counts anew. What it says of who drains or has gone is no news.
+    Old(T),
     /// The call failed. When to ask again is not decided here.
     Failed,
 }
 
+/// An answer of discovery, as the host decoded it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told<T> {
+    /// The version of the list that it brings to.
+    pub revision: u64,
+    /// It is all of the list, and not only what changed.
+    pub all: bool,
+    /// The list.
+    pub list: T,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Link {
     Down,
@@ -63,6 +81,10 @@
     deadline: Option<Micros>,
     /// The list in hand; `None` asks for all of it.
     revision: Option<u64>,
+    /// The latest version that any list had.
+    newest: Option<u64>,
+    /// Since when lists have been older than that.
+    old_since: Option<Micros>,
     /// Calls that failed since the last that did not.
     failed: u32,
     orders: VecDeque<WatchOrder>,
@@ -80,6 +102,8 @@
             input: Vec::new(),
             deadline: None,
             revision,
+            newest: revision,
+            old_since: None,
             failed: 0,
             orders: VecDeque::new(),
         }
@@ -106,6 +130,9 @@
     /// Begins a call, unless one is out.
     pub fn begin(&mut self, now: Micros) {
         if self.deadline.is_none() {
+            if self.old_since.is_some_and(|since| now - since >= CATCHES_UP) {
+                (self.revision, self.newest, self.old_since) = (None, None, None);
+            }
             let hold = if self.revision.is_some() { HOLD } else { 0 };
             let grace = if self.link == Link::Up { GRACE } else { IN_TURN };
             self.deadline = Some(now + hold + grace);
@@ -175,13 +202,13 @@
         Some(self.fail(what))
     }
 
-    /// Bytes have come; `ended` tells that no more will. `decode` reads a whole list and gives its version.
+    /// Bytes have come; `ended` tells that no more will. `decode` reads what discovery has answered.
     pub fn received<T, E: Display>(
         &mut self,
         now: Micros,
         bytes: &[u8],
         ended: bool,
-        decode: impl FnOnce(&mut [u8]) -> Result<(u64, T), E>,
+        decode: impl FnOnce(&mut [u8]) -> Result<Told<T>, E>,
     ) -> Option<WatchNews<T>> {
         if self.deadline.is_none() {
             // Nothing is asked: it closed an idle connection, or spoke out of turn.
@@ -202,7 +229,18 @@
             return Some(self.fail(format_args!("status {status}")));
         }
         match decode(&mut body) {
-            Ok((revision, list)) => {
+            // Danger: changes of long ago would undo what has been told since. Nobody knows what lies between.
+            Ok(Told { revision, all: false, .. }) if self.revision > Some(revision) => {
+                self.revision = None;
+                Some(self.fail(format_args!("changes up to version {revision}, older than the list in hand")))
+            }
+            Ok(Told { revision, all, list }) => {
+                let old = all && self.newest > Some(revision);
+                if old {
+                    self.old_since.get_or_insert(now);
+                } else if self.newest <= Some(revision) {
+                    (self.newest, self.old_since) = (Some(revision), None);
+                }
                 self.revision = Some(revision);
                 let failed = std::mem::take(&mut self.failed);
                 if failed > 0 {
@@ -211,7 +249,7 @@
                 // A watch goes on only if the next call comes at once.
                 self.deadline = None;
                 self.begin(now);
-                Some(WatchNews::List(list))
+                Some(if old { WatchNews::Old(list) } else { WatchNews::List(list) })
             }
             Err(what) => {
                 // The same version would only bring the same answer: next time all of the list.
@@ -260,7 +298,11 @@
     const WHOLE: &str = "GET /catalog/members HTTP/1.1";
 
     fn list(revision: u64) -> String {
-        let body = revision.to_string();
+        answer(&revision.to_string())
+    }
+
+    /// A version, of changes if `+` is behind it.
+    fn answer(body: &str) -> String {
         format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
     }
 
@@ -287,8 +329,9 @@
 
         fn comes(&mut self, now: Micros, text: &str, ended: bool) -> Option<WatchNews<u64>> {
             self.0.received(now, text.as_bytes(), ended, |body| {
-                let number = String::from_utf8_lossy(body).parse::<u64>();
-                number.map(|n| (n, n))
+                let body = String::from_utf8_lossy(body);
+                let number = body.trim_end_matches('+').parse::<u64>();
+                number.map(|n| Told { revision: n, all: !body.ends_with('+'), list: n })
             })
         }
     }
@@ -349,4 +392,44 @@
             "later ones come at once or not at all"
         );
     }
+
+    /// Guards drains: an old list calls what has been told to drain live, and old changes undo what came after.
+    #[test]
+    fn what_is_older_than_what_came_before_is_told_apart_wherever_it_comes_from() {
+        let mut desk = Desk::new();
+        desk.0.connected();
+        assert_eq!(desk.comes(1, &list(7), false), Some(WatchNews::List(7)));
+        assert_eq!(desk.comes(2, &answer("7+"), false), Some(WatchNews::List(7)), "nothing has changed");
+        assert_eq!(desk.comes(3, &answer("9+"), false), Some(WatchNews::List(9)));
+        // It has moved, and the other one lags behind, or counts anew: from there on its own versions go up.
+        desk.0.move_to(([127, 0, 0, 2], 9).into(), 4);
+        desk.0.connected();
+        assert_eq!(desk.comes(5, &list(8), false), Some(WatchNews::Old(8)));
+        assert_eq!(desk.comes(6, &answer("8+"), false), Some(WatchNews::List(8)));
+        assert_eq!(desk.comes(7, &list(8), false), Some(WatchNews::Old(8)));
+        assert_eq!(desk.comes(8, &list(10), false), Some(WatchNews::List(10)));
+        // One that stays behind for long counts anew: all is asked for once more, and what it says holds.
+        let mut desk = Desk(Watch::new(([127, 0, 0, 1], 9).into(), Some(90)));
+        desk.0.begin(0);
+        desk.0.connected();
+        assert_eq!(desk.comes(1, &list(3), false), Some(WatchNews::Old(3)));
+        assert_eq!(desk.comes(CATCHES_UP, &answer("3+"), false), Some(WatchNews::List(3)));
+        assert!(desk.asks().contains("from=3"));
+        assert_eq!(desk.comes(CATCHES_UP + 1, &answer("4+"), false), Some(WatchNews::List(4)));
+        desk.orders();
+        assert!(desk.asks().starts_with(WHOLE));
+        assert_eq!(desk.comes(CATCHES_UP + 2, &list(4), false), Some(WatchNews::List(4)));
+        assert!(desk.asks().contains("from=4"));
+        assert_eq!(desk.comes(CATCHES_UP + 3, &list(3), false), Some(WatchNews::Old(3)));
+        // Changes that end before the list in hand: all is asked for.
+        let mut desk = Desk(Watch::new(([127, 0, 0, 1], 9).into(), Some(10)));
+        desk.0.begin(8);
+        desk.0.connected();
+        desk.orders();
+        assert_eq!(desk.comes(9, &answer("6+"), false), Some(WatchNews::Failed));
+        desk.0.begin(10);
+        assert!(desk.asks().starts_with(WHOLE), "and not from any version");
+        desk.0.connected();
+        assert_eq!(desk.comes(11, &list(6), false), Some(WatchNews::Old(6)));
+    }
 }
--- a/crates/host/src/discovery.rs
+++ b/crates/host/src/discovery.rs
@@ -4,7 +4,7 @@
 use calloop::LoopHandle;
 use lapisrudder_config::{ListError, MemberList, Options, Target};
 use lapisrudder_decisions::{Micros, Scope};
-use lapisrudder_engine::{Watch, WatchNews, WatchOrder};
+use lapisrudder_engine::{Told, Watch, WatchNews, WatchOrder};
 use std::collections::VecDeque;
 use std::io::IoSlice;
 use std::net::SocketAddr;
@@ -101,7 +101,8 @@
         let decode = |body: &mut [u8]| {
             let list = MemberList::decode(body, options)?;
             let scope = if list.all { Scope::Full } else { Scope::Changes };
-            Ok::<_, ListError>((list.revision, News::List { scope, targets: list.targets }))
+            let (revision, all) = (list.revision, list.all);
+            Ok::<_, ListError>(Told { revision, all, list: News::List { scope, targets: list.targets } })
         };
         // A call that goes out on a new connection ends the reading of the old one.
         while let Some(socket) = self.socket.as_ref().filter(|_| self.up) {
@@ -124,7 +125,8 @@
     fn tell(&mut self, news: Option<WatchNews<News>>) {
         self.news.extend(news.map(|news| match news {
             WatchNews::List(list) => list,
-            WatchNews::Failed => News::Failed,
+            WatchNews::Old(News::List { targets, .. }) => News::List { scope: Scope::Remembered, targets },
+            WatchNews::Old(News::Failed) | WatchNews::Failed => News::Failed,
         }));
     }
 
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -11,11 +11,11 @@
 use crate::ledger::{DiscoveryEvent, Listed, NodeNo, ServerNo};
 use bytes::Bytes;
 use lapisrudder_codec::memcache::OwnedRequest;
-use lapisrudder_config::{MemberList, Options, Platform, Target, digest, micros};
+use lapisrudder_config::{ListError, MemberList, Options, Platform, Target, digest, micros};
 use lapisrudder_decisions::{Key, RequestId, Scope, Settings, Stage};
 use lapisrudder_engine::{
     Answer, Answers, Conn as Name, Deadlines, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request,
-    TakeError, Watch, WatchNews, WatchOrder,
+    TakeError, Told, Watch, WatchNews, WatchOrder,
 };
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use lapisrudder_model::network::{Conn, Host, Side};
@@ -414,8 +414,10 @@
         loop {
             let Some(discovery) = &mut self.discovery else { return };
             let options = &self.options;
-            let decode =
-                |body: &mut [u8]| MemberList::decode(body, options).map(|list| (list.revision, list));
+            let decode = |body: &mut [u8]| {
+                let list = MemberList::decode(body, options)?;
+                Ok::<_, ListError>(Told { revision: list.revision, all: list.all, list })
+            };
             let news = match discovery.sock.read(cx, CHUNK) {
                 Read::Nothing => return,
                 Read::Bytes(bytes) => self.watch.received(cx.now, &bytes, false, decode),
@@ -434,21 +436,26 @@
 
     fn discovery_news(&mut self, news: Option<WatchNews<MemberList>>, cx: &mut Cx) {
         match news {
-            Some(WatchNews::List(MemberList { all, targets, .. })) => {
-                let scope = if all { Scope::Full } else { Scope::Changes };
-                if targets.iter().any(|t| t.listed.stage != lapisrudder_decisions::Stage::Live) {
-                    let scene = Scene { node: Some(self.number), ..Scene::default() };
-                    cx.moment(Moment::ToldDrain, scene);
-                }
-                self.told(scope, &targets, cx);
-                self.listed(scope, targets);
+            Some(WatchNews::List(list)) => {
+                let scope = if list.all { Scope::Full } else { Scope::Changes };
+                self.list_news(scope, list.targets, cx);
             }
+            Some(WatchNews::Old(list)) => self.list_news(Scope::Remembered, list.targets, cx),
             Some(WatchNews::Failed) => self.engine.list_failed(),
             None => {}
         }
         self.see_to_watch(cx);
     }
 
+    fn list_news(&mut self, scope: Scope, targets: Vec<Target>, cx: &mut Cx) {
+        if targets.iter().any(|t| t.listed.stage != lapisrudder_decisions::Stage::Live) {
+            let scene = Scene { node: Some(self.number), ..Scene::default() };
+            cx.moment(Moment::ToldDrain, scene);
+        }
+        self.told(scope, &targets, cx);
+        self.listed(scope, targets);
+    }
+
     /// It is told of a list, as the ledger has it: a server that a whole list leaves out is told as removed.
     fn told(&self, scope: Scope, targets: &[Target], cx: &mut Cx) {
         let node = NodeNo(self.number as u16);
@@ -465,7 +472,7 @@
                 cx.discovery(DiscoveryEvent::Told { node, server, state, rev });
             }
         }
-        if scope == Scope::Full {
+        if scope != Scope::Changes {
             for server in (0..cx.ledger.names.servers.len()).map(|n| ServerNo(n as u16)) {
                 if !named.contains(&server) {
                     cx.discovery(DiscoveryEvent::Told { node, server, state: Listed::Removed, rev });
--- a/tests/hearsay.rs
+++ b/tests/hearsay.rs
@@ -81,6 +81,26 @@
     assert!((0..60).all(|k| desk.hit(4_000 + k) != server));
 }
 
+/// Danger: after a move of discovery an old whole list called a draining server live, and one that had gone.
+#[test]
+fn where_gone_binds_an_old_list_opens_nothing_that_was_told_to_close() {
+    for stage in [Stage::Draining, Stage::Gone] {
+        let mut desk = Desk::of(2);
+        desk.list(Scope::Changes, vec![at(stage, 1)]);
+        desk.now += 20 * S;
+        desk.list(Scope::Remembered, (1..=2).map(listed).collect());
+        assert!((0..60).all(|k| desk.hit(k) == ServerId(2)), "{stage:?}: an old list is no news");
+        // Newer word lifts it, and so does a later start that an old list tells of.
+        desk.list(Scope::Changes, vec![listed(1)]);
+        assert!((100..160).any(|k| desk.hit(k) == ServerId(1)), "{stage:?}");
+        desk.list(Scope::Changes, vec![at(stage, 1)]);
+        let since = Some(desk.now);
+        desk.list(Scope::Remembered, vec![Listed { since, ..listed(1) }, listed(2)]);
+        desk.now += 30 * S;
+        assert!((200..260).any(|k| desk.hit(k) == ServerId(1)), "{stage:?}: it has started anew");
+    }
+}
+
 /// Servers that the list has dropped for good are forgotten.
 #[test]
 fn doubted_servers_are_forgotten_in_time() {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -710,3 +710,83 @@
     }
     assert!(shed > 60 && cold > 0, "{shed} shed, {cold} to the cold one");
 }
+
+/// Danger: requests held for an origin that had left the list waited on for half of their aim, for nothing.
+#[test]
+fn what_is_held_for_an_origin_is_answered_at_once_when_it_has_gone() {
+    let mut desk = aside();
+    let out = fill_origin(&mut desk, 0..200);
+    // Its connections live on, but one more answer makes room.
+    let mut held = Vec::new();
+    for key in 300..310 {
+        let (id, server) = desk.read(key);
+        assert_eq!(sent_to(&desk.ended(id, 0, server.expect("sent"), Outcome::Miss)), None, "held");
+        held.push(id);
+    }
+    let actions = desk.list(Scope::Full, (1..=3).map(listed).collect());
+    for id in &held {
+        let refused = |a: &&Action| matches!(a, Action::Refuse { request, .. } if request == id);
+        assert_eq!(actions.iter().filter(refused).count(), 1, "{id:?}: {actions:?}");
+    }
+    // So is what misses from here on, a write too; and what is out still ends.
+    let (id, server) = desk.read(400);
+    assert!(refused(&desk.ended(id, 0, server.expect("sent"), Outcome::Miss)));
+    assert!(refused(&desk.request(401, 1, true).1));
+    for id in out {
+        desk.ended(id, 1, ORIGIN, Outcome::Served);
+    }
+    assert_eq!(desk.balancer.audit().load, 0.0);
+}
+
+/// Danger: a server that left the list with something out and came back began at nothing in flight; the end of what was
+/// out before then took away the count of what was sent since.
+#[test]
+fn a_server_that_leaves_and_returns_keeps_count_of_what_it_has_in_flight() {
+    for (scope, back) in [
+        (Scope::Changes, listed(1)),
+        (Scope::Full, listed(1)),
+        (Scope::Changes, Listed { since: Some(S), ..listed(1) }),
+    ] {
+        let mut desk = Desk::of(1);
+        let (first, server) = desk.read(1);
+        let server = server.expect("sent");
+        desk.list(Scope::Full, vec![]);
+        assert_eq!(desk.read(2).1, None, "it is gone");
+        desk.list(scope, vec![back.clone()]);
+        desk.now += 30 * S;
+        let (second, _) = desk.read(3);
+        assert_eq!(desk.balancer.in_flight(server), 2.0, "{back:?}");
+        desk.ended(first, 0, server, Outcome::Served);
+        assert_eq!(desk.balancer.in_flight(server), 1.0, "the second is still out");
+        desk.ended(second, 0, server, Outcome::Broken);
+        assert_eq!(desk.balancer.in_flight(server), 0.0);
+    }
+}
+
+/// The article's dynamic request: one whose cost hint is far over the usual counts 2 while it is out.
+#[test]
+fn a_request_with_a_heavy_hint_counts_twice_until_it_ends() {
+    let mut desk = Desk::of(1);
+    let mut ask = |hint: Option<Micros>| {
+        desk.next += 1;
+        let (request, due) = (RequestId(desk.next), desk.now + S);
+        let new = NewRequest {
+            request,
+            key: Some(Key(1)),
+            write: false,
+            class: 0,
+            tenant: 0,
+            hint,
+            repeated: false,
+            due,
+        };
+        let server = sent_to(&desk.event(Event::Request(new))).expect("sent");
+        let counted = desk.balancer.in_flight(server);
+        desk.ended(request, 0, server, Outcome::Served);
+        (counted, desk.balancer.in_flight(server))
+    };
+    assert_eq!(ask(None), (1.0, 0.0));
+    (0..20).for_each(|_| assert_eq!(ask(Some(100 * MS)), (1.0, 0.0)));
+    assert_eq!(ask(Some(190 * MS)), (1.0, 0.0));
+    assert_eq!(ask(Some(400 * MS)), (2.0, 0.0));
+}
--- a/tests/rules_hold.rs
+++ b/tests/rules_hold.rs
@@ -156,6 +156,20 @@
                 Action::Cancel { .. } | Action::Close { .. } | Action::Watch => {}
             }
         }
+        self.counts();
+    }
+
+    /// Each server's count in flight is that of the attempts out there: raised once and lowered once for each, whatever
+    /// ends it and whatever the list says of the server meanwhile.
+    fn counts(&self) {
+        let mut out: BTreeMap<ServerId, f64> = (1..=8).map(|s| (ServerId(s), 0.0)).collect();
+        for t in self.seen.values().flat_map(|s| &s.tries).filter(|t| t.end.is_none()) {
+            *out.entry(t.server).or_default() += 1.0;
+        }
+        for (server, out) in out {
+            let counted = self.desk.balancer.in_flight(server);
+            assert_eq!(counted, out, "{server:?}: {out} are out, and {counted} are counted");
+        }
     }
 
     fn end(&mut self, request: u64, attempt: usize, outcome: Outcome) {
