Serve though the process before died first; refuse at once where no list can be had

A new process that had no member yet when the old one died never accepted a client (node.rs, take_over: only with a predecessor). The plug-in kept requests until their deadlines though discovery had failed (thread.rs, take): the decisions turn them away now. An input handed over that does not fit the room for reading is refused with its connection.

--- a/crates/client/src/thread.rs
+++ b/crates/client/src/thread.rs
@@ -172,7 +172,7 @@
     discovery: Option<Discovery<Ready>>,
     options: Options,
     ledger: Ledger,
-    /// Requests that wait for the first list, in the order in which they came.
+    /// Requests that wait for the first list, or for the first call for one to fail, in the order in which they came.
     held: BTreeMap<RequestId, engine::Request>,
     /// Room for what the queue brings.
     commands: Vec<Command>,
@@ -302,7 +302,7 @@
             return;
         }
         self.ledger.owed.insert(id, reply);
-        if self.ledger.stats.lists == 0 {
+        if self.ledger.stats.lists == 0 && self.ledger.stats.list_failures == 0 {
             self.held.insert(id, request);
         } else {
             self.begin(id, request);
@@ -330,6 +330,14 @@
         }
     }
 
+    /// There is a list, or for now there will be none: what waited for it goes on, or is turned away at once. Danger:
+    /// without a discovery all were kept until their deadlines.
+    fn begin_held(&mut self) {
+        for (id, request) in std::mem::take(&mut self.held) {
+            self.begin(id, request);
+        }
+    }
+
     /// Answers those whose deadlines have come while no list has.
     fn give_up_held(&mut self, now: Micros) {
         let ledger = &mut self.ledger;
@@ -352,6 +360,7 @@
                     self.ledger.stats.list_failures += 1;
                     self.untold = true;
                     self.engine.list_failed();
+                    self.begin_held();
                 }
             }
         }
@@ -381,9 +390,7 @@
         (self.untold, self.told) = (true, self.told.min(self.clock.now() - TELL_EVERY));
         let member = |t: Target| Member { listed: t.listed, endpoint: t.endpoint };
         self.engine.listed(scope, targets.into_iter().map(member).collect());
-        for (id, request) in std::mem::take(&mut self.held) {
-            self.begin(id, request);
-        }
+        self.begin_held();
     }
 
     // ---- What the engine orders -----------------------------------------------------------------------
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -458,9 +458,16 @@
     fn take_over(&mut self) {
         if let Some(link) = &mut self.predecessor {
             link.say(&Message::Ready, None);
-            if let Err(e) = self.server.begin_accepting() {
-                warn!("cannot accept: {e}");
-            }
+            self.take_clients();
+        }
+    }
+
+    /// Clients come here from now on, and so does the next process.
+    fn take_clients(&mut self) {
+        if let Err(e) = self.server.begin_accepting() {
+            warn!("cannot accept: {e}");
+        }
+        if self.door.is_none() {
             self.open_door();
         }
     }
@@ -497,6 +504,8 @@
             self.predecessor = None;
             self.clients_elsewhere = 0;
             self.hold_to(self.all_descriptors, now);
+            // Danger: a process that was not ready yet never accepted, since there was nobody to take clients over from.
+            self.take_clients();
         }
     }
 
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -210,6 +210,10 @@
     /// Goes on with a connection that another process had, or could not hand over.
     pub fn adopt(&mut self, stream: TcpStream, input: Vec<u8>, now: Micros, deadlines: &mut Deadlines) {
         let Ok(peer) = stream.peer_addr() else { return };
+        // Guards the room for reading, which what is left of a command must fit in.
+        if input.len() > HANDED_INPUT {
+            return;
+        }
         let Some(id) = self.arrived(stream, peer, now, deadlines) else { return };
         if let Some(client) = self.clients.get_mut(&id) {
             (client.input, client.unread, client.since_arrival) = (input, true, Micros::MIN);
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -193,6 +193,11 @@
 
     /// A ready node at an address of its own, which another process may take the place of.
     pub fn replaceable(world: &World<Books>, sockets: u32) -> Node {
+        Node::replaceable_told_by(world.addresses().discovery(0).expect("discovery"), sockets).once_ready()
+    }
+
+    /// The same, told by that discovery; it may have no member yet.
+    pub fn replaceable_told_by(discovery: SocketAddr, sockets: u32) -> Node {
         static COUNT: AtomicUsize = AtomicUsize::new(0);
         // An address of 127/8 that nobody else has: the port need not be free elsewhere.
         let [a, b] = (std::process::id() as u16).to_be_bytes();
@@ -202,8 +207,7 @@
         let folder = std::env::temp_dir().join(format!("lr-{}-{host}", std::process::id()));
         let folder = folder.to_string_lossy().into_owned();
         std::fs::create_dir_all(&folder).expect("a folder");
-        let discovery = world.addresses().discovery(0).expect("discovery");
-        Node::at(listen, Some(&folder), discovery, sockets)
+        Node::run_at(listen, Some(&folder), discovery, sockets, None, true)
     }
 
     /// Another process in the place of this one, once it is ready; the old one is told to stop.
@@ -215,7 +219,12 @@
 
     /// Another ready process beside this one.
     pub fn beside(old: &Node) -> Node {
-        Node::at(old.address, old.folder.as_deref(), old.discovery, old.sockets)
+        Node::beside_unready(old).once_ready()
+    }
+
+    /// The same, though it may have no member yet.
+    pub fn beside_unready(old: &Node) -> Node {
+        Node::run_at(old.address, old.folder.as_deref(), old.discovery, old.sockets, None, true)
     }
 
     /// Where the processes of this node meet: the one file there.
@@ -224,10 +233,9 @@
         files.next().expect("a file").expect("it").path()
     }
 
-    fn at(listen: SocketAddr, folder: Option<&str>, discovery: SocketAddr, sockets: u32) -> Node {
-        let node = Node::run_at(listen, folder, discovery, sockets, None, true);
-        until(|| node.call("status\n") == "ok ready\n");
-        node
+    fn once_ready(self) -> Node {
+        until(|| self.call("status\n") == "ok ready\n");
+        self
     }
 
     fn run(discovery: SocketAddr, sockets: u32, operators: Option<&str>, managed: bool) -> Node {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -200,6 +200,29 @@
     assert_eq!(third.call("status\n"), "ok ready\n");
 }
 
+/// Danger: a process that had no member yet when the one before it died never took a client.
+#[test]
+fn if_the_old_process_dies_before_the_new_one_is_ready_the_new_one_serves() {
+    let world = world(spec(&["a"]), ids(10));
+    let empty = List::start(r#"{"rev":1,"all":true,"targets":[]}"#);
+    let mut old = Node::replaceable_told_by(empty.address(), 384);
+    let new = Node::beside_unready(&old);
+    until(|| new.call("status\n") == "fail no member may be used yet\n");
+    old.child.kill().unwrap();
+    old.child.wait().unwrap();
+    let a = world.addresses().server(0, no(&world, "a")).expect("its address");
+    empty.tell(&format!(
+        r#"{{"rev":2,"all":true,"targets":[{{"uid":"a","endpoint":"{a}","az":"z","model":"cache","state":"up"}}]}}"#
+    ));
+    until(|| new.call("status\n") == "ok ready\n");
+    let mut client = new.client();
+    assert_eq!(client.read("1", 60_000), by("a", "1"));
+    // And the next one asks there.
+    let third = Node::beside(&new);
+    until(|| new.call("status\n") == "fail replaced by another process\n");
+    assert_eq!(third.client().read("2", 60_000), by("a", "2"));
+}
+
 #[test]
 fn whatever_lies_where_processes_meet_a_node_starts() {
     let world = world(spec(&["a"]), ids(10));
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -124,18 +124,20 @@
     let begun = Instant::now();
     (2..6).for_each(|id| assert_eq!(caller.read(&id.to_string(), 60_000), Said::Refused));
     assert!(begun.elapsed() < Duration::from_secs(30), "at once, not by their deadlines");
-    list.tell(&full);
+    list.tell(&full.replace("\"rev\":1,", "\"rev\":91,"));
     until_served(&mut caller, 10, |id| served("a", id));
 }
 
 pub fn a_discovery_that_is_down_at_the_start_costs_answers_and_no_more<H: Host>() {
-    for outage in [Outage::Unavailable, Outage::Reset, Outage::Silent] {
+    for (outage, wait_ms) in [(Outage::Unavailable, 60_000), (Outage::Reset, 60_000), (Outage::Silent, 100)] {
         let world = world(spec(&["a"]), ids(3000));
         world.control().discovery_down(Some(outage)).unwrap();
         let host = H::begin(world.addresses().discovery(0).unwrap());
         let mut caller = host.caller();
-        let said = caller.read("1", 100);
+        let begun = Instant::now();
+        let said = caller.read("1", wait_ms);
         assert!(said.without(), "{outage:?}: {said:?}");
+        assert!(begun.elapsed() < Duration::from_secs(20), "{outage:?}: at once, not by its deadline");
         world.control().discovery_down(None).unwrap();
         host.ready();
         until_served(&mut caller, 2, |id| served("a", id));
