--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -16,6 +16,12 @@
 /// So much of a line is shown that is no TOML: there is no key to name.
 const SHOWN: usize = 60;
 
+/// Keys that there were once, and what to do with them.
+const REMOVED: [(&str, &str); 1] = [(
+    "limits.overload.give_up_late",
+    "was removed: requests in hand are never given up for others; take the line out",
+)];
+
 /// Why a section refuses a value that has the right type.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -116,6 +122,8 @@
             return Err(one_a_line(problems));
         };
         let key = key.unwrap_or_else(|| entry.path.join("."));
+        let removed = REMOVED.iter().find(|(old, _)| *old == key);
+        let what = removed.map_or(what, |(_, why)| (*why).to_string());
         // Left out, a key may still contradict another by its default: that was told.
         if problems.iter().all(|p| p.key != key) {
             problems.push(problem(Some(entry.key.clone()), key, Fault::Refused(what)));
--- a/crates/config/tests/problems.rs
+++ b/crates/config/tests/problems.rs
@@ -148,6 +148,13 @@
                 "o.toml:3: log.levle: unknown field `levle`, expected one of `level`, `format`, `window_ms`, `repeats`, `lines`",
             ],
         ),
+        (
+            "[limits.overload]\nknee = 0.9\ngive_up_late = true\n",
+            &[
+                "o.toml:3: limits.overload.give_up_late: was removed: requests in hand are never given up for others; take \
+                 the line out",
+            ],
+        ),
         ("log = 3\n", &["o.toml:1: log: invalid type: integer `3`, expected a table"]),
         (
             "[log]\nrepeats = \"many\"\n",
--- a/crates/limits/src/admission/orders_due.rs
+++ b/crates/limits/src/admission/orders_due.rs
@@ -3,7 +3,6 @@
 use super::Admission;
 use crate::Micros;
 use crate::books::IDLE;
-use crate::flights::Flight;
 use crate::keep::{ONCE, UNUSED, micros};
 use crate::orders::{Activity, ConnId, EventKind, Order, Why};
 
@@ -15,8 +14,6 @@
 const SOONEST: Micros = 100_000;
 /// Places for clients are to last so long, in s, at the rate at which they are taken.
 const AHEAD: f64 = 0.3;
-/// Requests given up in one look.
-const GIVEN_UP: usize = 32;
 /// While something runs short, one that is less likely than this to be used soon is closed early.
 const LEAN: f64 = 0.5;
 
@@ -175,16 +172,12 @@
             self.worth.observe(now, class, from, age, false);
         }
         self.worth.freshen(now);
-        if self.settings.overload.give_up_late {
-            self.give_up(now);
-        }
         self.next_look = self.is_wanted().then_some(now + LOOK);
     }
 
     /// There is reason to look whom to close early.
     fn is_wanted(&mut self) -> bool {
-        let busy = self.settings.overload.give_up_late && self.slots.held() > 0;
-        busy || self.books.staying() >= self.most() || self.too_little() > 0.0
+        self.books.staying() >= self.most() || self.too_little() > 0.0
     }
 
     /// Something happened that may give reason to look.
@@ -193,25 +186,4 @@
             self.next_look = Some(now);
         }
     }
-
-    /// Requests in hand that are worth less than what their places could serve.
-    fn give_up(&mut self, now: Micros) {
-        // What idle connections hold of the clients' room is nobody's to work in.
-        let [others, known] = self.books.sides;
-        let idle = self.books.used().saturating_sub(others.working + known.working);
-        let room = self.clients_room().map_or(u64::MAX, |room| room.saturating_sub(idle).max(1));
-        let places = room.min(self.slots.most.max(1));
-        let earns = self.overload.place_earns(now, places as usize);
-        if earns <= 0.0 {
-            return;
-        }
-        for _ in 0..GIVEN_UP {
-            let past_use = |flight: &Flight| !flight.known && self.overload.is_past_use(now, flight, earns);
-            let late = self.flights.oldest().find(|(_, flight)| past_use(flight)).map(|(ticket, _)| ticket);
-            let Some(ticket) = late else { return };
-            if let Some(flight) = self.recall(now, ticket, Why::PastUse) {
-                self.overload.gave_up(now, &flight);
-            }
-        }
-    }
 }
--- a/crates/limits/src/admission/requests.rs
+++ b/crates/limits/src/admission/requests.rs
@@ -93,8 +93,6 @@
             lent,
             class: facts.class,
             began: now,
-            due: now.saturating_add(facts.left.max(0)),
-            worth: facts.worth,
             bytes,
             sent: self.follow.as_mut().map(|(n, f)| (*n, f.sent(now))),
         };
--- a/crates/limits/src/admission/tests.rs
+++ b/crates/limits/src/admission/tests.rs
@@ -155,9 +155,7 @@
     in_flight = 2
     buffer_bytes = 300
     [keep]
-    probe_one_in = 3
-    [overload]
-    give_up_late = true";
+    probe_one_in = 3";
 
 fn nth<T: Copy>(all: impl Iterator<Item = T>, nth: usize) -> Option<T> {
     let all: Vec<T> = all.collect();
--- a/crates/limits/src/flights.rs
+++ b/crates/limits/src/flights.rs
@@ -17,9 +17,6 @@
     pub(crate) lent: bool,
     pub(crate) class: usize,
     pub(crate) began: Micros,
-    /// When its client stops waiting.
-    pub(crate) due: Micros,
-    pub(crate) worth: f64,
     pub(crate) bytes: u64,
     /// Which limit that follows it counts in, and what that knows it by.
     pub(crate) sent: Option<(u32, Sent)>,
@@ -39,8 +36,6 @@
     free: Vec<u32>,
     /// Those that hold what is lent, by when they began.
     lent: BTreeSet<(Micros, u32)>,
-    /// By class and when they began.
-    by_class: [BTreeSet<(Micros, u32)>; CLASSES],
 }
 
 impl Flights {
@@ -61,7 +56,6 @@
         if flight.lent {
             self.lent.insert((flight.began, slot));
         }
-        self.by_class[flight.class].insert((flight.began, slot));
         ticket
     }
 
@@ -75,7 +69,6 @@
         place.generation = place.generation.wrapping_add(1);
         let old = place.flight;
         self.lent.remove(&(old.began, slot));
-        self.by_class[old.class].remove(&(old.began, slot));
         self.free.push(slot);
         Some(old)
     }
@@ -85,22 +78,15 @@
         self.name(self.lent.last()?.1)
     }
 
-    /// The oldest of each class.
-    pub(crate) fn oldest(&self) -> impl Iterator<Item = (Ticket, &Flight)> {
-        let slots = self.by_class.iter().filter_map(|c| c.first()).map(|f| f.1);
-        slots.filter_map(|slot| Some((self.name(slot)?, &self.all.get(slot as usize)?.flight)))
-    }
-
     /// Bytes at most for so many.
     pub(crate) fn most_bytes(in_flight: usize) -> usize {
-        2 * in_flight * (size_of::<Place>() + 4 + 2 * (size_of::<(Micros, u32)>() + 8))
+        2 * in_flight * (size_of::<Place>() + 4 + size_of::<(Micros, u32)>() + 8)
     }
 
     /// Bytes taken; trees are counted by their entries.
     pub(crate) fn bytes(&self) -> usize {
-        let entries = self.lent.len() + self.by_class.iter().map(BTreeSet::len).sum::<usize>();
         self.all.capacity() * size_of::<Place>()
             + self.free.capacity() * 4
-            + entries * 2 * (size_of::<(Micros, u32)>() + 8)
+            + self.lent.len() * 2 * (size_of::<(Micros, u32)>() + 8)
     }
 }
--- a/crates/limits/src/orders.rs
+++ b/crates/limits/src/orders.rs
@@ -132,8 +132,6 @@
     TakenBack,
     /// There are more than the settings allow now.
     OverLimit,
-    /// It will be late, and its place could serve others.
-    PastUse,
 }
 
 impl fmt::Display for Why {
@@ -159,7 +157,6 @@
             Why::ClientsRoom => "the clients' room is nearly taken, and it is not likely to be used soon",
             Why::TakenBack => "a known client takes its place back",
             Why::OverLimit => "there are more than the settings allow now",
-            Why::PastUse => "it will be late, and its place could serve others",
         })
     }
 }
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -221,9 +221,6 @@
     pub again_most_ms: u32,
     /// A known client's request counts as so many times its worth. Default 2.
     pub known_worth: f64,
-    /// Whether requests in hand are given up where they are worth less than what their place could serve.
-    /// Default false.
-    pub give_up_late: bool,
     /// Whether the places for requests follow how long they take, up to as many as the host can hold. Default false:
     /// a burst beyond `follow_from` would be told to come again until the places have grown.
     pub follow: bool,
@@ -311,7 +308,6 @@
             again_least_ms: 50,
             again_most_ms: 2000,
             known_worth: 2.0,
-            give_up_late: false,
             follow: false,
             follow_from: 64,
             follow_patience_ms: 0,
