--- a/crates/lab/src/check/day.rs
+++ b/crates/lab/src/check/day.rs
@@ -6,11 +6,11 @@
 use crate::ledger::*;
 use std::collections::BTreeSet;
 
-const ORIGIN: u16 = 4;
-const COLD: u16 = 3;
-const DRAINED: u16 = 2;
-const MS: Micros = 1000;
-const S: Micros = 1_000_000;
+pub(super) const ORIGIN: u16 = 4;
+pub(super) const COLD: u16 = 3;
+pub(super) const DRAINED: u16 = 2;
+pub(super) const MS: Micros = 1000;
+pub(super) const S: Micros = 1_000_000;
 
 /// In which way the node is wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,22 +46,33 @@
     ClosesTwice,
 }
 
-struct Day {
+pub(super) struct Day {
     wrong: Wrong,
-    ledger: Ledger,
+    pub(super) ledger: Ledger,
     conn: u32,
     req: u64,
 }
 
-fn experiment() -> Experiment {
-    let text = "question = 'q'\nduration_s = 20\n[[class]]\nname = 'read'\naim_ms = 100\ndeadline_ms = 400\n\
-                [[class]]\nname = 'put'\nwrite = true\neffect = 'keyed'\nwindow_s = 2\n\
-                [[class]]\nname = 'pay'\nwrite = true\neffect = 'unsafe'\n[[load]]\nrate = { steady = { per_s = 100 } }\n";
-    ExperimentFile::parse("day", text).unwrap().experiment
+/// The world that the day is of.
+pub(super) const TEXT: &str = "question = 'q'\nduration_s = 20\n[[class]]\nname = 'read'\naim_ms = 100\ndeadline_ms = 400\n\
+    [[class]]\nname = 'put'\nwrite = true\neffect = 'keyed'\nwindow_s = 2\n\
+    [[class]]\nname = 'pay'\nwrite = true\neffect = 'unsafe'\n[[load]]\nrate = { steady = { per_s = 100 } }\n";
+
+pub(super) fn experiment() -> Experiment {
+    ExperimentFile::parse("day", TEXT).unwrap().experiment
 }
 
 impl Day {
+    /// A day on which nothing is wrong.
+    pub(super) fn honest_day() -> Day {
+        Day::of(Wrong::Nothing)
+    }
+
     fn play(wrong: Wrong) -> (Ledger, Experiment) {
+        (Day::of(wrong).ledger, experiment())
+    }
+
+    fn of(wrong: Wrong) -> Day {
         let server = |n: u16| ServerInfo {
             name: if n == ORIGIN { "origin".into() } else { format!("s{n}") },
             kind: "cache".into(),
@@ -81,7 +92,7 @@
         for n in 0..2000 {
             day.request(n, n as Micros * 10 * MS);
         }
-        (day.ledger, experiment())
+        day
     }
 
     /// A server drains and goes, another starts cold.
@@ -384,14 +395,14 @@
         id
     }
 
-    fn sent(&mut self, at: Micros, node: u16, class: u8) -> (ReqId, ConnNo) {
+    pub(super) fn sent(&mut self, at: Micros, node: u16, class: u8) -> (ReqId, ConnNo) {
         let req = self.try_due(at, node, class);
         let conn = self.opened(at - MS, node);
         self.ledger.clients.push(at, ClientEvent::Sent { req, conn });
         (req, conn)
     }
 
-    fn opened(&mut self, at: Micros, node: u16) -> ConnNo {
+    pub(super) fn opened(&mut self, at: Micros, node: u16) -> ConnNo {
         self.conn += 1;
         let conn = ConnNo(self.conn);
         self.ledger.clients.push(at, ClientEvent::Opened { conn, node: NodeNo(node), bad: false });
@@ -414,17 +425,17 @@
         self.closed(conn, at + 30 * MS, Closer::Them);
     }
 
-    fn closed(&mut self, conn: ConnNo, at: Micros, by: Closer) {
+    pub(super) fn closed(&mut self, conn: ConnNo, at: Micros, by: Closer) {
         self.ledger.clients.push(at, ClientEvent::Closed { conn, by });
     }
 
-    fn answered(&mut self, req: ReqId, conn: ConnNo, at: Micros, answer: Answer, digest: u64) {
+    pub(super) fn answered(&mut self, req: ReqId, conn: ConnNo, at: Micros, answer: Answer, digest: u64) {
         let event = ClientEvent::Answered { req, conn, answer, retry_ms: 0, digest, fits: true };
         self.ledger.clients.push(at, event);
     }
 
     /// A whole attempt on a connection of its own, and the digest of its answer.
-    fn attempt(
+    pub(super) fn attempt(
         &mut self,
         req: ReqId,
         node: u16,
@@ -447,8 +458,26 @@
         (conn, digest_of(req, server))
     }
 
+    /// A whole attempt without an answer, whose connection the node closes then.
+    pub(super) fn unanswered(&mut self, req: ReqId, node: u16, server: u16, at: Micros, closed: Micros) {
+        self.conn += 1;
+        let (server, conn) = (ServerNo(server), ConnNo(self.conn));
+        let servers = &mut self.ledger.servers;
+        servers.push(at - 50, ServerEvent::Opened { server, conn, node: NodeNo(node) });
+        servers.push(at, ServerEvent::FirstByte { server, conn, req });
+        servers.push(at + 40, ServerEvent::LastByte { server, conn, req, work_us: 4000 });
+        servers.push(closed, ServerEvent::Closed { server, conn, by: Closer::Them });
+    }
+
     /// On the connection of the last attempt.
-    fn server_answers(&mut self, req: ReqId, server: u16, at: Micros, answer: Answer, spoilt: bool) {
+    pub(super) fn server_answers(
+        &mut self,
+        req: ReqId,
+        server: u16,
+        at: Micros,
+        answer: Answer,
+        spoilt: bool,
+    ) {
         let digest = if answer.served() { digest_of(req, server) } else { 0 };
         let (server, conn) = (ServerNo(server), ConnNo(self.conn));
         self.ledger.servers.push(at, ServerEvent::Answered { server, conn, req, answer, spoilt, digest });
@@ -458,7 +487,7 @@
     }
 
     /// A read that hits.
-    fn read(&mut self, at: Micros, node: u16, server: u16, work_us: u32) -> (ReqId, ConnNo, u64) {
+    pub(super) fn read(&mut self, at: Micros, node: u16, server: u16, work_us: u32) -> (ReqId, ConnNo, u64) {
         let (req, conn) = self.sent(at, node, 0);
         let (_, digest) = self.attempt(req, node, server, at + MS, work_us, Some(Answer::Value));
         self.answered(req, conn, at + 10 * MS, Answer::Value, digest);
@@ -500,7 +529,7 @@
     digest(format!("{req} by {server}").as_bytes())
 }
 
-fn rules(found: &[Violation]) -> BTreeSet<Rule> {
+pub(super) fn rules(found: &[Violation]) -> BTreeSet<Rule> {
     found.iter().map(|v| v.rule).collect()
 }
 
--- /dev/null
+++ b/crates/lab/src/check/history.rs
@@ -0,0 +1,280 @@
+//! Histories: a ledger as text, with the world that it is of, so that what was seen once can be judged again.
+//!
+//! A history is JSON lines. The first says that it is one, in which form, and has the experiment as its TOML file:
+//!
+//! ```json
+//! {"side":"history","form":1,"experiment":"question = \"...\"\n..."}
+//! ```
+//!
+//! Then come the lines of the ledger as [`write_jsonl`](crate::ledger::write_jsonl) has them: `names` first, then each
+//! `try`, then what clients, servers, discovery, nodes' processes, operators and the lab wrote. The last line counts
+//! all before it:
+//!
+//! ```json
+//! {"side":"end","lines":812}
+//! ```
+//!
+//! Nothing in it is a node's own word: no log, no state.
+//!
+//! What is empty, cut short, or names what there is not is no history: [`read_history`] tells the line. It never gives a
+//! part of one, which would break fewer rules than the whole.
+
+use crate::Micros;
+use crate::experiment::ExperimentFile;
+use crate::ledger::{
+    ClientEvent, DiscoveryEvent, Ledger, NodeNo, OperatorEvent, ReqId, ServerEvent, ServerNo, take_line,
+    write_jsonl,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::io::{self, BufRead, Write};
+
+/// The form that is written, and the only one that is read.
+const FORM: u32 = 1;
+/// Times beyond this, before or after the start of the load, are none: 115 days.
+const FARTHEST: Micros = 10_000_000_000_000;
+
+/// What both ends of a run wrote down, and what the run was to be.
+#[derive(Clone, Debug)]
+pub struct History {
+    /// The experiment, with its rules.
+    pub file: ExperimentFile,
+    /// The books.
+    pub ledger: Ledger,
+}
+
+/// Why lines are no history.
+#[derive(Debug, thiserror::Error)]
+pub enum HistoryError {
+    /// There is nothing.
+    #[error("line 1: there is no history: the file is empty")]
+    Empty,
+    /// The file cannot be read.
+    #[error("line {line}: cannot be read: {source}")]
+    Io {
+        /// From 1.
+        line: usize,
+        /// Why.
+        source: io::Error,
+    },
+    /// The first line does not say that it is a history.
+    #[error("line 1: not the first line of a history: {source}")]
+    Head {
+        /// Why.
+        source: serde_json::Error,
+    },
+    /// Another form.
+    #[error("line 1: form {form} is not known, only {FORM}")]
+    Form {
+        /// What stands there.
+        form: u32,
+    },
+    /// Its experiment is none.
+    #[error("line 1: {what}")]
+    Experiment {
+        /// What is wrong.
+        what: String,
+    },
+    /// A line is no record.
+    #[error("line {line}: {source}")]
+    Record {
+        /// From 1.
+        line: usize,
+        /// Why.
+        source: serde_json::Error,
+    },
+    /// A record names what there is not, or cannot be.
+    #[error("line {line}: {what}")]
+    Stranger {
+        /// From 1.
+        line: usize,
+        /// What.
+        what: String,
+    },
+    /// There is no last line.
+    #[error("line {line}: the history is cut off here: its last line is missing")]
+    Cut {
+        /// The first line that there is not.
+        line: usize,
+    },
+    /// Lines are missing, or there are more.
+    #[error("line {line}: {told} lines were written before this one, and here are {there}")]
+    Count {
+        /// The last line.
+        line: usize,
+        /// What it says.
+        told: usize,
+        /// What there is.
+        there: usize,
+    },
+    /// Something stands behind the last line.
+    #[error("line {line}: stands behind the end of the history")]
+    Behind {
+        /// From 1.
+        line: usize,
+    },
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(tag = "side", rename_all = "kebab-case", deny_unknown_fields)]
+enum Mark {
+    History { form: u32, experiment: String },
+    End { lines: usize },
+}
+
+/// Writes a history.
+///
+/// # Errors
+/// As the writer's.
+pub fn write_history(history: &History, mut to: impl Write) -> io::Result<()> {
+    let mut lines = Vec::new();
+    let head = Mark::History { form: FORM, experiment: history.file.text.clone() };
+    serde_json::to_writer(&mut lines, &head)?;
+    lines.push(b'\n');
+    write_jsonl(&history.ledger, &mut lines)?;
+    let count = lines.iter().filter(|b| **b == b'\n').count();
+    serde_json::to_writer(&mut lines, &Mark::End { lines: count })?;
+    lines.push(b'\n');
+    to.write_all(&lines)
+}
+
+/// Reads a history; its ledger is sorted.
+///
+/// # Errors
+/// The first line that is wrong.
+pub fn read_history(from: impl BufRead) -> Result<History, HistoryError> {
+    let mut lines = (1..).zip(from.lines());
+    let (_, first) = lines.next().ok_or(HistoryError::Empty)?;
+    let first = first.map_err(|source| HistoryError::Io { line: 1, source })?;
+    let (form, text) = match serde_json::from_str(&first).map_err(|source| HistoryError::Head { source })? {
+        Mark::History { form, experiment } => (form, experiment),
+        Mark::End { .. } => return Err(HistoryError::Empty),
+    };
+    if form != FORM {
+        return Err(HistoryError::Form { form });
+    }
+    let file = ExperimentFile::parse("history", &text)
+        .map_err(|e| HistoryError::Experiment { what: e.to_string() })?;
+    let (mut ledger, mut known, mut last) = (Ledger::default(), Known::default(), 1);
+    while let Some((line, read)) = lines.next() {
+        last = line;
+        let read = read.map_err(|source| HistoryError::Io { line, source })?;
+        if let Ok(Mark::End { lines: told }) = serde_json::from_str(&read) {
+            if told != line - 1 {
+                return Err(HistoryError::Count { line, told, there: line - 1 });
+            }
+            if let Some((line, _)) = lines.next() {
+                return Err(HistoryError::Behind { line });
+            }
+            if ledger.tries.is_empty() {
+                return Err(HistoryError::Stranger { line, what: "nothing was asked for".into() });
+            }
+            ledger.sort();
+            return Ok(History { file, ledger });
+        }
+        take_line(&mut ledger, &read).map_err(|source| HistoryError::Record { line, source })?;
+        known.check(&ledger).map_err(|what| HistoryError::Stranger { line, what })?;
+    }
+    Err(HistoryError::Cut { line: last + 1 })
+}
+
+/// How far a ledger was looked at, and what its records may name.
+#[derive(Default)]
+struct Known {
+    tries: BTreeSet<ReqId>,
+    calls: BTreeSet<u32>,
+    seen: [usize; 7],
+}
+
+impl Known {
+    /// Looks at the line that was taken last.
+    fn check(&mut self, l: &Ledger) -> Result<(), String> {
+        let counts = [
+            l.tries.len(),
+            l.clients.records().len(),
+            l.servers.records().len(),
+            l.discovery.records().len(),
+            l.nodes.records().len(),
+            l.operators.records().len(),
+            l.lab.records().len(),
+        ];
+        let newest = (0..counts.len()).find(|i| counts[*i] > self.seen[*i]);
+        self.seen = counts;
+        let node = |node: NodeNo| match l.names.nodes.get(node.index()) {
+            Some(_) => Ok(()),
+            None => Err(format!("there is no node {}", node.0)),
+        };
+        let server = |server: ServerNo| match l.names.servers.get(server.index()) {
+            Some(_) => Ok(()),
+            None => Err(format!("there is no server {}", server.0)),
+        };
+        let time = |at: Micros| match at.abs() <= FARTHEST {
+            true => Ok(()),
+            false => Err(format!("{at} us is no time of a run")),
+        };
+        match newest {
+            Some(0) => {
+                let t = l.tries.last().copied().unwrap_or_default();
+                time(t.due)?;
+                node(t.node)?;
+                if l.names.classes.get(t.class.index()).is_none() {
+                    return Err(format!("there is no class {}", t.class.0));
+                }
+                match t.id != ReqId::NONE && self.tries.insert(t.id) {
+                    true => Ok(()),
+                    false => Err(format!("{} is no id of its own", t.id)),
+                }
+            }
+            Some(1) => {
+                let Some(r) = l.clients.records().last() else { return Ok(()) };
+                time(r.at)?;
+                if let Some(req) = r.event.req().filter(|req| !self.tries.contains(req)) {
+                    return Err(format!("there is no try {req}"));
+                }
+                match r.event {
+                    ClientEvent::Opened { node: n, .. } | ClientEvent::ConnectFailed { node: n } => node(n),
+                    _ => Ok(()),
+                }
+            }
+            Some(2) => {
+                let Some(r) = l.servers.records().last() else { return Ok(()) };
+                time(r.at)?;
+                server(r.event.server())?;
+                match r.event {
+                    ServerEvent::Opened { node: n, .. } | ServerEvent::Refused { node: n, .. } => node(n),
+                    _ => Ok(()),
+                }
+            }
+            Some(3) => {
+                let Some(r) = l.discovery.records().last() else { return Ok(()) };
+                time(r.at)?;
+                match r.event {
+                    DiscoveryEvent::Changed { server: s, .. } => server(s),
+                    DiscoveryEvent::Told { node: n, server: s, .. } => node(n).and_then(|()| server(s)),
+                    DiscoveryEvent::Called { node: n, .. } | DiscoveryEvent::Failed { node: n } => node(n),
+                }
+            }
+            Some(4) => {
+                let Some(r) = l.nodes.records().last() else { return Ok(()) };
+                time(r.at).and_then(|()| node(r.event.node()))
+            }
+            Some(5) => {
+                let Some(r) = l.operators.records().last() else { return Ok(()) };
+                time(r.at)?;
+                match r.event {
+                    OperatorEvent::Called { call, node: n, .. } => {
+                        node(n)?;
+                        match self.calls.insert(call) {
+                            true => Ok(()),
+                            false => Err(format!("call {call} was made before")),
+                        }
+                    }
+                    _ if self.calls.contains(&r.event.call()) => Ok(()),
+                    _ => Err(format!("there is no call {}", r.event.call())),
+                }
+            }
+            Some(6) => l.lab.records().last().map_or(Ok(()), |r| time(r.at)),
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/lab/src/check/mod.rs
+++ b/crates/lab/src/check/mod.rs
@@ -11,16 +11,21 @@
 mod drains;
 mod effects;
 mod genuine;
+mod history;
 mod in_time;
 mod late_lab;
 mod limits;
 mod lost;
+mod management;
 mod one_answer;
 
+pub use history::{History, HistoryError, read_history, write_history};
 pub use late_lab::{Lateness, lateness};
 
 #[cfg(test)]
 mod day;
+#[cfg(test)]
+mod edges;
 
 use crate::Micros;
 use crate::experiment::Experiment;
@@ -55,11 +60,13 @@
     Alive,
     /// A close between requests takes none with it.
     Crossing,
+    /// Operators' calls are answered, rightly and in time.
+    Management,
 }
 
 impl Rule {
     /// All of them.
-    pub const ALL: [Rule; 11] = [
+    pub const ALL: [Rule; 12] = [
         Rule::OneAnswer,
         Rule::InTime,
         Rule::Lost,
@@ -71,6 +78,7 @@
         Rule::Limits,
         Rule::Alive,
         Rule::Crossing,
+        Rule::Management,
     ];
 
     /// As results and reports name it.
@@ -87,6 +95,7 @@
             Rule::Limits => "limits",
             Rule::Alive => "alive",
             Rule::Crossing => "crossing",
+            Rule::Management => "management",
         }
     }
 
@@ -103,6 +112,7 @@
             Rule::Limits => limits::check(cx, out),
             Rule::Alive => alive::check(cx, out),
             Rule::Crossing => crossing::check(cx, out),
+            Rule::Management => management::check(cx, out),
         }
     }
 }
--- a/crates/lab/src/experiment/check.rs
+++ b/crates/lab/src/experiment/check.rs
@@ -198,6 +198,7 @@
     within(&key("start_capacity"), r.start_capacity, 0.001, 1.0)?;
     within(&key("cold_s"), r.cold_s, 0.0, 3600.0)?;
     within(&key("bad_within_s"), r.bad_within_s, 0.1, 600.0)?;
+    within(&key("management_within_s"), r.management_within_s, 0.01, 600.0)?;
     ensure(r.attempts >= 1, &key("attempts"), "must be at least 1")?;
     let coldest = w.servers.iter().position(|s| s.cold_from < r.start_capacity || s.cold_s > r.cold_s);
     if let Some(at) = coldest {
--- a/crates/lab/src/experiment/world.rs
+++ b/crates/lab/src/experiment/world.rs
@@ -394,6 +394,8 @@
     pub second_copies: bool,
     /// A bad client is owed an error or a close in this time (seconds).
     pub bad_within_s: f64,
+    /// An operator is owed an answer in this time (seconds).
+    pub management_within_s: f64,
 }
 
 impl Default for Rules {
@@ -414,6 +416,7 @@
             attempts: 3,
             second_copies: true,
             bad_within_s: 3.0,
+            management_within_s: 1.0,
         }
     }
 }
--- a/crates/lab/src/ledger/index.rs
+++ b/crates/lab/src/ledger/index.rs
@@ -101,6 +101,7 @@
             l.clients.records().last().map(|r| r.at),
             l.servers.records().last().map(|r| r.at),
             l.nodes.records().last().map(|r| r.at),
+            l.operators.records().last().map(|r| r.at),
             l.lab.records().last().map(|r| r.at),
         ];
         ends.into_iter().flatten().max().unwrap_or(0)
--- a/crates/lab/src/ledger/jsonl.rs
+++ b/crates/lab/src/ledger/jsonl.rs
@@ -1,6 +1,8 @@
 //! A ledger as JSON lines: names, then tries, then each book in its order. `side` tells what a line is of.
 
-use super::{ClientEvent, DiscoveryEvent, LabEvent, Ledger, Names, NodeEvent, Record, ServerEvent, Try};
+use super::{
+    ClientEvent, DiscoveryEvent, LabEvent, Ledger, Names, NodeEvent, OperatorEvent, Record, ServerEvent, Try,
+};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::io::{self, BufRead, Write};
@@ -35,6 +37,7 @@
     Server(Cow<'a, Record<ServerEvent>>),
     Discovery(Cow<'a, Record<DiscoveryEvent>>),
     Node(Cow<'a, Record<NodeEvent>>),
+    Operator(Cow<'a, Record<OperatorEvent>>),
     Lab(Cow<'a, Record<LabEvent>>),
 }
 
@@ -53,6 +56,7 @@
     ledger.servers.records().iter().try_for_each(|r| put(Line::Server(Cow::Borrowed(r))))?;
     ledger.discovery.records().iter().try_for_each(|r| put(Line::Discovery(Cow::Borrowed(r))))?;
     ledger.nodes.records().iter().try_for_each(|r| put(Line::Node(Cow::Borrowed(r))))?;
+    ledger.operators.records().iter().try_for_each(|r| put(Line::Operator(Cow::Borrowed(r))))?;
     ledger.lab.records().iter().try_for_each(|r| put(Line::Lab(Cow::Borrowed(r))))
 }
 
@@ -64,15 +68,22 @@
     let mut ledger = Ledger::default();
     for (line, text) in (1..).zip(from.lines()) {
         let text = text.map_err(|source| JsonlError::Io { line, source })?;
-        match serde_json::from_str(&text).map_err(|source| JsonlError::Record { line, source })? {
-            Line::Names(names) => ledger.names = names.into_owned(),
-            Line::Try(t) => ledger.tries.push(*t),
-            Line::Client(r) => ledger.clients.push(r.at, r.event),
-            Line::Server(r) => ledger.servers.push(r.at, r.event),
-            Line::Discovery(r) => ledger.discovery.push(r.at, r.event),
-            Line::Node(r) => ledger.nodes.push(r.at, r.event),
-            Line::Lab(r) => ledger.lab.push(r.at, r.event),
-        }
+        take_line(&mut ledger, &text).map_err(|source| JsonlError::Record { line, source })?;
     }
     Ok(ledger)
 }
+
+/// Takes one line in.
+pub(crate) fn take_line(ledger: &mut Ledger, text: &str) -> Result<(), serde_json::Error> {
+    match serde_json::from_str(text)? {
+        Line::Names(names) => ledger.names = names.into_owned(),
+        Line::Try(t) => ledger.tries.push(*t),
+        Line::Client(r) => ledger.clients.push(r.at, r.event),
+        Line::Server(r) => ledger.servers.push(r.at, r.event),
+        Line::Discovery(r) => ledger.discovery.push(r.at, r.event),
+        Line::Node(r) => ledger.nodes.push(r.at, r.event),
+        Line::Operator(r) => ledger.operators.push(r.at, r.event),
+        Line::Lab(r) => ledger.lab.push(r.at, r.event),
+    }
+    Ok(())
+}
--- a/crates/lab/src/ledger/mod.rs
+++ b/crates/lab/src/ledger/mod.rs
@@ -13,15 +13,18 @@
 mod jsonl;
 mod names;
 mod node;
+mod operator;
 mod server;
 mod story;
 mod words;
 
 pub use client::{Answer, ClientBook, ClientEvent, Closer, Try, TryFlags};
 pub use index::{Index, ServerConn};
+pub(crate) use jsonl::take_line;
 pub use jsonl::{JsonlError, read_jsonl, write_jsonl};
 pub use names::{ClassNo, LoadNo, Names, NodeNo, ServerInfo, ServerNo, ZoneNo};
 pub use node::{DiscoveryEvent, LabEvent, Listed, NodeEvent, Signal};
+pub use operator::{Call, OperatorEvent};
 pub use server::{CancelledIn, RefusedWhy, ServerEvent, ServerState};
 pub use story::story;
 pub use words::Told;
@@ -110,6 +113,8 @@
     pub discovery: Book<DiscoveryEvent>,
     /// Nodes' processes.
     pub nodes: Book<NodeEvent>,
+    /// What operators asked nodes, and were told.
+    pub operators: Book<OperatorEvent>,
     /// Faults as they began and ended, and how late the lab was.
     pub lab: Book<LabEvent>,
 }
@@ -122,6 +127,7 @@
         self.servers.sort();
         self.discovery.sort();
         self.nodes.sort();
+        self.operators.sort();
         self.lab.sort();
     }
 }
--- a/crates/lab/tests/run/main.rs
+++ b/crates/lab/tests/run/main.rs
@@ -1,5 +1,6 @@
 //! Whole runs over real sockets: an honest node breaks no rule, and each saboteur just its own.
 
+mod recorded;
 mod saboteur;
 
 use lapisrudder_lab::experiment::{ExperimentFile, Metric};
