Check a history's line before it is taken, and keep the origin's kind in one place

History: which line had been taken was worked out from the lengths of seven books, and each arm fetched its last record anew. The line is now parsed, looked at, and then put into the ledger; a ledger's own reader does the same. Engine: it kept the origin's kind beside the overlay that keeps it, with a setter for both; it asks the overlay now. The second copies' condition is said once, without a double negation.

--- a/crates/decisions/src/maintenance.rs
+++ b/crates/decisions/src/maintenance.rs
@@ -52,6 +52,11 @@
         self.origin_kind = kind;
     }
 
+    /// It is of the origin's kind.
+    pub fn is_origin(&self, listed: &Listed) -> bool {
+        self.origin_kind == Some(listed.kind)
+    }
+
     /// The effective form of what discovery tells.
     pub fn listed(&mut self, scope: Scope, list: Vec<(Listed, P)>) -> Vec<(Listed, P)> {
         if matches!(scope, Scope::Full | Scope::Remembered) {
@@ -87,11 +92,10 @@
     /// It cannot be.
     pub fn ban(&mut self, id: ServerId, ban: Ban) -> Result<Option<(Listed, P)>, NoBan> {
         let entry = self.servers.get(&id).ok_or(NoBan::NeverListed)?;
-        let origin = |(l, _): &(Listed, P)| self.origin_kind == Some(l.kind);
-        if entry.told.as_ref().is_some_and(origin) {
+        let effective = entry.told.clone().map(|(listed, place)| (hidden(listed, entry.shown), place));
+        if effective.as_ref().is_some_and(|(listed, _)| self.is_origin(listed)) {
             return Err(NoBan::IsOrigin);
         }
-        let effective = entry.told.clone().map(|(listed, place)| (hidden(listed, entry.shown), place));
         self.bans.entry(id).or_insert(ban);
         Ok(effective)
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -86,7 +86,6 @@
     /// What discovery tells, and who is out by hand.
     maintenance: Maintenance<SocketAddr>,
     classes: Generations,
-    origin_kind: Option<u32>,
     /// Two attempts of a request may be out together.
     second_copies: bool,
     attempts: Attempts,
@@ -115,7 +114,6 @@
             begun: Vec::new(),
             classes,
             maintenance: Maintenance::new(settings.origin_kind),
-            origin_kind: settings.origin_kind,
             second_copies: settings.second_copies,
             attempts: Attempts::default(),
             balancer: Balancer::new(seed, settings, now),
@@ -127,7 +125,7 @@
     pub fn reconfigure(&mut self, mut settings: Settings, limits: Limits) -> Vec<usize> {
         let open: Vec<usize> = self.transactions.all.values().map(|t| t.call.request.class).collect();
         let places = self.classes.next(&mut settings, |place| open.contains(&place));
-        (self.origin_kind, self.second_copies) = (settings.origin_kind, settings.second_copies);
+        self.second_copies = settings.second_copies;
         self.maintenance.set_origin_kind(settings.origin_kind);
         self.pool.relimit(limits);
         self.balancer.reconfigure(settings);
@@ -356,7 +354,7 @@
             }
         }
         for (listed, endpoint) in &members {
-            let origin = self.origin_kind == Some(listed.kind);
+            let origin = self.maintenance.is_origin(listed);
             self.pool.list(listed.server, *endpoint, origin, listed.stage, &mut self.deadlines);
         }
         self.pool.recount();
@@ -476,10 +474,9 @@
         let Some(server) = state.filter(|f| f.ended.is_none()).map(|f| f.server) else { return };
         // Danger: where two copies may not be out together, what is sent elsewhere next would be a second one while this
         // connection stays open for the other flows on it.
-        let last = self.second_copies
-            || outcome != Outcome::TimedOut
-            || transaction.is_none_or(|t| t.call.answered());
-        let unsent = self.pool.abandon(server, flow, !last, now, &mut self.deadlines);
+        let owed = transaction.is_some_and(|t| !t.call.answered());
+        let closes = owed && outcome == Outcome::TimedOut && !self.second_copies;
+        let unsent = self.pool.abandon(server, flow, closes, now, &mut self.deadlines);
         let outcome = if unsent { Outcome::NeverSent } else { outcome };
         self.transactions.flow_ended(flow, outcome, None, now, &mut self.deadlines);
     }
--- a/crates/engine/tests/books.rs
+++ b/crates/engine/tests/books.rs
@@ -4,22 +4,26 @@
 use lapisrudder_decisions::{Class, Key, Listed, Mode, RequestId, Scope, ServerId, Settings};
 use lapisrudder_engine::{Answer, Config, Engine, Member, Order, Request};
 
-fn engine() -> Engine {
+fn settings(origin_kind: u32) -> Settings {
     let class = Class { aim: 750_000, worth: 1.0, ..Class::default() };
-    let settings = Settings {
+    Settings {
         classes: vec![class],
         max_attempts: 3,
         siblings: 1,
         mode: Mode::Aside,
-        origin_kind: Some(1),
+        origin_kind: Some(origin_kind),
         may_cancel: true,
         ..Settings::default()
-    };
-    let mut engine = Engine::new(Config { settings, ..Config::default() }, 0);
-    let member = |server, kind| Member {
-        listed: Listed { server: ServerId(server), kind, weight: 1.0, ..Listed::default() },
-        endpoint: ([127, 0, 0, 1], 11200 + server as u16).into(),
-    };
+    }
+}
+
+fn member(server: u64, kind: u32) -> Member {
+    let listed = Listed { server: ServerId(server), kind, weight: 1.0, ..Listed::default() };
+    Member { listed, endpoint: ([127, 0, 0, 1], 11200 + server as u16).into() }
+}
+
+fn engine() -> Engine {
+    let mut engine = Engine::new(Config { settings: settings(1), ..Config::default() }, 0);
     engine.listed(Scope::Full, vec![member(7, 0), member(8, 1)]);
     engine
 }
@@ -28,6 +32,16 @@
     std::iter::from_fn(|| engine.poll_order(now)).collect()
 }
 
+fn read(engine: &mut Engine, now: i64, number: u64, key: u64) -> Vec<Order> {
+    let id = format!("a{number}");
+    let parts = Parts { key: b"k", id: id.as_bytes(), class: b"read", wait_ms: 900, ..Parts::default() };
+    let command = OwnedRequest::compose(&parts).unwrap();
+    let due = now + 900_000;
+    let request = Request { command, key: Key(key), class: 0, tenant: 0, hint: None, repeated: false, due };
+    engine.take(now, RequestId(number), request).unwrap();
+    drain(engine, now)
+}
+
 /// Found by the simulator: random day 3, at 16.9 s. The decisions sent the read that had missed on to the origin, and the
 /// engine, which had forgotten the transaction by then, never told them that this attempt had ended: one more in flight
 /// at the origin, and room for one less there, for good.
@@ -36,18 +50,7 @@
     for left_first in [false, true] {
         let mut engine = engine();
         drain(&mut engine, 0);
-        let command = OwnedRequest::compose(&Parts {
-            key: b"k",
-            id: b"a1",
-            class: b"read",
-            wait_ms: 900,
-            ..Parts::default()
-        });
-        let command = command.unwrap();
-        let request =
-            Request { command, key: Key(12), class: 0, tenant: 0, hint: None, repeated: false, due: 900_000 };
-        engine.take(10, RequestId(1), request).unwrap();
-        let orders = drain(&mut engine, 10);
+        let orders = read(&mut engine, 10, 1, 12);
         let Some(Order::Connect { conn, .. }) = orders.first().cloned() else { panic!("{orders:?}") };
         engine.connected(300, conn);
         drain(&mut engine, 300);
@@ -69,27 +72,13 @@
     }
 }
 
-fn read(engine: &mut Engine, now: i64, number: u64, key: u64) -> Vec<Order> {
-    let id = format!("a{number}");
-    let parts = Parts { key: b"k", id: id.as_bytes(), class: b"read", wait_ms: 900, ..Parts::default() };
-    let command = OwnedRequest::compose(&parts).unwrap();
-    let due = now + 900_000;
-    let request = Request { command, key: Key(key), class: 0, tenant: 0, hint: None, repeated: false, due };
-    engine.take(now, RequestId(number), request).unwrap();
-    drain(engine, now)
-}
-
 /// Danger: connects that found no descriptor here counted as failures of their member, and sent its keys on detours.
 #[test]
 fn a_member_is_not_suspect_for_what_the_host_lacks() {
     for ours in [true, false] {
         let mut engine = engine();
         drain(&mut engine, 0);
-        let list = |server: u64| Member {
-            listed: Listed { server: ServerId(server), weight: 1.0, ..Listed::default() },
-            endpoint: ([127, 0, 0, 1], 11200 + server as u16).into(),
-        };
-        engine.listed(Scope::Changes, vec![list(9)]);
+        engine.listed(Scope::Changes, vec![member(9, 0)]);
         let Some(Order::Connect { conn, to: home }) = read(&mut engine, 10, 1, 12).first().cloned() else {
             panic!("no connect")
         };
@@ -131,20 +120,7 @@
 fn the_origin_is_of_the_kind_that_the_settings_name_now() {
     let mut engine = engine();
     drain(&mut engine, 0);
-    let class = Class { aim: 750_000, worth: 1.0, ..Class::default() };
-    let settings = Settings {
-        classes: vec![class],
-        max_attempts: 3,
-        siblings: 1,
-        mode: Mode::Aside,
-        origin_kind: Some(0),
-        ..Settings::default()
-    };
-    engine.reconfigure(settings, lapisrudder_engine::Limits::default());
-    let member = |server, kind| Member {
-        listed: Listed { server: ServerId(server), kind, weight: 1.0, ..Listed::default() },
-        endpoint: ([127, 0, 0, 1], 11200 + server as u16).into(),
-    };
+    engine.reconfigure(settings(0), lapisrudder_engine::Limits::default());
     engine.listed(Scope::Full, vec![member(7, 1), member(8, 0)]);
     drain(&mut engine, 5);
     for key in 0..20 {
--- a/crates/lab/src/check/history.rs
+++ b/crates/lab/src/check/history.rs
@@ -22,7 +22,7 @@
 use crate::Micros;
 use crate::experiment::ExperimentFile;
 use crate::ledger::{
-    ClientEvent, DiscoveryEvent, Ledger, NodeNo, OperatorEvent, ReqId, ServerEvent, ServerNo, take_line,
+    ClientEvent, DiscoveryEvent, Ledger, Line, Names, NodeNo, OperatorEvent, ReqId, ServerEvent, ServerNo,
     write_jsonl,
 };
 use serde::{Deserialize, Serialize};
@@ -172,109 +172,84 @@
             ledger.sort();
             return Ok(History { file, ledger });
         }
-        take_line(&mut ledger, &read).map_err(|source| HistoryError::Record { line, source })?;
-        known.check(&ledger).map_err(|what| HistoryError::Stranger { line, what })?;
+        let record = Line::parse(&read).map_err(|source| HistoryError::Record { line, source })?;
+        known.check(&record, &ledger.names).map_err(|what| HistoryError::Stranger { line, what })?;
+        record.put(&mut ledger);
     }
     Err(HistoryError::Cut { line: last + 1 })
 }
 
-/// How far a ledger was looked at, and what its records may name.
+/// What records may name, besides the parties.
 #[derive(Default)]
 struct Known {
     tries: BTreeSet<ReqId>,
     calls: BTreeSet<u32>,
-    seen: [usize; 7],
 }
 
 impl Known {
-    /// Looks at the line that was taken last.
-    fn check(&mut self, l: &Ledger) -> Result<(), String> {
-        let counts = [
-            l.tries.len(),
-            l.clients.records().len(),
-            l.servers.records().len(),
-            l.discovery.records().len(),
-            l.nodes.records().len(),
-            l.operators.records().len(),
-            l.lab.records().len(),
-        ];
-        let newest = (0..counts.len()).find(|i| counts[*i] > self.seen[*i]);
-        self.seen = counts;
-        let node = |node: NodeNo| match l.names.nodes.get(node.index()) {
-            Some(_) => Ok(()),
-            None => Err(format!("there is no node {}", node.0)),
+    /// Looks at a line before it is taken.
+    fn check(&mut self, line: &Line<'_>, names: &Names) -> Result<(), String> {
+        let node = |node: NodeNo| {
+            holds(names.nodes.get(node.index()).is_some(), || format!("there is no node {}", node.0))
         };
-        let server = |server: ServerNo| match l.names.servers.get(server.index()) {
-            Some(_) => Ok(()),
-            None => Err(format!("there is no server {}", server.0)),
+        let server = |server: ServerNo| {
+            holds(names.servers.get(server.index()).is_some(), || format!("there is no server {}", server.0))
         };
-        let time = |at: Micros| match at.abs() <= FARTHEST {
-            true => Ok(()),
-            false => Err(format!("{at} us is no time of a run")),
+        let at = match line {
+            Line::Names(_) => return Ok(()),
+            Line::Try(t) => t.due,
+            Line::Client(r) => r.at,
+            Line::Server(r) => r.at,
+            Line::Discovery(r) => r.at,
+            Line::Node(r) => r.at,
+            Line::Operator(r) => r.at,
+            Line::Lab(r) => r.at,
         };
-        match newest {
-            Some(0) => {
-                let t = l.tries.last().copied().unwrap_or_default();
-                time(t.due)?;
+        holds(at.abs() <= FARTHEST, || format!("{at} us is no time of a run"))?;
+        match line {
+            Line::Names(_) | Line::Lab(_) => Ok(()),
+            Line::Try(t) => {
                 node(t.node)?;
-                if l.names.classes.get(t.class.index()).is_none() {
-                    return Err(format!("there is no class {}", t.class.0));
-                }
-                match t.id != ReqId::NONE && self.tries.insert(t.id) {
-                    true => Ok(()),
-                    false => Err(format!("{} is no id of its own", t.id)),
-                }
+                let class = names.classes.get(t.class.index());
+                holds(class.is_some(), || format!("there is no class {}", t.class.0))?;
+                let own = t.id != ReqId::NONE && self.tries.insert(t.id);
+                holds(own, || format!("{} is no id of its own", t.id))
             }
-            Some(1) => {
-                let Some(r) = l.clients.records().last() else { return Ok(()) };
-                time(r.at)?;
-                if let Some(req) = r.event.req().filter(|req| !self.tries.contains(req)) {
-                    return Err(format!("there is no try {req}"));
+            Line::Client(r) => {
+                if let Some(req) = r.event.req() {
+                    holds(self.tries.contains(&req), || format!("there is no try {req}"))?;
                 }
                 match r.event {
                     ClientEvent::Opened { node: n, .. } | ClientEvent::ConnectFailed { node: n } => node(n),
                     _ => Ok(()),
                 }
             }
-            Some(2) => {
-                let Some(r) = l.servers.records().last() else { return Ok(()) };
-                time(r.at)?;
+            Line::Server(r) => {
                 server(r.event.server())?;
                 match r.event {
                     ServerEvent::Opened { node: n, .. } | ServerEvent::Refused { node: n, .. } => node(n),
                     _ => Ok(()),
                 }
             }
-            Some(3) => {
-                let Some(r) = l.discovery.records().last() else { return Ok(()) };
-                time(r.at)?;
-                match r.event {
-                    DiscoveryEvent::Changed { server: s, .. } => server(s),
-                    DiscoveryEvent::Told { node: n, server: s, .. } => node(n).and_then(|()| server(s)),
-                    DiscoveryEvent::Called { node: n, .. } | DiscoveryEvent::Failed { node: n } => node(n),
+            Line::Discovery(r) => match r.event {
+                DiscoveryEvent::Changed { server: s, .. } => server(s),
+                DiscoveryEvent::Told { node: n, server: s, .. } => node(n).and_then(|()| server(s)),
+                DiscoveryEvent::Called { node: n, .. } | DiscoveryEvent::Failed { node: n } => node(n),
+            },
+            Line::Node(r) => node(r.event.node()),
+            Line::Operator(r) => match r.event {
+                OperatorEvent::Called { call, node: n, .. } => {
+                    node(n)?;
+                    holds(self.calls.insert(call), || format!("call {call} was made before"))
                 }
-            }
-            Some(4) => {
-                let Some(r) = l.nodes.records().last() else { return Ok(()) };
-                time(r.at).and_then(|()| node(r.event.node()))
-            }
-            Some(5) => {
-                let Some(r) = l.operators.records().last() else { return Ok(()) };
-                time(r.at)?;
-                match r.event {
-                    OperatorEvent::Called { call, node: n, .. } => {
-                        node(n)?;
-                        match self.calls.insert(call) {
-                            true => Ok(()),
-                            false => Err(format!("call {call} was made before")),
-                        }
-                    }
-                    _ if self.calls.contains(&r.event.call()) => Ok(()),
-                    _ => Err(format!("there is no call {}", r.event.call())),
+                OperatorEvent::Answered { call, .. } => {
+                    holds(self.calls.contains(&call), || format!("there is no call {call}"))
                 }
-            }
-            Some(6) => l.lab.records().last().map_or(Ok(()), |r| time(r.at)),
-            _ => Ok(()),
+            },
         }
     }
 }
+
+fn holds(fits: bool, what: impl FnOnce() -> String) -> Result<(), String> {
+    if fits { Ok(()) } else { Err(what()) }
+}
--- a/crates/lab/src/check/management.rs
+++ b/crates/lab/src/check/management.rs
@@ -7,7 +7,7 @@
 use super::{Rule, Violation};
 use crate::ledger::{Call, NodeEvent, NodeNo, OperatorEvent, Signal};
 use crate::{Micros, seconds};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 struct Asked {
     at: Micros,
@@ -20,7 +20,7 @@
     let within = seconds(cx.rules.management_within_s) + cx.slack();
     let mut asked: BTreeMap<u32, Asked> = BTreeMap::new();
     // Nodes that said yes to a drain and have not been called back.
-    let mut drained: BTreeMap<NodeNo, bool> = BTreeMap::new();
+    let mut drained: BTreeSet<NodeNo> = BTreeSet::new();
     let mut broken = |at, node, text: String| {
         let text = format!("{}: {text}", cx.ledger.names.node(node));
         out.push(Violation { rule: Rule::Management, at, req: None, node: Some(node), server: None, text });
@@ -29,7 +29,7 @@
         match r.event {
             OperatorEvent::Called { call, node, asks } => {
                 if asks == Call::Active {
-                    drained.insert(node, false);
+                    drained.remove(&node);
                 }
                 asked.insert(call, Asked { at: r.at, node, asks, answered: false });
             }
@@ -43,10 +43,9 @@
                 if late > 0 && a.asks != Call::Nothing && !stops(cx, a.node, a.at, a.at + within) {
                     broken(r.at, a.node, format!("{:?} was answered {late} us too late", a.asks));
                 }
-                let is_drained = drained.get(&a.node).copied().unwrap_or(false);
                 let wrong = match a.asks {
                     Call::Out(None) | Call::Back(None) => ok,
-                    Call::Status => ok && is_drained,
+                    Call::Status => ok && drained.contains(&a.node),
                     Call::Out(Some(_)) | Call::Back(Some(_)) | Call::Standby | Call::Active => !ok,
                     Call::Nothing => false,
                 };
@@ -55,10 +54,9 @@
                     broken(r.at, a.node, format!("{:?} was answered {said}", a.asks));
                 }
                 if a.asks == Call::Standby && ok {
-                    drained.insert(a.node, true);
+                    drained.insert(a.node);
                 }
             }
-            OperatorEvent::Ended { .. } => {}
         }
     }
     let end = cx.index.end();
--- a/crates/lab/src/ledger/jsonl.rs
+++ b/crates/lab/src/ledger/jsonl.rs
@@ -30,7 +30,7 @@
 
 #[derive(Serialize, Deserialize)]
 #[serde(tag = "side", rename_all = "kebab-case")]
-enum Line<'a> {
+pub(crate) enum Line<'a> {
     Names(Cow<'a, Names>),
     Try(Cow<'a, Try>),
     Client(Cow<'a, Record<ClientEvent>>),
@@ -68,22 +68,28 @@
     let mut ledger = Ledger::default();
     for (line, text) in (1..).zip(from.lines()) {
         let text = text.map_err(|source| JsonlError::Io { line, source })?;
-        take_line(&mut ledger, &text).map_err(|source| JsonlError::Record { line, source })?;
+        Line::parse(&text).map_err(|source| JsonlError::Record { line, source })?.put(&mut ledger);
     }
     Ok(ledger)
 }
 
-/// Takes one line in.
-pub(crate) fn take_line(ledger: &mut Ledger, text: &str) -> Result<(), serde_json::Error> {
-    match serde_json::from_str(text)? {
-        Line::Names(names) => ledger.names = names.into_owned(),
-        Line::Try(t) => ledger.tries.push(*t),
-        Line::Client(r) => ledger.clients.push(r.at, r.event),
-        Line::Server(r) => ledger.servers.push(r.at, r.event),
-        Line::Discovery(r) => ledger.discovery.push(r.at, r.event),
-        Line::Node(r) => ledger.nodes.push(r.at, r.event),
-        Line::Operator(r) => ledger.operators.push(r.at, r.event),
-        Line::Lab(r) => ledger.lab.push(r.at, r.event),
+impl Line<'_> {
+    /// Reads one line.
+    pub(crate) fn parse(text: &str) -> Result<Line<'static>, serde_json::Error> {
+        serde_json::from_str(text)
+    }
+
+    /// Goes into a ledger.
+    pub(crate) fn put(self, ledger: &mut Ledger) {
+        match self {
+            Line::Names(names) => ledger.names = names.into_owned(),
+            Line::Try(t) => ledger.tries.push(*t),
+            Line::Client(r) => ledger.clients.push(r.at, r.event),
+            Line::Server(r) => ledger.servers.push(r.at, r.event),
+            Line::Discovery(r) => ledger.discovery.push(r.at, r.event),
+            Line::Node(r) => ledger.nodes.push(r.at, r.event),
+            Line::Operator(r) => ledger.operators.push(r.at, r.event),
+            Line::Lab(r) => ledger.lab.push(r.at, r.event),
+        }
     }
-    Ok(())
 }
--- a/crates/lab/src/ledger/mod.rs
+++ b/crates/lab/src/ledger/mod.rs
@@ -20,7 +20,7 @@
 
 pub use client::{Answer, ClientBook, ClientEvent, Closer, Try, TryFlags};
 pub use index::{Index, ServerConn};
-pub(crate) use jsonl::take_line;
+pub(crate) use jsonl::Line;
 pub use jsonl::{JsonlError, read_jsonl, write_jsonl};
 pub use names::{ClassNo, LoadNo, Names, NodeNo, ServerInfo, ServerNo, ZoneNo};
 pub use node::{DiscoveryEvent, LabEvent, Listed, NodeEvent, Signal};
--- a/crates/lab/src/ledger/operator.rs
+++ b/crates/lab/src/ledger/operator.rs
@@ -41,18 +41,13 @@
         /// It begins with `ok`, and not with `fail`.
         ok: bool,
     },
-    /// The connection ended without an answer.
-    Ended {
-        /// The call.
-        call: u32,
-    },
 }
 
 impl OperatorEvent {
     /// The call's number.
     pub fn call(&self) -> u32 {
         match *self {
-            Self::Called { call, .. } | Self::Answered { call, .. } | Self::Ended { call } => call,
+            Self::Called { call, .. } | Self::Answered { call, .. } => call,
         }
     }
 }
