--- a/crates/limits/src/admission/orders_due.rs
+++ b/crates/limits/src/admission/orders_due.rs
@@ -144,6 +144,7 @@
         self.worth.soon = (turnover.min(1e12) as Micros).clamp(SOONEST.min(most), most);
         let known = self.books.sides[1].held > self.settings.known.connections as u64;
         let sides = [false, true].into_iter().filter(|side| known || !side);
+        let unlearnt = self.worth.early_after(self.books.used() as f64 / room.max(1) as f64);
         let (books, worth) = (&self.books, &self.worth);
         let (_, conn) = sides
             .flat_map(|side| books.heads(side, ONCE..IDLE, 1))
@@ -151,7 +152,7 @@
             .filter_map(|(_, name, conn)| {
                 let (class, age) = (conn.class(), now - conn.since);
                 let learnt = !conn.probe && worth.is_learnt(now, class, age);
-                let sure = age >= worth.earliest(class) && (learnt || age >= worth.early_after());
+                let sure = age >= worth.earliest(class) && (learnt || age >= unlearnt);
                 let worth = worth.of(class, age);
                 (sure && worth < too_little).then_some((worth, name))
             })
--- a/crates/limits/src/admission/tests.rs
+++ b/crates/limits/src/admission/tests.rs
@@ -513,6 +513,32 @@
     assert_eq!(host.limits.books.audit(), Ok(()));
 }
 
+/// Danger: a restarted node's room was taken by all that had waited for it, each asked once and kept its connection, and for
+/// 0.3 s nobody else got in.
+#[test]
+fn a_fresh_node_whose_room_is_all_taken_makes_some_before_it_has_learnt_anything() {
+    // So many ask at once, and are answered one after another. Gives who was closed 0.2 s after the first was idle.
+    let made = |taken: usize| {
+        let mut host = Host::new("", 400, 400);
+        let room = Resources { clients_room: 128, ..host.limits.resources };
+        host.limits.resources(0, &room);
+        let ask = |i| {
+            let conn = host.connect(&format!("192.0.2.{i}"), true).unwrap();
+            host.ask(conn, READ).unwrap()
+        };
+        let asked: Vec<Ticket> = (0..taken).map(ask).collect();
+        for some in asked.chunks(8) {
+            some.iter().for_each(|ticket| host.answer(*ticket, true));
+            host.pass(12);
+        }
+        host.pass((200 - host.now / 1000).max(0));
+        host.closed.len()
+    };
+    let closed = made(128);
+    assert!((10..=60).contains(&closed), "some of them, and not all: {closed}");
+    assert_eq!(made(64), 0, "while there is room, the settings' time holds");
+}
+
 /// Twice what a node can work off comes: ten at a time, 0.1 s each, in order. Gives the share of what it can do that
 /// was answered within 0.5 s.
 fn overdriven(settings: &str) -> f64 {
--- a/crates/limits/src/keep.rs
+++ b/crates/limits/src/keep.rs
@@ -161,9 +161,12 @@
         micros(if class == UNUSED { self.keep.silent_room_ms } else { self.keep.used_room_ms })
     }
 
-    /// From this age on, a used one goes early under want of the clients' room, whatever was learnt of its age.
-    pub fn early_after(&self) -> Micros {
-        micros(self.keep.early_ms).max(self.earliest)
+    /// From this age on, a used one goes early under want of the clients' room, whatever was learnt of its age: the
+    /// settings' time while there is room, the earliest time when all of it is taken. Guards a fresh node whose room
+    /// is taken in one instant by clients that waited for it: it has learnt nothing, and nobody else gets in.
+    pub fn early_after(&self, taken: f64) -> Micros {
+        let early = micros(self.keep.early_ms).max(self.earliest);
+        early - ((early - self.earliest) as f64 * self.too_little(taken)) as Micros
     }
 
     /// The earliest age at which what is learnt may end one of a class.
