--- a/crates/config/src/options.rs
+++ b/crates/config/src/options.rs
@@ -46,10 +46,6 @@
     pub bounds: Bounds,
     /// What a node must keep to.
     pub rules: Rules,
-    /// What members report of their load.
-    pub report: Report,
-    /// `work` where worth counts by unit of work rather than by request.
-    pub worth_by: String,
     /// What connections cost.
     pub tariffs: Tariffs,
 }
@@ -72,8 +68,6 @@
     pub window_s: f64,
     /// What one request is worth.
     pub worth: f64,
-    /// Share of the worth that is left after `slo-s`.
-    pub late_worth: f64,
 }
 
 /// One tenant.
@@ -124,8 +118,6 @@
     pub ask_within_s: f64,
     /// A member is warm this many seconds after its start. Default 0.
     pub cold_s: f64,
-    /// Nothing new may go to a member this many seconds after the node was told that it drains. Default 0.
-    pub drain_grace_s: f64,
     /// A cold member falls over if overdriven for this many seconds. Default 1.
     pub fall_s: f64,
     /// Share of its capacity with which a member starts. Default 1.
@@ -145,14 +137,6 @@
     pub gone_is_advice: bool,
 }
 
-/// What members report of their load.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-#[serde(default)]
-pub struct Report {
-    /// The names of the values, in their order.
-    pub names: Vec<String>,
-}
-
 /// What connections cost.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
@@ -177,8 +161,6 @@
             family_info: FamilyInfo::default(),
             bounds: Bounds::default(),
             rules: Rules::default(),
-            report: Report::default(),
-            worth_by: String::new(),
             tariffs: Tariffs::default(),
         }
     }
@@ -204,7 +186,6 @@
         Rules {
             ask_within_s: 10.0,
             cold_s: 0.0,
-            drain_grace_s: 0.0,
             fall_s: 1.0,
             start_capacity: 1.0,
             tip_multiple: 1.0,
@@ -239,7 +220,6 @@
         Class {
             aim: micros(c.slo_s),
             worth: c.worth,
-            late_worth: c.late_worth,
             effect: match c.effect.as_str() {
                 "free" => Effect::Safe,
                 "guarded" => Effect::Keyed,
@@ -275,15 +255,12 @@
             may_cancel: o.bounds.cancel,
             second_copies: o.bounds.second_copies,
             max_retry_after: micros(o.bounds.max_retry_after_s),
-            drain_grace: micros(o.rules.drain_grace_s),
             start_capacity: o.rules.start_capacity,
             cold: micros(o.rules.cold_s),
             tip_multiple: o.rules.tip_multiple,
             tip_window: micros(o.rules.fall_s),
-            worth_by_work: o.worth_by == "work",
             connection_price: o.tariffs.connection,
             handshake_price: o.tariffs.handshake,
-            report_queue: o.report.names.iter().position(|n| n == "backlog"),
         }
     }
 }
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -55,8 +55,6 @@
     pub aim: Micros,
     /// What one request is worth.
     pub worth: f64,
-    /// Share of the worth that is left after the aim.
-    pub late_worth: f64,
     pub effect: Effect,
     pub group: Group,
     pub repeat_window: Micros,
@@ -116,7 +114,6 @@
     pub may_cancel: bool,
     pub second_copies: bool,
     pub max_retry_after: Micros,
-    pub drain_grace: Micros,
     /// A server starts with at least this share of its capacity,
     pub start_capacity: f64,
     /// and has all of it after this time.
@@ -125,13 +122,9 @@
     pub tip_multiple: f64,
     /// for this long.
     pub tip_window: Micros,
-    /// Worth counts per unit of work, not per request.
-    pub worth_by_work: bool,
     /// What a hundred open connections a server cost, and what a new one for each request costs.
     pub connection_price: f64,
     pub handshake_price: f64,
-    /// Which load report value is the number of requests waiting, if any.
-    pub report_queue: Option<usize>,
 }
 
 impl Settings {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -27,7 +27,6 @@
         may_cancel: true,
         second_copies: true,
         max_retry_after: S,
-        drain_grace: S,
         start_capacity: 0.2,
         cold: 20 * S,
         tip_multiple: 3.0,
