Find the connection of a flow in one place, and let tests of large values use the common client

Need: the engine's pool looked for the connection that carries a flow in two places, and tests/large.rs had a client of its own beside that of tests/harness. Change: Pool::carrier; Client takes bytes, and reads lines, bytes and the rest. No behaviour, no assertion changed. Ruled out: that a held connection could carry a flow which another one carries, too (a flow is on one connection).

--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -361,16 +361,21 @@
         self.connections.get(&id).is_some_and(Connection::expects)
     }
 
+    /// The connection that a flow is on.
+    fn carrier(&self, server: ServerId, flow: FlowId) -> Option<Conn> {
+        let mut ids = self.members.get(&server)?.connections.iter().copied();
+        ids.find(|id| self.connections.get(id).is_some_and(|c| c.carries(flow)))
+    }
+
     pub(crate) fn holds(&self, id: Conn) -> bool {
         self.connections.get(&id).is_some_and(|c| c.held)
     }
 
     /// Gives the connection on which a flow was held back, which is read on from here on.
     pub(crate) fn resume(&mut self, server: ServerId, flow: FlowId) -> Option<Conn> {
-        let mut ids = self.members.get(&server)?.connections.iter().copied();
-        let id = ids.find(|id| self.connections.get(id).is_some_and(|c| c.held && c.carries(flow)))?;
-        self.connections.get_mut(&id)?.held = false;
-        Some(id)
+        let id = self.carrier(server, flow)?;
+        let held = self.connections.get_mut(&id).is_some_and(|c| std::mem::take(&mut c.held));
+        held.then_some(id)
     }
 
     /// Takes the answers that are whole. False if the connection is over.
@@ -492,8 +497,7 @@
             member.waiting.remove(i);
             return true;
         }
-        let mut ids = member.connections.iter().copied();
-        let id = ids.find(|id| self.connections.get(id).is_some_and(|c| c.carries(flow)));
+        let id = self.carrier(server, flow);
         let Some((id, c)) = id.and_then(|id| Some((id, self.connections.get_mut(&id)?))) else {
             return false;
         };
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -339,8 +339,29 @@
         Ok(Client(BufReader::new(stream)))
     }
 
-    pub fn send(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).expect("written");
+    pub fn send(&mut self, text: impl AsRef<[u8]>) {
+        self.0.get_mut().write_all(text.as_ref()).expect("written");
+    }
+
+    /// One line, its end included; nothing at the end of the stream.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).expect("a line in time");
+        line
+    }
+
+    /// So many bytes.
+    pub fn bytes(&mut self, length: usize) -> Vec<u8> {
+        let mut bytes = vec![0; length];
+        self.0.read_exact(&mut bytes).expect("bytes in time");
+        bytes
+    }
+
+    /// What comes until the stream ends, or is reset.
+    pub fn rest(&mut self) -> Vec<u8> {
+        let mut rest = Vec::new();
+        let _ = self.0.read_to_end(&mut rest);
+        rest
     }
 
     /// Sends, unless the connection has ended.
--- a/tests/large.rs
+++ b/tests/large.rs
@@ -5,8 +5,6 @@
 
 use harness::*;
 use lapisrudder_lab::stand::{Books, Reply, Scripted, World, member};
-use std::io::{Read, Write};
-use std::net::TcpStream;
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::Duration;
@@ -38,46 +36,22 @@
     (world(spec, ids(0)), cache, asked)
 }
 
-struct Raw(TcpStream);
-
-impl Raw {
-    fn of(node: &Node) -> Raw {
-        let stream = TcpStream::connect(node.address).unwrap();
-        stream.set_read_timeout(Some(WIDE)).unwrap();
-        Raw(stream)
-    }
-
-    fn ask(&mut self, id: &str, wait_ms: u64) {
-        self.0.write_all(format!("mg k{id} v O{id} Pc=read,d={wait_ms}\r\n").as_bytes()).unwrap();
-    }
-
-    fn line(&mut self) -> String {
-        let (mut line, mut byte) = (String::new(), [0]);
-        while !line.ends_with('\n') && self.0.read(&mut byte).unwrap() > 0 {
-            line.push(byte[0].into());
-        }
-        line
-    }
-
-    fn bytes(&mut self, length: usize) -> Vec<u8> {
-        let mut bytes = vec![0; length];
-        self.0.read_exact(&mut bytes).unwrap();
-        bytes
-    }
+fn ask(client: &mut Client, id: &str, wait_ms: u64) {
+    client.send(format!("mg k{id} v O{id} Pc=read,d={wait_ms}\r\n"));
+}
 
-    fn takes(&mut self, length: usize, id: &str) {
-        assert_eq!(self.line(), format!("VA {length} O{id}\r\n"));
-        assert!(self.bytes(length) == value(length), "every byte of {length} as it was given");
-        assert_eq!(self.bytes(2), b"\r\n");
-    }
+fn takes(client: &mut Client, length: usize, id: &str) {
+    assert_eq!(client.line(), format!("VA {length} O{id}\r\n"));
+    assert!(client.bytes(length) == value(length), "every byte of {length} as it was given");
+    assert_eq!(client.bytes(2), b"\r\n");
 }
 
 #[test]
 fn a_large_value_is_passed_on_as_it_comes_and_past_its_deadline() {
     let (world, _cache, asked) = scripted();
     let node = Node::start(&world);
-    let mut client = Raw::of(&node);
-    client.ask("1", 1500);
+    let mut client = node.client();
+    ask(&mut client, "1", 1500);
     let (id, reply) = asked.recv().unwrap();
     let all = whole(MOST, &id);
     // The first bytes arrive while the rest has not been given yet.
@@ -92,25 +66,25 @@
     assert!([first, rest].concat() == value(MOST), "every byte, past the deadline");
     assert_eq!(client.bytes(2), b"\r\n");
     // The connection goes on.
-    client.ask("2", 60_000);
+    ask(&mut client, "2", 60_000);
     let (id, reply) = asked.recv().unwrap();
     reply.send(whole(5, &id));
-    client.takes(5, "2");
+    takes(&mut client, 5, "2");
 }
 
 #[test]
 fn lengths_from_nothing_to_the_limit_pass_and_one_over_is_refused() {
     let (world, _cache, asked) = scripted();
     let node = Node::start(&world);
-    let mut client = Raw::of(&node);
+    let mut client = node.client();
     for (n, length) in [0, 1, 65_535, 65_536, 65_537, 200_000, MOST].into_iter().enumerate() {
         let id = n.to_string();
-        client.ask(&id, 60_000);
+        ask(&mut client, &id, 60_000);
         let (id, reply) = asked.recv().unwrap();
         reply.send(whole(length, &id));
-        client.takes(length, &id);
+        takes(&mut client, length, &id);
     }
-    client.ask("9", 1000);
+    ask(&mut client, "9", 1000);
     for (id, reply) in asked.iter() {
         // A length over the limit is a spoilt answer, whoever gives it.
         if id == "9" {
@@ -119,7 +93,7 @@
         }
     }
     assert!(client.line().starts_with("SERVER_ERROR"));
-    client.0.write_all(format!("ms k {} O10 Pc=put,d=9,k=a\r\n", MOST + 1).as_bytes()).unwrap();
+    client.send(format!("ms k {} O10 Pc=put,d=9,k=a\r\n", MOST + 1));
     assert_eq!(client.line(), "CLIENT_ERROR object too large\r\n");
 }
 
@@ -127,35 +101,34 @@
 fn a_value_that_breaks_off_ends_its_connection_and_costs_no_other() {
     let (world, _cache, asked) = scripted();
     let node = Node::start(&world);
-    let (mut torn, mut other) = (Raw::of(&node), Raw::of(&node));
-    torn.ask("1", 60_000);
+    let (mut torn, mut other) = (node.client(), node.client());
+    ask(&mut torn, "1", 60_000);
     let (id, reply) = asked.recv().unwrap();
     reply.send(&whole(MOST, &id)[..1 << 20]);
     assert_eq!(torn.line(), format!("VA {MOST} O1\r\n"));
     reply.close();
-    let mut rest = Vec::new();
-    let _ = torn.0.read_to_end(&mut rest);
+    let rest = torn.rest();
     assert!(rest.len() < MOST && value(MOST).starts_with(&rest), "what came of it, and then the end");
     // A client that goes in the middle harms nobody either.
-    let mut gone = Raw::of(&node);
-    gone.ask("2", 60_000);
+    let mut gone = node.client();
+    ask(&mut gone, "2", 60_000);
     let (id, reply) = asked.recv().unwrap();
     reply.send(&whole(MOST, &id)[..1 << 20]);
     gone.line();
     drop(gone);
-    other.ask("3", 60_000);
+    ask(&mut other, "3", 60_000);
     let (id, reply) = asked.recv().unwrap();
     reply.send(whole(70_000, &id));
-    other.takes(70_000, &id);
+    takes(&mut other, 70_000, &id);
 }
 
 #[test]
 fn answers_keep_their_order_round_a_large_one() {
     let (world, _cache, asked) = scripted();
     let node = Node::start(&world);
-    let mut client = Raw::of(&node);
+    let mut client = node.client();
     for id in ["1", "2", "3"] {
-        client.ask(id, 60_000);
+        ask(&mut client, id, 60_000);
     }
     let mut replies: Vec<(String, Reply)> = (0..3).map(|_| asked.recv().unwrap()).collect();
     replies.sort_by(|a, b| a.0.cmp(&b.0));
@@ -163,9 +136,9 @@
     replies[1].1.send(whole(3, "2"));
     thread::sleep(Duration::from_millis(50));
     replies[0].1.send(whole(MOST, "1"));
-    client.takes(MOST, "1");
-    client.takes(3, "2");
-    client.takes(100_000, "3");
+    takes(&mut client, MOST, "1");
+    takes(&mut client, 3, "2");
+    takes(&mut client, 100_000, "3");
 }
 
 #[test]
@@ -175,20 +148,20 @@
     let node = Node::start(&world);
     let mut slow = Vec::new();
     for n in 0..READERS {
-        let mut client = Raw::of(&node);
-        client.ask(&n.to_string(), 60_000);
+        let mut client = node.client();
+        ask(&mut client, &n.to_string(), 60_000);
         let (id, reply) = asked.recv_timeout(WIDE).unwrap();
         reply.send(whole(MOST, &id));
         slow.push(client);
     }
     slow.iter_mut().enumerate().for_each(|(n, c)| assert_eq!(c.line(), format!("VA {MOST} O{n}\r\n")));
-    let mut small = Raw::of(&node);
+    let mut small = node.client();
     for n in 0..50 {
         let id = format!("f{n}");
-        small.ask(&id, 60_000);
+        ask(&mut small, &id, 60_000);
         let (id, reply) = asked.recv().unwrap();
         reply.send(whole(10, &id));
-        small.takes(10, &id);
+        takes(&mut small, 10, &id);
     }
     let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).unwrap();
     let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap().trim();
@@ -214,7 +187,7 @@
     let node = Node::start(&world);
     let writes: Vec<_> = (0..20)
         .map(|n| {
-            let mut client = Raw::of(&node);
+            let mut client = node.client();
             thread::spawn(move || {
                 let text = "v".repeat(MOST);
                 client
@@ -222,9 +195,9 @@
                     .write_all(format!("ms w{n} {MOST} O{n} Pc=put,d=60000,k=k{n}\r\n").as_bytes())
                     .unwrap();
                 for piece in text.as_bytes().chunks(333_333) {
-                    client.0.write_all(piece).unwrap();
+                    client.send(piece);
                 }
-                client.0.write_all(b"\r\n").unwrap();
+                client.send("\r\n");
                 (client.line(), format!("HD O{n} cr-77\r\n"))
             })
         })
