--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -152,7 +152,7 @@
     let mut clients: Vec<Client> = (0..20).map(|_| node.client()).collect();
     for (c, client) in clients.iter_mut().enumerate() {
         client
-            .send(&(0..8).map(|n| format!("mg k{c}x{n} v O{c}x{n} Pc=read,d=60000\r\n")).collect::<String>());
+            .send((0..8).map(|n| format!("mg k{c}x{n} v O{c}x{n} Pc=read,d=60000\r\n")).collect::<String>());
     }
     until(|| asked(&world, "c") > 0);
     // Far more connects than there are descriptors; those that get in or are told so are usual too.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -78,7 +78,8 @@
     let node = Node::start(&world);
     let mut client = node.client();
     let id = |n: usize| format!("{n:x}");
-    client.send(&(0..MANY).map(|n| format!("mg k v O{} Pc=read,d=60000\r\n", id(n))).collect::<String>());
+    let asked: String = (0..MANY).map(|n| format!("mg k v O{} Pc=read,d=60000\r\n", id(n))).collect();
+    client.send(&asked);
     let mut other = node.client();
     (0..50).for_each(|n| assert!(other.read(&format!("f{n}"), 60_000).starts_with("VA ")));
     assert!(count.load(Ordering::SeqCst) < MANY / 2, "the rest waits for the client");
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -34,7 +34,7 @@
     let mut caller = caller;
     assert_eq!(caller.answer(), "fail line too long\n");
     let mut caller = node.caller("");
-    "status\n".chars().for_each(|c| caller.send(&c.to_string()));
+    "status\n".chars().for_each(|c| caller.send(c.to_string()));
     assert_eq!(caller.answer(), "ok ready\n");
 }
 
--- a/tests/suite/host.rs
+++ b/tests/suite/host.rs
@@ -144,7 +144,7 @@
         let Ask { id, key, class, wait_ms, value, idempotency } = ask;
         let keyed = idempotency.as_ref().map(|k| format!(",k={k}")).unwrap_or_default();
         match value {
-            None => Client::send(self, &format!("mg {key} v O{id} Pc={class},d={wait_ms}{keyed}\r\n")),
+            None => Client::send(self, format!("mg {key} v O{id} Pc={class},d={wait_ms}{keyed}\r\n")),
             Some(value) => {
                 let size = value.len();
                 let text = format!("ms {key} {size} O{id} Pc={class},d={wait_ms}{keyed}\r\n{value}\r\n");
