Add the core of membership: who is in the fleet, in what state, and how many count

Need: nodes do not know of each other; `siblings` is a number in the settings, wrong as soon as nodes die or start. Two accusers are needed for a verdict, and nobody goes from alive to dead here without being suspect for the least time, so neither one that hears nothing nor a half that was cut off is believed at once. No program uses it yet. Ruled out: an accuser alone (a deaf node convicts all), taking a verdict passed on at its word (a healed half convicts the other).

--- /dev/null
+++ b/crates/membership/tests/fleet/world.rs
@@ -0,0 +1,322 @@
+//! A fleet on a virtual clock: the real core, a network with faults between each pair, and the rules, looked at with
+//! each change that a member tells.
+
+use lapisrudder_membership::{Change, Config, Membership, Micros, Name, Output, Settings, State, View};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+pub const S: Micros = 1_000_000;
+pub const MS: Micros = 1_000;
+/// What a stopped process's socket holds.
+const INBOX: usize = 150;
+
+/// What the way from one member to another does.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    pub loss: f64,
+    pub double: f64,
+    pub delay: Micros,
+    /// Up to so much more, by chance: what is sent later may come first.
+    pub jitter: Micros,
+    pub cut: bool,
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub core: Option<Membership>,
+    pub at: SocketAddr,
+    pub start: u64,
+    /// It stands still until then.
+    pub until: Micros,
+    /// When it is to be woken, as last set.
+    wakes: Micros,
+    inbox: VecDeque<(SocketAddr, Vec<u8>)>,
+    /// It is at fault itself, or its ways are: what it holds of others breaks no rule.
+    pub ill: bool,
+    /// What it told of others, by name.
+    seen: BTreeMap<Name, View>,
+    pub told: Vec<(Micros, Change)>,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Wake(usize),
+    Deliver(usize, SocketAddr, Vec<u8>),
+}
+
+pub struct World {
+    pub now: Micros,
+    pub nodes: Vec<Node>,
+    pub settings: Settings,
+    pub way: Way,
+    pub ways: BTreeMap<(usize, usize), Way>,
+    pub rng: SmallRng,
+    queue: BinaryHeap<Reverse<(Micros, u64, Event)>>,
+    next: u64,
+    /// All that was sent, if it is kept.
+    pub kept: Option<Vec<(usize, SocketAddr, Vec<u8>)>>,
+    /// Verdicts of well members on such as live.
+    pub false_dead: Vec<(Micros, usize, Name)>,
+    pub bytes: u64,
+}
+
+pub fn name(n: usize) -> Name {
+    format!("n{n}").parse().unwrap()
+}
+
+fn address(n: usize) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 10_000 + n as u16)
+}
+
+impl World {
+    /// Nobody runs yet.
+    pub fn new(count: usize, seed: u64) -> World {
+        let node = |n| Node {
+            core: None,
+            at: address(n),
+            start: 0,
+            until: 0,
+            wakes: Micros::MAX,
+            inbox: VecDeque::new(),
+            ill: false,
+            seen: BTreeMap::new(),
+            told: Vec::new(),
+        };
+        World {
+            now: S,
+            nodes: (0..count).map(node).collect(),
+            settings: Settings::default(),
+            way: Way { delay: 200, jitter: 300, ..Way::default() },
+            ways: BTreeMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            next: 0,
+            kept: None,
+            false_dead: Vec::new(),
+            bytes: 0,
+        }
+    }
+
+    /// All run and know each other.
+    pub fn together(count: usize, seed: u64) -> World {
+        let mut world = World::new(count, seed);
+        (0..count).for_each(|n| world.start(n, &[0, 1]));
+        world.run(12 * S);
+        assert!(world.agree(count), "a fleet without faults comes together");
+        world
+    }
+
+    pub fn start(&mut self, n: usize, seeds: &[usize]) {
+        let start = self.now as u64;
+        self.start_as(n, n, start, seeds);
+    }
+
+    /// A process at place `n` by the name of another, perhaps.
+    pub fn start_as(&mut self, n: usize, as_name: usize, start: u64, seeds: &[usize]) {
+        let config = Config {
+            name: name(as_name),
+            at: self.nodes[n].at,
+            zone: "z".into(),
+            start,
+            seeds: seeds.iter().map(|s| address(*s)).collect(),
+            seed: self.rng.random(),
+            settings: self.settings.clone(),
+        };
+        let node = &mut self.nodes[n];
+        (node.core, node.start) = (Some(Membership::new(config, self.now)), start);
+        node.seen.clear();
+        node.inbox.clear();
+        self.carry_out(n);
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.nodes[n].core = None;
+    }
+
+    pub fn leave(&mut self, n: usize) {
+        let now = self.now;
+        self.nodes[n].core.iter_mut().for_each(|core| core.leave(now));
+        self.carry_out(n);
+    }
+
+    /// It stands still for so long.
+    pub fn pause(&mut self, n: usize, length: Micros) {
+        self.nodes[n].until = self.nodes[n].until.max(self.now + length);
+        self.push(self.nodes[n].until, Event::Wake(n));
+    }
+
+    /// Cuts the way from one to another.
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.ways.insert((from, to), Way { cut: true, ..self.way });
+    }
+
+    /// Between two parts, both ways.
+    pub fn part(&mut self, side: impl Fn(usize) -> bool) {
+        let count = self.nodes.len();
+        for a in 0..count {
+            (0..count).filter(|b| side(a) != side(*b)).for_each(|b| self.cut(a, b));
+        }
+    }
+
+    fn push(&mut self, at: Micros, event: Event) {
+        self.next += 1;
+        self.queue.push(Reverse((at, self.next, event)));
+    }
+
+    /// Plays on for so long.
+    pub fn run(&mut self, length: Micros) {
+        let end = self.now + length;
+        while let Some(Reverse((at, ..))) = self.queue.peek() {
+            if *at > end {
+                break;
+            }
+            let Some(Reverse((at, _, event))) = self.queue.pop() else { break };
+            self.now = at;
+            match event {
+                Event::Wake(n) => {
+                    if self.nodes[n].wakes <= at {
+                        self.nodes[n].wakes = Micros::MAX;
+                    }
+                    self.turn(n);
+                }
+                Event::Deliver(n, from, body) => {
+                    let node = &mut self.nodes[n];
+                    if node.core.is_some() && node.inbox.len() < INBOX {
+                        node.inbox.push_back((from, body));
+                        self.turn(n);
+                    }
+                }
+            }
+        }
+        self.now = end;
+    }
+
+    /// Until something holds; how long that took, or nothing within `most`.
+    pub fn until(&mut self, most: Micros, holds: impl Fn(&World) -> bool) -> Option<Micros> {
+        let begun = self.now;
+        while self.now - begun < most {
+            if holds(self) {
+                return Some(self.now - begun);
+            }
+            self.run(20 * MS);
+        }
+        None
+    }
+
+    /// One turn of the host's loop: what has come, then what is due.
+    fn turn(&mut self, n: usize) {
+        let node = &mut self.nodes[n];
+        if node.until > self.now {
+            return;
+        }
+        let Some(core) = &mut node.core else { return };
+        for (from, body) in node.inbox.drain(..) {
+            core.receive(self.now, from, &body);
+        }
+        if core.next_wake() <= self.now {
+            core.wake(self.now);
+        }
+        self.carry_out(n);
+    }
+
+    fn carry_out(&mut self, n: usize) {
+        while let Some(output) = self.nodes[n].core.as_mut().and_then(Membership::poll) {
+            match output {
+                Output::Send { to, body } => self.send(n, to, body),
+                Output::Told(change) => self.told(n, change),
+            }
+        }
+        if let Some(at) = self.nodes[n].core.as_ref().map(Membership::next_wake) {
+            // One is enough: a second for the same time would bring forth two more, and so on.
+            let at = at.max(self.now);
+            if at < self.nodes[n].wakes {
+                self.nodes[n].wakes = at;
+                self.push(at, Event::Wake(n));
+            }
+        }
+    }
+
+    pub fn send(&mut self, n: usize, to: SocketAddr, body: Vec<u8>) {
+        assert!(body.len() <= 1380, "a datagram of {} bytes", body.len());
+        self.bytes += body.len() as u64;
+        if let Some(kept) = &mut self.kept {
+            kept.push((n, to, body.clone()));
+        }
+        let Some(other) = to.port().checked_sub(10_000).map(usize::from).filter(|o| *o < self.nodes.len())
+        else {
+            return;
+        };
+        let way = self.ways.get(&(n, other)).copied().unwrap_or(self.way);
+        let copies = 1 + usize::from(self.rng.random_bool(way.double));
+        for _ in 0..copies {
+            if !way.cut && !self.rng.random_bool(way.loss) {
+                let at = self.now + way.delay + self.rng.random_range(0..=way.jitter);
+                self.push(at, Event::Deliver(other, self.nodes[n].at, body.clone()));
+            }
+        }
+    }
+
+    /// The rules on what one member says of others.
+    fn told(&mut self, n: usize, change: Change) {
+        if let Change::Member(view) = &change {
+            let lives = self.nodes.iter().any(|o| {
+                o.core.as_ref().is_some_and(|core| {
+                    let own = core.own_view();
+                    own.name == view.name && own.start == view.start && own.state != State::Left
+                }) && o.until <= self.now
+                    && !o.ill
+            });
+            if view.state == State::Dead && lives && !self.nodes[n].ill && self.nodes[n].until <= self.now {
+                self.false_dead.push((self.now, n, view.name.clone()));
+            }
+            let node = &mut self.nodes[n];
+            if let Some(before) = node.seen.insert(view.name.clone(), view.clone()) {
+                let (old, new) = ((before.start, before.incarnation), (view.start, view.incarnation));
+                assert!(old <= new, "n{n}: an incarnation goes back: {before:?}, {view:?}");
+                let away = matches!(before.state, State::Dead | State::Left);
+                let back = matches!(view.state, State::Alive | State::Suspect);
+                assert!(
+                    !(away && back && old == new),
+                    "n{n}: something old comes back: {before:?}, {view:?}"
+                );
+            }
+        }
+        self.nodes[n].told.push((self.now, change));
+    }
+
+    /// What a member holds another one for.
+    pub fn holds(&self, n: usize, of: usize) -> Option<State> {
+        let core = self.nodes[n].core.as_ref()?;
+        core.members(self.now).find(|m| m.name == name(of)).map(|m| m.state)
+    }
+
+    /// All that run hold that of it.
+    pub fn all_hold(&self, of: usize, state: State) -> bool {
+        self.running().all(|n| n == of || self.holds(n, of) == Some(state))
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = usize> {
+        (0..self.nodes.len()).filter(|n| self.nodes[*n].core.is_some())
+    }
+
+    /// Views are the same at all that run: so many are alive, and just those that run.
+    pub fn agree(&self, alive: usize) -> bool {
+        let running: Vec<Name> = self.running().map(name).collect();
+        self.running().all(|n| {
+            let core = self.nodes[n].core.as_ref();
+            let members = core.into_iter().flat_map(|core| core.members(self.now));
+            let (live, other): (Vec<View>, Vec<View>) = members.partition(|m| m.state == State::Alive);
+            live.len() == alive
+                && live.iter().all(|m| running.contains(&m.name))
+                && other.iter().all(|m| m.state != State::Suspect)
+        })
+    }
+}
+
+/// One more place to run at.
+pub fn node_at(n: usize) -> Node {
+    World::new(n + 1, 0).nodes.pop().unwrap()
+}
