Let nodes know each other, and prove it on real processes with faults between them

Need: issue of the operators: no node knew of another, and no test started two processes with a fault between them. Change: [fleet] of the operators' file (off without it: no socket, timer or allocation), src/net/fleet with one UDP socket on the loop, a checksum keyed from a file, shares by the census in place of the platform's siblings, the place handed over in a replacement; lapisrudder fleet members and watch over an address of its own. lapisrudder-lab fleet starts real processes that advertise the lab's sockets, so that each directed pair can lose, delay, double, spoil, hold or be cut; five rules read what was seen outside, each with a history that breaks it alone and an honest twin. Ruled out: verdicts at the word of one; the platform's management address (its calls are one line each).

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -19,6 +19,7 @@
 #![warn(missing_docs, unreachable_pub)]
 
 mod effective;
+mod fleet;
 mod json;
 mod members;
 mod operators;
@@ -29,6 +30,7 @@
 mod sources;
 
 pub use effective::{Part, Setting, Source, to_toml};
+pub use fleet::Fleet;
 pub use members::{ListError, MemberList, Target};
 pub use operators::{Operators, Refusal, Section};
 pub use options::{Bounds, Customer, FamilyInfo, Options, RequestClass, Rules, digest, micros};
--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -1,6 +1,7 @@
 //! The operators' file: TOML, a section for each subsystem. A key that is left out has its default, one that
 //! there is not is refused.
 
+use crate::fleet::Fleet;
 use crate::json::line_at;
 use crate::problem::{Fault, Place, Problem};
 use crate::sections::Log;
@@ -49,13 +50,17 @@
     pub limits: lapisrudder_limits::Settings,
     /// `[log]`: what is told, and how.
     pub log: Log,
+    /// `[fleet]`: the other nodes. Without the section this one knows of none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<Fleet>,
 }
 
 impl Section for Operators {
     fn check(&self) -> Result<(), Refusal> {
-        let Operators { limits, log } = self;
+        let Operators { limits, log, fleet } = self;
         let sections: [&dyn Section; 2] = [limits, log];
-        sections.into_iter().try_for_each(Section::check)
+        sections.into_iter().try_for_each(Section::check)?;
+        fleet.as_ref().map_or(Ok(()), Section::check)
     }
 }
 
--- a/crates/config/tests/problems.rs
+++ b/crates/config/tests/problems.rs
@@ -141,7 +141,7 @@
         ("# nothing\n[log]\n[limits]\n", &[]),
         ("[log]\nlevel = \"debug\"\nformat = \"json\"\nwindow_ms = 1000\nrepeats = 1\nlines = 2\n", &[]),
         ("log.level = \"warn\"\n", &[]),
-        ("[lgo]\nx = 1\n", &["o.toml:1: lgo: unknown field `lgo`, expected `limits` or `log`"]),
+        ("[lgo]\nx = 1\n", &["o.toml:1: lgo: unknown field `lgo`, expected one of `limits`, `log`, `fleet`"]),
         (
             "\n[log]\nlevle = \"warn\"\n",
             &[
@@ -183,7 +183,7 @@
                 "o.toml:4: log.repeats: invalid type: floating point `1.5`, expected u32",
                 "o.toml:5: log.lines: 0 is not within 1 to 10000",
                 "o.toml:6: log.colour: unknown field `colour`, expected one of `level`, `format`, `window_ms`, `repeats`, `lines`",
-                "o.toml:7: logs: unknown field `logs`, expected `limits` or `log`",
+                "o.toml:7: logs: unknown field `logs`, expected one of `limits`, `log`, `fleet`",
             ],
         ),
     ];
--- a/crates/config/tests/sources.rs
+++ b/crates/config/tests/sources.rs
@@ -1,7 +1,7 @@
 //! What all sources say together, where each setting came from, and the operators' file that is delivered.
 
 use lapisrudder_config::{
-    Arguments, Environment, Format, Level, Operators, Part, Setting, Source, Sources, to_toml,
+    Arguments, Environment, Fleet, Format, Level, Operators, Part, Setting, Source, Sources, to_toml,
 };
 use std::collections::BTreeSet;
 use std::fs;
@@ -115,8 +115,12 @@
         .collect();
     let (all, lines) =
         Operators::parse(&uncommented.join("\n"), &path).expect("each key is one that there is");
-    assert_eq!(all, Operators::default(), "each value is the default");
-    let settings = Sources::default().explain().expect("defaults");
+    // The section on the fleet is off where it is not there at all.
+    let on = Operators { fleet: Some(Fleet::default()), ..Operators::default() };
+    assert_eq!(all, on, "each value is the default");
+    let whole = file("whole.toml", "[fleet]");
+    let whole = Sources { operators: Some(whole), ..Sources::default() };
+    let settings = whole.explain().expect("defaults");
     let there_are: BTreeSet<&str> = settings.iter().map(|s| s.key.as_str()).collect();
     assert!(
         stated.keys().all(|key| !there_are.contains(key.as_str())),
--- a/crates/lab/src/check/mod.rs
+++ b/crates/lab/src/check/mod.rs
@@ -10,6 +10,7 @@
 mod crossing;
 mod drains;
 mod effects;
+pub mod fleet;
 mod genuine;
 mod history;
 mod in_time;
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line: each sub-command reads its arguments here and calls the module that does the work.
 
+mod fleet;
 mod measure;
 mod sim;
 mod tool;
--- a/crates/lab/src/cli/tool.rs
+++ b/crates/lab/src/cli/tool.rs
@@ -1,5 +1,6 @@
 //! The sub-commands that start something: worlds, nodes, load.
 
+use super::fleet::FleetArgs;
 use super::measure::{CompareArgs, RunArgs, TableArgs};
 use super::world::{DemoArgs, ServeArgs};
 use crate::cost::{CostOptions, cost, relay};
@@ -23,6 +24,8 @@
     Table(TableArgs),
     /// Play experiments, or random days, on a virtual clock.
     Sim(super::sim::SimArgs),
+    /// Run several nodes as processes, with faults between them, and judge what was seen.
+    Fleet(FleetArgs),
     /// Start a world to try a node against by hand.
     Serve(ServeArgs),
     /// Measure what a served read costs a node, against a plain byte relay.
@@ -61,6 +64,7 @@
             Tool::Compare(args) => args.call(),
             Tool::Table(args) => args.call(),
             Tool::Sim(args) => args.call(),
+            Tool::Fleet(args) => args.call(),
             Tool::Serve(args) => args.call(),
             Tool::Cost(args) => args.call(),
             Tool::Under { parent, command } => Err(become_under(*parent, command).into()),
--- a/crates/lab/src/experiment/file.rs
+++ b/crates/lab/src/experiment/file.rs
@@ -166,6 +166,27 @@
     text.split_whitespace().collect::<Vec<_>>().join(" ")
 }
 
+/// A file of another kind, whose errors are told as those of experiments are.
+pub(crate) struct Located {
+    name: String,
+    places: Places,
+}
+
+impl Located {
+    pub(crate) fn new(name: &str, text: &str) -> Self {
+        Self { name: name.to_owned(), places: Places::of(text) }
+    }
+
+    pub(crate) fn toml(&self, e: &toml::de::Error) -> FileError {
+        from_toml(&self.name, &self.places, e.message(), e.span())
+    }
+
+    pub(crate) fn at(&self, key: &str, text: String) -> FileError {
+        let line = self.places.line_of(key);
+        FileError { file: self.name.clone(), line, key: key.to_owned(), text }
+    }
+}
+
 fn from_toml(name: &str, places: &Places, message: &str, span: Option<std::ops::Range<usize>>) -> FileError {
     let text = one_line(message);
     let Some(span) = span else {
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -21,6 +21,8 @@
 pub use fault::{
     Fault, Heal, OutageHow, Pick, RandomTimes, SeenMetric, Side, SignalSet, Spoil, What, When, Who,
 };
+#[cfg(feature = "tool")]
+pub(crate) use file::Located;
 pub use file::{ExperimentFile, Point};
 pub use hold::{Better, Condition, Metric, Op};
 pub use load::{BadClient, BadKind, Connections, Habit, Keys, Load, Rate, Retries};
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod experiment;
 #[cfg(feature = "tool")]
 pub mod faults;
+#[cfg(feature = "tool")]
+pub mod fleet;
 pub mod ledger;
 #[cfg(feature = "tool")]
 pub mod load;
--- a/crates/membership/src/awareness.rs
+++ b/crates/membership/src/awareness.rs
@@ -30,7 +30,12 @@
 
     /// A time of a member that doubts itself so far.
     pub(crate) fn stretch(self, time: i64) -> i64 {
-        time.saturating_mul(i64::from(self.score) + 1)
+        self.stretch_by(time, self.most)
+    }
+
+    /// The same, up to so many times longer.
+    pub(crate) fn stretch_by(self, time: i64, most: u32) -> i64 {
+        time.saturating_mul(i64::from((self.score + 1).min(most.max(1))))
     }
 }
 
--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -28,10 +28,14 @@
 pub(crate) const YOUNG: Micros = 10_000_000;
 /// Times that it does so, or two that began together would for ever.
 pub(crate) const MOST_RAISES: u32 = 3;
+/// Doubt makes the times of suspicion up to so many times longer.
+const VERDICT_MOST: u32 = 3;
 /// Members are looked through for such as may be forgotten so often.
 const FORGET_EVERY: Micros = 30_000_000;
 /// One that goes tells so many others at once; gossip carries it on.
 const FAREWELLS: usize = 8;
+/// Seeds at the most. Guards against a list that makes each start a flood.
+pub const MOST_SEEDS: usize = 64;
 /// While nobody is known, seeds are called at least this often: the first to answer is the whole fleet.
 const ALONE_MOST: Micros = 5_000_000;
 
@@ -496,6 +500,14 @@
         fits.map(|(_, m)| &m.name).choose_multiple(rng, count).into_iter().cloned().collect()
     }
 
+    /// Some members that nobody suspects, by chance, to ask for another one. Danger: when most of a fleet dies at once, those
+    /// who are left ask the dead, hear nothing, and doubt themselves.
+    pub(crate) fn helpers(&mut self, count: usize, without: &Name) -> Vec<Name> {
+        let Membership { table, rng, .. } = self;
+        let fits = table.iter().filter(|(_, m)| m.state == State::Alive && m.name != *without);
+        fits.map(|(_, m)| &m.name).choose_multiple(rng, count).into_iter().cloned().collect()
+    }
+
     /// A time within that, by chance.
     pub(crate) fn part_of(&mut self, time: Micros) -> Micros {
         self.rng.random_range(0..=time.max(1))
@@ -503,8 +515,9 @@
 
     pub(crate) fn bounds(&self) -> Bounds {
         let Settings { suspect_least_ms, suspect_most_ms, confirmations, .. } = self.settings;
-        // One that doubts itself is slower to hold others for dead.
-        let time = |time| self.awareness.stretch(ms(time));
+        // One that doubts itself is slower to hold others for dead, but not by as much as it is to ask: what is found out by
+        // those who are left when most have died must not wait for their doubts to end.
+        let time = |time| self.awareness.stretch_by(ms(time), VERDICT_MOST);
         Bounds { least: time(suspect_least_ms), most: time(suspect_most_ms), confirmations }
     }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -50,7 +50,7 @@
 mod timers;
 
 pub use census::Census;
-pub use core::{Change, Config, Counts, Inherited, Membership, Output};
+pub use core::{Change, Config, Counts, Inherited, MOST_SEEDS, Membership, Output};
 pub use envelope::{BadDatagram, Envelope, Key, MOST_DATAGRAM};
 pub use heard::Heard;
 pub use packet::{BadName, Name, State};
--- a/crates/membership/src/merge.rs
+++ b/crates/membership/src/merge.rs
@@ -213,10 +213,12 @@
             let start = self.me.start;
             return self.tell(Change::Raised(start));
         }
-        if let Some(at) = at.filter(|_| !self.superseded) {
-            self.superseded = true;
+        let Some(at) = at else { return };
+        if !std::mem::replace(&mut self.superseded, true) {
             self.tell(Change::Superseded(at));
         }
+        // The later one hears of this one, too: it asks back.
+        self.ask_twin(now, at, start, MOST_BYTES);
     }
 
     /// Somebody would join: it hears of as many as it sent bytes for.
--- a/crates/membership/src/packet.rs
+++ b/crates/membership/src/packet.rs
@@ -119,8 +119,6 @@
     Nack { seq: u64 },
     /// There is a later process of your name.
     Later { start: u64, at: SocketAddr },
-    /// A process of your name with that earlier start spoke from there.
-    Earlier { start: u64, at: SocketAddr },
     /// I would join. Filled up, so that an answer as long as this may be had by somebody nobody knows.
     Hello { filling: Vec<u8> },
     /// A digest of all that I know, by buckets.
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -2,7 +2,7 @@
 
 use crate::Micros;
 use crate::core::{Change, Membership};
-use crate::packet::{MOST_BYTES, Name, Packet, State, Update, What};
+use crate::packet::{Name, Packet, State, Update, What};
 use crate::settings::ms;
 use crate::timers::Timer;
 use rand::Rng;
@@ -104,14 +104,14 @@
     }
 
     /// Another process speaks by this member's name, or what it said is played again: it is asked.
-    pub(crate) fn ask_twin(&mut self, now: Micros, at: SocketAddr, start: u64) {
+    pub(crate) fn ask_twin(&mut self, now: Micros, at: SocketAddr, start: u64, most: usize) {
         if now - self.twin_asked < TWIN_EVERY {
             return;
         }
         self.twin_asked = now;
         let name = self.me.name.clone();
         let seq = self.expect(now, name.clone(), start, Kind::Twin);
-        self.send(now, at, What::Probe { seq, target: name, start }, None, MOST_BYTES);
+        self.send(now, at, What::Probe { seq, target: name, start }, None, most);
     }
 
     /// No ack in time: others are asked.
@@ -121,7 +121,7 @@
         let Some(at) = self.table.find(&target).and_then(|place| self.table.get(place)).map(|m| m.at) else {
             return;
         };
-        let helpers = self.some(self.settings.helpers as usize, Some(&target));
+        let helpers = self.helpers(self.settings.helpers as usize, &target);
         if let Some(probe) = self.probes.get_mut(&seq) {
             probe.asked = helpers.len() as u32;
         }
@@ -178,7 +178,7 @@
             return;
         }
         if own && sender.start < self.me.start && !matches!(what, What::Ack { .. }) {
-            self.ask_twin(now, from, sender.start);
+            self.ask_twin(now, from, sender.start, bytes);
         }
         self.merge(now, sender.clone());
         // One that has been replaced by a later process of its name says nothing that counts of others.
@@ -191,7 +191,7 @@
             self.table.change(place, |m| m.times.from = now);
         }
         if place.is_none() && !own {
-            self.tell_both(now, from, &sender, bytes);
+            self.tell_of_later(now, from, &sender, bytes);
         }
         if place.is_some() || own {
             news.into_iter().for_each(|update| self.merge(now, update));
@@ -225,8 +225,6 @@
                 }
             }
             What::Later { start, at } => self.later(now, start, Some(at), false),
-            What::Earlier { start, at } if member && start < self.me.start => self.ask_twin(now, at, start),
-            What::Earlier { .. } => {}
             What::Hello { .. } => self.welcome(now, from, bytes),
             What::Digest { buckets } if member => self.compare(now, &sender.name, &buckets),
             What::Records { wanted } if member => self.records(now, &sender.name, wanted, 0),
@@ -248,21 +246,12 @@
         }
     }
 
-    /// One spoke whose name a later process bears: either hears of the other.
-    fn tell_both(&mut self, now: Micros, from: SocketAddr, sender: &Update, bytes: usize) {
-        let Some(place) = self.table.find(&sender.name) else { return };
-        let Some((start, at)) = self.table.get(place).filter(|m| m.is_in()).map(|m| (m.start, m.at)) else {
-            return;
-        };
-        self.send(now, from, What::Later { start, at }, None, bytes);
-        // It may have been played again: the later one hears of it now and then, and asks.
-        let due = self.table.change(place, |m| {
-            let due = now - m.twin_told >= TWIN_EVERY;
-            m.twin_told = if due { now } else { m.twin_told };
-            due
-        });
-        if due == Some(true) {
-            self.say(now, &sender.name, What::Earlier { start: sender.start, at: from });
+    /// One spoke whose name a later process bears: it hears of that.
+    fn tell_of_later(&mut self, now: Micros, from: SocketAddr, sender: &Update, bytes: usize) {
+        let later =
+            self.table.find(&sender.name).and_then(|place| self.table.get(place)).filter(|m| m.is_in());
+        if let Some((start, at)) = later.map(|m| (m.start, m.at)) {
+            self.send(now, from, What::Later { start, at }, None, bytes);
         }
     }
 
@@ -284,7 +273,11 @@
         let (kind, late, asked) = (probe.kind, probe.late, probe.asked > 0);
         self.probes.remove(&seq);
         if kind == Kind::Twin {
-            return self.tell(Change::Twin(from));
+            // A later one that this one asked has heard of it by that.
+            if sender.start < self.me.start {
+                self.tell(Change::Twin(from));
+            }
+            return;
         }
         self.answered(now, sender);
         match kind {
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -48,27 +48,13 @@
     pub(crate) times: Times,
     /// A dead one is called again then, and after so long.
     pub(crate) call: (Micros, Micros),
-    /// When it was last told of an earlier process of its name.
-    pub(crate) twin_told: Micros,
 }
 
 impl Member {
     pub(crate) fn new(update: Update, now: Micros) -> Member {
         let Update { name, start, incarnation, state, at, zone, .. } = update;
         let (times, call) = (Times::default(), (now, 0));
-        Member {
-            name,
-            start,
-            incarnation,
-            state,
-            at,
-            zone,
-            since: now,
-            suspicion: None,
-            times,
-            call,
-            twin_told: Micros::MIN / 2,
-        }
+        Member { name, start, incarnation, state, at, zone, since: now, suspicion: None, times, call }
     }
 
     /// The word on it that is passed on.
--- a/crates/membership/tests/fleet/main.rs
+++ b/crates/membership/tests/fleet/main.rs
@@ -241,7 +241,8 @@
     for seed in 0..10 {
         let mut world = World::together(20, seed);
         (0..14).for_each(|n| world.kill(n));
-        assert!(world.until(30 * S, |w| w.agree(6)).is_some(), "seed {seed}");
+        let known = world.until(30 * S, |w| w.agree(6)).expect("all known");
+        assert!(known < 15 * S, "seed {seed}: {known}");
         no_false(&world);
     }
 }
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -21,6 +21,7 @@
 pub use frame::{BadFrame, MOST, VERSION, decode, encode};
 pub use shares::{LEAST, Lender};
 
+use lapisrudder_membership::Inherited;
 use serde::{Deserialize, Serialize};
 
 /// A member that operators have taken out.
@@ -100,6 +101,8 @@
         /// What was read of its next command.
         input: Vec<u8>,
     },
+    /// Old to new, once that serves: its place among the other nodes. The socket there goes along.
+    Fleet(Inherited),
     /// Either way: operators have taken a member out.
     Out(Ban),
     /// Either way: that member may serve again.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check_config;
 mod config;
+mod fleet;
 mod limits;
 mod serve;
 mod version;
@@ -30,6 +31,9 @@
     /// Look into the limits: who gets in, who is kept, what is taken in.
     #[command(subcommand)]
     Limits(limits::Asked),
+    /// Look into a node's view of the other nodes.
+    #[command(subcommand)]
+    Fleet(fleet::Asked),
     /// Print the version.
     Version,
 }
@@ -65,6 +69,7 @@
         Command::CheckConfig(told) => Ok(check_config::run(&told.into())),
         Command::Config(asked) => config::run(asked),
         Command::Limits(asked) => limits::run(asked),
+        Command::Fleet(asked) => fleet::run(asked),
         Command::Version => version::run(),
     };
     done.unwrap_or_else(|error| {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 mod classes;
 mod client;
 mod deadlines;
+mod fleet;
 mod management;
 mod node;
 mod takeover;
@@ -41,6 +42,11 @@
     Door,
     Successor,
     Predecessor,
+    /// Datagrams of other nodes.
+    Fleet,
+    /// Where operators look at the fleet, and one that does.
+    Look,
+    Looker(u64),
 }
 
 impl From<Conn> for Owner {
@@ -82,6 +88,8 @@
     Management { at: SocketAddr, source: io::Error },
     #[error(transparent)]
     Limits(#[from] lapisrudder_limits::SettingsError),
+    #[error(transparent)]
+    Fleet(#[from] fleet::Error),
     #[error("the loop failed: {0}")]
     Loop(#[source] calloop::Error),
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -3,6 +3,7 @@
 use super::classes::Classes;
 use super::client::SCRATCH;
 use super::deadlines::{Deadline, Deadlines, Key as DeadlineKey};
+use super::fleet::{self, Fleet};
 use super::management::{self, Management};
 use super::takeover::{self, Door, Link};
 use super::virtual_server::{self, VirtualServer};
@@ -18,6 +19,7 @@
 };
 use lapisrudder_host::{Clock, Discovery, Members, News};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
+use lapisrudder_membership::Inherited;
 use lapisrudder_takeover::{self as talk, Grant, Lender, Message, State};
 use rustc_hash::FxHashMap;
 use std::io::Write;
@@ -163,6 +165,10 @@
     deadlines: Deadlines,
     server: VirtualServer,
     management: Option<Management>,
+    /// The other nodes, if operators name any.
+    fleet: Option<Fleet>,
+    /// What they say of that. The process that others hear is the one with a `fleet`.
+    fleet_section: Option<lapisrudder_config::Fleet>,
     members: Members<Ready>,
     discovery: Discovery<Ready>,
     ledger: Ledger,
@@ -215,11 +221,16 @@
         };
         let handed = handed.filter(|l| l.local_addr().is_ok_and(|at| at == config.listen));
         let own = OWN_SOCKETS + takeover::SOCKETS + management.as_ref().map_or(0, |_| management::SOCKETS);
+        let own = own + operators.fleet.as_ref().map_or(0, |_| fleet::SOCKETS);
         let sockets = config.sockets.saturating_sub(own);
         let limits = limits(&config.options, settings.siblings, sockets);
         let admission = Admission::new(operators.limits, config.seed, now)?;
         let server = VirtualServer::new(config.listen, handed, admission, handle)
             .map_err(|source| super::Error::Listen { at: config.listen, source })?;
+        let fleet_section = operators.fleet;
+        // A process before this one hands its place among the others over when clients go to this one.
+        let alone = fleet_section.clone().filter(|_| predecessor.is_none());
+        let fleet = alone.map(|section| Fleet::new(section, &config.name, None, handle, now));
         // The list of the process before is newer than what the platform remembers.
         let theirs = state.as_ref().and_then(|state| list_of(state, config.discovery));
         let (revision, known) = theirs.unwrap_or(remembered);
@@ -240,6 +251,8 @@
             deadlines: Deadlines::default(),
             server,
             management,
+            fleet: fleet.transpose()?,
+            fleet_section,
             members: Members::new(handle),
             discovery: Discovery::new(config.discovery, revision, handle, Owner::Discovery),
             ledger: Ledger::default(),
@@ -269,6 +282,7 @@
             node.hold_to(config.sockets / 2, now);
             node.deadlines.add(now + ALONE_AFTER, Deadline::Alone);
         }
+        node.share();
         node.turn([]);
         let mut told =
             format!("{} listens on {}\n", config.name, node.server.address().unwrap_or(config.listen));
@@ -287,7 +301,8 @@
         }
         let deadlines =
             [self.deadlines.next(), self.engine.next_wake(), self.discovery.next_wake(), self.server.due()];
-        let next = deadlines.into_iter().flatten().min();
+        let fleet = self.fleet.as_ref().map(Fleet::next_wake);
+        let next = deadlines.into_iter().flatten().chain(fleet).min();
         Some(self.clock.until(next?))
     }
 
@@ -314,6 +329,9 @@
                 management.for_each(|m| m.accept(now, deadlines));
             }
             Owner::Caller(id) => self.management.iter_mut().for_each(|m| m.on_ready(id)),
+            Owner::Fleet => self.fleet.iter_mut().for_each(|f| f.on_ready(now)),
+            Owner::Look => self.fleet.iter_mut().for_each(Fleet::on_look),
+            Owner::Looker(id) => self.fleet.iter_mut().for_each(|f| f.on_looker(id)),
             Owner::Door => self.somebody_knocks(),
             Owner::Successor => self.hear_successor(now),
             Owner::Predecessor => self.hear_predecessor(now),
@@ -336,7 +354,18 @@
             // Checked when the file was read; the old ones stay.
             warn!("reload: {what}");
         }
-        let Platform { options, discovery, .. } = config.platform;
+        let Platform { mut options, discovery, .. } = config.platform;
+        match &mut self.fleet {
+            Some(fleet) => {
+                self.fleet_section = config.operators.fleet.clone().or(self.fleet_section.take());
+                fleet.reload(config.operators.fleet, now);
+                options.siblings = fleet.counted();
+            }
+            None if config.operators.fleet.is_some() && self.fleet_section.is_none() => {
+                warn!("reload: fleet: it begins with the next start only");
+            }
+            None => {}
+        }
         let settings = Settings::from(&options);
         let limits = limits(&options, settings.siblings, self.sockets);
         let places = self.engine.reconfigure(settings, limits);
@@ -356,12 +385,46 @@
         self.discovery_news();
     }
 
+    /// The fleet's part of the turn: what is due there, and shares among as many as count by now.
+    fn among_others(&mut self) {
+        let now = self.clock.now();
+        let Some(fleet) = &mut self.fleet else { return };
+        fleet.turn(now);
+        if fleet.counted() != self.options.siblings {
+            self.share();
+        }
+    }
+
+    /// Goes among the others, with what a process before this one hands over, if any.
+    fn begin_fleet(&mut self, before: Option<(Inherited, OwnedFd)>, now: Micros) {
+        let Some(section) = self.fleet_section.clone().filter(|_| self.fleet.is_none()) else { return };
+        match Fleet::new(section, &self.name, before, &self.handle, now) {
+            Ok(fleet) => self.fleet = Some(fleet),
+            // It serves all the same, with shares as the settings say.
+            Err(e) => warn!("fleet: this node is not among the others: {e}"),
+        }
+        self.share();
+    }
+
+    /// Budgets that are shared with the other nodes go by the number of them that count.
+    fn share(&mut self) {
+        let Some(fleet) = &self.fleet else { return };
+        self.options.siblings = fleet.counted();
+        let settings = Settings::from(&self.options);
+        let limits = limits(&self.options, settings.siblings, self.sockets);
+        let places = self.engine.reconfigure(settings, limits);
+        self.classes.next(&self.options, &places, self.clock.now());
+    }
+
     /// The operators end the node: what was taken is answered, then it ends.
     pub fn stop(&mut self) {
         if self.phase == Phase::Serving {
             self.phase = if self.is_replaced() { Phase::Leaving } else { Phase::Stopping };
             self.server.stopping();
             let now = self.clock.now();
+            if !self.is_replaced() {
+                self.fleet.iter_mut().for_each(|f| f.leave(now));
+            }
             self.deadlines.add(now + ACCEPTS_ON, Deadline::Leave);
             self.deadlines.add(now + self.longest_wait + STOP_TAKING, Deadline::StopAccepting);
             self.deadlines.add(now + self.longest_wait + LAST_CALL, Deadline::LastCall);
@@ -496,12 +559,14 @@
                         self.server.adopt(TcpStream::from(along), input, now, &mut self.deadlines);
                     }
                 }
+                Message::Fleet(inherited) => self.begin_fleet(along.map(|fd| (inherited, fd)), now),
                 other => self.agree(other, now),
             }
         }
         if let Some(why) = over {
             info!("takeover: alone from here on: {why}");
             self.predecessor = None;
+            self.begin_fleet(None, now);
             self.clients_elsewhere = 0;
             self.hold_to(self.all_descriptors, now);
             // Danger: a process that was not ready yet never accepted, since there was nobody to take clients over from.
@@ -526,6 +591,9 @@
         info!("takeover: the other process is gone, going on: {why}");
         self.hold_to(self.all_descriptors, now);
         if successor.ready {
+            if self.phase == Phase::Serving {
+                self.begin_fleet(None, now);
+            }
             if let Err(e) = self.server.take_clients_back() {
                 warn!("cannot accept: {e}");
             }
@@ -568,6 +636,13 @@
             self.phase = Phase::Leaving;
         }
         info!("takeover: another process serves, clients go to it");
+        if let Some(fleet) = self.fleet.take() {
+            match (fleet.hand_over(now), &mut self.successor) {
+                (Ok((inherited, socket)), Some(s)) => s.link.say(&Message::Fleet(inherited), Some(socket)),
+                // The other one begins anew when this one is gone.
+                (handed, _) => warn!("takeover: the place in the fleet stays behind: {:?}", handed.err()),
+            }
+        }
         self.hand_over(now);
     }
 
@@ -769,6 +844,7 @@
         ready.into_iter().for_each(|owner| self.ready(owner));
         self.send_out();
         self.sweep();
+        self.among_others();
         self.keep_limits();
         self.server.read_on(&mut self.scratch, self.clock.now(), &mut self.deadlines);
         for transaction in std::mem::take(&mut self.server.resumed) {
--- a/src/net/takeover.rs
+++ b/src/net/takeover.rs
@@ -147,7 +147,9 @@
         let Some((message, used)) = decode(&self.input)? else { return Ok(None) };
         self.input.drain(..used);
         let along = match message {
-            Message::State(_) | Message::Client { .. } => Some(self.came.pop_front().ok_or(Error::NoSocket)?),
+            Message::State(_) | Message::Client { .. } | Message::Fleet(_) => {
+                Some(self.came.pop_front().ok_or(Error::NoSocket)?)
+            }
             _ => None,
         };
         Ok(Some((message, along)))
