--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -7,6 +7,7 @@
 use crate::budget::Budget;
 use crate::heard::Heard;
 use crate::packet::{MOST_BYTES, MOST_ZONE, Name, Packet, State, Update, What, length};
+use crate::planted::Planted;
 use crate::probe::{Help, Probe};
 use crate::settings::{Settings, ms};
 use crate::suspicion::Bounds;
@@ -156,6 +157,8 @@
     pub(crate) superseded: bool,
     /// When it last asked whether another of its name lives.
     pub(crate) twin_asked: Micros,
+    /// What tests have taken out.
+    pub(crate) planted: Planted,
 }
 
 impl Membership {
@@ -188,6 +191,7 @@
             raises: 0,
             superseded: false,
             twin_asked: Micros::MIN / 2,
+            planted: Planted::Nothing,
             settings,
         };
         membership.ask_seeds(seeds, now);
@@ -226,6 +230,15 @@
         Inherited { start, incarnation, members: self.others(now).collect() }
     }
 
+    /// Takes a mechanism out.
+    #[cfg(feature = "planted")]
+    pub fn plant(&mut self, planted: Planted) {
+        self.planted = planted;
+        if planted == Planted::NoDoubt {
+            self.awareness = Awareness::new(1);
+        }
+    }
+
     /// Other timers, and other seeds. Who this member is stays.
     pub fn reload(&mut self, settings: Settings, seeds: Vec<SocketAddr>, now: Micros) {
         self.awareness = Awareness::new(settings.doubt_most);
@@ -349,7 +362,7 @@
 
     fn notice(&mut self, now: Micros) {
         let late = now - self.expected;
-        if late > ms(self.settings.still_ms) {
+        if late > ms(self.settings.still_ms) && self.planted != Planted::NoStandstill {
             self.stood_still(now, late);
         }
     }
@@ -518,7 +531,8 @@
         // One that doubts itself is slower to hold others for dead, but not by as much as it is to ask: what is found out by
         // those who are left when most have died must not wait for their doubts to end.
         let time = |time| self.awareness.stretch_by(ms(time), VERDICT_MOST);
-        Bounds { least: time(suspect_least_ms), most: time(suspect_most_ms), confirmations }
+        let shortest = if self.planted == Planted::NoShortening { suspect_most_ms } else { suspect_least_ms };
+        Bounds { least: time(shortest), most: time(suspect_most_ms), confirmations }
     }
 
     // ---- Those who are away -----------------------------------------------------------------------------
@@ -562,7 +576,10 @@
 
     fn forget(&mut self, now: Micros) {
         self.timers.set(now + FORGET_EVERY, Timer::Forget);
-        let keeps = Micros::from(self.settings.forget_s) * 1_000_000;
+        let mut keeps = Micros::from(self.settings.forget_s) * 1_000_000;
+        if self.planted == Planted::NoMemory {
+            keeps = 0;
+        }
         self.forget_those(|m| now - m.since > keeps);
     }
 
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -5,6 +5,7 @@
 use crate::Micros;
 use crate::core::Membership;
 use crate::packet::{MOST_BYTES, Name, Packet, State, Update, What, length};
+use crate::planted::Planted;
 use crate::settings::ms;
 use crate::table::Member;
 use crate::timers::Timer;
@@ -42,6 +43,7 @@
         let wait = every / 2 + self.part_of(every);
         self.timers.set(now + wait, Timer::Exchange);
         if self.me.state != State::Left
+            && self.planted != Planted::NoExchange
             && let Some(to) = self.some(1, None).pop()
         {
             self.compare_with(now, &to);
@@ -50,6 +52,9 @@
 
     /// Tells a member by buckets what is known here.
     pub(crate) fn compare_with(&mut self, now: Micros, to: &Name) {
+        if self.planted == Planted::NoExchange {
+            return;
+        }
         let buckets = self.buckets(now);
         self.say(now, to, What::Digest { buckets });
     }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -43,6 +43,7 @@
 mod heard;
 mod merge;
 mod packet;
+mod planted;
 mod probe;
 mod settings;
 mod suspicion;
@@ -54,6 +55,8 @@
 pub use envelope::{BadDatagram, Envelope, Key, MOST_DATAGRAM};
 pub use heard::Heard;
 pub use packet::{BadName, Name, State};
+#[cfg(feature = "planted")]
+pub use planted::Planted;
 pub use settings::{Settings, SettingsError};
 pub use table::View;
 
--- a/crates/membership/src/merge.rs
+++ b/crates/membership/src/merge.rs
@@ -4,6 +4,7 @@
 use crate::Micros;
 use crate::core::{Change, MOST_RAISES, Membership, YOUNG};
 use crate::packet::{MOST_BYTES, Name, State, Update, What};
+use crate::planted::Planted;
 use crate::settings::ms;
 use crate::suspicion::Suspicion;
 use crate::table::{MOST_MEMBERS, Member};
@@ -31,6 +32,9 @@
         let (old, new) = ((known.start, known.incarnation), (update.start, update.incarnation));
         let state = known.state;
         if new < old {
+            if self.planted == Planted::NoIncarnations {
+                self.adopt(now, place, update);
+            }
             return;
         }
         if new == old {
@@ -100,7 +104,7 @@
     /// Members accuse one; others hold it for dead already, perhaps.
     pub(crate) fn accuse(&mut self, now: Micros, place: usize, by: &[u32], dead: bool) {
         let Some(begins) = self.table.get(place).map(|m| m.suspicion.is_none()) else { return };
-        let bounds = self.bounds();
+        let (bounds, believes) = (self.bounds(), self.planted == Planted::AtItsWord);
         let news = self.table.change(place, |m| {
             if m.state == State::Alive {
                 (m.state, m.since) = (State::Suspect, now);
@@ -110,7 +114,8 @@
             by.iter().for_each(|by| news |= suspicion.accuse(*by));
             news |= dead && !suspicion.told_dead;
             suspicion.told_dead |= dead;
-            (news, dead && now - suspicion.since >= bounds.least / 2)
+            let waited = now - suspicion.since >= bounds.least / 2 || believes;
+            (news, dead && waited)
         });
         let Some((news, convinced)) = news else { return };
         if begins {
@@ -147,7 +152,8 @@
         if now < suspicion.until(bounds) {
             return self.time_suspect(place, now);
         }
-        let enough = suspicion.told_dead || suspicion.accusers().len() >= NEEDED;
+        let needed = if self.planted == Planted::OneAccuser { 1 } else { NEEDED };
+        let enough = suspicion.told_dead || suspicion.accusers().len() >= needed;
         let name = member.name.clone();
         if enough && self.convalescent.is_none() {
             return self.bury(now, place);
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -3,6 +3,7 @@
 use crate::Micros;
 use crate::core::{Change, Membership};
 use crate::packet::{Name, Packet, State, Update, What};
+use crate::planted::Planted;
 use crate::settings::ms;
 use crate::timers::Timer;
 use rand::Rng;
@@ -121,7 +122,8 @@
         let Some(at) = self.table.find(&target).and_then(|place| self.table.get(place)).map(|m| m.at) else {
             return;
         };
-        let helpers = self.helpers(self.settings.helpers as usize, &target);
+        let count = if self.planted == Planted::NoHelpers { 0 } else { self.settings.helpers };
+        let helpers = self.helpers(count as usize, &target);
         if let Some(probe) = self.probes.get_mut(&seq) {
             probe.asked = helpers.len() as u32;
         }
--- a/crates/membership/tests/fleet/main.rs
+++ b/crates/membership/tests/fleet/main.rs
@@ -1,5 +1,7 @@
 //! The core on a virtual clock, with each fault that it is for.
 
+mod planted;
+mod table;
 mod world;
 
 use lapisrudder_membership::{Change, Heard, Inherited, Membership, Settings, State};
@@ -8,6 +10,7 @@
 use world::{MS, S, Way, World, name};
 
 fn no_false(world: &World) {
+    assert_eq!(world.broken, [] as [String; 0]);
     assert_eq!(world.false_dead, [], "verdicts on such as live");
 }
 
--- /dev/null
+++ b/crates/membership/tests/fleet/planted.rs
@@ -0,0 +1,126 @@
+//! Each mechanism taken out in turn: a story that holds with it must not without.
+
+use crate::world::{MS, S, World, name};
+use lapisrudder_membership::{Change, Name, Planted, State};
+
+/// What went wrong in a story, if anything.
+type Story = fn(Planted) -> Option<String>;
+
+/// Verdicts on such as live, and words that went back.
+fn broken(world: &World) -> Option<String> {
+    let dead = world.false_dead.first().map(|(at, n, of)| format!("{at}: n{n} calls {of} dead"));
+    dead.or_else(|| world.broken.first().cloned())
+}
+
+/// Two do not reach a third, which all others do.
+fn two_cut_from_a_third(planted: Planted) -> Option<String> {
+    let mut world = World::together_without(7, 1, planted);
+    for n in [0, 1] {
+        world.cut(n, 2);
+        world.cut(2, n);
+    }
+    world.nodes.iter_mut().for_each(|node| node.told.clear());
+    world.run(60 * S);
+    // Whoever asks others for it is told that it answers them.
+    let suspects = |c: &Change| matches!(c, Change::Member(view) if view.state == State::Suspect);
+    let told = world.nodes.iter().any(|node| node.told.iter().any(|(_, c)| suspects(c)));
+    told.then(|| "one is suspect that all others reach".into())
+}
+
+fn a_death_in_a_fleet(planted: Planted) -> Option<String> {
+    (0..5).find_map(|seed| {
+        let mut world = World::together_without(30, seed, planted);
+        world.kill(3);
+        let known = world.until(30 * S, |w| w.all_hold(3, State::Dead))?;
+        (known > 6500 * MS).then(|| format!("known after {known}"))
+    })
+}
+
+fn one_hears_nothing(planted: Planted) -> Option<String> {
+    let mut world = World::together_without(9, 1, planted);
+    (1..9).for_each(|n| world.cut(n, 0));
+    world.run(60 * S);
+    (1..9).find(|n| world.holds(0, *n) == Some(State::Dead)).map(|n| format!("it calls {n} dead"))
+}
+
+/// Two halves that called each other dead meet again: neither convicts its own members at the other's word.
+fn two_halves_meet(planted: Planted) -> Option<String> {
+    let mut world = World::together_without(10, 1, planted);
+    world.part(|n| n < 5);
+    world.run(30 * S);
+    world.ways.clear();
+    world.run(30 * S);
+    let own = |n: usize, of: &Name| (0..10).any(|o| name(o) == *of && (o < 5) == (n < 5));
+    world.false_dead.iter().find(|(_, n, of)| own(*n, of)).map(|(_, n, of)| format!("n{n} calls {of} dead"))
+}
+
+fn all_stand_still(planted: Planted) -> Option<String> {
+    (0..10).find_map(|seed| {
+        let mut world = World::together_without(12, seed, planted);
+        for _ in 0..4 {
+            (0..12).for_each(|n| world.pause(n, 8 * S + n as i64 * 300 * MS));
+            world.run(30 * S);
+        }
+        broken(&world)
+    })
+}
+
+/// One hears and is heard badly: how often it speaks ill of the others.
+fn one_on_a_bad_way(planted: Planted) -> Option<String> {
+    let mut world = World::together_without(12, 3, planted);
+    for n in 1..12 {
+        world.ways.insert((n, 0), crate::world::Way { loss: 0.7, ..world.way });
+    }
+    world.run(300 * S);
+    let suspects = |c: &Change| matches!(c, Change::Member(view) if view.state == State::Suspect);
+    let told = world.nodes[0].told.iter().filter(|(_, c)| suspects(c)).count();
+    (told > 250).then(|| format!("it suspects others {told} times"))
+}
+
+fn many_join(planted: Planted) -> Option<String> {
+    let mut world = World::new(120, 1);
+    world.planted = planted;
+    for n in 0..120 {
+        world.start(n, &[0]);
+    }
+    world.until(60 * S, |w| w.agree(120)).is_none().then(|| "not all know all".into())
+}
+
+fn old_words_come_again(planted: Planted) -> Option<String> {
+    let mut world = World::together_without(8, 1, planted);
+    world.kept = Some(Vec::new());
+    world.pause(5, 4 * S);
+    world.run(20 * S);
+    let old = world.kept.take().unwrap_or_default();
+    world.kill(2);
+    world.run(120 * S);
+    world.nodes.iter_mut().for_each(|node| node.told.clear());
+    old.into_iter().for_each(|(from, to, body)| world.send(from, to, body));
+    world.run(S);
+    let back = |c: &Change| matches!(c, Change::Member(v) if v.name == name(2) && v.state == State::Alive);
+    let revived = world.nodes.iter().any(|node| node.told.iter().any(|(_, c)| back(c)));
+    broken(&world).or_else(|| revived.then(|| "one that is dead comes back".into()))
+}
+
+#[test]
+fn each_mechanism_that_is_taken_out_is_missed() {
+    let stories: [(Planted, Story); 9] = [
+        (Planted::NoIncarnations, old_words_come_again),
+        (Planted::NoShortening, a_death_in_a_fleet),
+        (Planted::NoHelpers, two_cut_from_a_third),
+        (Planted::NoDoubt, one_on_a_bad_way),
+        (Planted::NoStandstill, all_stand_still),
+        (Planted::NoExchange, many_join),
+        (Planted::NoMemory, old_words_come_again),
+        (Planted::OneAccuser, one_hears_nothing),
+        (Planted::AtItsWord, two_halves_meet),
+    ];
+    let mut told = Vec::new();
+    for (planted, story) in stories {
+        told.extend(story(Planted::Nothing).map(|what| format!("broken though nothing is planted: {what}")));
+        if story(planted).is_none() {
+            told.push(format!("{planted:?} is not noticed"));
+        }
+    }
+    assert_eq!(told, [] as [String; 0]);
+}
--- /dev/null
+++ b/crates/membership/tests/fleet/table.rs
@@ -0,0 +1,130 @@
+//! The figures of docs/design/membership.md:
+//! `cargo test -p lapisrudder-membership --release --test fleet -- --ignored --nocapture table`.
+
+use crate::world::{MS, S, World};
+use lapisrudder_membership::{Micros, Planted, State};
+use rand::Rng;
+use std::fmt::Write;
+
+/// Simulated time that false verdicts are counted over, for each of as many threads.
+const HOURS: i64 = 3;
+
+/// What goes on in a world.
+#[derive(Clone, Copy)]
+struct Troubles {
+    loss: f64,
+    /// Two in five stand still for up to 500 ms every few seconds.
+    pauses: bool,
+}
+
+impl Troubles {
+    fn play(self, world: &mut World, length: Micros) {
+        world.way.loss = self.loss;
+        let end = world.now + length;
+        while world.now < end {
+            if self.pauses {
+                let count = world.nodes.len();
+                for n in 0..count * 2 / 5 {
+                    if world.rng.random_bool(0.3) {
+                        let length = world.rng.random_range(200..=500) * MS;
+                        world.pause(n, length);
+                    }
+                }
+            }
+            world.nodes.iter_mut().for_each(|n| n.told.clear());
+            world.run(S.min(end - world.now));
+        }
+    }
+}
+
+/// Until one, and until all know of a death: medians and 99 of 100 (ms).
+fn deaths(count: usize, troubles: Troubles, planted: Planted, trials: usize) -> [String; 4] {
+    let mut world = World::together_without(count, 5, planted);
+    let (mut first, mut all) = (Vec::new(), Vec::new());
+    for trial in 0..trials {
+        let gone = 2 + trial * 7 % (count - 2);
+        troubles.play(&mut world, 2 * S + trial as i64 * 37 * MS);
+        world.kill(gone);
+        let begun = world.now;
+        let knows = |w: &World| w.running().any(|n| w.holds(n, gone) == Some(State::Dead));
+        while !knows(&world) && world.now - begun < 60 * S {
+            troubles.play(&mut world, 20 * MS);
+        }
+        first.push(world.now - begun);
+        while !world.all_hold(gone, State::Dead) && world.now - begun < 60 * S {
+            troubles.play(&mut world, 20 * MS);
+        }
+        all.push(world.now - begun);
+        world.start(gone, &[0, 1]);
+        troubles.play(&mut world, 5 * S);
+    }
+    let part = |times: &mut Vec<Micros>, p: f64| {
+        times.sort_unstable();
+        let at = ((times.len() as f64 * p).ceil() as usize).clamp(1, times.len()) - 1;
+        if times[at] >= 60 * S { "over 60 s".to_owned() } else { format!("{:.1}", times[at] as f64 / 1e6) }
+    };
+    [part(&mut first, 0.5), part(&mut first, 0.99), part(&mut all, 0.5), part(&mut all, 0.99)]
+}
+
+/// False verdicts an hour, and bytes a second and node, over `hours` on each of eight seeds.
+fn quiet(count: usize, troubles: Troubles, planted: Planted, seconds: i64) -> (f64, f64) {
+    let play = |seed| {
+        let mut world = World::together_without(count, seed, planted);
+        let before = world.bytes;
+        troubles.play(&mut world, seconds * S);
+        (world.false_dead.len() as f64, (world.bytes - before) as f64)
+    };
+    let all: Vec<(f64, f64)> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..8).map(|seed| scope.spawn(move || play(seed))).collect();
+        threads.into_iter().map(|t| t.join().expect("a thread")).collect()
+    });
+    let hours = 8.0 * seconds as f64 / 3600.0;
+    let (dead, bytes) = all.iter().fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+    (dead / hours, bytes / (8 * seconds) as f64 / count as f64)
+}
+
+#[test]
+#[ignore = "a measurement of minutes"]
+fn table() {
+    let mut text = String::from(
+        "| members | loss | pauses | planted | one p50, p99 (s) | all p50, p99 (s) | false an hour | B/s |\n",
+    );
+    let mut row = |count, loss, pauses, planted, trials, seconds| {
+        let troubles = Troubles { loss, pauses };
+        let [a, b, c, d] = deaths(count, troubles, planted, trials);
+        let (dead, bytes) = quiet(count, troubles, planted, seconds);
+        let line = format!(
+            "| {count} | {loss} | {pauses} | {planted:?} | {a}, {b} | {c}, {d} | {dead:.2} | {bytes:.0} |"
+        );
+        eprintln!("{line}");
+        let _ = writeln!(text, "{line}");
+    };
+    for count in [8, 50, 300] {
+        let (trials, seconds) = if count == 300 { (60, 600) } else { (200, 3600) };
+        for (loss, pauses) in [(0.0, false), (0.1, false), (0.3, false), (0.1, true)] {
+            row(count, loss, pauses, Planted::Nothing, trials, seconds);
+        }
+    }
+    for planted in [
+        Planted::NoShortening,
+        Planted::NoHelpers,
+        Planted::NoDoubt,
+        Planted::NoStandstill,
+        Planted::NoExchange,
+        Planted::OneAccuser,
+        Planted::AtItsWord,
+    ] {
+        row(50, 0.1, true, planted, 100, 3600);
+    }
+}
+
+#[test]
+#[ignore = "a measurement of many minutes"]
+fn a_day_of_three_hundred() {
+    let (dead, bytes) = quiet(300, Troubles { loss: 0.1, pauses: true }, Planted::Nothing, HOURS * 3600);
+    eprintln!(
+        "300 members, a tenth lost, 40% pausing, {} h in all: {dead} false verdicts an hour, {bytes:.0} B/s",
+        8 * HOURS
+    );
+    assert_eq!(dead, 0.0);
+}
--- a/crates/membership/tests/fleet/world.rs
+++ b/crates/membership/tests/fleet/world.rs
@@ -1,7 +1,9 @@
 //! A fleet on a virtual clock: the real core, a network with faults between each pair, and the rules, looked at with
 //! each change that a member tells.
 
-use lapisrudder_membership::{Change, Config, Membership, Micros, Name, Output, Settings, State, View};
+use lapisrudder_membership::{
+    Change, Config, Membership, Micros, Name, Output, Planted, Settings, State, View,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -60,6 +62,10 @@
     pub kept: Option<Vec<(usize, SocketAddr, Vec<u8>)>>,
     /// Verdicts of well members on such as live.
     pub false_dead: Vec<(Micros, usize, Name)>,
+    /// Words that went back, or brought something old to life.
+    pub broken: Vec<String>,
+    /// What all lack.
+    pub planted: Planted,
     pub bytes: u64,
 }
 
@@ -96,13 +102,21 @@
             next: 0,
             kept: None,
             false_dead: Vec::new(),
+            broken: Vec::new(),
+            planted: Planted::Nothing,
             bytes: 0,
         }
     }
 
     /// All run and know each other.
     pub fn together(count: usize, seed: u64) -> World {
+        World::together_without(count, seed, Planted::Nothing)
+    }
+
+    /// The same, without one mechanism.
+    pub fn together_without(count: usize, seed: u64, planted: Planted) -> World {
         let mut world = World::new(count, seed);
+        world.planted = planted;
         (0..count).for_each(|n| world.start(n, &[0, 1]));
         world.run(12 * S);
         assert!(world.agree(count), "a fleet without faults comes together");
@@ -125,8 +139,10 @@
             seed: self.rng.random(),
             settings: self.settings.clone(),
         };
+        let mut core = Membership::new(config, self.now);
+        core.plant(self.planted);
         let node = &mut self.nodes[n];
-        (node.core, node.start) = (Some(Membership::new(config, self.now)), start);
+        (node.core, node.start) = (Some(core), start);
         node.seen.clear();
         node.inbox.clear();
         self.carry_out(n);
@@ -275,13 +291,14 @@
             let node = &mut self.nodes[n];
             if let Some(before) = node.seen.insert(view.name.clone(), view.clone()) {
                 let (old, new) = ((before.start, before.incarnation), (view.start, view.incarnation));
-                assert!(old <= new, "n{n}: an incarnation goes back: {before:?}, {view:?}");
+                if old > new {
+                    self.broken.push(format!("n{n}: an incarnation goes back: {before:?}, {view:?}"));
+                }
                 let away = matches!(before.state, State::Dead | State::Left);
                 let back = matches!(view.state, State::Alive | State::Suspect);
-                assert!(
-                    !(away && back && old == new),
-                    "n{n}: something old comes back: {before:?}, {view:?}"
-                );
+                if away && back && old == new {
+                    self.broken.push(format!("n{n}: something old comes back: {before:?}, {view:?}"));
+                }
             }
         }
         self.nodes[n].told.push((self.now, change));
