Show on the daemon what only it can: replacement in place, keys, shares, and nothing where off

Need: a replacement must be no event for the others, keys change while running, shares follow the count. Seen while writing it: the old process listened for operators until after it had told the new one to, which could then not listen: it lets go first now. Ruled out: a new start in a replacement, which all others would be told of.

--- a/crates/membership/src/planted.rs
+++ b/crates/membership/src/planted.rs
@@ -2,6 +2,7 @@
 //! each is worth. Only the feature `planted`, which tests turn on, lets anybody plant one.
 
 /// What is taken out.
+#[cfg_attr(not(feature = "planted"), allow(dead_code, unreachable_pub, reason = "only tests plant anything"))]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Planted {
     /// Nothing.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -637,7 +637,10 @@
         }
         info!("takeover: another process serves, clients go to it");
         if let Some(fleet) = self.fleet.take() {
-            match (fleet.hand_over(now), &mut self.successor) {
+            let handed = fleet.hand_over(now);
+            // Danger: the other one listens where this one did as soon as it hears of it.
+            drop(fleet);
+            match (handed, &mut self.successor) {
                 (Ok((inherited, socket)), Some(s)) => s.link.say(&Message::Fleet(inherited), Some(socket)),
                 // The other one begins anew when this one is gone.
                 (handed, _) => warn!("takeover: the place in the fleet stays behind: {:?}", handed.err()),
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -133,6 +133,7 @@
 
 pub struct Node {
     pub child: Child,
+    name: String,
     pub address: SocketAddr,
     /// The operators' address, where it has one.
     management: Option<SocketAddr>,
@@ -207,7 +208,22 @@
         let folder = std::env::temp_dir().join(format!("lr-{}-{host}", std::process::id()));
         let folder = folder.to_string_lossy().into_owned();
         std::fs::create_dir_all(&folder).expect("a folder");
-        Node::run_at(listen, Some(&folder), discovery, sockets, None, true)
+        Node::run_at("n", listen, Some(&folder), discovery, sockets, None, true)
+    }
+
+    /// A node of that name under settings of the operators', in a folder where its processes meet.
+    pub fn named(name: &str, world: &World<Books>, operators: &str) -> Node {
+        let discovery = world.addresses().discovery(0).expect("discovery");
+        let first = Node::replaceable_told_by(discovery, 1024);
+        let (listen, folder) = (first.address, first.folder.clone());
+        drop(first);
+        Node::run_at(name, listen, folder.as_deref(), discovery, 1024, Some(operators), true).once_ready()
+    }
+
+    /// Writes the operators' file anew and tells the node.
+    pub fn operate(&self, operators: &str) {
+        std::fs::write(format!("{}.toml", self.config), operators).expect("written");
+        self.signal("-HUP");
     }
 
     /// Another process in the place of this one, once it is ready; the old one is told to stop.
@@ -224,7 +240,9 @@
 
     /// The same, though it may have no member yet.
     pub fn beside_unready(old: &Node) -> Node {
-        Node::run_at(old.address, old.folder.as_deref(), old.discovery, old.sockets, None, true)
+        let operators = std::fs::read_to_string(format!("{}.toml", old.config)).ok();
+        let folder = old.folder.as_deref();
+        Node::run_at(&old.name, old.address, folder, old.discovery, old.sockets, operators.as_deref(), true)
     }
 
     /// Where the processes of this node meet: the one file there.
@@ -239,10 +257,11 @@
     }
 
     fn run(discovery: SocketAddr, sockets: u32, operators: Option<&str>, managed: bool) -> Node {
-        Node::run_at(([127, 0, 0, 1], 0).into(), None, discovery, sockets, operators, managed)
+        Node::run_at("n", ([127, 0, 0, 1], 0).into(), None, discovery, sockets, operators, managed)
     }
 
     fn run_at(
+        name: &str,
         listen: SocketAddr,
         folder: Option<&str>,
         discovery: SocketAddr,
@@ -251,7 +270,7 @@
         managed: bool,
     ) -> Node {
         let config = format!(
-            r#"{{"name":"n","listen":"{listen}","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{SETTINGS}}}"#
+            r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{SETTINGS}}}"#
         );
         let mut program = program(&config, &[("EDGE_DISCOVERY", &discovery.to_string())]);
         program.envs(managed.then_some(("EDGE_MANAGEMENT", "127.0.0.1:0")));
@@ -273,7 +292,8 @@
         let address = told();
         let management = managed.then(told);
         let folder = folder.map(String::from);
-        Node { child, address, management, discovery, sockets, folder, config, _output: output }
+        let name = name.into();
+        Node { child, name, address, management, discovery, sockets, folder, config, _output: output }
     }
 
     /// One line on a connection of its own to the operators' address; gives the answer.
