Let one that stands still again and again hear of a death all the same

Seen while measuring: with two in five of 8 members standing still for up to half a second every few seconds and a tenth lost, half of all deaths were not known to all after 60 s. At fault: core.rs, recovers: one that had stood still waited to hear all that take part, the dead suspect among them; merge.rs: meanwhile it took nobody's word either, and each standstill forgot what others had said. Change: it waits for such as nobody suspects, and takes the verdict of others who did not stand still.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -390,7 +390,8 @@
 
     /// A member answered.
     pub(crate) fn recovers(&mut self, by: &Name) {
-        let enough = self.table.inside().min(ROUND);
+        // Danger: a suspect may be dead, and never answer.
+        let enough = self.table.iter().filter(|(_, m)| m.state == State::Alive).count().min(ROUND);
         if let Some(heard) = &mut self.convalescent {
             heard.insert(by.clone());
             if heard.len() >= enough {
--- a/crates/membership/src/merge.rs
+++ b/crates/membership/src/merge.rs
@@ -121,8 +121,9 @@
         if begins {
             self.tell_of(place, now);
         }
-        // Half of the least time has passed without its saying that it lives, and others waited for all of theirs.
-        if convinced && self.convalescent.is_none() {
+        // Half of the least time has passed without its saying that it lives, and others waited for all of theirs. One that
+        // stood still takes their word, too: its suspicion began again then.
+        if convinced {
             return self.bury(now, place);
         }
         if news {
@@ -153,9 +154,9 @@
             return self.time_suspect(place, now);
         }
         let needed = if self.planted == Planted::OneAccuser { 1 } else { NEEDED };
-        let enough = suspicion.told_dead || suspicion.accusers().len() >= needed;
+        let enough = self.convalescent.is_none() && suspicion.accusers().len() >= needed;
         let name = member.name.clone();
-        if enough && self.convalescent.is_none() {
+        if suspicion.told_dead || enough {
             return self.bury(now, place);
         }
         self.timers.set(now + self.awareness.stretch(AGAIN), Timer::Suspect(place));
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -304,7 +304,7 @@
         let Some(place) = self.table.find(target) else { return };
         self.table.change(place, |m| m.times.through = now);
         if late && self.table.get(place).is_some_and(|m| m.suspicion.is_some()) {
-            self.table.change(place, |m| m.suspicion.iter_mut().for_each(|s| s.again(now)));
+            self.table.change(place, |m| m.suspicion.iter_mut().for_each(|s| s.heard(now)));
             self.time_suspect(place, now);
         }
     }
--- a/crates/membership/src/suspicion.rs
+++ b/crates/membership/src/suspicion.rs
@@ -43,8 +43,13 @@
         &self.accusers
     }
 
-    /// It begins again: this member stood still, or heard something of the suspect.
+    /// It begins again: this member stood still. What others hold it for stands.
     pub(crate) fn again(&mut self, now: Micros) {
+        self.since = now;
+    }
+
+    /// It begins again: something was heard of the suspect.
+    pub(crate) fn heard(&mut self, now: Micros) {
         (self.since, self.told_dead) = (now, false);
     }
 
@@ -91,6 +96,8 @@
         suspicion.told_dead = true;
         assert_eq!(suspicion.until(BOUNDS), 1500);
         suspicion.again(2000);
+        assert_eq!(suspicion.until(BOUNDS), 3000);
+        suspicion.heard(2000);
         assert_eq!(suspicion.until(BOUNDS), 11_000);
     }
 }
--- a/crates/membership/tests/fleet/main.rs
+++ b/crates/membership/tests/fleet/main.rs
@@ -193,6 +193,29 @@
     }
 }
 
+/// Danger: one that waited to hear all others again waited for the dead one, too, and never passed a verdict.
+#[test]
+fn a_death_is_known_to_all_though_many_stand_still_again_and_again() {
+    for seed in 0..10 {
+        let mut world = World::together(8, seed);
+        world.way.loss = 0.1;
+        world.kill(5);
+        let mut known = false;
+        for _ in 0..30 {
+            for n in 0..4 {
+                let length = world.rng.random_range(200..=500) * MS;
+                if world.rng.random_bool(0.3) {
+                    world.pause(n, length);
+                }
+            }
+            world.run(S);
+            known |= world.all_hold(5, State::Dead);
+        }
+        assert!(known, "seed {seed}");
+        no_false(&world);
+    }
+}
+
 #[test]
 fn all_stand_still_at_once_and_nobody_is_held_for_dead() {
     for seed in 0..20 {
--- a/crates/membership/tests/fleet/world.rs
+++ b/crates/membership/tests/fleet/world.rs
@@ -67,6 +67,8 @@
     /// What all lack.
     pub planted: Planted,
     pub bytes: u64,
+    /// When some stand still again, where a measurement wants that.
+    pub next_pause: Micros,
 }
 
 pub fn name(n: usize) -> Name {
@@ -105,6 +107,7 @@
             broken: Vec::new(),
             planted: Planted::Nothing,
             bytes: 0,
+            next_pause: 0,
         }
     }
 
