Take others' verdicts soon after a standstill, and give the node's part in its fleet a file

Seen: with pauses and a tenth lost all of 8 members knew of a death after 24 s at p99: each standstill began the suspicion again, also where others, who had not stood still, held the member for dead. Change: then half of the least time is left, in which its saying that it lives is read. net/node/among.rs takes what node.rs had grown by. Ruled out: no wait at all (a refutation may still lie unread).

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -379,8 +379,9 @@
         });
         let suspects: Vec<usize> =
             self.table.iter().filter(|(_, m)| m.suspicion.is_some()).map(|(place, _)| place).collect();
+        let bounds = self.bounds();
         for place in suspects {
-            self.table.change(place, |m| m.suspicion.iter_mut().for_each(|s| s.again(now)));
+            self.table.change(place, |m| m.suspicion.iter_mut().for_each(|s| s.again(now, bounds)));
             self.time_suspect(place, now);
         }
         self.awareness.ill();
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,5 +1,7 @@
 //! The daemon as a host of the engine: sockets, clients and discovery on one side, the engine on the other.
 
+mod among;
+
 use super::classes::Classes;
 use super::client::SCRATCH;
 use super::deadlines::{Deadline, Deadlines, Key as DeadlineKey};
@@ -19,7 +21,6 @@
 };
 use lapisrudder_host::{Clock, Discovery, Members, News};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
-use lapisrudder_membership::Inherited;
 use lapisrudder_takeover::{self as talk, Grant, Lender, Message, State};
 use rustc_hash::FxHashMap;
 use std::io::Write;
@@ -355,17 +356,7 @@
             warn!("reload: {what}");
         }
         let Platform { mut options, discovery, .. } = config.platform;
-        match &mut self.fleet {
-            Some(fleet) => {
-                self.fleet_section = config.operators.fleet.clone().or(self.fleet_section.take());
-                fleet.reload(config.operators.fleet, now);
-                options.siblings = fleet.counted();
-            }
-            None if config.operators.fleet.is_some() && self.fleet_section.is_none() => {
-                warn!("reload: fleet: it begins with the next start only");
-            }
-            None => {}
-        }
+        self.reload_fleet(config.operators.fleet, &mut options, now);
         let settings = Settings::from(&options);
         let limits = limits(&options, settings.siblings, self.sockets);
         let places = self.engine.reconfigure(settings, limits);
@@ -385,37 +376,6 @@
         self.discovery_news();
     }
 
-    /// The fleet's part of the turn: what is due there, and shares among as many as count by now.
-    fn among_others(&mut self) {
-        let now = self.clock.now();
-        let Some(fleet) = &mut self.fleet else { return };
-        fleet.turn(now);
-        if fleet.counted() != self.options.siblings {
-            self.share();
-        }
-    }
-
-    /// Goes among the others, with what a process before this one hands over, if any.
-    fn begin_fleet(&mut self, before: Option<(Inherited, OwnedFd)>, now: Micros) {
-        let Some(section) = self.fleet_section.clone().filter(|_| self.fleet.is_none()) else { return };
-        match Fleet::new(section, &self.name, before, &self.handle, now) {
-            Ok(fleet) => self.fleet = Some(fleet),
-            // It serves all the same, with shares as the settings say.
-            Err(e) => warn!("fleet: this node is not among the others: {e}"),
-        }
-        self.share();
-    }
-
-    /// Budgets that are shared with the other nodes go by the number of them that count.
-    fn share(&mut self) {
-        let Some(fleet) = &self.fleet else { return };
-        self.options.siblings = fleet.counted();
-        let settings = Settings::from(&self.options);
-        let limits = limits(&self.options, settings.siblings, self.sockets);
-        let places = self.engine.reconfigure(settings, limits);
-        self.classes.next(&self.options, &places, self.clock.now());
-    }
-
     /// The operators end the node: what was taken is answered, then it ends.
     pub fn stop(&mut self) {
         if self.phase == Phase::Serving {
@@ -636,16 +596,7 @@
             self.phase = Phase::Leaving;
         }
         info!("takeover: another process serves, clients go to it");
-        if let Some(fleet) = self.fleet.take() {
-            let handed = fleet.hand_over(now);
-            // Danger: the other one listens where this one did as soon as it hears of it.
-            drop(fleet);
-            match (handed, &mut self.successor) {
-                (Ok((inherited, socket)), Some(s)) => s.link.say(&Message::Fleet(inherited), Some(socket)),
-                // The other one begins anew when this one is gone.
-                (handed, _) => warn!("takeover: the place in the fleet stays behind: {:?}", handed.err()),
-            }
-        }
+        self.yield_fleet(now);
         self.hand_over(now);
     }
 
