Write no more words into a datagram than are read from one

Seen: 300 that join through one seed which dies meanwhile did not all know each other after 40 s; counts showed 2 to 11 datagrams a member that could not be read, and one that never joined, since its only answer was one of them. At fault: packet.rs, MOST_NEWS (69) held for readers alone, and short words take 17 bytes. Change: both keep to 64. Also told: a twin in the node's own row.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -6,7 +6,7 @@
 use crate::broadcast::{Broadcast, times};
 use crate::budget::Budget;
 use crate::heard::Heard;
-use crate::packet::{MOST_BYTES, MOST_ZONE, Name, Packet, State, Update, What, length};
+use crate::packet::{MOST_BYTES, MOST_NEWS, MOST_ZONE, Name, Packet, State, Update, What, length};
 use crate::planted::Planted;
 use crate::probe::{Help, Probe};
 use crate::settings::{Settings, ms};
@@ -422,7 +422,7 @@
 
     /// Says something to a member, with as much news as fits.
     pub(crate) fn say(&mut self, now: Micros, to: &Name, what: What) {
-        let Some(member) = self.table.find(to).and_then(|place| self.table.get(place)) else { return };
+        let Some(member) = self.table.named(to) else { return };
         let (at, about) = (member.at, (member.state != State::Alive).then(|| member.update()));
         // One that is suspect, or held for dead, hears that first, so that it can say that it lives.
         self.send(now, at, what, about, MOST_BYTES);
@@ -445,7 +445,7 @@
             for place in self.broadcast.next() {
                 let Some(update) = self.table.get(place).map(crate::table::Member::update) else { continue };
                 let length = length(&update);
-                if length > left {
+                if length > left || packet.news.len() >= MOST_NEWS {
                     break;
                 }
                 left -= length;
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -4,7 +4,7 @@
 
 use crate::Micros;
 use crate::core::Membership;
-use crate::packet::{MOST_BYTES, Name, Packet, State, Update, What, length};
+use crate::packet::{MOST_BYTES, MOST_NEWS, Name, Packet, State, Update, What, length};
 use crate::planted::Planted;
 use crate::settings::ms;
 use crate::table::Member;
@@ -90,7 +90,7 @@
 
     /// Sends what is known of these buckets, and asks for the other's of those wanted.
     pub(crate) fn records(&mut self, now: Micros, to: &Name, of: u64, wanted: u64) {
-        let Some(at) = self.table.find(to).and_then(|place| self.table.get(place)).map(|m| m.at) else {
+        let Some(at) = self.table.named(to).map(|m| m.at) else {
             return;
         };
         let of = |update: &Update| of >> bucket(&update.name) & 1 == 1 && update.name != *to;
@@ -114,7 +114,9 @@
         for _ in 0..pieces {
             let mut packet = Packet { from: self.me.clone(), what, news: Vec::new() };
             let mut left = most.saturating_sub(length(&packet) + 1);
-            while let Some(update) = news.next_if(|update| length(update) <= left) {
+            while packet.news.len() < MOST_NEWS
+                && let Some(update) = news.next_if(|update| length(update) <= left)
+            {
                 left -= length(&update);
                 packet.news.push(update);
             }
--- a/crates/membership/src/packet.rs
+++ b/crates/membership/src/packet.rs
@@ -16,8 +16,9 @@
 const MOST_NAME: usize = 64;
 /// Bytes of a zone's name at the most.
 pub(crate) const MOST_ZONE: usize = 32;
-/// News of one packet at the most: each takes 20 bytes or more.
-const MOST_NEWS: usize = MOST_BYTES / 20;
+/// News of one packet at the most, for those who write as for those who read: a short word takes 17 bytes, so bytes alone
+/// would let more in.
+pub(crate) const MOST_NEWS: usize = 64;
 
 /// A member's name: 1 to 64 visible ASCII characters.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -81,11 +81,11 @@
     }
 
     fn takes_part(&self, name: &Name) -> bool {
-        self.table.find(name).and_then(|place| self.table.get(place)).is_some_and(|m| m.is_in())
+        self.table.named(name).is_some_and(|m| m.is_in())
     }
 
     pub(crate) fn probe(&mut self, now: Micros, target: &Name, kind: Kind) {
-        let Some(member) = self.table.find(target).and_then(|place| self.table.get(place)) else { return };
+        let Some(member) = self.table.named(target) else { return };
         let start = member.start;
         let seq = self.expect(now, target.clone(), start, kind);
         if kind == Kind::Verdict {
@@ -119,7 +119,7 @@
     pub(crate) fn no_ack(&mut self, now: Micros, seq: u64) {
         let Some(probe) = self.probes.get(&seq) else { return };
         let (target, start) = (probe.target.clone(), probe.start);
-        let Some(at) = self.table.find(&target).and_then(|place| self.table.get(place)).map(|m| m.at) else {
+        let Some(at) = self.table.named(&target).map(|m| m.at) else {
             return;
         };
         let count = if self.planted == Planted::NoHelpers { 0 } else { self.settings.helpers };
@@ -240,7 +240,7 @@
         if member {
             return self.say(now, name, what);
         }
-        let about = self.table.find(name).and_then(|place| self.table.get(place)).map(|m| m.update());
+        let about = self.table.named(name).map(|m| m.update());
         let packet = Packet { from: self.me.clone(), what, news: about.into_iter().collect() };
         let bare = Packet { news: Vec::new(), ..packet.clone() };
         if !self.send_packet(now, from, &packet, bytes) {
@@ -250,8 +250,7 @@
 
     /// One spoke whose name a later process bears: it hears of that.
     fn tell_of_later(&mut self, now: Micros, from: SocketAddr, sender: &Update, bytes: usize) {
-        let later =
-            self.table.find(&sender.name).and_then(|place| self.table.get(place)).filter(|m| m.is_in());
+        let later = self.table.named(&sender.name).filter(|m| m.is_in());
         if let Some((start, at)) = later.map(|m| (m.start, m.at)) {
             self.send(now, from, What::Later { start, at }, None, bytes);
         }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -108,6 +108,11 @@
         self.all.get(place)
     }
 
+    /// The member of that name.
+    pub(crate) fn named(&self, name: &Name) -> Option<&Member> {
+        self.get(self.find(name)?)
+    }
+
     /// Changes a member; the count of those that take part follows.
     pub(crate) fn change<T>(&mut self, place: usize, with: impl FnOnce(&mut Member) -> T) -> Option<T> {
         let member = self.all.get_mut(place)?;
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -57,8 +57,11 @@
     doubt: u32,
     /// It stood still, and has not heard enough of the others since.
     convalescent: bool,
-    /// A later process of its name lives.
+    /// A later process of its name lives, and holds in place of this one.
     superseded: bool,
+    /// Where an earlier process of its name was last found alive, and how long ago in seconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    twin: Option<(SocketAddr, f64)>,
     /// Nodes that count for shares.
     counted: u32,
     datagrams: Counts,
@@ -91,6 +94,8 @@
     counted: u32,
     began: Micros,
     refused: u64,
+    /// Another process of this node's name, and when it was found.
+    twin: Option<(SocketAddr, Micros)>,
     /// Datagrams wait to be read, which the socket will not tell of again.
     behind: bool,
     look: Option<Look>,
@@ -150,6 +155,7 @@
             counted,
             began: now,
             refused: 0,
+            twin: None,
             behind: false,
             look,
         };
@@ -270,6 +276,7 @@
             doubt: self.core.doubt(),
             convalescent: self.core.is_convalescent(),
             superseded: self.core.is_superseded(),
+            twin: self.twin.map(|(address, at)| (address, (now - at) as f64 / 1e6)),
             counted: self.counted,
             datagrams: self.core.counts(),
             refused: self.refused,
@@ -314,6 +321,7 @@
                 Event::StoodStill { for_ms: length / 1000 }
             }
             Change::Twin(address) => {
+                self.twin = Some((address, now));
                 warn!(%address, "fleet: an earlier process of this node's name lives, too; this one holds");
                 Event::Twin { address }
             }
