--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -21,7 +21,8 @@
 use thiserror::Error;
 use tracing::{info, warn};
 
-/// Datagrams read in one turn at the most. Guards clients against a flood of them; the kernel keeps the rest, or not.
+/// Datagrams read in one turn at the most. Guards clients against a flood of them; the loop tells of the rest in the next
+/// turn, as far as the kernel keeps them.
 const A_TURN: usize = 128;
 /// Descriptors that all of this takes: the socket, where operators look, and they.
 pub const SOCKETS: usize = 2 + look::CALLERS;
@@ -96,8 +97,6 @@
     refused: u64,
     /// Another process of this node's name, and when it was found.
     twin: Option<(SocketAddr, Micros)>,
-    /// Datagrams wait to be read, which the socket will not tell of again.
-    behind: bool,
     look: Option<Look>,
 }
 
@@ -156,7 +155,6 @@
             began: now,
             refused: 0,
             twin: None,
-            behind: false,
             look,
         };
         fleet.carry_out(now);
@@ -170,9 +168,6 @@
 
     /// When it wants its turn.
     pub fn next_wake(&self) -> Micros {
-        if self.behind {
-            return 0;
-        }
         self.census.next_wake().map_or(self.core.next_wake(), |census| census.min(self.core.next_wake()))
     }
 
@@ -218,23 +213,17 @@
     /// Datagrams have come.
     pub fn on_ready(&mut self, now: Micros) {
         let mut buffer = [0; MOST_DATAGRAM + 1];
-        self.behind = true;
         for _ in 0..A_TURN {
             match self.socket.recv_from(&mut buffer) {
                 Ok((bytes, from)) => match self.envelope.open(buffer.get(..bytes).unwrap_or_default()) {
                     Ok(body) => self.core.receive(now, from, body),
                     Err(_) => self.refused += 1,
                 },
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.behind = false;
-                    break;
-                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 // What was sent before found nobody there: a matter of that address, which is found out otherwise.
                 Err(e) if e.kind() == ErrorKind::Interrupted || e.kind() == ErrorKind::ConnectionRefused => {}
                 Err(e) => {
-                    warn!("fleet: cannot read: {e}");
-                    self.behind = false;
-                    break;
+                    return warn!("fleet: cannot read: {e}");
                 }
             }
         }
