--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -37,6 +37,8 @@
     target: Name,
     start: u64,
     kind: Kind,
+    /// Times that it was sent again.
+    tries: u32,
     /// Others that were asked.
     asked: u32,
     /// Those of them that answered at all.
@@ -98,7 +100,8 @@
 
     fn expect(&mut self, now: Micros, target: Name, start: u64, kind: Kind) -> u64 {
         let seq = self.rng.random();
-        let probe = Probe { target, start, kind, asked: 0, answered: 0, vouched: false, late: false };
+        let probe =
+            Probe { target, start, kind, tries: 0, asked: 0, answered: 0, vouched: false, late: false };
         self.probes.insert(seq, probe);
         self.timers.set(now + self.awareness.stretch(OVER), Timer::Over(seq));
         seq
@@ -115,10 +118,18 @@
         self.send(now, at, What::Probe { seq, target: name, start }, None, most);
     }
 
-    /// No ack in time: others are asked.
+    /// No ack in time: it is probed again, by the same number, and others are asked. Guards a fleet whose ways lose: with three
+    /// datagrams in ten lost, one try and three helpers missed one of five members that live.
     pub(crate) fn no_ack(&mut self, now: Micros, seq: u64) {
-        let Some(probe) = self.probes.get(&seq) else { return };
-        let (target, start) = (probe.target.clone(), probe.start);
+        let wait = self.awareness.stretch(ms(self.settings.ack_within_ms));
+        let Some(probe) = self.probes.get_mut(&seq).filter(|p| !p.vouched && !p.late) else { return };
+        probe.tries += 1;
+        let (target, start, first) = (probe.target.clone(), probe.start, probe.tries == 1);
+        self.timers.set(now + wait, Timer::Ack(seq));
+        self.say(now, &target, What::Probe { seq, target: target.clone(), start });
+        if !first {
+            return;
+        }
         let Some(at) = self.table.named(&target).map(|m| m.at) else {
             return;
         };
@@ -155,9 +166,9 @@
 
     /// One that was probed for another has not answered. The other hears that it was heard itself (Lifeguard, IV-A).
     pub(crate) fn no_help(&mut self, now: Micros, seq: u64) {
-        if let Some(help) = self.helps.get(&seq) {
-            let (to, seq) = (help.to.clone(), help.seq);
-            self.say(now, &to, What::Nack { seq });
+        if let Some(Help { target, start, to, seq: theirs }) = self.helps.get(&seq).cloned() {
+            self.say(now, &to, What::Nack { seq: theirs });
+            self.say(now, &target, What::Probe { seq, target: target.clone(), start });
         }
     }
 
@@ -271,7 +282,7 @@
         if probe.target != sender.name || sender.start < probe.start {
             return;
         }
-        let (kind, late, asked) = (probe.kind, probe.late, probe.asked > 0);
+        let (kind, late, asked) = (probe.kind, probe.late, probe.tries > 0);
         self.probes.remove(&seq);
         if kind == Kind::Twin {
             // A later one that this one asked has heard of it by that.
--- a/crates/membership/src/suspicion.rs
+++ b/crates/membership/src/suspicion.rs
@@ -12,6 +12,8 @@
     pub(crate) since: Micros,
     /// Who accuses: digests of names, each once.
     accusers: Vec<u32>,
+    /// This member has not heard it either.
+    pub(crate) own: bool,
     /// Others hold it for dead already.
     pub(crate) told_dead: bool,
 }
@@ -27,7 +29,7 @@
 
 impl Suspicion {
     pub(crate) fn new(since: Micros) -> Suspicion {
-        Suspicion { since, accusers: Vec::new(), told_dead: false }
+        Suspicion { since, accusers: Vec::new(), own: false, told_dead: false }
     }
 
     /// Somebody accuses it; false if that was known, or enough do.
@@ -51,7 +53,7 @@
 
     /// It begins again: something was heard of the suspect.
     pub(crate) fn heard(&mut self, now: Micros) {
-        (self.since, self.told_dead) = (now, false);
+        (self.since, self.own, self.told_dead) = (now, false, false);
     }
 
     /// When its time is over, as things are.
--- a/crates/membership/tests/fleet/planted.rs
+++ b/crates/membership/tests/fleet/planted.rs
@@ -74,7 +74,7 @@
     world.run(300 * S);
     let suspects = |c: &Change| matches!(c, Change::Member(view) if view.state == State::Suspect);
     let told = world.nodes[0].told.iter().filter(|(_, c)| suspects(c)).count();
-    (told > 250).then(|| format!("it suspects others {told} times"))
+    (told > 80).then(|| format!("it suspects others {told} times"))
 }
 
 /// One hears nothing while another says goodbye, and everybody has told that often enough when it hears again.
