Ask for the list where it is pushed, too: no drain was ever heard of on sockets

Cause: rules.rs on_servers and ask order a watch only under must_ask, which options.rs took from discovery = subscribe. On the simulator's wire pushed lists come unasked; on sockets nobody ever called the agent, so the node lived on the remembered list. Change: Options::on_sockets gives the settings of a node on sockets: always asking, and where lists are pushed again within a third of 0.3 s, since what the agent has counts as told at once. The simulator's process in the lab takes the same. Ruled out: the backoff after failed calls (no call was ever made).

--- a/crates/config/src/options.rs
+++ b/crates/config/src/options.rs
@@ -32,7 +32,7 @@
     pub host_types: Vec<String>,
     /// How many nodes serve together, this one included. Default 1.
     pub siblings: u32,
-    /// `subscribe` where the list of members must be asked for.
+    /// `subscribe` where discovery must be asked for the list of members; else it is pushed.
     pub discovery: String,
     /// What requests there are.
     pub request_classes: Vec<RequestClass>,
@@ -223,6 +223,22 @@
     }
 }
 
+/// Where lists are pushed the node asks its agent again within a third of this. The agent is the node's own, so that no call
+/// waits for another node's, and what it has counts as told though the node has not heard of it: half a second later nothing
+/// may go to a member that drains there.
+const AGENT_ASKED_WITHIN: Micros = 300_000;
+
+impl Options {
+    /// The settings of a node on sockets. On the simulator's wire lists that are pushed come by themselves ([`Settings::from`]);
+    /// on sockets whoever has them must be asked, always.
+    pub fn on_sockets(&self) -> Settings {
+        let settings = Settings::from(self);
+        let pushed = !settings.must_ask;
+        let ask_within = if pushed { AGENT_ASKED_WITHIN } else { settings.ask_within };
+        Settings { must_ask: true, ask_within, ..settings }
+    }
+}
+
 impl From<&Options> for Settings {
     fn from(o: &Options) -> Settings {
         let aside = o.family_info.mode == "aside";
@@ -249,3 +265,18 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards drains: a pushed list counts as told whether or not anybody asked for it.
+    #[test]
+    fn on_sockets_lists_are_asked_for_and_pushed_ones_again_before_a_drain_binds() {
+        let options = |discovery: &str| Options { discovery: discovery.into(), ..Options::default() };
+        let (asked, pushed) = (options("subscribe").on_sockets(), options("automatic").on_sockets());
+        assert!(asked.must_ask && pushed.must_ask && !Settings::from(&options("automatic")).must_ask);
+        assert_eq!(asked.ask_within, 10_000_000);
+        assert!(pushed.ask_within / 3 <= 100_000, "{}", pushed.ask_within);
+    }
+}
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use lapisrudder_codec::memcache::OwnedRequest;
 use lapisrudder_config::{ListError, MemberList, Options, Platform, Target, digest, micros};
-use lapisrudder_decisions::{Key, RequestId, Scope, Settings, Stage};
+use lapisrudder_decisions::{Key, RequestId, Scope, Stage};
 use lapisrudder_engine::{
     Answer, Answers, Conn as Name, Deadlines, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request,
     TakeError, Told, Watch, WatchNews, WatchOrder,
@@ -160,7 +160,7 @@
         seed: u64,
         now: Micros,
     ) -> Option<Process> {
-        let settings = Settings::from(&config.options);
+        let settings = config.options.on_sockets();
         let bounds = &config.options.bounds;
         let sockets = config.sockets - OWN_SOCKETS;
         let limits = Limits::shared(
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -12,7 +12,7 @@
 use super::{CLIENTS_SHARE, Handle, OWN_SOCKETS, Owner, Ready};
 use lapisrudder::maintenance::{Ban, NoBan};
 use lapisrudder::wire::{Options, digest, micros};
-use lapisrudder::{Listed, Micros, RequestId, Scope, ServerId, Settings, Stage};
+use lapisrudder::{Listed, Micros, RequestId, Scope, ServerId, Stage};
 use lapisrudder_codec::management::{BadCall, Call, answer, parse};
 use lapisrudder_codec::memcache::{MAX_WHOLE, OwnedRequest};
 use lapisrudder_config::{Config, Platform, Target};
@@ -203,7 +203,7 @@
         let remembered = (config.remembered(), std::mem::take(&mut config.known));
         let clock = Clock::default();
         let now = clock.now();
-        let settings = Settings::from(&config.options);
+        let settings = config.options.on_sockets();
         let bounds = &config.options.bounds;
         let management = config
             .management
@@ -357,7 +357,7 @@
         }
         let Platform { mut options, discovery, .. } = config.platform;
         self.reload_fleet(config.operators.fleet, &mut options, now);
-        let settings = Settings::from(&options);
+        let settings = options.on_sockets();
         let limits = limits(&options, settings.siblings, self.sockets);
         let places = self.engine.reconfigure(settings, limits);
         self.classes.next(&options, &places, now);
--- a/src/net/node/among.rs
+++ b/src/net/node/among.rs
@@ -3,8 +3,8 @@
 
 use super::{Node, limits};
 use crate::net::fleet::Fleet;
+use lapisrudder::Micros;
 use lapisrudder::wire::Options;
-use lapisrudder::{Micros, Settings};
 use lapisrudder_config::Fleet as Section;
 use lapisrudder_membership::Inherited;
 use lapisrudder_takeover::Message;
@@ -37,7 +37,7 @@
     pub(super) fn share(&mut self) {
         let Some(fleet) = &self.fleet else { return };
         self.options.siblings = fleet.counted();
-        let settings = Settings::from(&self.options);
+        let settings = self.options.on_sockets();
         let limits = limits(&self.options, settings.siblings, self.sockets);
         let places = self.engine.reconfigure(settings, limits);
         self.classes.next(&self.options, &places, self.clock.now());
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -145,6 +145,63 @@
     _output: BufReader<ChildStdout>,
 }
 
+/// How a node is started.
+struct Start<'a> {
+    name: &'a str,
+    listen: SocketAddr,
+    folder: Option<&'a str>,
+    discovery: SocketAddr,
+    sockets: u32,
+    operators: Option<&'a str>,
+    managed: bool,
+    settings: &'a str,
+}
+
+impl<'a> Start<'a> {
+    /// The usual way.
+    fn new(discovery: SocketAddr) -> Start<'a> {
+        Start {
+            name: "n",
+            listen: ([127, 0, 0, 1], 0).into(),
+            folder: None,
+            discovery,
+            sockets: 1024,
+            operators: None,
+            managed: false,
+            settings: SETTINGS,
+        }
+    }
+
+    fn run(self) -> Node {
+        let Start { name, listen, folder, discovery, sockets, operators, managed, settings } = self;
+        let config = format!(
+            r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{settings}}}"#
+        );
+        let mut program = program(&config, &[("EDGE_DISCOVERY", &discovery.to_string())]);
+        program.envs(managed.then_some(("EDGE_MANAGEMENT", "127.0.0.1:0")));
+        program.envs(folder.map(|folder| ("TMPDIR", folder)));
+        let config = program.get_envs().find(|(name, _)| *name == "EDGE_CONFIG").and_then(|(_, file)| file);
+        let config = config.expect("a file").to_string_lossy().into_owned();
+        if let Some(settings) = operators {
+            let file = format!("{config}.toml");
+            std::fs::write(&file, settings).expect("a file");
+            program.arg("--config").arg(file);
+        }
+        let mut child = program.spawn().expect("the program starts");
+        let mut output = BufReader::new(child.stdout.take().expect("its output"));
+        let mut told = || {
+            let mut line = String::new();
+            output.read_line(&mut line).expect("a line");
+            line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
+        };
+        let address = told();
+        let management = managed.then(told);
+        let folder = folder.map(String::from);
+        let name = name.into();
+        Node { child, name, address, management, discovery, sockets, folder, config, _output: output }
+    }
+}
+
 /// The program on a configuration file; what is not in `variables` is in the file.
 pub fn program(config: &str, variables: &[(&str, &str)]) -> Command {
     static COUNT: AtomicUsize = AtomicUsize::new(0);
@@ -208,7 +265,7 @@
         let folder = std::env::temp_dir().join(format!("lr-{}-{host}", std::process::id()));
         let folder = folder.to_string_lossy().into_owned();
         std::fs::create_dir_all(&folder).expect("a folder");
-        Node::run_at("n", listen, Some(&folder), discovery, sockets, None, true)
+        Start { listen, folder: Some(&folder), sockets, managed: true, ..Start::new(discovery) }.run()
     }
 
     /// A node of that name under settings of the operators', in a folder where its processes meet.
@@ -217,7 +274,8 @@
         let first = Node::replaceable_told_by(discovery, 1024);
         let (listen, folder) = (first.address, first.folder.clone());
         drop(first);
-        Node::run_at(name, listen, folder.as_deref(), discovery, 1024, Some(operators), true).once_ready()
+        let (folder, operators) = (folder.as_deref(), Some(operators));
+        Start { name, listen, folder, operators, managed: true, ..Start::new(discovery) }.run().once_ready()
     }
 
     /// Writes the operators' file anew and tells the node.
@@ -241,8 +299,9 @@
     /// The same, though it may have no member yet.
     pub fn beside_unready(old: &Node) -> Node {
         let operators = std::fs::read_to_string(format!("{}.toml", old.config)).ok();
-        let folder = old.folder.as_deref();
-        Node::run_at(&old.name, old.address, folder, old.discovery, old.sockets, operators.as_deref(), true)
+        let (name, listen, folder) = (old.name.as_str(), old.address, old.folder.as_deref());
+        let (sockets, operators) = (old.sockets, operators.as_deref());
+        Start { name, listen, folder, sockets, operators, managed: true, ..Start::new(old.discovery) }.run()
     }
 
     /// Where the processes of this node meet: the one file there.
@@ -257,43 +316,12 @@
     }
 
     fn run(discovery: SocketAddr, sockets: u32, operators: Option<&str>, managed: bool) -> Node {
-        Node::run_at("n", ([127, 0, 0, 1], 0).into(), None, discovery, sockets, operators, managed)
-    }
-
-    fn run_at(
-        name: &str,
-        listen: SocketAddr,
-        folder: Option<&str>,
-        discovery: SocketAddr,
-        sockets: u32,
-        operators: Option<&str>,
-        managed: bool,
-    ) -> Node {
-        let config = format!(
-            r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{SETTINGS}}}"#
-        );
-        let mut program = program(&config, &[("EDGE_DISCOVERY", &discovery.to_string())]);
-        program.envs(managed.then_some(("EDGE_MANAGEMENT", "127.0.0.1:0")));
-        program.envs(folder.map(|folder| ("TMPDIR", folder)));
-        let config = program.get_envs().find(|(name, _)| *name == "EDGE_CONFIG").and_then(|(_, file)| file);
-        let config = config.expect("a file").to_string_lossy().into_owned();
-        if let Some(settings) = operators {
-            let file = format!("{config}.toml");
-            std::fs::write(&file, settings).expect("a file");
-            program.arg("--config").arg(file);
-        }
-        let mut child = program.spawn().expect("the program starts");
-        let mut output = BufReader::new(child.stdout.take().expect("its output"));
-        let mut told = || {
-            let mut line = String::new();
-            output.read_line(&mut line).expect("a line");
-            line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
-        };
-        let address = told();
-        let management = managed.then(told);
-        let folder = folder.map(String::from);
-        let name = name.into();
-        Node { child, name, address, management, discovery, sockets, folder, config, _output: output }
+        Start { sockets, operators, managed, ..Start::new(discovery) }.run()
+    }
+
+    /// Starts a node under these settings; it may have no list yet.
+    pub fn set(discovery: SocketAddr, settings: &str) -> Node {
+        Start { settings, ..Start::new(discovery) }.run()
     }
 
     /// One line on a connection of its own to the operators' address; gives the answer.
