See that a client has left though nothing is read from it: nothing is sent on

Seen: with 32 commands of a client waiting, or one that quit behind them, its close was not noticed until an answer was due: 31 reads that had joined another's fetch were sent on 0.3 s and more after it had left. Cause: virtual_server.rs read returned early where the client has no room (client.rs room: pipeline full, output full, closing, going to another process) or where a large command waits for room; nothing else looks at the socket, and no edge tells of what came before. Change: Socket::is_ended asks poll for the peer's close past what is unread; clients that are not read from are looked at with each edge and every 50 ms, by the list that was there for closes behind a last command. A half-close counts as leaving, as it did. Test: nothing_is_sent_on_for_a_client_that_has_left_though_nothing_is_read_from_it, seen red before (read 100 fetched). Limit: a client that sent more than the kernel takes in meanwhile (128 KiB here) cannot be seen to leave: its end has not come.

--- a/crates/host/src/socket.rs
+++ b/crates/host/src/socket.rs
@@ -2,6 +2,7 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{Domain, Protocol, SockAddr, Type};
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -103,6 +104,14 @@
         !matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
+    /// The peer has ended its sending, or the connection is over, whatever of it is still to be read.
+    pub fn is_ended(&self) -> bool {
+        let over = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut look = [PollFd::new(&*self.stream, over)];
+        // What cannot be looked at is found out by the next read or write.
+        poll(&mut look, Some(&Timespec::default())).is_ok_and(|n| n > 0 && look[0].revents().intersects(over))
+    }
+
     /// Sends no more; the peer sees the end of the stream behind what was written.
     ///
     /// # Errors
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -203,6 +203,17 @@
             && self.output.len() - self.sent < UNREAD
     }
 
+    /// There is something to read, but it is not read for now: its room is all taken, it is to close, or it goes elsewhere.
+    pub fn is_blind(&self) -> bool {
+        let waits = self.upload.as_ref().is_some_and(|u| !u.admitted);
+        self.unread && !self.lingers() && (waits || !self.room())
+    }
+
+    /// Its peer has gone, seen past what is not read.
+    pub fn has_left(&self) -> bool {
+        self.socket.is_ended()
+    }
+
     /// Takes no more commands.
     pub fn finish(&mut self) {
         if self.phase == Phase::Open {
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -428,13 +428,13 @@
         self.admission.due().into_iter().chain(self.unsure.front().map(|(at, _)| *at)).min()
     }
 
-    /// Looks again at clients of which nothing has come since. Guards against one that closed right behind its last
-    /// command: no edge tells of that.
+    /// Looks again at clients of which nothing has come since, and at those that are not read from. Guards against one that
+    /// closed right behind its last command: no edge tells of that.
     pub fn look_again(&mut self, now: Micros) {
         while let Some((_, id)) = self.unsure.pop_front_if(|(at, _)| *at <= now) {
             let Some(client) = self.clients.get_mut(&id) else { continue };
             client.listed = false;
-            if client.unsure {
+            if client.unsure || client.is_blind() {
                 client.unread = true;
                 self.touched.push(id);
             }
@@ -649,11 +649,11 @@
         }
         self.resumed.extend(client.resumes());
         count(&mut self.unread, client);
-        let waits = client.upload.as_ref().is_some_and(|u| !u.admitted);
-        if client.unread && (client.room() && !waits || client.lingers()) {
+        let blind = client.is_blind();
+        if client.unread && !blind {
             self.touched.push(id);
         }
-        if client.unsure && !std::mem::replace(&mut client.listed, true) {
+        if (client.unsure || blind) && !std::mem::replace(&mut client.listed, true) {
             self.unsure.push_back((now + LOOK_AGAIN, id));
         }
         self.admission.state(now, client.conn, client.activity());
@@ -681,9 +681,11 @@
     }
 
     fn read(&mut self, id: u64, scratch: &mut [u8], now: Micros) -> State {
-        let Some(client) = self.clients.get_mut(&id).filter(|c| c.unread && c.room()) else {
-            return State::Open;
-        };
+        let Some(client) = self.clients.get_mut(&id).filter(|c| c.unread) else { return State::Open };
+        // Danger: what had been taken was sent on long after its client had left, since nothing was read that told of it.
+        if client.is_blind() {
+            return if client.has_left() { State::Over } else { State::Open };
+        }
         let uploaded = client.upload.as_ref().map(Upload::needs);
         let whole;
         let buffer = match uploaded {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -412,6 +412,11 @@
         rest
     }
 
+    /// Ends its sending, or all of it.
+    pub fn leave(&self, how: std::net::Shutdown) {
+        self.0.get_ref().shutdown(how).expect("shut");
+    }
+
     /// Sends, unless the connection has ended.
     pub fn try_send(&mut self, text: &str) -> std::io::Result<()> {
         self.0.get_mut().write_all(text.as_bytes())
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -5,6 +5,16 @@
 mod harness;
 
 use harness::*;
+use lapisrudder_lab::stand::{Books, Reply, Scripted, World, member};
+use std::net::Shutdown;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::Duration;
+
+/// Nothing is sent on for a client that left so long ago.
+const LEFT: Duration = Duration::from_millis(300);
 
 /// A list of these members, whose states are told, in discovery's form.
 fn list(version: u64, whole: bool, members: &[(&str, std::net::SocketAddr, &str)]) -> String {
@@ -32,3 +42,85 @@
     }
     assert_eq!(asked(&world, "a"), 0);
 }
+
+/// A world whose one cache server has nothing and counts who asks, and whose origin hands each request to the test: its id,
+/// and where the answer goes.
+struct Aside {
+    world: World<Books>,
+    _peers: [Scripted; 2],
+    misses: Arc<AtomicUsize>,
+    fetches: Receiver<(String, Reply)>,
+}
+
+impl Aside {
+    fn start() -> Aside {
+        let (misses, (tell, fetches)) = (Arc::new(AtomicUsize::new(0)), channel());
+        let counted = misses.clone();
+        let cache = Scripted::answering(move |asked| {
+            counted.fetch_add(1, Ordering::SeqCst);
+            Some(format!("EN O{}\r\n", asked.id))
+        });
+        let origin = Scripted::start(move |asked, reply| _ = tell.send((asked.id, reply)));
+        let peers = [cache.expect("a cache server"), origin.expect("an origin")];
+        let mut spec = spec(&[]);
+        let [cache, origin] = peers.each_ref().map(|peer| peer.address().to_string());
+        spec.discovery.plan.members =
+            vec![member("c", &cache, "cache", "z"), member("o", &origin, "origin", "z")];
+        Aside { world: world(spec, ids(0)), _peers: peers, misses, fetches }
+    }
+
+    /// A ready node that holds reads for as long as a fetch takes.
+    fn node(&self) -> Node {
+        let patient = SETTINGS.replace("\"slo-s\":0.75", "\"slo-s\":60.0");
+        let node = Node::set(self.world.addresses().discovery(0).expect("discovery"), &patient);
+        node.until_ready();
+        node
+    }
+
+    fn missed(&self) -> usize {
+        self.misses.load(Ordering::SeqCst)
+    }
+}
+
+/// Danger: what waited for another's fetch was sent on after its client had left, where nothing was read from that client.
+#[test]
+fn nothing_is_sent_on_for_a_client_that_has_left_though_nothing_is_read_from_it() {
+    let aside = Aside::start();
+    let node = aside.node();
+    let read = |key: &str, id: usize| format!("mg {key} v O{id} Pc=read,d=60000\r\n");
+    let joins =
+        |first: usize, count: usize| (first..first + count).map(|id| read("key", id)).collect::<String>();
+    // The last that is taken of each has a key of its own: once that is fetched, all before it wait.
+    let manners: [(&str, String); 3] = [
+        ("a pipeline that is full", joins(100, 31) + &read("own", 3) + &joins(200, 60)),
+        ("the same, and thousands more", joins(300, 31) + &read("own", 3) + &joins(400, 2000)),
+        ("quit behind its commands", joins(500, 2) + &read("own", 3) + "quit\r\n"),
+    ];
+    let fetched = |id: &str| {
+        let (asked, fetch) = aside.fetches.recv_timeout(WIDE).expect("a fetch");
+        assert_eq!(asked, id);
+        fetch
+    };
+    for (what, commands) in manners {
+        for goes in [Shutdown::Both, Shutdown::Write] {
+            let before = aside.missed();
+            // Somebody else's fetch, which all the others join.
+            let mut stays = node.client();
+            stays.send(read("key", 1));
+            let fetch = fetched("1");
+            let mut leaves = node.client();
+            leaves.send(&commands);
+            let own = fetched("3");
+            leaves.leave(goes);
+            thread::sleep(LEFT);
+            fetch.send(http("v"));
+            assert_eq!(stays.answer(), "VA 1 O1\r\nv\r\n", "{what}");
+            own.send(http("x"));
+            // What was to be sent on would have been by the time that this is answered.
+            stays.send(read("other", 2));
+            fetched("2").send(http("w"));
+            assert_eq!(stays.answer(), "VA 1 O2\r\nw\r\n", "{what}");
+            assert_eq!(aside.missed(), before + 3, "{what}, {goes:?}");
+        }
+    }
+}
