Take new connections while clients still come, and end behind the clients

Seen: with no class that waits for over 0.25 s a node told to stop refused connections 0.25 s after SIGTERM, while the platform sends new ones for up to 0.4 s; read from the code: it ended with the turn in which the last answer was written, so that a connection with something unread on it was reset behind that answer, and what had come to the accept queue in that turn was reset unseen. Cause: node.rs stop: STOP_TAKING counted from the longest deadline alone; turn: Over as soon as all clients linger. Change: it stops taking half a second after the signal at the soonest; it ends when its clients have closed, 0.1 s after the last call at the latest (0.15 s before SIGKILL); before it ends early it looks once more who waits to be accepted. Tests: a_node_told_to_stop_takes_new_connections_for_as_long_as_they_come_though_deadlines_are_short, seen red before (connection refused); a_node_told_to_stop_ends_each_connection_between_answers_whatever_is_under_way, which was green before, too: a crossing that was not forced until now. The accept queue in the last turn cannot be forced over sockets; by reading alone.

--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -20,8 +20,10 @@
     Leave,
     /// The time for which a stopping node takes new connections and requests is over.
     StopAccepting,
-    /// A stopping node must end before it is killed.
+    /// What a stopping node still owes fails.
     LastCall,
+    /// It must end before it is killed.
+    End,
 }
 
 pub type Deadlines = lapisrudder_engine::Deadlines<Deadline>;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -33,9 +33,11 @@
 /// How long a stopping node stays though it has no client: new connections go on coming for up to 0.4 s.
 const ACCEPTS_ON: Micros = 500_000;
 /// A stopping node is killed 0.7 s after the longest deadline or 3 s. Until this long after the deadline it
-/// serves as ever, then closes connections between requests; what is open at its last call fails, and it ends.
+/// serves as ever, then closes connections between requests; what is open at its last call fails. It ends when its clients
+/// have what is theirs, and have closed, but no later than the last.
 const STOP_TAKING: Micros = 150_000;
 const LAST_CALL: Micros = 450_000;
+const END: Micros = 550_000;
 const LONGEST_WAIT: Micros = 3_000_000;
 /// A process before this one that said nothing is gone this long after the start of this: 6 s until this one's yes,
 /// 3.7 s until its end.
@@ -386,8 +388,12 @@
                 self.fleet.iter_mut().for_each(|f| f.leave(now));
             }
             self.deadlines.add(now + ACCEPTS_ON, Deadline::Leave);
-            self.deadlines.add(now + self.longest_wait + STOP_TAKING, Deadline::StopAccepting);
-            self.deadlines.add(now + self.longest_wait + LAST_CALL, Deadline::LastCall);
+            // Danger: where deadlines are short, new connections still come when it is time to stop.
+            let stop = (self.longest_wait + STOP_TAKING).max(ACCEPTS_ON);
+            let last_call = (self.longest_wait + LAST_CALL).max(stop + END - LAST_CALL);
+            self.deadlines.add(now + stop, Deadline::StopAccepting);
+            self.deadlines.add(now + last_call, Deadline::LastCall);
+            self.deadlines.add(now + last_call + END - LAST_CALL, Deadline::End);
         }
     }
 
@@ -741,8 +747,8 @@
                     let mut open: Vec<RequestId> = self.ledger.owed.keys().copied().collect();
                     open.sort_unstable();
                     open.into_iter().for_each(|id| self.end(id, b"SERVER_ERROR failed\r\n"));
-                    self.phase = Phase::Over;
                 }
+                Deadline::End => self.phase = Phase::Over,
             }
         }
         self.discovery.wake(now);
@@ -823,7 +829,11 @@
         self.send_out();
         let handed = self.successor.as_ref().is_none_or(|s| s.link.is_flushed());
         if matches!(self.phase, Phase::Leaving | Phase::Draining) && self.server.is_empty() && handed {
-            self.phase = Phase::Over;
+            // Guards who has come since the loop told of the others: what waits to be accepted would be reset.
+            self.accept(self.clock.now());
+            if self.server.is_empty() {
+                self.phase = Phase::Over;
+            }
         }
     }
 
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -289,9 +289,10 @@
         self.listener.as_ref()?.local_addr().ok()
     }
 
-    /// No client is owed anything any more.
+    /// No client is left. One that has all that is owed to it goes when it closes, or soon after: a process that ended before
+    /// would reset the connection, which may destroy what its client has not read.
     pub fn is_empty(&self) -> bool {
-        self.clients.values().all(Client::lingers)
+        self.clients.is_empty()
     }
 
     /// Clients have more to read: the loop must not wait.
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Nothing is sent on for a client that left so long ago.
 const LEFT: Duration = Duration::from_millis(300);
@@ -124,3 +124,55 @@
         }
     }
 }
+
+/// Danger: where no class waits for long the node stopped taking connections while clients still came.
+#[test]
+fn a_node_told_to_stop_takes_new_connections_for_as_long_as_they_come_though_deadlines_are_short() {
+    const COME: Duration = Duration::from_millis(400);
+    let world = world(spec(&["a"]), ids(1000));
+    let short = SETTINGS.replace("\"give-up-s\":2.5", "\"give-up-s\":0.1");
+    let short = short.replace("\"give-up-s\":5.0", "\"give-up-s\":0.1");
+    let mut node = Node::set(world.addresses().discovery(0).expect("discovery"), &short);
+    node.until_ready();
+    let told = Instant::now();
+    node.signal("-TERM");
+    for id in ids(1000) {
+        let client = Client::at(node.address);
+        // The test itself may have stood still.
+        if told.elapsed() >= COME {
+            break;
+        }
+        assert_eq!(client.expect("it is taken").read(&id, 60_000), by("a", &id), "{:?}", told.elapsed());
+    }
+    assert!(node.child.wait().expect("its end").success());
+}
+
+/// All that was taken is answered whole before the end: begun before the signal and ended after it, behind others in a
+/// pipeline, at a server that hangs. What the close between requests crosses gets nothing, so that it may be sent once more.
+#[test]
+fn a_node_told_to_stop_ends_each_connection_between_answers_whatever_is_under_way() {
+    let world = world(spec(&["a"]), ids(200));
+    let short = SETTINGS.replace("\"give-up-s\":2.5", "\"give-up-s\":0.5");
+    let short = short.replace("\"give-up-s\":5.0", "\"give-up-s\":0.5");
+    let mut node = Node::set(world.addresses().discovery(0).expect("discovery"), &short);
+    node.until_ready();
+    let read = |id: usize| format!("mg k{id} v O{id} Pc=read,d=60000\r\n");
+    let (mut halved, mut busy, mut hangs, mut never) =
+        (node.client(), node.client(), node.client(), node.client());
+    halved.send("mg k1 v O1 Pc=re");
+    never.send("mg k9 v O9 Pc=re");
+    assert_eq!(busy.read("2", 60_000), by("a", "2"));
+    node.signal("-TERM");
+    halved.send("ad,d=60000\r\n".to_string() + &read(3));
+    assert_eq!([halved.answer(), halved.answer()], [by("a", "1"), by("a", "3")]);
+    for id in 100..150 {
+        assert_eq!(busy.ask(&read(id)), by("a", &id.to_string()));
+    }
+    world.control().pause(no(&world, "a"), 60_000_000).expect("paused");
+    hangs.send(read(4) + &read(5));
+    assert_eq!(busy.answer(), "", "it closes between requests");
+    let told: Vec<String> = std::iter::repeat_with(|| hangs.answer()).take(3).collect();
+    assert_eq!(told, ["SERVER_ERROR failed\r\n", "SERVER_ERROR failed\r\n", ""]);
+    assert_eq!(never.rest(), b"");
+    assert!(node.child.wait().expect("its end").success());
+}
