Check from outside that nothing is sent on for a client that has left

Change: Rule::Left (crates/lab/src/check/left.rs): no first byte at any server later than 0.3 s and the slack for sockets after its client closed the connection. What was open on a connection is looked up in one place for this rule and that on lost requests. Tests: two wrong nodes that break it alone (a first attempt, a further one), an honest client that leaves, the last moment allowed and the first too late. Two older histories repeated a write 2 s after their client had closed; those clients now keep their connections and only wait no longer, as the rule on effects needs, and nothing of what they assert has changed.

--- a/crates/lab/src/check/context.rs
+++ b/crates/lab/src/check/context.rs
@@ -34,6 +34,16 @@
     }
 }
 
+/// What was on a client's connection at a time.
+pub(super) struct OnConnection {
+    /// Where it went to.
+    pub(super) node: Option<NodeNo>,
+    /// The first request on it.
+    pub(super) first: Option<ReqId>,
+    /// What was open on it, and when its last byte was written.
+    pub(super) open: Vec<(ReqId, Micros)>,
+}
+
 impl<'a> Context<'a> {
     pub(super) fn new(index: &'a Index<'a>, e: &'a Experiment) -> Self {
         let ledger = index.ledger;
@@ -138,6 +148,26 @@
         attempts
     }
 
+    /// What was on a client's connection then: written, and neither answered nor crossed.
+    pub(super) fn on_connection(&self, conn: ConnNo, at: Micros) -> OnConnection {
+        let mut on = OnConnection { node: None, first: None, open: Vec::new() };
+        for r in self.index.client_conn(conn) {
+            match r.event {
+                ClientEvent::Opened { node, .. } => on.node = Some(node),
+                // Guards against calling lost what was written after the end: nobody has taken it.
+                ClientEvent::Sent { req, .. } if r.at <= at => {
+                    on.first = on.first.or(Some(req));
+                    on.open.push((req, r.at));
+                }
+                ClientEvent::Answered { req, .. }
+                | ClientEvent::Broken { req, .. }
+                | ClientEvent::Crossed { req, .. } => on.open.retain(|o| o.0 != req),
+                _ => {}
+            }
+        }
+        on
+    }
+
     /// A violation about a try.
     pub(super) fn broken(&self, rule: Rule, at: Micros, t: &Try, text: String) -> Violation {
         Violation { rule, at, req: Some(t.id), node: Some(t.node), server: None, text }
--- a/crates/lab/src/check/day.rs
+++ b/crates/lab/src/check/day.rs
@@ -44,6 +44,8 @@
     NeverReady,
     ClosesOnTaken,
     ClosesTwice,
+    SendsOnForOneWhoLeft,
+    TriesAgainForOneWhoLeft,
 }
 
 pub(super) struct Day {
@@ -259,8 +261,19 @@
                 let (req, conn) = self.sent(at, node, 1);
                 self.attempt(req, node, ORIGIN, at + MS, 4000, None);
                 self.attempt(req, node, ORIGIN, at + 2100 * MS, 4000, Some(Answer::Receipt));
+                // It waits no longer, and keeps its connection.
                 self.ledger.clients.push(at + 100 * MS, ClientEvent::GivenUp { req, early: true });
-                self.closed(conn, at + 100 * MS, Closer::Us);
+                self.closed(conn, at + 2500 * MS, Closer::Us);
+            }
+            // The client leaves after 20 ms; 0.3 s are allowed, and what sockets add.
+            Wrong::SendsOnForOneWhoLeft | Wrong::TriesAgainForOneWhoLeft => {
+                let (req, conn) = self.sent(at, node, 0);
+                if wrong == Wrong::TriesAgainForOneWhoLeft {
+                    self.attempt(req, node, home, at + MS, 4000, None);
+                }
+                self.ledger.clients.push(at + 20 * MS, ClientEvent::GivenUp { req, early: true });
+                self.closed(conn, at + 20 * MS, Closer::Us);
+                self.attempt(req, node, 1, at + 380 * MS, 4000, Some(Answer::Value));
             }
             Wrong::TriesTooOften => {
                 let (req, conn) = self.sent(at, node, 0);
@@ -330,10 +343,11 @@
                 self.answered(req, conn, at + 460 * MS, Answer::Failed, 0);
                 self.closed(conn, at + 470 * MS, Closer::Us);
             }
-            // The client leaves; the answer comes after.
-            5 => {
+            // The client leaves; the answer comes after. A request that waited is sent on before that is seen.
+            5 | 16 => {
                 let (req, conn) = self.sent(at, node, 0);
-                self.attempt(req, node, home, at + MS, 4000, Some(Answer::Value));
+                let after = if n % 50 == 5 { MS } else { 360 * MS };
+                self.attempt(req, node, home, at + after, 4000, Some(Answer::Value));
                 self.ledger.clients.push(at + 20 * MS, ClientEvent::GivenUp { req, early: true });
                 self.closed(conn, at + 20 * MS, Closer::Us);
             }
@@ -565,6 +579,8 @@
         (NeverReady, Rule::Alive),
         (ClosesOnTaken, Rule::Crossing),
         (ClosesTwice, Rule::Crossing),
+        (SendsOnForOneWhoLeft, Rule::Left),
+        (TriesAgainForOneWhoLeft, Rule::Left),
     ];
     let mut wrong = Vec::new();
     for (how, rule) in [(Nothing, None)].into_iter().chain(cases.map(|(how, rule)| (how, Some(rule)))) {
--- a/crates/lab/src/check/edges.rs
+++ b/crates/lab/src/check/edges.rs
@@ -62,8 +62,9 @@
         let (req, conn) = day.sent(LATER, 0, 1);
         day.attempt(req, 0, ORIGIN, LATER + MS, 4000, None);
         day.attempt(req, 0, ORIGIN, LATER + MS + after, 4000, Some(Answer::Receipt));
+        // It waits no longer, and keeps its connection.
         day.ledger.clients.push(LATER + 100 * MS, ClientEvent::GivenUp { req, early: true });
-        day.closed(conn, LATER + 100 * MS, Closer::Us);
+        day.closed(conn, LATER + 3 * S, Closer::Us);
     }),
     // The proof that it never ran comes 2 ms after the first was sent.
     ("a booking sent again before the proof", Rule::Effects, 0, |day, before| {
@@ -129,6 +130,12 @@
         day.answered(req, conn, LATER + 20 * MS, Answer::Value, digest);
         day.closed(conn, LATER + 40 * MS, Closer::Us);
     }),
+    ("a send for a client that has left", Rule::Left, 300 * MS + SOCKETS, |day, after| {
+        let (req, conn) = day.sent(LATER, 0, 0);
+        day.ledger.clients.push(LATER + 20 * MS, ClientEvent::GivenUp { req, early: true });
+        day.closed(conn, LATER + 20 * MS, Closer::Us);
+        day.attempt(req, 0, 0, LATER + 20 * MS + after, 4000, Some(Answer::Value));
+    }),
     ("an operator's answer", Rule::Management, S + SOCKETS, |day, after| {
         called(day, LATER, 0, 1, Call::Status, Some(after));
     }),
--- a/crates/lab/src/check/lost.rs
+++ b/crates/lab/src/check/lost.rs
@@ -7,15 +7,19 @@
 //! - what a close between requests crossed: that is the rule of [`super::crossing`];
 //! - what a node held that the lab killed outright. Being told to stop excuses nothing: it has time to finish.
 
-use super::context::Context;
+use super::context::{Context, OnConnection};
 use super::{Rule, Violation};
 use crate::Micros;
-use crate::ledger::{ClientEvent, Closer, ConnNo, NodeNo, ReqId, ServerEvent};
+use crate::ledger::{ClientEvent, Closer, ReqId, ServerEvent};
 
 pub(super) fn check(cx: &Context<'_>, out: &mut Vec<Violation>) {
     for r in cx.ledger.clients.records() {
         let ClientEvent::Closed { conn, by: by @ (Closer::Them | Closer::Reset) } = r.event else { continue };
-        let (node, first, open) = open_on(cx, conn, r.at);
+        let OnConnection { node, first, mut open } = cx.on_connection(conn, r.at);
+        let left = |req: ReqId| {
+            cx.index.client(req).any(|e| e.at <= r.at && matches!(e.event, ClientEvent::GivenUp { .. }))
+        };
+        open.retain(|o| !left(o.0));
         for (req, sent) in open {
             // A request may be written, and the end be seen, some time after the kill.
             let from = sent.min(r.at - 1_000_000);
@@ -35,33 +39,3 @@
         }
     }
 }
-
-/// Of a connection that ended then: its node, the first request on it, and what was open with the time it was sent.
-fn open_on(
-    cx: &Context<'_>,
-    conn: ConnNo,
-    at: Micros,
-) -> (Option<NodeNo>, Option<ReqId>, Vec<(ReqId, Micros)>) {
-    let (mut node, mut first, mut open) = (None, None, Vec::new());
-    for r in cx.index.client_conn(conn) {
-        match r.event {
-            ClientEvent::Opened { node: n, .. } => node = Some(n),
-            // Guards against calling lost what was written after the end: nobody has taken it.
-            ClientEvent::Sent { req, .. } if r.at <= at => {
-                first = first.or(Some(req));
-                open.push((req, r.at));
-            }
-            ClientEvent::Answered { req, .. }
-            | ClientEvent::Broken { req, .. }
-            | ClientEvent::Crossed { req, .. } => {
-                open.retain(|o| o.0 != req);
-            }
-            _ => {}
-        }
-    }
-    let left = |req: ReqId| {
-        cx.index.client(req).any(|r| r.at <= at && matches!(r.event, ClientEvent::GivenUp { .. }))
-    };
-    open.retain(|o| !left(o.0));
-    (node, first, open)
-}
--- a/crates/lab/src/check/mod.rs
+++ b/crates/lab/src/check/mod.rs
@@ -15,6 +15,7 @@
 mod history;
 mod in_time;
 mod late_lab;
+mod left;
 mod limits;
 mod lost;
 mod management;
@@ -61,13 +62,15 @@
     Alive,
     /// A close between requests takes none with it.
     Crossing,
+    /// Nothing sent on for a client that has left.
+    Left,
     /// Operators' calls are answered, rightly and in time.
     Management,
 }
 
 impl Rule {
     /// All of them.
-    pub const ALL: [Rule; 12] = [
+    pub const ALL: [Rule; 13] = [
         Rule::OneAnswer,
         Rule::InTime,
         Rule::Lost,
@@ -79,6 +82,7 @@
         Rule::Limits,
         Rule::Alive,
         Rule::Crossing,
+        Rule::Left,
         Rule::Management,
     ];
 
@@ -96,6 +100,7 @@
             Rule::Limits => "limits",
             Rule::Alive => "alive",
             Rule::Crossing => "crossing",
+            Rule::Left => "left",
             Rule::Management => "management",
         }
     }
@@ -113,6 +118,7 @@
             Rule::Limits => limits::check(cx, out),
             Rule::Alive => alive::check(cx, out),
             Rule::Crossing => crossing::check(cx, out),
+            Rule::Left => left::check(cx, out),
             Rule::Management => management::check(cx, out),
         }
     }
