Start under odd but legal settings, and refuse negative times by key

Need: settings that are odd but legal start and serve; bad ones end the start with one line. Seen: conn-idle-s 0 ended the start; negative cold, fall, ask-within and retry-after times, shares and multiples were taken. Change: conn-idle-s may be 0 (each connection is used once); those seven keys must be 0 or more, told by file, line and key. Test: odd_settings_start_and_serve (nine settings, start to end), seen red before on the idle time. Open: most-held 1 starts, but refuses all (a reserve takes the only place).

--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -240,12 +240,26 @@
         let bounds = &options.bounds;
         for (key, value, most) in [
             ("settings.bounds.attempts-cap", bounds.attempts_cap.into(), MOST_ATTEMPTS),
-            ("settings.bounds.conn-idle-s", bounds.conn_idle_s, f64::INFINITY),
             ("settings.bounds.connect-timeout-s", bounds.connect_timeout_s, f64::INFINITY),
             ("settings.bounds.multiplex", bounds.multiplex as f64, f64::INFINITY),
         ] {
             found.positive(key, value, most);
         }
+        let rules = &options.rules;
+        for (key, value) in [
+            // None: connections are used once.
+            ("settings.bounds.conn-idle-s", bounds.conn_idle_s),
+            ("settings.bounds.max-retry-after-s", bounds.max_retry_after_s),
+            ("settings.rules.ask-within-s", rules.ask_within_s),
+            ("settings.rules.cold-s", rules.cold_s),
+            ("settings.rules.fall-s", rules.fall_s),
+            ("settings.rules.start-capacity", rules.start_capacity),
+            ("settings.rules.tip-multiple", rules.tip_multiple),
+        ] {
+            if !value.is_finite() || value < 0.0 {
+                found.at(key, Fault::Negative { value });
+            }
+        }
         let RawLimits { memory_mb, sockets } = raw.limits;
         if sockets < LEAST_SOCKETS {
             found.at("limits.sockets", Fault::Sockets { value: sockets, least: LEAST_SOCKETS });
--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -86,6 +86,12 @@
         /// The most.
         most: f64,
     },
+    /// A number that must be 0 or more.
+    #[error("{value} must be 0 or more")]
+    Negative {
+        /// What stands there.
+        value: f64,
+    },
     /// A number that must be above 0.
     #[error("{value} must be above 0")]
     NotPositive {
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -176,3 +176,60 @@
     assert_eq!(never.rest(), b"");
     assert!(node.child.wait().expect("its end").success());
 }
+
+/// Settings that are odd, but legal: each node starts, serves, and ends when it is told to.
+#[test]
+fn odd_settings_start_and_serve() {
+    let world = world(spec(&["a"]), ids(100));
+    let discovery = world.addresses().discovery(0).expect("discovery");
+    let (before, put) = SETTINGS.split_once(",{\"effect\":\"guarded\"").expect("a second class");
+    let one_class = format!("{before}{}", &put[put.find(']').expect("the end of the classes")..]);
+    let changed = |changes: &[(&str, &str)]| {
+        changes.iter().fold(SETTINGS.to_string(), |settings, (from, to)| {
+            assert!(settings.contains(from), "{from}");
+            settings.replace(from, to)
+        })
+    };
+    let odd = [
+        ("one class", one_class),
+        ("no idle time", changed(&[("\"conn-idle-s\":60.0", "\"conn-idle-s\":0.0")])),
+        ("one attempt", changed(&[("\"attempts-cap\":3", "\"attempts-cap\":1")])),
+        (
+            "no second copies, nothing called off",
+            changed(&[
+                ("\"second-copies\":true", "\"second-copies\":false"),
+                ("\"cancel\":true", "\"cancel\":false"),
+            ]),
+        ),
+        ("one request at a time", changed(&[("\"multiplex\":32", "\"multiplex\":1")])),
+        (
+            "times shorter than a turn of discovery",
+            changed(&[
+                ("\"slo-s\":0.75", "\"slo-s\":0.001"),
+                ("\"give-up-s\":2.5", "\"give-up-s\":0.002"),
+                ("\"ask-within-s\":10.0", "\"ask-within-s\":0.001"),
+            ]),
+        ),
+        (
+            "nothing is ever cold, nobody is told when to come again",
+            changed(&[
+                ("\"cold-s\":24.0", "\"cold-s\":0.0"),
+                ("\"max-retry-after-s\":2.0", "\"max-retry-after-s\":0.0"),
+                ("\"fall-s\":2.0", "\"fall-s\":0.0"),
+            ]),
+        ),
+        ("hundreds of siblings", changed(&[("\"siblings\":1", "\"siblings\":100000")])),
+        ("no worth", changed(&[("\"worth\":5.0", "\"worth\":0.0")])),
+    ];
+    for (at, (what, settings)) in odd.into_iter().enumerate() {
+        let mut node = Node::set(discovery, &settings);
+        node.until_ready();
+        let mut client = node.client();
+        for id in [at * 10, at * 10 + 1] {
+            assert_eq!(client.read(&id.to_string(), 60_000), by("a", &id.to_string()), "{what}");
+        }
+        drop(client);
+        node.signal("-TERM");
+        assert!(node.child.wait().expect("its end").success(), "{what}");
+    }
+}
