Let in, or tell, whoever waits to be accepted when a stopping node closes its listener

Seen by reading: stop_accepting took new connections only as far as the limits paused it not; with all places taken what waited in the kernel's queue was reset with the listener, each with a request that may have been written whole. Change: all that the kernel has let in (its queue at the most) is asked of the limits, which let it in or tell it busy. Sockets cannot hold a connection back for one turn: no test fails without it.

--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -516,7 +516,12 @@
 
     /// Takes no more new connections; those there are close between requests.
     pub fn stop_accepting(&mut self, now: Micros, deadlines: &mut Deadlines) {
-        while self.accept(now, deadlines) {}
+        // Guards those whom the kernel has let in: they get in, or are told that there is no room, however full it is.
+        let listener = self.listener.clone().filter(|_| self.token.is_some());
+        let waiting = listener.iter().flat_map(|l| std::iter::from_fn(|| l.accept().ok()));
+        for (stream, peer) in waiting.take(BACKLOG as usize) {
+            self.arrived(stream, peer, now, deadlines);
+        }
         self.token.take().into_iter().for_each(|token| self.handle.remove(token));
         self.listener = None;
         self.begin_drain(Drain::at_once(now), now, deadlines);
