Answer what waits behind a full pipeline when a node ends, or refuse it

Seen: a client that had 40 commands at a server that hangs got 32 final answers and the end of the connection when the node was told to stop; 8 commands, written whole 0.4 s and more before, got nothing. Cause: virtual_server.rs let_go finished a connection on which answers were owed, after which nothing that was read is taken up any more. Change: one that still has something to take up is not finished; after the last call whatever comes is refused (it never ran), until nothing is left. The process ends by the same time as before. Test: a_node_told_to_stop_ends_each_connection_between_answers_whatever_is_under_way, seen red before (8 empty of 40).

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -135,6 +135,8 @@
     Leaving,
     /// Ends once the last client has its answers.
     Draining,
+    /// The same, and refuses what still comes.
+    Refusing,
     Over,
 }
 
@@ -671,6 +673,9 @@
     /// Takes a transaction: from here on it is owed one final answer.
     fn take(&mut self, client: u64, id: RequestId, command: OwnedRequest) {
         let now = self.clock.now();
+        if self.phase == Phase::Refusing {
+            return self.server.answer(client, id, &[b"SERVER_ERROR busy\r\n"], now);
+        }
         let request = command.get();
         let name = request.named(b"c").unwrap_or_default();
         let Some(class) = self.classes.find(name, now) else {
@@ -747,6 +752,7 @@
                     let mut open: Vec<RequestId> = self.ledger.owed.keys().copied().collect();
                     open.sort_unstable();
                     open.into_iter().for_each(|id| self.end(id, b"SERVER_ERROR failed\r\n"));
+                    self.phase = Phase::Refusing;
                 }
                 Deadline::End => self.phase = Phase::Over,
             }
@@ -828,7 +834,8 @@
         self.calls();
         self.send_out();
         let handed = self.successor.as_ref().is_none_or(|s| s.link.is_flushed());
-        if matches!(self.phase, Phase::Leaving | Phase::Draining) && self.server.is_empty() && handed {
+        let may_end = matches!(self.phase, Phase::Leaving | Phase::Draining | Phase::Refusing);
+        if may_end && self.server.is_empty() && handed {
             // Guards who has come since the loop told of the others: what waits to be accepted would be reset.
             self.accept(self.clock.now());
             if self.server.is_empty() {
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -566,6 +566,8 @@
             let unread = c.room() && c.look();
             let activity = if c.upload.is_some() { Activity::Unfinished } else { c.activity() };
             let release = drain.release(*id, c.since_arrival, now, activity);
+            // Danger: whole commands that waited behind the room for a pipeline got no answer.
+            let release = if c.is_blind() { Release::Stays } else { release };
             (release != Release::Stays).then_some((*id, release, unread))
         };
         let released: Vec<_> = self.clients.iter_mut().filter_map(release).collect();
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -169,10 +169,14 @@
         assert_eq!(busy.ask(&read(id)), by("a", &id.to_string()));
     }
     world.control().pause(no(&world, "a"), 60_000_000).expect("paused");
-    hangs.send(read(4) + &read(5));
+    let all: Vec<usize> = (10..50).collect();
+    hangs.send(all.iter().map(|id| read(*id)).collect::<String>());
     assert_eq!(busy.answer(), "", "it closes between requests");
-    let told: Vec<String> = std::iter::repeat_with(|| hangs.answer()).take(3).collect();
-    assert_eq!(told, ["SERVER_ERROR failed\r\n", "SERVER_ERROR failed\r\n", ""]);
+    // What waits behind the pipeline's room was never taken up, and is told so.
+    let told: Vec<String> = std::iter::repeat_with(|| hangs.answer()).take(all.len() + 1).collect();
+    assert!(told[..32].iter().all(|line| line == "SERVER_ERROR failed\r\n"), "{told:?}");
+    assert!(told[32..40].iter().all(|line| line == "SERVER_ERROR busy\r\n"), "{told:?}");
+    assert_eq!(told[40], "");
     assert_eq!(never.rest(), b"");
     assert!(node.child.wait().expect("its end").success());
 }
