Take the first request of all, however few may be held: most-held 1 refused everything

Seen: under most-held 1 each request got 'busy' (odd_settings_start_and_serve). Cause: limits requests.rs near_limit counts the request itself among what is taken: with one place all of it is taken by the first, which is then of those worth least. Change: with nothing held no request is near the limit. Test: odd_settings_start_and_serve, with that case red before and green now; the limits' own tests pass.

--- a/crates/limits/src/admission/requests.rs
+++ b/crates/limits/src/admission/requests.rs
@@ -107,6 +107,10 @@
     /// Near the limit: whether this is among those worth least, and whether its source has its share of the places.
     fn near_limit(&mut self, at: u32, known: bool, facts: &Facts) -> (bool, bool) {
         let most = self.slots.most;
+        // Danger: where there is one place, each request took all there was, and was turned away for that.
+        if self.slots.held() == 0 {
+            return (false, false);
+        }
         let taken = (self.slots.held() + 1) as f64 / most.max(1) as f64;
         let favour = if known { self.settings.overload.known_worth } else { 1.0 };
         let least = self.overload.is_least(facts.class, facts.left, facts.worth * favour, taken);
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -205,7 +205,8 @@
                 ("\"cancel\":true", "\"cancel\":false"),
             ]),
         ),
-        ("one request at a time", changed(&[("\"multiplex\":32", "\"multiplex\":1")])),
+        ("one request at a time on a connection", changed(&[("\"multiplex\":32", "\"multiplex\":1")])),
+        ("one request at a time", changed(&[("\"most-held\":20000", "\"most-held\":1")])),
         (
             "times shorter than a turn of discovery",
             changed(&[
