Catch a node that sends on for clients that left, on sockets and in a history

Change: a saboteur that waits for clients that leave and sends their requests on afterwards, an honest run among such clients, and the history of each. The other histories are as they were.

--- a/crates/lab/tests/run/main.rs
+++ b/crates/lab/tests/run/main.rs
@@ -25,6 +25,7 @@
 fn file(faults: &str) -> ExperimentFile {
     // What would push a cold server over is little for five.
     let per_s = if faults == COLD { 250 } else { 90 };
+    let impatient = if faults == LEAVE { 0.3 } else { 0.0 };
     let text = format!(
         r#"question = "Which rules does this node break?"
 duration_s = 2.5
@@ -60,7 +61,7 @@
 rate = {{ steady = {{ per_s = {per_s} }} }}
 keys = {{ count = 100 }}
 connections = {{ most = 200 }}
-retries = {{ most = 0, try_share = [1.0, 1.0], impatient = 0.0 }}
+retries = {{ most = 0, try_share = [1.0, 1.0], impatient = {impatient} }}
 [lab]
 late_share = 1.0
 lag_ms = 9000
@@ -86,6 +87,9 @@
 for_s = 5
 "#;
 
+/// No fault, but clients of whom some leave early.
+const LEAVE: &str = "# Some clients leave.\n";
+
 const COLD: &str = r#"[[fault]]
 name = "one is replaced"
 who = { servers = { names = ["s0"] } }
@@ -94,10 +98,12 @@
 "#;
 
 /// What is wrong, the faults that it needs to show, the rule that it breaks, and others that may go with it.
-const CASES: [Case; 14] = [
+const CASES: [Case; 16] = [
     ("nothing", "", "", &[]),
     ("nothing", DRAIN, "", &[]),
     ("nothing", COLD, "", &[]),
+    ("nothing", LEAVE, "", &[]),
+    ("leaves", LEAVE, "left", &[]),
     ("twice", "", "one-answer", &[]),
     ("late", "", "in-time", &[]),
     ("lost", "", "lost", &[]),
@@ -115,7 +121,7 @@
 
 #[test]
 fn each_saboteur_is_caught_by_its_rule_and_the_honest_node_by_none() {
-    for some in CASES.chunks(14) {
+    for some in CASES.chunks(16) {
         std::thread::scope(|scope| some.iter().for_each(|case| drop(scope.spawn(|| one_case(*case)))));
     }
 }
--- a/crates/lab/tests/run/recorded.rs
+++ b/crates/lab/tests/run/recorded.rs
@@ -133,6 +133,7 @@
         let name = match (rule, faults) {
             ("", super::DRAIN) => "honest_drain".to_owned(),
             ("", super::COLD) => "honest_cold".to_owned(),
+            ("", super::LEAVE) => "honest_leave".to_owned(),
             ("", _) => "honest_plain".to_owned(),
             _ => format!("{}_{wrong}", found.iter().copied().collect::<Vec<_>>().join("+")),
         };
--- a/crates/lab/tests/run/saboteur.rs
+++ b/crates/lab/tests/run/saboteur.rs
@@ -124,6 +124,9 @@
                 }
                 Command::Request(r) => {
                     nth += 1;
+                    if node.wrong == "leaves" {
+                        wait_for_leavers(&stream);
+                    }
                     let answer = answer(node, &mut peers, &r);
                     spoil(node, &mut stream, &r, answer, nth)?;
                 }
@@ -136,6 +139,17 @@
     }
 }
 
+/// Waits for clients that leave early, and with the requests of those who did until long after.
+fn wait_for_leavers(stream: &TcpStream) {
+    thread::sleep(Duration::from_millis(400));
+    let _ = stream.set_nonblocking(true);
+    let left = matches!(stream.peek(&mut [0]), Ok(0));
+    let _ = stream.set_nonblocking(false);
+    if left {
+        thread::sleep(Duration::from_millis(1600));
+    }
+}
+
 /// Answers the client, or does what is wrong now and then. `None` closes the connection.
 fn spoil(node: &Node, stream: &mut TcpStream, r: &Request, answer: Vec<u8>, nth: usize) -> Option<()> {
     let now_and_then = node.count.fetch_add(1, Ordering::Relaxed) % 20 == 19;
