Send nothing on for who left unread; hear the old discovery out before a reload moves on

Two crossings found by reading, each forced on sockets with the node stopped (SIGSTOP) between the two events; both tests were red before.

- A client that left while its connection waited to be accepted (Accepting::Pause leaves the queue alone while all places are taken), or while the node stood still, was sent on for: what was read in one go with the close behind it was taken first, and the close seen 50 ms later.
Four instead of two requests came to the server. virtual_server.rs read looks for the close first, on a connection that has not spoken yet and after a turn that came over 0.1 s late: one poll, none on usual reads.
- A reload that moves discovery closed the old connection over an answer that lay unread: a drain that had been written, so counts as told, was never heard of, and the member got requests until the new discovery answered. node.rs reload reads it first, under the settings that it was made for.

Ruled out: a look after each read (a system call for each request, for a case that needs a wait).

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -209,6 +209,11 @@
         self.unread && !self.lingers() && (waits || !self.room())
     }
 
+    /// It has not spoken yet.
+    pub fn is_fresh(&self) -> bool {
+        self.since_arrival != Micros::MIN
+    }
+
     /// Its peer has gone, seen past what is not read.
     pub fn has_left(&self) -> bool {
         self.socket.is_ended()
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -355,6 +355,8 @@
     /// platform's file says, from the next start on.
     pub fn reload(&mut self, config: Config) {
         let now = self.clock.now();
+        // Danger: what the old discovery has written counts as told, and would go unread with its connection.
+        self.ready(Owner::Discovery);
         if let Err(what) = self.server.reload(now, config.operators.limits) {
             // Checked when the file was read; the old ones stay.
             warn!("reload: {what}");
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -32,6 +32,8 @@
 const ENFILE: i32 = 23;
 /// A client that read all bytes of may have closed behind them: it is looked at again this much later.
 const LOOK_AGAIN: Micros = 50_000;
+/// What is read this long after the last turn may have waited for it, and its client may have left meanwhile.
+const STOOD_STILL: Micros = 100_000;
 /// What can be opened at any time, to hold a descriptor.
 const SPARE: &str = "/dev/null";
 
@@ -87,6 +89,8 @@
     dirty: Vec<u64>,
     /// Clients to look at again, and when, in order.
     unsure: VecDeque<(Micros, u64)>,
+    /// The last turn in which clients were read from.
+    turned: Micros,
     pub news: VecDeque<News>,
     /// Large values whose servers may go on.
     pub resumed: Vec<RequestId>,
@@ -141,6 +145,7 @@
             touched: Vec::new(),
             dirty: Vec::new(),
             unsure: VecDeque::new(),
+            turned: Micros::MIN / 2,
             news: VecDeque::new(),
             resumed: Vec::new(),
             unread: 0,
@@ -633,6 +638,7 @@
         for id in std::mem::take(&mut self.touched) {
             self.see_to(id, scratch, now, deadlines);
         }
+        self.turned = now;
     }
 
     fn see_to(&mut self, id: u64, scratch: &mut [u8], now: Micros, deadlines: &mut Deadlines) {
@@ -694,6 +700,11 @@
         if client.is_blind() {
             return if client.has_left() { State::Over } else { State::Open };
         }
+        // Danger: it left while its connection waited to be accepted, or the node stood still, and what it had asked was sent on.
+        let waited = client.is_fresh() || now - self.turned > STOOD_STILL;
+        if waited && client.has_left() {
+            return State::Over;
+        }
         let uploaded = client.upload.as_ref().map(Upload::needs);
         let whole;
         let buffer = match uploaded {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -47,6 +47,18 @@
     world
 }
 
+/// What a peer has written to somebody waits there to be read.
+pub fn lies_unread(from: SocketAddr) -> bool {
+    let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the machine's connections");
+    let from = format!("{:08X}:{:04X}", u32::from_ne_bytes([127, 0, 0, 1]), from.port());
+    let unread = |line: &str| {
+        let mut words = line.split_whitespace().skip(2);
+        let (peer, queues) = (words.next(), words.nth(1).and_then(|queues| queues.split_once(':')));
+        peer == Some(&from) && queues.is_some_and(|(_, unread)| unread != "00000000")
+    };
+    sockets.lines().any(unread)
+}
+
 /// Ids from 0 up.
 pub fn ids(count: usize) -> impl Iterator<Item = String> {
     (0..count).map(|id| id.to_string())
@@ -113,13 +125,21 @@
         List { peer: peer.expect("a peer"), shared }
     }
 
-    /// Answers the next call with it, and waits until that has been asked for again.
+    /// Answers the call that waits, or the next one, with it.
+    pub fn say(&self, text: &str) {
+        let mut texts = self.shared.lock().expect("a lock");
+        texts.next = Some(text.into());
+        texts.send();
+    }
+
+    /// The same, and waits until more has been asked for.
     pub fn tell(&self, text: &str) {
-        {
-            let mut texts = self.shared.lock().expect("a lock");
-            texts.next = Some(text.into());
-            texts.send();
-        }
+        self.say(text);
+        self.until_asked();
+    }
+
+    /// Waits until a call waits for more than what was told.
+    pub fn until_asked(&self) {
         until(|| {
             let texts = self.shared.lock().expect("a lock");
             texts.next.is_none() && texts.waits.is_some()
@@ -351,6 +371,13 @@
         self.signal("-HUP");
     }
 
+    /// Stops it where it stands, until it is told to go on with `-CONT`.
+    pub fn stand_still(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        until(|| std::fs::read_to_string(&stat).is_ok_and(|s| s.contains(") T ")));
+    }
+
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill").success());
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -316,3 +316,51 @@
     assert_eq!(client.read("4", 60_000), by("a", "4"), "the same connection, at the new process");
     assert_eq!(idle.read("5", 60_000), by("a", "5"));
 }
+
+/// Danger: what the old discovery had written lay unread as a reload moved to another one, and counts as told.
+#[test]
+fn what_a_discovery_has_told_holds_though_a_reload_moves_to_another_before_it_is_read() {
+    let world = world(spec(&["a", "b"]), ids(40));
+    let at = |uid: &str| world.addresses().server(0, no(&world, uid)).expect("an address");
+    let told = List::start(&list(1, true, &[("a", at("a"), "up"), ("b", at("b"), "up")]));
+    let node = Node::told_by(told.address(), 1024);
+    let (tell, asks) = channel();
+    // The other one takes calls, and answers none.
+    let silent = Scripted::answering(move |_| {
+        let _ = tell.send(());
+        None
+    });
+    let silent = silent.expect("a discovery");
+    told.until_asked();
+    node.stand_still();
+    told.say(&list(2, false, &[("a", at("a"), "draining")]));
+    until(|| lies_unread(told.address()));
+    node.reload(|text| text.replace(&told.address().to_string(), &silent.address().to_string()));
+    node.signal("-CONT");
+    asks.recv_timeout(WIDE).expect("a call to the other one");
+    let mut client = node.client();
+    for id in ids(40) {
+        assert_eq!(client.read(&id, 10_000), by("b", &id));
+    }
+    assert_eq!(asked(&world, "a"), 0);
+}
+
+/// Danger: a client left while its connection waited to be accepted, or its request to be read, and that was sent on.
+#[test]
+fn nothing_is_sent_on_for_a_client_that_left_before_it_was_read() {
+    let world = world(spec(&["a"]), ids(10));
+    let node = Node::start(&world);
+    let (mut spoke, mut silent) = (node.client(), node.client());
+    assert_eq!(spoke.read("1", 60_000), by("a", "1"));
+    node.stand_still();
+    let mut waits = node.client();
+    for (id, client) in [(2, &mut spoke), (3, &mut silent), (4, &mut waits)] {
+        client.send(format!("mg k{id} v O{id} Pc=read,d=60000\r\n"));
+        client.leave(Shutdown::Both);
+    }
+    thread::sleep(LEFT);
+    node.signal("-CONT");
+    // Whoever came before has been seen to by the time that this is answered.
+    assert_eq!(node.client().read("5", 60_000), by("a", "5"));
+    assert_eq!(asked(&world, "a"), 2);
+}
