Take no refusal for proof that may be the second copy of the one before

Cause: SERVER_ERROR busy and failed name no request.

Ruled out: to tell copies from refusals by time (a full server refuses a whole burst within a millisecond); to close in any case (a connection for each burst at a full server).

--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -16,6 +16,11 @@
 /// So many bytes at first are put behind a part of an answer, to see whether it is whole with them.
 const STEP: usize = 4 << 10;
 
+/// A connection is given nothing new for this long after an answer that does not name its request: all of the origin's, and
+/// refusals and failures of others. Danger: an answer may come twice, the second one some milliseconds late (4 were seen). Who
+/// asked next on the connection was given the value of the one before, or told that it never ran.
+pub(crate) const SETTLES: Micros = 20_000;
+
 /// What comes of a flow on a connection.
 pub(crate) enum Heard<'a> {
     /// Its answer, or the head of one whose value follows.
@@ -74,8 +79,11 @@
     pub held: bool,
     /// It has brought an answer.
     proven: bool,
-    /// Its last answer did not name its request.
-    pub unnamed: bool,
+    /// When its last answer came, if that did not name its request.
+    pub unnamed: Option<Micros>,
+    /// An answer that named no request came right behind another: either may have been a second copy. Before an answer names
+    /// the request that is due no refusal proves anything, and nothing new goes on it.
+    pub doubtful: bool,
     /// Nothing new goes on it before then: what still comes would be taken for the answer.
     pub settles: Option<Micros>,
     /// It is to be seen to at the end of the turn.
@@ -96,7 +104,8 @@
             body: None,
             held: false,
             proven: false,
-            unnamed: false,
+            unnamed: None,
+            doubtful: false,
             settles: None,
             queued: false,
         }
@@ -122,6 +131,7 @@
         let takes = self.up
             && self.body.is_none()
             && self.settles.is_none()
+            && !self.doubtful
             && self.places.len() < most
             && self.places.iter().all(|p| !p.abandoned);
         let first = self.places.front().map_or(0, |p| -p.put);
@@ -235,9 +245,10 @@
         &mut self,
         bytes: &[u8],
         ended: bool,
+        now: Micros,
         answered: &mut impl FnMut(&Flow, Heard) -> bool,
     ) -> bool {
-        let keep = match self.take(bytes, ended, answered) {
+        let keep = match self.take(bytes, ended, now, answered) {
             Ok(keep) => keep,
             Err(what) => {
                 warn!(about = %self.endpoint, "an answer cannot be read: {what}");
@@ -246,13 +257,15 @@
         };
         // Guards the next flow: bytes that no flow has asked for would be taken for its answer.
         let stray = self.places.front().is_none_or(|p| p.written == 0) && !self.input.is_empty();
-        keep && !ended && !stray && !self.is_useless()
+        let doubtful = self.doubtful && self.places.is_empty();
+        keep && !ended && !stray && !doubtful && !self.is_useless()
     }
 
     fn take(
         &mut self,
         mut bytes: &[u8],
         ended: bool,
+        now: Micros,
         answered: &mut impl FnMut(&Flow, Heard) -> bool,
     ) -> Result<bool, &'static str> {
         let (mut keep, mut step) = (true, STEP);
@@ -262,7 +275,7 @@
             let held = input.len();
             input.extend_from_slice(more);
             let taken;
-            (taken, keep) = self.take_answers(&input, ended && behind.is_empty(), answered)?;
+            (taken, keep) = self.take_answers(&input, ended && behind.is_empty(), now, answered)?;
             if taken >= held {
                 bytes = &bytes[taken - held..];
                 input.clear();
@@ -282,7 +295,7 @@
         }
         if keep && !bytes.is_empty() {
             let taken;
-            (taken, keep) = self.take_answers(bytes, ended, answered)?;
+            (taken, keep) = self.take_answers(bytes, ended, now, answered)?;
             self.input.extend_from_slice(&bytes[taken..]);
         }
         Ok(keep)
@@ -293,6 +306,7 @@
         &mut self,
         buffer: &[u8],
         ended: bool,
+        now: Micros,
         answered: &mut impl FnMut(&Flow, Heard) -> bool,
     ) -> Result<(usize, bool), &'static str> {
         let (mut taken, mut keep) = (0, true);
@@ -332,13 +346,13 @@
                     if response.status != 200 || command.is_write() {
                         return Err("body too long");
                     }
-                    self.unnamed = true;
+                    self.unnamed = Some(now);
                     let wanted = pass(Answer::Begins { length: left, note: None });
                     self.begin(Body { left, tail: b"", note: None, keep }, wanted);
                     taken += used;
                     continue;
                 }
-                (keep, self.unnamed) = (response.keep, true);
+                (keep, self.unnamed) = (response.keep, Some(now));
                 pass(match response.status {
                     200 if command.is_write() && !memcache::is_receipt(&response.body) => {
                         return Err("bad receipt");
@@ -355,14 +369,18 @@
                     break;
                 };
                 if let Answer::Begins { length, note } = answer {
-                    self.unnamed = false;
+                    (self.unnamed, self.doubtful) = (None, false);
                     let wanted = pass(answer);
                     self.begin(Body { left: length, tail: b"\r\n", note, keep: true }, wanted);
                     taken += used;
                     continue;
                 }
-                self.unnamed = matches!(answer, Answer::Busy | Answer::Failed);
-                pass(answer);
+                let named = !matches!(answer, Answer::Busy | Answer::Failed);
+                let close = self.unnamed.is_some_and(|at| now - at < SETTLES);
+                self.doubtful = !named && (self.doubtful || close);
+                self.unnamed = Some(now).filter(|_| !named);
+                // Danger: the second copy of a refusal was taken for the next flow's, which runs: its effect came twice.
+                pass(if self.doubtful { Answer::Failed } else { answer });
                 used
             };
             self.proven = true;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -243,7 +243,7 @@
         over: bool,
         answers: &mut impl Answers,
     ) -> bool {
-        let Engine { pool, deadlines, transactions, ended, begun, .. } = self;
+        let Engine { pool, deadlines, transactions, ended, begun, second_copies, .. } = self;
         let of_use = pool.received(conn, bytes, over, now, deadlines, |flow, heard| {
             let id = flow.id.request;
             let answer = match heard {
@@ -288,13 +288,18 @@
             // A large value that nobody waits for is not read.
             !matches!(answer, memcache::Answer::Begins { .. })
         });
+        // Danger: where two copies may not be out together, what goes elsewhere next would be a second one.
+        let closes = of_use && !*second_copies && pool.is_doubtful(conn);
+        if closes {
+            pool.close(conn, now, deadlines);
+        }
         for flow in begun.drain(..) {
             transactions.begun(flow, now, deadlines);
         }
         for (flow, outcome, note) in ended.drain(..) {
             transactions.flow_ended(flow, outcome, note, now, deadlines);
         }
-        of_use
+        of_use && !closes
     }
 
     // ---- The list of members --------------------------------------------------------------------------
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -1,7 +1,7 @@
 //! Pool members: whom flows may go to, and the connections that they go on.
 
 use crate::config::Limits;
-use crate::connection::{Abandoned, Connection, Heard};
+use crate::connection::{Abandoned, Connection, Heard, SETTLES};
 use crate::deadlines::{self, Deadline};
 use crate::flow::{Flow, FlowId};
 use crate::order::{Conn, Order};
@@ -18,11 +18,6 @@
 const BURST: usize = 16;
 const SHARED: usize = 8;
 
-/// A connection is given nothing new for this long after an answer that does not name its request: all of the origin's, and
-/// refusals and failures of others. Danger: an answer may come twice, the second one some milliseconds late (4 were seen). Who
-/// asked next on the connection was given the value of the one before, or told that it never ran.
-const SETTLES: Micros = 20_000;
-
 struct PoolMember {
     endpoint: SocketAddr,
     origin: bool,
@@ -395,8 +390,8 @@
     ) -> bool {
         // Nothing can come on a connection that is not up: its host has mixed them up.
         let Some(c) = self.connections.get_mut(&id).filter(|c| c.up) else { return false };
-        let of_use = c.received(bytes, ended, &mut answered);
-        if c.unnamed && c.idle() {
+        let of_use = c.received(bytes, ended, now, &mut answered);
+        if c.unnamed.is_some() && c.idle() {
             c.settles = Some(now + SETTLES);
         }
         match of_use {
@@ -406,6 +401,11 @@
         of_use
     }
 
+    /// What was told as ended on a connection may still be out on it.
+    pub(crate) fn is_doubtful(&self, id: Conn) -> bool {
+        self.connections.get(&id).is_some_and(|c| c.doubtful)
+    }
+
     /// A connection with nothing on it takes what waits longest, or stands idle for a while.
     fn freed(&mut self, id: Conn, now: Micros, deadlines: &mut Deadlines) {
         let Some(c) = self.connections.get_mut(&id).filter(|c| c.idle()) else { return };
--- a/crates/engine/tests/interleavings.rs
+++ b/crates/engine/tests/interleavings.rs
@@ -16,14 +16,15 @@
         1 => Just(Manner::Noise),
         1 => Just(Manner::Other),
         1 => Just(Manner::Twice),
+        1 => Just(Manner::BusyTwice),
         1 => Just(Manner::Part),
     ]
 }
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        8 => (any::<u8>(), prop::bool::weighted(0.2), 0u16..600)
-            .prop_map(|(key, write, wait_ms)| Step::Ask { key, write, wait_ms }),
+        8 => (any::<u8>(), prop::bool::weighted(0.2), prop::bool::weighted(0.2), 0u16..600)
+            .prop_map(|(key, write, dear, wait_ms)| Step::Ask { key, write, dear, wait_ms }),
         1 => any::<u8>().prop_map(|pick| Step::Leave { pick }),
         12 => prop_oneof![4 => 0u16..10, 1 => 0u16..120].prop_map(|ms| Step::Turn { ms }),
         1 => (0u16..1500).prop_map(|ms| Step::Stall { ms }),
--- a/crates/engine/tests/world/mod.rs
+++ b/crates/engine/tests/world/mod.rs
@@ -17,8 +17,8 @@
 /// What can happen, as a story tells it. Numbers are taken modulo what there is.
 #[derive(Clone, Debug)]
 pub enum Step {
-    /// A client asks.
-    Ask { key: u8, write: bool, wait_ms: u16 },
+    /// A client asks. What is dear is of the class of writes, though it may be a read.
+    Ask { key: u8, write: bool, dear: bool, wait_ms: u16 },
     /// The client of one of the open transactions leaves.
     Leave { pick: u8 },
     /// Time passes, and the host does its turn.
@@ -65,6 +65,8 @@
     id: String,
     key: u8,
     write: bool,
+    /// May not run more often than its class allows.
+    dear: bool,
     at: Micros,
     due: Micros,
 }
@@ -159,7 +161,7 @@
 
     pub fn step(&mut self, step: &Step) -> Result<(), Broken> {
         match *step {
-            Step::Ask { key, write, wait_ms } => self.ask(key % 8, write, wait_ms),
+            Step::Ask { key, write, dear, wait_ms } => self.ask(key % 8, write, dear || write, wait_ms),
             Step::Leave { pick } => {
                 if let Some(id) = nth(self.open.keys(), pick) {
                     self.open.remove(&id);
@@ -239,7 +241,7 @@
         self.lines.get_mut(&conn).map(|line| (conn, line))
     }
 
-    fn ask(&mut self, key: u8, write: bool, wait_ms: u16) -> Result<(), Broken> {
+    fn ask(&mut self, key: u8, write: bool, dear: bool, wait_ms: u16) -> Result<(), Broken> {
         self.asked += 1;
         let id = format!("i{}", self.asked);
         let key_name = format!("k{key}");
@@ -256,7 +258,7 @@
         let request = Request {
             command,
             key: Key(u64::from(key) + 1),
-            class: usize::from(write),
+            class: usize::from(dear),
             tenant: 0,
             hint: None,
             repeated: false,
@@ -265,7 +267,7 @@
         let number = RequestId(self.asked);
         self.engine.take(self.now, number, request.clone()).map_err(|e| e.to_string())?;
         check(self.engine.take(self.now, RequestId(u64::MAX), request).is_err(), || "one id twice".into())?;
-        self.open.insert(number, Asked { id, key, write, at: self.now, due });
+        self.open.insert(number, Asked { id, key, write, dear, at: self.now, due });
         Ok(())
     }
 
@@ -370,7 +372,7 @@
                 match answer {
                     Final::Refused { .. } => {
                         self.refused += 1;
-                        check(!asked.write || !may_have_run, || {
+                        check(!asked.dear || !may_have_run, || {
                             format!("{} was refused, and may have run", asked.id)
                         })
                     }
@@ -430,10 +432,10 @@
             let asked = self.open.values().find(|asked| asked.id == whole);
             let runs = self.ran.entry(whole.clone()).or_default();
             runs.push((conn, self.now));
-            let write = asked.is_some_and(|asked| asked.write);
+            let dear = asked.is_some_and(|asked| asked.dear);
             let since = self.now - runs.iter().map(|(_, at)| *at).min().unwrap_or_default();
             let dropped = self.remembered.is_some_and(|lasts| since < lasts);
-            check(!write || runs.len() == 1 || dropped, || format!("{whole} runs again after {since} us"))?;
+            check(!dear || runs.len() == 1 || dropped, || format!("{whole} runs again after {since} us"))?;
         }
         let open = self.lines.get(&conn).map_or(0, |l| l.peer.open());
         check(open <= if server.0 == ORIGIN { 1 } else { 4 }, || "too many on one connection".into())
--- a/crates/engine/tests/world/peer.rs
+++ b/crates/engine/tests/world/peer.rs
@@ -17,6 +17,8 @@
     Other,
     /// The answer, and then one more.
     Twice,
+    /// The same of a refusal, which names no request.
+    BusyTwice,
     /// A part of the answer; the rest never comes.
     Part,
 }
@@ -119,7 +121,7 @@
             false => format!("value of {} for {}", got.key, got.id),
         };
         let mut write = |id: &str, manner: Manner| match (self.origin, manner) {
-            (true, Manner::Busy) => {
+            (true, Manner::Busy | Manner::BusyTwice) => {
                 write_response(&Reply { status: 503, declined: true, ..Reply::default() }, &mut out)
             }
             (true, Manner::Fail | Manner::Miss) => {
@@ -128,7 +130,7 @@
             (true, _) => {
                 write_response(&Reply { status: 200, body: made.as_bytes(), ..Reply::default() }, &mut out)
             }
-            (false, Manner::Busy) => Answer::Busy.write(id.as_bytes(), &mut out),
+            (false, Manner::Busy | Manner::BusyTwice) => Answer::Busy.write(id.as_bytes(), &mut out),
             (false, Manner::Fail) => Answer::Failed.write(id.as_bytes(), &mut out),
             (false, Manner::Miss) => {
                 Answer::Miss { note: Some(ReadNote::Fetched) }.write(id.as_bytes(), &mut out)
@@ -149,13 +151,14 @@
         }
         match manner {
             Manner::Noise => out.extend_from_slice(b"what? nothing that anybody speaks\r\n"),
-            Manner::Twice => out.extend_from_within(..),
+            Manner::Twice | Manner::BusyTwice => out.extend_from_within(..),
             Manner::Part => out.truncate(out.len() - 1),
             _ => {}
         }
-        self.spoilt = matches!(manner, Manner::Noise | Manner::Twice | Manner::Part)
+        self.spoilt = matches!(manner, Manner::Noise | Manner::Twice | Manner::BusyTwice | Manner::Part)
             || matches!(manner, Manner::Other) && !self.origin;
-        let unrun = matches!(manner, Manner::Busy) || matches!(manner, Manner::Miss) && !self.origin;
+        let unrun = matches!(manner, Manner::Busy | Manner::BusyTwice)
+            || matches!(manner, Manner::Miss) && !self.origin;
         (out, unrun.then_some(got.id))
     }
 }
