Read what a refused connection has sent before closing it, so that its line arrives

What has come is read and dropped first, 64 KiB at the most. Test: who_is_told_that_there_is_no_room_reads_it_to_the_end (red before: each of nine was reset; Linux gives its reader the line all the same, so a reset is looked for behind the end).

--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -18,7 +18,7 @@
 use socket2::{Domain, Protocol, Type};
 use std::collections::VecDeque;
 use std::fs::File;
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
@@ -866,13 +866,21 @@
 /// After accepting has failed for another reason than want of descriptors, it is tried again this soon.
 const ACCEPT_AGAIN: Micros = 50_000;
 
+/// What has come on a connection that does not get in is read and dropped, so many times a buffer at the most: a request is
+/// smaller, and who sends on and on is not waited for.
+const DROPPED: usize = 16;
+
 /// Says on a connection that does not get in when to come again, and closes it.
 fn tell_busy(mut stream: TcpStream, retry_ms: Option<u32>) {
     if let Some(ms) = retry_ms {
         // It is fresh: a line fits in its buffer, and whether it arrives is not waited for.
         let _ = stream.set_nonblocking(true);
+        let _ = stream.set_nodelay(true);
         let _ = stream.write_all(format!("SERVER_ERROR busy {ms}\r\n").as_bytes());
         let _ = stream.shutdown(std::net::Shutdown::Write);
+        // Danger: a close over unread bytes resets the connection, and the line may go with it.
+        let mut dropped = [0; 4096];
+        (0..DROPPED).take_while(|_| stream.read(&mut dropped).is_ok_and(|n| n > 0)).for_each(drop);
     }
 }
 
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -444,6 +444,11 @@
         self.0.get_ref().shutdown(how).expect("shut");
     }
 
+    /// Its connection was reset, be that behind its end.
+    pub fn was_reset(&self) -> bool {
+        self.0.get_ref().take_error().expect("its state").is_some()
+    }
+
     /// Sends, unless the connection has ended.
     pub fn try_send(&mut self, text: &str) -> std::io::Result<()> {
         self.0.get_mut().write_all(text.as_bytes())
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -364,3 +364,29 @@
     assert_eq!(node.client().read("5", 60_000), by("a", "5"));
     assert_eq!(asked(&world, "a"), 2);
 }
+
+/// Danger: a connection that was told that there is no room closed over its unread request, and the reset may take the line along.
+#[test]
+fn who_is_told_that_there_is_no_room_reads_it_to_the_end() {
+    let world = world(spec(&["a"]), ids(100));
+    let node = Node::limited(&world, 64);
+    world.control().pause(no(&world, "a"), 60_000_000).expect("paused");
+    // All places are held by clients that are owed an answer, and more wait behind them.
+    let mut clients: Vec<Client> = (0..40).map(|id| asking(&node, id)).collect();
+    let mut told = clients.split_off(30);
+    for client in &mut told {
+        let line = client.answer();
+        assert!(line.starts_with("SERVER_ERROR busy "), "{line:?}");
+        assert_eq!(client.answer(), "");
+    }
+    // Each was over before the next was told.
+    told.pop();
+    assert!(told.iter().all(|client| !client.was_reset()));
+}
+
+/// A client that has asked.
+fn asking(node: &Node, id: usize) -> Client {
+    let mut client = node.client();
+    client.send(format!("mg k{id} v O{id} Pc=read,d=60000\r\n"));
+    client
+}
