Hand over who has left, so that an old list brings nobody back at the new process

A whole list older than that one opens nothing that was told to close, but a member that the new process had never heard of was no such member: it was opened. State now names the last 4096 that left, with their starts (maintenance.rs gone; node.rs). Test: who_has_left_stays_closed_at_the_process_that_takes_over_though_an_old_list_names_it (red before: the removed member answered). The field may be missing, so both versions understand each other.

--- a/crates/decisions/src/maintenance.rs
+++ b/crates/decisions/src/maintenance.rs
@@ -129,6 +129,11 @@
         self.bans.iter().map(|(id, ban)| (*id, ban))
     }
 
+    /// Those that were listed and no longer are, with the start that was last told, the latest to leave first.
+    pub fn gone(&self) -> impl Iterator<Item = (ServerId, Option<Micros>)> {
+        self.servers.iter().filter(|(_, entry)| entry.told.is_none()).map(|(id, entry)| (*id, entry.shown))
+    }
+
     /// What discovery has told and not taken back, as it was told.
     pub fn told(&self) -> impl Iterator<Item = &(Listed, P)> {
         self.servers.iter().filter_map(|(_, entry)| entry.told.as_ref())
--- a/crates/takeover/src/frame.rs
+++ b/crates/takeover/src/frame.rs
@@ -95,6 +95,7 @@
                 discovery: "127.0.0.1:2".into(),
                 revision: Some(0),
                 members: vec![member],
+                gone: vec![crate::Gone { id: 8, since: None }],
                 grant,
             }),
             Message::Grant(grant),
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -56,6 +56,15 @@
     pub endpoint: String,
 }
 
+/// A member that discovery no longer has.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Gone {
+    /// Its number.
+    pub id: u64,
+    /// When it last started, in microseconds since 1970.
+    pub since: Option<i64>,
+}
+
 /// How much the new process may hold while the old one runs.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub struct Grant {
@@ -78,6 +87,9 @@
     pub revision: Option<u64>,
     /// The list.
     pub members: Vec<Member>,
+    /// Who has left it, lately: an old list that names one of them does not bring it back.
+    #[serde(default)]
+    pub gone: Vec<Gone>,
     /// How much the new process may hold.
     pub grant: Grant,
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -46,6 +46,8 @@
 /// it may hold grows with what this one has closed.
 const A_HAND: usize = 16;
 const HAND_EVERY: Micros = 5_000;
+/// Members that have left, of which the next process is told. A release replaces a few hundred at a time.
+const GONE: usize = 4096;
 /// How often the process's memory is looked at.
 const MEMORY_EVERY: Micros = 1_000_000;
 
@@ -237,8 +239,9 @@
         let alone = fleet_section.clone().filter(|_| predecessor.is_none());
         let fleet = alone.map(|section| Fleet::new(section, &config.name, None, handle, now));
         // The list of the process before is newer than what the platform remembers.
-        let theirs = state.as_ref().and_then(|state| list_of(state, config.discovery));
-        let (revision, known) = theirs.unwrap_or(remembered);
+        let told = state.as_ref().and_then(|state| list_of(state, config.discovery));
+        let theirs = told.is_some();
+        let (revision, known) = told.unwrap_or(remembered);
         let mut node = Node {
             handle: handle.clone(),
             place,
@@ -278,6 +281,9 @@
         // A third of the memory is for large values on their way to servers, a quarter for other commands. What clients
         // have not read may take an eighth: it is held in room up to twice as large.
         node.server.set_budgets((node.memory / 3) as usize, (node.memory / 8) as usize);
+        // Danger: an old list, which binds nobody, would bring a member back that has left.
+        let gone = theirs.then_some(state.as_ref()).flatten().map(|state| state.gone.as_slice());
+        node.listed(Scope::Changes, gone.unwrap_or_default().iter().map(of_gone).collect());
         node.listed(Scope::Remembered, known);
         match state {
             Some(state) => node.begin_after(state),
@@ -589,6 +595,7 @@
             discovery: self.discovery.address().to_string(),
             revision: self.discovery.revision(),
             members: maintenance.told().map(|(listed, at)| of_member(listed, *at)).collect(),
+            gone: maintenance.gone().take(GONE).map(|(id, since)| talk::Gone { id: id.0, since }).collect(),
             grant: lender.grant(self.server.count()),
         };
         link.say(&Message::State(state), Some(listener));
@@ -924,6 +931,12 @@
     Some((state.revision, targets))
 }
 
+/// A member that has left, as it was before: the list that follows does not name it.
+fn of_gone(gone: &talk::Gone) -> Target {
+    let listed = Listed { server: ServerId(gone.id), since: gone.since, ..Listed::default() };
+    Target { listed, endpoint: ([0, 0, 0, 0], 0).into() }
+}
+
 fn to_target(m: &talk::Member) -> Option<Target> {
     let listed = Listed {
         server: ServerId(m.id),
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -317,6 +317,28 @@
     assert_eq!(idle.read("5", 60_000), by("a", "5"));
 }
 
+/// Danger: the new process did not know who had left, and took an old list's word for it.
+#[test]
+fn who_has_left_stays_closed_at_the_process_that_takes_over_though_an_old_list_names_it() {
+    let world = world(spec(&["a", "b"]), ids(40));
+    let at = |uid: &str| world.addresses().server(0, no(&world, uid)).expect("an address");
+    let old_list = list(1, true, &[("a", at("a"), "up"), ("b", at("b"), "up")]);
+    let told = List::start(&old_list);
+    let mut old = Node::replaceable_told_by(told.address(), 384);
+    old.until_ready();
+    told.tell(&list(2, false, &[("a", at("a"), "removed")]));
+    let new = Node::beside(&old);
+    old.child.kill().expect("killed");
+    old.child.wait().expect("its end");
+    // The first may be for the old one, whose call nobody reads any more.
+    (0..2).for_each(|_| told.tell(&old_list));
+    let mut client = new.client();
+    for id in ids(40) {
+        assert_eq!(client.read(&id, 10_000), by("b", &id));
+    }
+    assert_eq!(asked(&world, "a"), 0);
+}
+
 /// Danger: what the old discovery had written lay unread as a reload moved to another one, and counts as told.
 #[test]
 fn what_a_discovery_has_told_holds_though_a_reload_moves_to_another_before_it_is_read() {
