--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -79,6 +79,8 @@
     pub held: bool,
     /// It has brought an answer.
     proven: bool,
+    /// The request that its last answer named, and whether that was a write.
+    named: (Vec<u8>, bool),
     /// When its last answer came, if that did not name its request.
     pub unnamed: Option<Micros>,
     /// An answer that named no request came right behind another: either may have been a second copy. Before an answer names
@@ -104,6 +106,7 @@
             body: None,
             held: false,
             proven: false,
+            named: (Vec::new(), false),
             unnamed: None,
             doubtful: false,
             settles: None,
@@ -364,10 +367,22 @@
                 });
                 used
             } else {
-                let Some((answer, used)) = memcache::parse_answer(rest, command.id(), command.is_write())?
-                else {
-                    break;
+                let parsed = memcache::parse_answer(rest, command.id(), command.is_write());
+                // Danger: a second copy, some milliseconds late, cost who asked next this connection.
+                let (parsed, copy) = match parsed {
+                    Err(what) if !self.named.0.is_empty() => {
+                        (memcache::parse_answer(rest, &self.named.0, self.named.1).or(Err(what)), true)
+                    }
+                    parsed => (parsed, false),
                 };
+                let Some((answer, used)) = parsed? else { break };
+                if copy {
+                    if matches!(answer, Answer::Begins { .. }) {
+                        return Err("a large answer came twice");
+                    }
+                    taken += used;
+                    continue;
+                }
                 if let Answer::Begins { length, note } = answer {
                     (self.unnamed, self.doubtful) = (None, false);
                     let wanted = pass(answer);
@@ -379,6 +394,11 @@
                 let close = self.unnamed.is_some_and(|at| now - at < SETTLES);
                 self.doubtful = !named && (self.doubtful || close);
                 self.unnamed = Some(now).filter(|_| !named);
+                if named {
+                    self.named.0.clear();
+                    self.named.0.extend_from_slice(command.id());
+                    self.named.1 = command.is_write();
+                }
                 // Danger: the second copy of a refusal was taken for the next flow's, which runs: its effect came twice.
                 pass(if self.doubtful { Answer::Failed } else { answer });
                 used
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -244,6 +244,7 @@
         answers: &mut impl Answers,
     ) -> bool {
         let Engine { pool, deadlines, transactions, ended, begun, second_copies, .. } = self;
+        let mut unwanted = false;
         let of_use = pool.received(conn, bytes, over, now, deadlines, |flow, heard| {
             let id = flow.id.request;
             let answer = match heard {
@@ -265,6 +266,7 @@
                 && !answers.begins(id, request, length)
             {
                 ended.push((flow.id, Outcome::Error, None));
+                unwanted = true;
                 return false;
             }
             // The first that serves is passed on; what comes later for the same transaction is dropped.
@@ -289,7 +291,7 @@
             !matches!(answer, memcache::Answer::Begins { .. })
         });
         // Danger: where two copies may not be out together, what goes elsewhere next would be a second one.
-        let closes = of_use && !*second_copies && pool.is_doubtful(conn);
+        let closes = of_use && !*second_copies && (unwanted || pool.is_doubtful(conn));
         if closes {
             pool.close(conn, now, deadlines);
         }
--- a/crates/engine/tests/turn.rs
+++ b/crates/engine/tests/turn.rs
@@ -2,7 +2,7 @@
 
 use lapisrudder_codec::memcache::{OwnedRequest, Parts};
 use lapisrudder_decisions::{Class, Key, Listed, Mode, RequestId, Scope, ServerId, Settings};
-use lapisrudder_engine::{Answer, Config, Engine, Final, Member, Order, Request, TakeError};
+use lapisrudder_engine::{Answer, Config, Engine, Final, Limits, Member, Order, Request, TakeError};
 
 fn engine() -> Engine {
     let class = Class { aim: 750_000, worth: 1.0, ..Class::default() };
@@ -72,6 +72,73 @@
     assert_eq!((engine.poll_order(0), engine.open(), engine.connections()), (None, 1, 1));
 }
 
+/// Danger: the second copy of an answer, some milliseconds late, cost who asked next its connection, and counted as a break.
+#[test]
+fn the_second_copy_of_an_answer_that_names_its_request_costs_the_next_one_nothing() {
+    let mut engine = engine();
+    let mut served = Vec::new();
+    let mut answers = |id: RequestId, _: &Request, answer: Answer| served.push((id.0, format!("{answer:?}")));
+    let mut conn = None;
+    for (n, id) in [(1, "a"), (2, "b")] {
+        engine.take(0, RequestId(n), request(id, false)).unwrap();
+        while let Some(order) = engine.poll_order(0) {
+            match order {
+                Order::Connect { conn: new, .. } => {
+                    engine.connected(0, new);
+                    assert_eq!(conn.replace(new), None, "one connection does for both");
+                }
+                Order::Write { conn, .. } => {
+                    let bytes = engine.transmit(conn).map(<[u8]>::len).sum();
+                    engine.transmitted(conn, bytes);
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+        let conn = conn.unwrap();
+        // Twice, the second in two pieces behind the next request.
+        let pieces: &[&[u8]] = if n == 1 {
+            &[b"VA 1 Oa h1\r\nx\r\n"]
+        } else {
+            &[b"VA 1 Oa h1\r\n", b"x\r\nVA 1 Ob h1\r\ny\r\n"]
+        };
+        pieces.iter().for_each(|piece| assert!(engine.received(0, conn, piece, &mut answers), "{n}"));
+    }
+    let value = |value: &[u8]| format!("{:?}", Answer::Value(value));
+    assert_eq!(served, [(1, value(b"x")), (2, value(b"y"))]);
+}
+
+/// Danger: a large value that its host does not want was read past, and counted as ended: another attempt went out beside it.
+#[test]
+fn what_is_not_wanted_is_not_out_any_more_when_the_next_attempt_goes() {
+    let class = Class { aim: 750_000, worth: 1.0, ..Class::default() };
+    let settings = Settings { classes: vec![class], max_attempts: 3, siblings: 1, ..Settings::default() };
+    let limits = Limits { per_member: 1, multiplex: 4, in_all: 9, ..Limits::default() };
+    let mut engine = Engine::new(Config { settings, limits, ..Config::default() }, 0);
+    let member = |id: u64| {
+        let listed = Listed { server: ServerId(id), weight: 1.0, ..Listed::default() };
+        Member { listed, endpoint: ([127, 0, 0, 1], id as u16).into() }
+    };
+    engine.listed(Scope::Full, vec![member(1), member(2)]);
+    // Two share a connection, which the second would keep open.
+    (1..).zip(["a", "b"]).for_each(|(n, id)| engine.take(0, RequestId(n), request(id, false)).unwrap());
+    let mut orders = Vec::new();
+    while let Some(order) = engine.poll_order(0) {
+        match order {
+            Order::Connect { conn, .. } => engine.connected(0, conn),
+            Order::Write { conn, .. } => {
+                let bytes = engine.transmit(conn).map(<[u8]>::len).sum();
+                engine.transmitted(conn, bytes);
+            }
+            _ => {}
+        }
+        orders.push(order);
+    }
+    let [Order::Connect { conn, .. }, Order::Write { .. }] = orders[..] else { panic!("{orders:?}") };
+    let mut unwanted = |_: RequestId, _: &Request, answer: Answer| panic!("{answer:?}");
+    assert!(!engine.received(1, conn, b"VA 100000 Oa h1\r\n", &mut unwanted));
+    assert_eq!(engine.poll_order(1), Some(Order::Close { conn }));
+}
+
 /// Engines may be moved between threads.
 #[test]
 fn an_engine_is_send() {
