--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -412,3 +412,70 @@
     client.send(format!("mg k{id} v O{id} Pc=read,d=60000\r\n"));
     client
 }
+
+/// Half of a command is read by the old process, and the rest comes when the new one has the connection.
+#[test]
+fn a_command_that_straddles_a_hand_over_is_taken_up_where_it_was_left() {
+    let world = world(spec(&["a"]), ids(10));
+    let mut old = Node::replaceable(&world, 384);
+    let (mut half, mut behind) = (old.client(), old.client());
+    half.send("mg k1 v O1 Pc=re");
+    // Behind a whole command, whose answer tells that both were read.
+    behind.send("mg k2 v O2 Pc=read,d=60000\r\nmg k3 v O3 Pc=re");
+    assert_eq!(behind.answer(), by("a", "2"));
+    let new = Node::beside(&old);
+    old.signal("-TERM");
+    assert!(old.child.wait().expect("its end").success());
+    half.send("ad,d=60000\r\n");
+    behind.send("ad,d=60000\r\n");
+    assert_eq!([half.answer(), behind.answer()], [by("a", "1"), by("a", "3")]);
+    assert_eq!(new.call("status\n"), "ok ready\n");
+}
+
+/// A new process that stands still, or is told to stop, before it serves takes nothing away from the old one.
+#[test]
+fn an_old_process_serves_on_while_the_new_one_stands_still_and_after_it_was_told_to_stop() {
+    let world = world(spec(&["a"]), ids(10));
+    let at = world.addresses().server(0, no(&world, "a")).expect("an address");
+    let told = List::start(&list(1, true, &[("a", at, "up")]));
+    let mut old = Node::replaceable_told_by(told.address(), 384);
+    old.until_ready();
+    let mut client = old.client();
+    // A call that is never answered keeps it from serving: all that it has of the list drains.
+    told.tell(&list(2, false, &[("a", at, "draining")]));
+    let mut new = Node::beside_unready(&old);
+    new.stand_still();
+    told.say(&list(3, false, &[("a", at, "up")]));
+    until(|| client.read("1", 60_000) == by("a", "1"));
+    assert_eq!(old.client().read("2", 60_000), by("a", "2"), "new connections are the old one's");
+    new.signal("-TERM");
+    new.signal("-CONT");
+    assert!(new.child.wait().expect("its end").success());
+    assert_eq!(client.read("3", 60_000), by("a", "3"));
+    // The next one takes over as if there had been none.
+    let third = old.replace();
+    assert!(old.child.wait().expect("its end").success());
+    assert_eq!(client.read("4", 60_000), by("a", "4"));
+    assert_eq!(third.call("status\n"), "ok ready\n");
+}
+
+/// Both processes are told to stop at once, one with requests at a server that hangs: each answers what it took.
+#[test]
+fn two_processes_that_are_told_to_stop_at_once_answer_what_each_has_taken() {
+    let world = world(spec(&["a"]), ids(10));
+    let mut old = Node::replaceable(&world, 384);
+    let mut first = old.client();
+    assert_eq!(first.read("1", 60_000), by("a", "1"));
+    world.control().pause(no(&world, "a"), 60_000_000).expect("paused");
+    first.send("mg k2 v O2 Pc=read,d=60000\r\n");
+    until(|| asked(&world, "a") == 2);
+    let mut new = Node::beside(&old);
+    let mut second = asking(&new, 3);
+    until(|| asked(&world, "a") == 3);
+    old.signal("-TERM");
+    new.signal("-TERM");
+    world.control().pause(no(&world, "a"), 0).expect("going on");
+    assert_eq!([first.answer(), second.answer()], [by("a", "2"), by("a", "3")]);
+    drop((first, second));
+    assert!(old.child.wait().expect("its end").success() && new.child.wait().expect("its end").success());
+}
