Count a repeat's window from the first attempt, also where that turned out to be a miss

The logs of all sends show just four third attempts that left more than the window after the first one, while a second copy was out: the first server hung, a copy went out, the first then answered with a miss, and the fetch from the origin counted its window from the copy alone. The protocol counts from the first attempt that may have run, or is still out, when a repeat is sent, whatever comes of it later.

state.rs repeats_until counts from the first attempt while any may have run. Tests: a_keyed_requests_window_ counts_from_the_first_attempt_that_was_repeated_while_it_was_out (red before); the random histories of rules_hold now hold each send against the stricter rule, too. Ruled out: the wait for a connection (each of the four was written in the turn of its choice).

--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -466,7 +466,7 @@
     }
 
     fn may_go(&self, r: &Request, to: usize) -> bool {
-        let allowed = |a: &Attempt| a.fate == Fate::NeverRan || self.repeat_allowed(r.new.class, a, to);
+        let allowed = |a: &Attempt| a.fate == Fate::NeverRan || self.repeat_allowed(r, a, to);
         r.attempts.len() < self.settings.attempts(r.new.class)
             && r.attempts.iter().all(allowed)
             && self.in_budget(r)
@@ -483,11 +483,11 @@
 
     /// Danger: an effect twice. Unsafe requests that may have run never go out again; keyed ones only inside
     /// their group and while its servers still remember them.
-    fn repeat_allowed(&self, class: usize, earlier: &Attempt, to: usize) -> bool {
-        let Some(c) = self.settings.classes.get(class) else { return false };
+    fn repeat_allowed(&self, r: &Request, earlier: &Attempt, to: usize) -> bool {
+        let Some(c) = self.settings.classes.get(r.new.class) else { return false };
         let (from, to) = (self.servers.listed(earlier.server), &self.servers.all[to].listed);
         let same_group = c.group == Group::All || from.is_some_and(|from| c.group.holds(from, to));
-        let remembered = self.now < earlier.remembered(c);
+        let remembered = self.now < r.repeats_until(Some(c));
         c.effect == Effect::Safe || c.effect == Effect::Keyed && same_group && remembered
     }
 
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -83,13 +83,6 @@
     pub fetch: Option<Sent>,
 }
 
-impl Attempt {
-    /// Until when servers surely remember it, where they do: less a tenth, for the way there.
-    pub fn remembered(&self, class: &Class) -> Micros {
-        if class.effect == Effect::Keyed { self.sent + class.repeat_window * 9 / 10 } else { Micros::MAX }
-    }
-}
-
 pub(crate) struct Request {
     pub new: NewRequest,
     /// The request's key; one without a key stands for itself.
@@ -134,10 +127,13 @@
         self.attempts.iter().all(|a| a.fate == Fate::NeverRan)
     }
 
-    /// Until when a further attempt may begin: then servers forget the first that may have run.
+    /// Until when a further attempt may begin, where one may have run: servers forget after the window, less a tenth for the
+    /// way there. It counts from the first of all, also if that has turned out not to have run: it may have been repeated
+    /// before that was known, and is what servers remember then (protocol, 'No repeated effect').
     pub fn repeats_until(&self, class: Option<&Class>) -> Micros {
-        let ran = self.attempts.iter().filter(|a| a.fate != Fate::NeverRan);
-        ran.filter_map(|a| Some(a.remembered(class?))).min().unwrap_or(Micros::MAX)
+        let keyed = class.filter(|c| c.effect == Effect::Keyed && !self.never_ran());
+        let first = self.attempts.first();
+        keyed.zip(first).map_or(Micros::MAX, |(c, a)| a.sent + c.repeat_window * 9 / 10)
     }
 
     /// This attempt, if it is the latest and still out, and an answer is owed.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -99,6 +99,28 @@
     }
 }
 
+/// Danger: the window counted anew from a copy once the first attempt turned out to be a miss.
+#[test]
+fn a_keyed_requests_window_counts_from_the_first_attempt_that_was_repeated_while_it_was_out() {
+    for (wait, repeated) in [(500 * MS, true), (650 * MS, false)] {
+        let mut desk = aside();
+        let (id, actions) = desk.request(1, 1, false);
+        let first = sent_to(&actions).expect("sent");
+        let second = sent_to(&desk.wake_after(300 * MS)).expect("a copy");
+        assert_ne!(second, first);
+        desk.now += wait;
+        let actions = desk.ended(id, 0, first, Outcome::Miss);
+        assert_eq!(sent_to(&actions).is_some(), repeated, "{wait}");
+        assert!(!refused(&actions) && !failed(&actions), "the copy is still out");
+    }
+    // Where nothing may have run any more the request is free to go.
+    let mut desk = aside();
+    let (id, actions) = desk.request(1, 1, false);
+    let first = sent_to(&actions).expect("sent");
+    desk.now += 1_200 * MS;
+    assert_eq!(sent_to(&desk.ended(id, 0, first, Outcome::Miss)), Some(ORIGIN));
+}
+
 #[test]
 fn a_keyed_repeat_stays_in_its_group() {
     let mut settings = settings();
--- a/tests/rules_hold.rs
+++ b/tests/rules_hold.rs
@@ -47,6 +47,8 @@
     at: Micros,
     until: Micros,
     end: Option<Outcome>,
+    /// Something was sent after it while it might have run: the window counts from it, whatever comes of it later.
+    repeated: bool,
 }
 
 struct Seen {
@@ -112,7 +114,9 @@
                     let out = seen.tries.iter().any(|t| t.end.is_none());
                     assert!(self.settings.second_copies || !out, "two copies");
                     let effect = self.settings.classes.get(seen.class).map(|c| c.effect);
-                    for t in seen.tries.iter().filter(|t| t.may_run()) {
+                    let may_run = seen.tries.iter().any(Try::may_run);
+                    seen.tries.iter_mut().for_each(|t| t.repeated |= t.may_run());
+                    for t in seen.tries.iter().filter(|t| may_run && t.repeated) {
                         match effect {
                             Some(Effect::Safe) => {}
                             Some(Effect::Keyed) => {
@@ -136,7 +140,13 @@
                         let most = b.free + b.share * inside(&self.taken) as f64;
                         assert!(inside(&self.further) as f64 <= most, "over the budget");
                     }
-                    seen.tries.push(Try { server, at: now, until: until.min(seen.due), end: None });
+                    seen.tries.push(Try {
+                        server,
+                        at: now,
+                        until: until.min(seen.due),
+                        end: None,
+                        repeated: false,
+                    });
                     if let Some(sends) = self.cold.get_mut(&server.0) {
                         sends.push(now);
                     }
