Tell a held-up list until the old process has heard it: the test was flaky, 1 of 50

an_old_process_serves_on_while_the_new_one_stands_still... failed once in 50 plays under load: the new process had asked before it was stopped, and got the one answer that was meant for the old one.

--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -445,8 +445,11 @@
     told.tell(&list(2, false, &[("a", at, "draining")]));
     let mut new = Node::beside_unready(&old);
     new.stand_still();
-    told.say(&list(3, false, &[("a", at, "up")]));
-    until(|| client.read("1", 60_000) == by("a", "1"));
+    // Told until the old one has heard it: the new one may have asked before it stood still.
+    until(|| {
+        told.say(&list(3, false, &[("a", at, "up")]));
+        client.read("1", 60_000) == by("a", "1")
+    });
     assert_eq!(old.client().read("2", 60_000), by("a", "2"), "new connections are the old one's");
     new.signal("-TERM");
     new.signal("-CONT");
