--- a/crates/lab/src/check/edges.rs
+++ b/crates/lab/src/check/edges.rs
@@ -66,6 +66,15 @@
         day.ledger.clients.push(LATER + 100 * MS, ClientEvent::GivenUp { req, early: true });
         day.closed(conn, LATER + 3 * S, Closer::Us);
     }),
+    // The first is refused after its repeat has gone out: the window counts from it all the same.
+    ("a write repeated twice in its window", Rule::Effects, 2 * S + SOCKETS - 40, |day, after| {
+        let (req, conn) = day.sent(LATER, 0, 1);
+        day.attempt(req, 0, ORIGIN, LATER + MS, 4000, Some(Answer::Busy));
+        day.attempt(req, 0, ORIGIN, LATER + 2 * MS, 4000, None);
+        day.attempt(req, 0, ORIGIN, LATER + MS + after, 4000, Some(Answer::Receipt));
+        day.ledger.clients.push(LATER + 100 * MS, ClientEvent::GivenUp { req, early: true });
+        day.closed(conn, LATER + 3 * S, Closer::Us);
+    }),
     // The proof that it never ran comes 2 ms after the first was sent.
     ("a booking sent again before the proof", Rule::Effects, 0, |day, before| {
         let (req, conn) = day.sent(LATER, 0, 2);
--- a/crates/lab/src/check/effects.rs
+++ b/crates/lab/src/check/effects.rs
@@ -5,7 +5,8 @@
 //!
 //! - `unsafe`: a further attempt may begin only when each earlier one has provably never run.
 //! - `keyed`: once an attempt may have run, further ones go to servers of the same group, and their last byte comes
-//!   within the window from that attempt's first byte (and the slack for sockets).
+//!   within the window from that attempt's first byte (and the slack for sockets). It counts on though the node learns later
+//!   that it never ran, for as long as one that was sent meanwhile may have run.
 //! - A client may be told `busy`, whoever worded it, only where nothing may have run; for `keyed` classes whose group
 //!   is all servers always.
 //! - Whatever the attempts looked like, no request takes effect twice.
@@ -32,8 +33,16 @@
 fn repeats(cx: &Context<'_>, t: &Try, class: &Class, attempts: &[Attempt], out: &mut Vec<Violation>) {
     let window = seconds(class.window_s) + cx.slack();
     for (at, later) in attempts.iter().enumerate() {
-        let maybe_ran = |a: &&Attempt| a.disproved().is_none_or(|proof| proof > later.first_byte);
-        let Some(earlier) = attempts.get(..at).unwrap_or_default().iter().find(maybe_ran) else { continue };
+        let before = attempts.get(..at).unwrap_or_default();
+        let maybe_ran = |a: &Attempt, when| a.disproved().is_none_or(|proof| proof > when);
+        if !before.iter().any(|a| maybe_ran(a, later.first_byte)) {
+            continue;
+        }
+        // What was sent behind it, this one included.
+        let repeated = |(n, a): &(usize, &Attempt)| {
+            attempts.get(n + 1..=at).unwrap_or_default().iter().any(|next| maybe_ran(a, next.first_byte))
+        };
+        let Some((_, earlier)) = before.iter().enumerate().find(repeated) else { continue };
         let (from, to) = (cx.ledger.names.server(earlier.server), cx.ledger.names.server(later.server));
         let text = match class.effect {
             Effect::Unsafe => format!("sent to {to} while an attempt at {from} may have run"),
