Let a keyed read that waits go out no longer than a copy of it is remembered

Cause: begin bound further attempts alone; the first one has a window to keep as soon as another may run beside it. state.rs begins_by binds it, too, but for attempts at the origin, which have no copy beside them. Test: a_keyed_read_that_waits_may_not_go_out_long_after_a_copy_of_it_could (red before).

--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -351,7 +351,7 @@
             };
         }
         let (load, attempt, due, patience) = (r.load, r.attempts.len() as u32, r.new.due, self.patience(r));
-        let begin = r.repeats_until(self.settings.classes.get(r.new.class));
+        let begin = r.begins_by(self.settings.classes.get(r.new.class), now, origin);
         let read = Some(r.key).filter(|_| origin && !r.new.write);
         let fetch = origin || self.settings.mode == Mode::Through && (r.new.write || self.fetches(r.key, i));
         let fetch = fetch.then(|| self.origin.sent(now, read));
@@ -487,7 +487,7 @@
         let Some(c) = self.settings.classes.get(r.new.class) else { return false };
         let (from, to) = (self.servers.listed(earlier.server), &self.servers.all[to].listed);
         let same_group = c.group == Group::All || from.is_some_and(|from| c.group.holds(from, to));
-        let remembered = self.now < r.repeats_until(Some(c));
+        let remembered = self.now < r.begins_by(Some(c), self.now, false);
         c.effect == Effect::Safe || c.effect == Effect::Keyed && same_group && remembered
     }
 
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -127,13 +127,15 @@
         self.attempts.iter().all(|a| a.fate == Fate::NeverRan)
     }
 
-    /// Until when a further attempt may begin, where one may have run: servers forget after the window, less a tenth for the
-    /// way there. It counts from the first of all, also if that has turned out not to have run: it may have been repeated
-    /// before that was known, and is what servers remember then (protocol, 'No repeated effect').
-    pub fn repeats_until(&self, class: Option<&Class>) -> Micros {
-        let keyed = class.filter(|c| c.effect == Effect::Keyed && !self.never_ran());
-        let first = self.attempts.first();
-        keyed.zip(first).map_or(Micros::MAX, |(c, a)| a.sent + c.repeat_window * 9 / 10)
+    /// Until when an attempt that is sent now may begin: servers forget after the window, less a tenth for the way there. It
+    /// counts from the first of all while any may have run, also if the first has turned out not to: it may have been repeated
+    /// before that was known, and is what servers remember then (protocol, 'No repeated effect'). Where none has run it counts
+    /// from now: a copy may run while this one waits for a connection. None goes out beside an attempt at the origin.
+    pub fn begins_by(&self, class: Option<&Class>, now: Micros, origin: bool) -> Micros {
+        let alone = self.never_ran();
+        let keyed = class.filter(|c| c.effect == Effect::Keyed && !(alone && origin));
+        let from = self.attempts.first().filter(|_| !alone).map_or(now, |first| first.sent);
+        keyed.map_or(Micros::MAX, |c| from + c.repeat_window * 9 / 10)
     }
 
     /// This attempt, if it is the latest and still out, and an answer is owed.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -121,6 +121,28 @@
     assert_eq!(sent_to(&desk.ended(id, 0, first, Outcome::Miss)), Some(ORIGIN));
 }
 
+/// Danger: a first attempt waited for a connection while its copy ran, and went out when that was forgotten.
+#[test]
+fn a_keyed_read_that_waits_may_not_go_out_long_after_a_copy_of_it_could() {
+    let begins = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Send { begin, .. } => Some(*begin),
+            _ => None,
+        })
+    };
+    let mut desk = aside();
+    let (id, actions) = desk.request(1, 1, false);
+    assert_eq!(begins(&actions), Some(desk.now + 900 * MS));
+    let first = sent_to(&actions).expect("sent");
+    desk.now += 400 * MS;
+    // What never ran is forgotten by nobody: the window is the next attempt's own.
+    let actions = desk.ended(id, 0, first, Outcome::ConnectFailed);
+    assert_eq!(begins(&actions), Some(desk.now + 900 * MS));
+    // No copy goes out beside an attempt at the origin, which may wait for its room.
+    assert_eq!(begins(&desk.request(2, 1, true).1), Some(Micros::MAX));
+    assert_eq!(begins(&desk.request(3, 0, false).1), Some(Micros::MAX), "safe");
+}
+
 #[test]
 fn a_keyed_repeat_stays_in_its_group() {
     let mut settings = settings();
