--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -125,6 +125,30 @@
     }
 }
 
+/// The same for one that has sent more than the two kernels hold: its end comes behind all that, and the node cannot see it.
+#[test]
+#[ignore = "expected to fail (docs/design/rare-moments.md, R10)"]
+fn nothing_is_sent_on_for_a_client_that_left_behind_a_full_buffer() {
+    let aside = Aside::start();
+    let node = aside.node();
+    let read = |key: &str, id: usize| format!("mg {key} v O{id} Pc=read,d=60000\r\n");
+    let mut stays = node.client();
+    stays.send(read("key", 1));
+    let (_, fetch) = aside.fetches.recv_timeout(WIDE).expect("a fetch");
+    let leaves = node.client();
+    leaves.flood(&(100..400_000).map(|id| read("key", id)).collect::<String>());
+    thread::sleep(LEFT);
+    leaves.leave(Shutdown::Both);
+    thread::sleep(LEFT);
+    let before = aside.missed();
+    fetch.send(http("v"));
+    assert_eq!(stays.answer(), "VA 1 O1\r\nv\r\n");
+    stays.send(read("other", 2));
+    // What was to be sent on would have been before this was.
+    until(|| aside.fetches.recv_timeout(WIDE).expect("a fetch").0 == "2");
+    assert_eq!(aside.missed(), before + 1);
+}
+
 /// Danger: where no class waits for long the node stopped taking connections while clients still came.
 #[test]
 fn a_node_told_to_stop_takes_new_connections_for_as_long_as_they_come_though_deadlines_are_short() {
