--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -506,3 +506,29 @@
     drop((first, second));
     assert!(old.child.wait().expect("its end").success() && new.child.wait().expect("its end").success());
 }
+
+/// Told to stop before it is ready, and told twice with a reload between: it ends once, with all that it took answered.
+#[test]
+fn a_node_told_to_stop_before_it_is_ready_or_twice_in_a_reload_ends_once() {
+    let empty = List::start(r#"{"rev":1,"all":true,"targets":[]}"#);
+    let mut unready = Node::begin(empty.address(), 1024);
+    let mut waits = unready.client();
+    waits.send("mn\r\n");
+    let world = world(spec(&["a"]), ids(10));
+    let mut twice = Node::start(&world);
+    world.control().pause(no(&world, "a"), 60_000_000).expect("paused");
+    let mut client = asking(&twice, 1);
+    until(|| asked(&world, "a") == 1);
+    unready.signal("-TERM");
+    twice.signal("-TERM");
+    twice.reload(|text| text.replace("\"siblings\":1", "\"siblings\":2"));
+    twice.signal("-TERM");
+    world.control().pause(no(&world, "a"), 0).expect("going on");
+    assert_eq!(client.answer(), by("a", "1"));
+    assert_eq!(client.read("2", 60_000), by("a", "2"), "it serves on");
+    drop(client);
+    assert_eq!(waits.answer(), "", "it never says that it is ready");
+    for node in [&mut unready, &mut twice] {
+        assert!(node.child.wait().expect("its end").success());
+    }
+}
