--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -212,7 +212,13 @@
         let mut told = || {
             let mut line = String::new();
             output.read_line(&mut line).expect("a line");
-            line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
+            let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+            address.unwrap_or_else(|| {
+                let _ = child.kill();
+                let mut said = String::new();
+                child.stderr.take().map(|mut errors| errors.read_to_string(&mut said));
+                panic!("it did not start: {line:?} {said}")
+            })
         };
         let address = told();
         let management = managed.then(told);
