Share the set-up of crossings in tests/rare.rs: asking without waiting, standing still, one list

No behaviour and no assertion changes. A read that is not waited for was worded anew in four tests beside Client::read, one test stopped its process without waiting until it stood still, and two set up the same discovery and process.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -500,7 +500,13 @@
     }
 
     pub fn read(&mut self, id: &str, wait_ms: u64) -> String {
-        self.ask(&format!("mg k{id} v O{id} Pc=read,d={wait_ms}\r\n"))
+        self.begin_read(id, wait_ms);
+        self.answer()
+    }
+
+    /// Asks as [`Client::read`] does; the answer is not waited for.
+    pub fn begin_read(&mut self, id: &str, wait_ms: u64) {
+        self.send(format!("mg k{id} v O{id} Pc=read,d={wait_ms}\r\n"));
     }
 }
 
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -306,8 +306,8 @@
     let mut old = Node::replaceable(&world, 384);
     let mut client = old.client();
     assert_eq!(client.read("1", 60_000), by("a", "1"));
-    old.signal("-STOP");
-    client.send("mg k2 v O2 Pc=read,d=60000\r\n");
+    old.stand_still();
+    client.begin_read("2", 60_000);
     let new = Node::beside(&old);
     old.signal("-CONT");
     assert_eq!(client.answer(), by("a", "2"));
@@ -318,14 +318,20 @@
     assert_eq!(new.call("status\n"), "ok ready\n");
 }
 
+/// Where the member `a` is, a discovery that has told of it, and a ready process which another may take the place of.
+fn told_of_a(world: &World<Books>) -> (std::net::SocketAddr, List, Node) {
+    let at = world.addresses().server(0, no(world, "a")).expect("an address");
+    let told = List::start(&list(1, true, &[("a", at, "up")]));
+    let old = Node::replaceable_told_by(told.address(), 384);
+    old.until_ready();
+    (at, told, old)
+}
+
 /// A request straddles the hand-over: taken by the old process, which is told to stop before the new one serves.
 #[test]
 fn what_an_old_process_took_is_answered_though_it_is_told_to_stop_before_the_new_one_serves() {
     let world = world(spec(&["a"]), ids(10));
-    let at = world.addresses().server(0, no(&world, "a")).expect("an address");
-    let told = List::start(&list(1, true, &[("a", at, "up")]));
-    let mut old = Node::replaceable_told_by(told.address(), 384);
-    old.until_ready();
+    let (_, _told, mut old) = told_of_a(&world);
     let (mut client, mut idle) = (old.client(), old.client());
     assert_eq!(idle.read("1", 60_000), by("a", "1"));
     world.control().pause(no(&world, "a"), 60_000_000).expect("paused");
@@ -400,8 +406,8 @@
     assert_eq!(spoke.read("1", 60_000), by("a", "1"));
     node.stand_still();
     let mut waits = node.client();
-    for (id, client) in [(2, &mut spoke), (3, &mut silent), (4, &mut waits)] {
-        client.send(format!("mg k{id} v O{id} Pc=read,d=60000\r\n"));
+    for (id, client) in [("2", &mut spoke), ("3", &mut silent), ("4", &mut waits)] {
+        client.begin_read(id, 60_000);
         client.leave(Shutdown::Both);
     }
     thread::sleep(LEFT);
@@ -433,7 +439,7 @@
 /// A client that has asked.
 fn asking(node: &Node, id: usize) -> Client {
     let mut client = node.client();
-    client.send(format!("mg k{id} v O{id} Pc=read,d=60000\r\n"));
+    client.begin_read(&id.to_string(), 60_000);
     client
 }
 
@@ -460,10 +466,7 @@
 #[test]
 fn an_old_process_serves_on_while_the_new_one_stands_still_and_after_it_was_told_to_stop() {
     let world = world(spec(&["a"]), ids(10));
-    let at = world.addresses().server(0, no(&world, "a")).expect("an address");
-    let told = List::start(&list(1, true, &[("a", at, "up")]));
-    let mut old = Node::replaceable_told_by(told.address(), 384);
-    old.until_ready();
+    let (at, told, mut old) = told_of_a(&world);
     let mut client = old.client();
     // A call that is never answered keeps it from serving: all that it has of the list drains.
     told.tell(&list(2, false, &[("a", at, "draining")]));
@@ -494,7 +497,7 @@
     let mut first = old.client();
     assert_eq!(first.read("1", 60_000), by("a", "1"));
     world.control().pause(no(&world, "a"), 60_000_000).expect("paused");
-    first.send("mg k2 v O2 Pc=read,d=60000\r\n");
+    first.begin_read("2", 60_000);
     until(|| asked(&world, "a") == 2);
     let mut new = Node::beside(&old);
     let mut second = asking(&new, 3);
