Tell newcomers after the shortest aim that there is no room; hold the lab to 0.1 s for leavers

Cause: `room.tell_after_ms` (500) stood for something that the settings give: where a class is to be answered in 150 ms, who waited for room in the kernel's queue was told so when its time was over (arrivals.rs `accepting`). Change: the wait is the shortest aim of a class if that is less. `who_waits_for_room_is_told_after_a_while` has the case, and was seen red without it (500,000 where 150,000 is due). Nothing changes for aims over half a second.

--- a/crates/lab/src/check/day.rs
+++ b/crates/lab/src/check/day.rs
@@ -265,7 +265,7 @@
                 self.ledger.clients.push(at + 100 * MS, ClientEvent::GivenUp { req, early: true });
                 self.closed(conn, at + 2500 * MS, Closer::Us);
             }
-            // The client leaves after 20 ms; 0.3 s are allowed, and what sockets add.
+            // The client leaves after 20 ms; 0.3 s are allowed at the most, and what sockets add.
             Wrong::SendsOnForOneWhoLeft | Wrong::TriesAgainForOneWhoLeft => {
                 let (req, conn) = self.sent(at, node, 0);
                 if wrong == Wrong::TriesAgainForOneWhoLeft {
@@ -346,7 +346,7 @@
             // The client leaves; the answer comes after. A request that waited is sent on before that is seen.
             5 | 16 => {
                 let (req, conn) = self.sent(at, node, 0);
-                let after = if n % 50 == 5 { MS } else { 360 * MS };
+                let after = if n % 50 == 5 { MS } else { 160 * MS };
                 self.attempt(req, node, home, at + after, 4000, Some(Answer::Value));
                 self.ledger.clients.push(at + 20 * MS, ClientEvent::GivenUp { req, early: true });
                 self.closed(conn, at + 20 * MS, Closer::Us);
--- a/crates/lab/src/check/edges.rs
+++ b/crates/lab/src/check/edges.rs
@@ -140,10 +140,11 @@
         day.closed(conn, LATER + 40 * MS, Closer::Us);
     }),
     ("a send for a client that has left", Rule::Left, 300 * MS + SOCKETS, |day, after| {
-        let (req, conn) = day.sent(LATER, 0, 0);
-        day.ledger.clients.push(LATER + 20 * MS, ClientEvent::GivenUp { req, early: true });
-        day.closed(conn, LATER + 20 * MS, Closer::Us);
-        day.attempt(req, 0, 0, LATER + 20 * MS + after, 4000, Some(Answer::Value));
+        left(day, LATER, after);
+    }),
+    ("the third send for one that has left", Rule::Left, 100 * MS + SOCKETS, |day, after| {
+        (0..2).for_each(|n| left(day, LATER + n * S, 300 * MS));
+        left(day, LATER + 2 * S, after);
     }),
     ("an operator's answer", Rule::Management, S + SOCKETS, |day, after| {
         called(day, LATER, 0, 1, Call::Status, Some(after));
@@ -167,6 +168,14 @@
     }),
 ];
 
+/// A client leaves, and so much later its request is sent on.
+fn left(day: &mut Day, at: Micros, after: Micros) {
+    let (req, conn) = day.sent(at, 0, 0);
+    day.ledger.clients.push(at + 20 * MS, ClientEvent::GivenUp { req, early: true });
+    day.closed(conn, at + 20 * MS, Closer::Us);
+    day.attempt(req, 0, 0, at + 20 * MS + after, 4000, Some(Answer::Value));
+}
+
 fn called(day: &mut Day, at: Micros, node: u16, call: u32, asks: Call, after: Option<Micros>) {
     let operators = &mut day.ledger.operators;
     operators.push(at, OperatorEvent::Called { call, node: NodeNo(node), asks });
--- a/crates/limits/src/admission/arrivals.rs
+++ b/crates/limits/src/admission/arrivals.rs
@@ -60,7 +60,7 @@
             return Accepting::Take(1);
         }
         let since = *self.full_since.get_or_insert(now);
-        let tell = since + micros(self.settings.room.tell_after_ms);
+        let tell = since + self.tells_after();
         if now >= tell {
             return Accepting::Take(TOLD_AT_ONCE);
         }
@@ -68,6 +68,13 @@
         Accepting::Pause { until: until.min(tell.max(now + 1000)) }
     }
 
+    /// How long newcomers wait for room before they are told that there is none. Guards customers whose answers are worth
+    /// nothing by then: no longer than the shortest aim of a class.
+    pub(super) fn tells_after(&self) -> Micros {
+        let most = micros(self.settings.room.tell_after_ms);
+        if self.resources.aim > 0 { most.min(self.resources.aim) } else { most }
+    }
+
     fn newcomer(&self, now: Micros, speaks: bool) -> Newcomer {
         Newcomer { worth: self.worth.newcomer(now, speaks), speaks }
     }
--- a/crates/limits/src/admission/explain.rs
+++ b/crates/limits/src/admission/explain.rs
@@ -81,10 +81,8 @@
                     "  any idle one of the others, while known clients hold fewer than {reserve}"
                 ));
             }
-            lines.push(format!(
-                "  or else it waits, and is refused from {} ms on",
-                self.settings.room.tell_after_ms
-            ));
+            lines
+                .push(format!("  or else it waits, and is refused from {} ms on", self.tells_after() / 1000));
         }
     }
 
--- a/crates/limits/src/admission/tests.rs
+++ b/crates/limits/src/admission/tests.rs
@@ -480,23 +480,28 @@
     assert_eq!(host.limits.most(), 100, "back to normal");
 }
 
+/// Danger: where answers are wanted sooner than that, who waited for room was told when its time was over.
 #[test]
 fn who_waits_for_room_is_told_after_a_while() {
-    let mut host = Host::new("", 2, 10);
-    for i in 0..2 {
-        let conn = host.connect(&format!("192.0.2.{i}"), true).unwrap();
-        host.ask(conn, READ).unwrap();
-    }
-    let mut waited = 0;
-    while let Accepting::Pause { until } = host.limits.accepting(host.now) {
-        assert!(until > host.now && until <= host.now + LOOK_AGAIN);
-        host.now = until;
-        waited += 1;
-        assert!(waited < 100);
+    for (aim, told) in [(0, 500_000), (750_000, 500_000), (150_000, 150_000)] {
+        let mut host = Host::new("", 2, 10);
+        let resources = Resources { aim, ..host.limits.resources };
+        host.limits.resources(host.now, &resources);
+        for i in 0..2 {
+            let conn = host.connect(&format!("192.0.2.{i}"), true).unwrap();
+            host.ask(conn, READ).unwrap();
+        }
+        let mut waited = 0;
+        while let Accepting::Pause { until } = host.limits.accepting(host.now) {
+            assert!(until > host.now && until <= host.now + LOOK_AGAIN);
+            host.now = until;
+            waited += 1;
+            assert!(waited < 100);
+        }
+        assert_eq!(host.now, told);
+        let verdict = host.limits.arrived(host.now, "192.0.2.7".parse().unwrap(), true);
+        assert!(matches!(verdict, Verdict::Refuse { why: Why::Full, retry_ms: Some(50..) }), "{verdict:?}");
     }
-    assert_eq!(host.now, 500_000);
-    let verdict = host.limits.arrived(host.now, "192.0.2.7".parse().unwrap(), true);
-    assert!(matches!(verdict, Verdict::Refuse { why: Why::Full, retry_ms: Some(50..) }), "{verdict:?}");
 }
 
 #[test]
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -205,7 +205,7 @@
     /// For how many ms it must stay there. Default 1000.
     pub recover_ms: u32,
     /// New connections wait in the kernel's queue while all places are held by such as may not be closed; after so
-    /// many ms of that they are taken and told to come again. Default 500.
+    /// many ms of that, or the shortest aim of a class if that is less, they are taken and told to come again. Default 500.
     pub tell_after_ms: u32,
 }
 
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -535,3 +535,30 @@
         assert!(node.child.wait().expect("its end").success());
     }
 }
+
+/// Of a client for each request, more than there is room for: whoever is answered is so in time, counted from when it asked.
+#[test]
+#[ignore = "expected to fail (docs/audit-findings.md, F21)"]
+fn who_waits_to_be_accepted_is_answered_in_time() {
+    const WAITS: Duration = Duration::from_millis(100);
+    let world = world(spec(&["a"]), ids(4000));
+    let node = Node::limited(&world, 128);
+    world.control().pause(no(&world, "a"), 60_000_000).expect("paused");
+    let address = node.address;
+    let asks = move |first: usize| {
+        let mut worst = Duration::ZERO;
+        for id in first..first + 20 {
+            let Ok(mut client) = Client::at(address) else { continue };
+            let asked = Instant::now();
+            if let Ok(line) = client.try_ask(&format!("mg k{id} v O{id} Pc=read,d=100\r\n"))
+                && !line.is_empty()
+            {
+                worst = worst.max(asked.elapsed());
+            }
+        }
+        worst
+    };
+    let clients: Vec<_> = (0..200).map(|n| thread::spawn(move || asks(n * 20))).collect();
+    let worst = clients.into_iter().map(|c| c.join().expect("a client")).max().expect("some");
+    assert!(worst < WAITS + Duration::from_millis(50), "{worst:?}");
+}
