Bound a cold server beside warm ones by what the settings say tips it: quick misses pushed it over

Cause, by a log of each send to a cold server with what it was due: its ramp went from 0.25 to 64 within 3 s, and what was due from 0.8 to 6.5 a second at each of 32 nodes, 3.5 to 8 times its part of what warm peers carry. A server that is empty answers at once that it lacks the key, and each such answer counted as one in good time (cold.rs `Ramp::heard`); so its part grew to all that was asked for (`due`), in a jam. `tip-multiple` of the settings was read and used by nothing. Ruled out: what nodes save up (their turns were all spent) and restarts (none).

Change: while a warm peer has answered in the last 3 s, at most 0.75 of what tips a cold server is due to it, by what warm ones carry. Where none has, the ramp alone decides, as before: after a loss of all nothing changes.

All other worlds of all_cold and copies hold.

Also looked at and not kept: a mark for jams that follows the usual time of answers.

--- a/crates/decisions/src/cold.rs
+++ b/crates/decisions/src/cold.rs
@@ -8,7 +8,9 @@
 //! send too much, all see it.
 
 use crate::Micros;
-use crate::state::Server;
+use crate::interface::Settings;
+use crate::state::{Learned, Server};
+use crate::turns::COLD_DUE;
 
 /// The ramp begins at this part of the promise. Danger: demand may be several times what the whole fleet bears, since
 /// clients have waited.
@@ -33,6 +35,33 @@
 /// A step is not taken sooner than this part of an aim after the one before: by then what that did is seen.
 const PACE: f64 = 0.5;
 
+/// Beside warm peers a cold server gets at most this part of what the settings say tips it, by what those carry. The rest is for
+/// what was saved up, and for chance.
+const SAFE: f64 = 0.75;
+/// A warm peer has answered so lately.
+const LATELY: Micros = 3_000_000;
+
+/// What a balancer goes by where servers are cold, all for one of weight 1.
+pub(crate) struct Peers {
+    /// Load a second that a warm one carries for it.
+    warm: f64,
+    /// What it is asked for.
+    demand: f64,
+    /// The most that is due for the whole of a capacity; no bound where no warm one tells. Danger: a server that is empty
+    /// answers at once that it lacks the key. By such answers its part grew to all that was asked for, which beside a
+    /// jam of warm ones is many times what it bears.
+    most: f64,
+}
+
+impl Peers {
+    pub(crate) fn new(settings: &Settings, learned: &Learned, weight: f64, now: Micros) -> Peers {
+        let (warm, demand) = (learned.warm_rate.per_s, learned.request_rate.per_s / weight);
+        let told = warm > 0.0 && learned.warm_rate.at() + LATELY > now;
+        let most = if told { SAFE * settings.tip_multiple.max(1.0) / COLD_DUE * warm } else { f64::MAX };
+        Peers { warm, demand, most }
+    }
+}
+
 /// What an answer shows of a server, or its lack.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Sign {
@@ -102,10 +131,10 @@
     }
 
     /// Load a second that is due to a server of weight 1, of which `part` is promised: what warm peers carry, or else what
-    /// it has shown to bear of our demand.
-    pub(crate) fn due(&self, part: f64, warm_rate: f64, demand: f64) -> f64 {
-        let promised = part * warm_rate * (self.times / BEGINS).min(1.0);
-        promised.max((part * self.times).min(1.0) * demand)
+    /// it has shown to bear of our demand, up to that part of the most there may be.
+    pub(crate) fn due(&self, part: f64, peers: &Peers) -> f64 {
+        let promised = part * peers.warm * (self.times / BEGINS).min(1.0);
+        promised.max((part * self.times).min(1.0) * peers.demand).min(part * peers.most)
     }
 }
 
@@ -124,6 +153,11 @@
     use super::*;
     use crate::interface::{Listed, ServerId};
 
+    /// Warm ones carry so much, and so much is asked for.
+    fn peers(warm: f64, demand: f64) -> Peers {
+        Peers { warm, demand, most: f64::MAX }
+    }
+
     const MS: Micros = 1_000;
     const AIM: Micros = 500 * MS;
 
@@ -161,12 +195,21 @@
     #[test]
     fn what_is_due_begins_low_and_is_at_most_our_demand() {
         let mut servers = started(&[0]);
-        assert_eq!(servers[0].ramp.due(0.2, 0.0, 100.0), 5.0, "a quarter of the promise");
+        assert_eq!(servers[0].ramp.due(0.2, &peers(0.0, 100.0)), 5.0, "a quarter of the promise");
         answers(&mut servers, 0, 0, 3, Sign::Good);
-        assert_eq!(servers[0].ramp.due(0.2, 0.0, 100.0), 40.0, "twice the promise");
+        assert_eq!(servers[0].ramp.due(0.2, &peers(0.0, 100.0)), 40.0, "twice the promise");
         answers(&mut servers, 0, S, 9, Sign::Good);
-        assert_eq!(servers[0].ramp.due(0.2, 0.0, 100.0), 100.0);
-        assert_eq!(servers[0].ramp.due(0.2, 900.0, 100.0), 180.0, "what warm peers carry counts, too");
+        assert_eq!(servers[0].ramp.due(0.2, &peers(0.0, 100.0)), 100.0);
+        assert_eq!(
+            servers[0].ramp.due(0.2, &peers(900.0, 100.0)),
+            180.0,
+            "what warm peers carry counts, too"
+        );
+        assert_eq!(
+            servers[0].ramp.due(0.2, &Peers { most: 150.0, ..peers(90.0, 100.0) }),
+            30.0,
+            "and bounds it"
+        );
     }
 
     /// Danger: a burst of answers to what was sent together counted as many steps.
@@ -200,12 +243,12 @@
         let mut servers = started(&[0]);
         answers(&mut servers, 0, 0, 12, Sign::Late);
         assert_eq!(
-            servers[0].ramp.due(0.5, 100.0, 100.0),
+            servers[0].ramp.due(0.5, &peers(100.0, 100.0)),
             12.5,
             "slow: a quarter of what warm peers tell of"
         );
         answers(&mut servers, 0, 10 * S, 12, Sign::None);
-        assert!(servers[0].ramp.due(0.5, 100.0, 100.0) < 4.0, "silent");
+        assert!(servers[0].ramp.due(0.5, &peers(100.0, 100.0)) < 4.0, "silent");
     }
 
     const S: Micros = 1_000 * MS;
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -3,7 +3,7 @@
 //! goes to the least-connection server; a key moves when its server is over the high mark while another is
 //! under the low one, or at twice the high mark. All else is an exception to that, in a section of its own.
 
-use crate::cold::{self, Sign};
+use crate::cold::{self, Peers, Sign};
 use crate::health::{self, Suspicion};
 use crate::interface::*;
 use crate::state::*;
@@ -644,9 +644,8 @@
     fn turns(&self, i: usize) -> Turns {
         let s = &self.servers.all[i];
         let (then, warm) = (self.warmth_at(i, s.turns.at()), self.warmth(i));
-        let demand = self.learned.request_rate.per_s / self.servers.weight;
-        let due =
-            |part| turns::COLD_DUE * s.listed.weight * s.ramp.due(part, self.learned.warm_rate.per_s, demand);
+        let peers = Peers::new(&self.settings, &self.learned, self.servers.weight, self.now);
+        let due = |part| turns::COLD_DUE * s.listed.weight * s.ramp.due(part, &peers);
         let earned = due((then + warm) / 2.0) * (self.now - s.turns.at()) as f64 / 1e6;
         s.turns.earned(earned, turns::cold_depth(due(warm), self.settings.tip_window))
     }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -335,6 +335,11 @@
 }
 
 impl Rate {
+    /// The time of the last sample.
+    pub fn at(&self) -> Micros {
+        self.at
+    }
+
     pub fn add(&mut self, now: Micros, load: f64, span: f64) {
         let since = *self.since.get_or_insert(now);
         let before = self.sum * (-(now - self.at) as f64 / span).exp();
--- a/crates/decisions/tests/all_cold/main.rs
+++ b/crates/decisions/tests/all_cold/main.rs
@@ -3,8 +3,6 @@
 mod world;
 use world::*;
 
-/// What a cold server bears for 2 s, as a multiple of what it can do.
-const TIPS: f64 = 3.0;
 /// What the origin of these worlds does in a second, and what it may be asked over that in a worst one.
 const ORIGIN: usize = 320;
 
@@ -49,7 +47,8 @@
 }
 
 /// Danger: demand says nothing of capacity. Where more is asked for than all servers bear, where they are warm by the
-/// clock alone, come one after the other, start again, or bear less than promised, none may be sent what tips it.
+/// clock alone, come one after the other, start again, or bear less than promised, none may be sent what tips it. Nor do quick
+/// misses of one that is empty: beside a jam of warm ones they made its part all that was asked for.
 #[test]
 fn no_cold_server_is_sent_what_tips_it() {
     let half = Plan { capacity: 120.0, ..Plan::default() };
@@ -67,11 +66,16 @@
         ("one is warm", Plan { warm: 1, ..half.clone() }),
         ("a jam of warm ones", Plan { warm: 3, ..tight(80.0) }),
         ("a quarter of what was promised", Plan { begins: 0.03, ..tight(120.0) }),
+        ("quick misses beside a jam", Plan { warm: 7, quick_misses: true, ..tight(45.0) }),
+        (
+            "the same, where twice tips it, at thirty",
+            Plan { warm: 7, quick_misses: true, tips: 2.0, balancers: 30, told: 30, ..tight(45.0) },
+        ),
     ];
     for (name, plan) in plans {
         for seed in 1..=if plan.balancers > 30 { 4 } else { 16 } {
             let story = play(Plan { seconds: 8, ..plan.clone() }, seed);
-            assert!(story.most < TIPS, "{name}, seed {seed}: {:.2} times", story.most);
+            assert!(story.most < plan.tips, "{name}, seed {seed}: {:.2} times", story.most);
         }
     }
 }
--- a/crates/decisions/tests/all_cold/world.rs
+++ b/crates/decisions/tests/all_cold/world.rs
@@ -56,6 +56,10 @@
     pub origin: f64,
     pub keys: usize,
     pub seconds: i64,
+    /// What tips a cold server over, as a multiple of what it can do.
+    pub tips: f64,
+    /// A miss is told at once, and costs its server nothing.
+    pub quick_misses: bool,
 }
 
 impl Default for Plan {
@@ -78,6 +82,8 @@
             origin: 300.0,
             keys: 20_000,
             seconds: 25,
+            tips: 3.0,
+            quick_misses: false,
         }
     }
 }
@@ -96,7 +102,7 @@
             max_retry_after: S,
             start_capacity: self.promised.0,
             cold: self.promised.1,
-            tip_multiple: 3.0,
+            tip_multiple: self.tips,
             tip_window: WINDOW,
             ..Settings::default()
         }
@@ -368,6 +374,9 @@
         while s.waits.front().is_some_and(|at| *at <= now) {
             s.waits.pop_front();
         }
+        if self.plan.quick_misses && !s.holds.contains(&key) {
+            return (now + WAY, Some(false));
+        }
         if s.waits.len() >= QUEUE {
             return (now + WAY, None);
         }
@@ -391,7 +400,7 @@
             let then = s.can[s.can.len() - s.sent.len()].1;
             let times = s.sent.len() as f64 / (then.midpoint(capacity) * WINDOW as f64 / 1e6);
             self.story.most = self.story.most.max(times);
-            if times > 3.0
+            if times > self.plan.tips
                 && let [.., (before, _), _] = s.can[..]
             {
                 self.story.over_s += (now - before) as f64 / 1e6;
