--- a/crates/decisions/tests/all_cold/main.rs
+++ b/crates/decisions/tests/all_cold/main.rs
@@ -71,6 +71,19 @@
             "the same, where twice tips it, at thirty",
             Plan { warm: 7, quick_misses: true, tips: 2.0, balancers: 30, told: 30, ..tight(45.0) },
         ),
+        (
+            "the same, and warm ones lack most of it, too",
+            Plan {
+                held: 0.25,
+                forgets: true,
+                warm: 7,
+                quick_misses: true,
+                tips: 2.0,
+                balancers: 30,
+                told: 30,
+                ..tight(45.0)
+            },
+        ),
     ];
     for (name, plan) in plans {
         for seed in 1..=if plan.balancers > 30 { 4 } else { 16 } {
--- a/crates/decisions/tests/all_cold/world.rs
+++ b/crates/decisions/tests/all_cold/world.rs
@@ -60,6 +60,10 @@
     pub tips: f64,
     /// A miss is told at once, and costs its server nothing.
     pub quick_misses: bool,
+    /// The part of the keys that warm servers hold from the start.
+    pub held: f64,
+    /// Nothing that the origin was asked for is kept for long.
+    pub forgets: bool,
 }
 
 impl Default for Plan {
@@ -84,6 +88,8 @@
             seconds: 25,
             tips: 3.0,
             quick_misses: false,
+            held: 1.0,
+            forgets: false,
         }
     }
 }
@@ -271,8 +277,9 @@
             let at = self.servers[n].starts;
             self.push(at, Next::Starts(n));
             if n < self.plan.warm {
-                let keys = 0..self.plan.keys as u64;
-                self.servers[n].holds.extend(keys);
+                let held = (self.plan.keys as f64 * self.plan.held) as u64;
+                let every = self.plan.keys as u64 / held.max(1);
+                self.servers[n].holds.extend((0..held).map(|key| key * every));
             }
         }
         let origin = Listed { server: ORIGIN, kind: 1, weight: 1.0, ..Listed::default() };
@@ -496,7 +503,7 @@
                 }
                 let (key, missed) = (open.key, open.missed.clone());
                 for n in missed.into_iter().take(2) {
-                    if self.servers[n].holds.insert(key) {
+                    if !self.plan.forgets && self.servers[n].holds.insert(key) {
                         self.second().fills += 1;
                     }
                     self.story.homes.entry(key).or_default().insert(n);
