--- a/crates/decisions/src/pressure.rs
+++ b/crates/decisions/src/pressure.rs
@@ -42,4 +42,13 @@
             assert!((shed - part).abs() < 1e-9, "{} at {pressure}: {shed}", settings.siblings);
         }
     }
+
+    /// Danger: three in four requests of a fleet with next to nothing in flight were turned away, since its answers take as
+    /// much of their aim as those of a jammed one elsewhere.
+    #[test]
+    #[ignore = "expected to fail (docs/design/rare-moments.md, R23)"]
+    fn what_answers_usually_take_is_no_jam_where_aims_are_tight() {
+        let many = Settings { siblings: 32, over_share_worth: 0.1, ..Settings::default() };
+        assert_eq!(shed(&many, 12.0, 0.68, false), 0.0, "what was seen of an idle fleet with aims of 0.3 s");
+    }
 }
