Count a request's time from when it can have come, and answer before a hold-up can be late

Cause: node.rs take() set due = (clock when read) + d. A node held up for up to 0.15 s read a request that much after it had come, and answered (or refused) at read + d: its client had left 60 ms after its own time. The same class at the other end: final answers were planned for the very end (engine deadlines at due), so that a hold-up there made them late, too.

Change: time_limits.rs (a request's time from the earliest moment at which it can have come; the answer planned 0.11 s, or a quarter of a short time, before it is due), attention.rs (when what a look finds can have come: later than the last look in vain; looks last 20 ms at the most), permit.rs (one place for may this begin, be repeated, be closed now, with counts of what was done all the same, checked at the write, the close and the answer). Found by the same question: an attempt behind a full socket told its server an old time (told anew now); one whose time or window ended while it waited to be written began (dropped now); a short window for repeats left less than a hold-up (0.2 s at least now); a client that had left during a hold-up under 0.1 s was not looked for (0.04 s now). Logs: hold-ups (info), each request taken and ended and each close with its reason (debug), violations (warn).

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -10,10 +10,12 @@
 mod health;
 pub mod interface;
 pub mod maintenance;
+pub mod permit;
 mod pressure;
 mod room;
 pub mod rules;
 mod state;
+pub mod time_limits;
 mod turns;
 
 pub use audit::Audit;
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -6,6 +6,7 @@
 use crate::cold::{self, Peers, Sign};
 use crate::health::{self, Suspicion};
 use crate::interface::*;
+use crate::permit::Repeat;
 use crate::state::*;
 use crate::turns::{self, Turns};
 use crate::{pressure, room};
@@ -487,8 +488,8 @@
         let Some(c) = self.settings.classes.get(r.new.class) else { return false };
         let (from, to) = (self.servers.listed(earlier.server), &self.servers.all[to].listed);
         let same_group = c.group == Group::All || from.is_some_and(|from| c.group.holds(from, to));
-        let remembered = self.now < r.begins_by(Some(c), self.now, false);
-        c.effect == Effect::Safe || c.effect == Effect::Keyed && same_group && remembered
+        let begin_by = r.begins_by(Some(c), self.now, false);
+        Repeat { now: self.now, effect: c.effect, same_group, begin_by }.check().is_ok()
     }
 
     // ---- Final answers --------------------------------------------------------------------------------
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -4,6 +4,7 @@
 use crate::cold::Ramp;
 use crate::health::Suspicion;
 use crate::interface::*;
+use crate::time_limits;
 use crate::turns::Turns;
 use lapisrudder_limits::follow::{self, Follow, Sent};
 use lapisrudder_limits::held::Held;
@@ -127,7 +128,7 @@
         self.attempts.iter().all(|a| a.fate == Fate::NeverRan)
     }
 
-    /// Until when an attempt that is sent now may begin: servers forget after the window, less a tenth for the way there. It
+    /// Until when an attempt that is sent now may begin: servers forget after the window, less the time for the way there. It
     /// counts from the first of all while any may have run, also if the first has turned out not to: it may have been repeated
     /// before that was known, and is what servers remember then (protocol, 'No repeated effect'). Where none has run it counts
     /// from now: a copy may run while this one waits for a connection. None goes out beside an attempt at the origin.
@@ -135,7 +136,7 @@
         let alone = self.never_ran();
         let keyed = class.filter(|c| c.effect == Effect::Keyed && !(alone && origin));
         let from = self.attempts.first().filter(|_| !alone).map_or(now, |first| first.sent);
-        keyed.map_or(Micros::MAX, |c| from + c.repeat_window * 9 / 10)
+        keyed.map_or(Micros::MAX, |c| time_limits::repeatable_until(from, c.repeat_window))
     }
 
     /// This attempt, if it is the latest and still out, and an answer is owed.
--- a/crates/engine/src/audit.rs
+++ b/crates/engine/src/audit.rs
@@ -28,6 +28,8 @@
     pub members: usize,
     /// Bytes of answers that are not whole, and of flows that are not written.
     pub bytes: usize,
+    /// What was written although it was not allowed to begin.
+    pub violations: u64,
     /// What the decisions hold.
     pub decisions: decisions::Audit,
 }
@@ -60,6 +62,7 @@
             connections,
             members,
             bytes,
+            violations: self.violations().total(),
             decisions: self.balancer.audit(),
         }
     }
--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -4,6 +4,7 @@
 use crate::flow::{Flow, FlowId};
 use lapisrudder_codec::http;
 use lapisrudder_codec::memcache::{self, Answer, MAX_LINE, MAX_VALUE, MAX_WHOLE, ReadNote};
+use lapisrudder_decisions::permit::{Begin, Denial, Violations};
 use lapisrudder_decisions::{Micros, Outcome, ServerId};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -21,6 +22,9 @@
 /// asked next on the connection was given the value of the one before, or told that it never ran.
 pub(crate) const SETTLES: Micros = 20_000;
 
+/// The time that an attempt tells its server is worked out anew if it has waited so long to be written.
+const TOLD_FOR: Micros = 20_000;
+
 /// What comes of a flow on a connection.
 pub(crate) enum Heard<'a> {
     /// Its answer, or the head of one whose value follows.
@@ -61,6 +65,23 @@
     abandoned: bool,
     /// When it was put here.
     put: Micros,
+    /// When the time that it tells its server was worked out.
+    told: Micros,
+}
+
+impl Place {
+    /// Whether it may begin.
+    fn permit(&self, now: Micros, server_open: bool) -> Result<(), Denial> {
+        let Flow { call, until, begin_by, .. } = &self.flow;
+        Begin { now, owed: !call.answered(), until: *until, begin_by: *begin_by, server_open }.check()
+    }
+}
+
+/// Checks that what is written may begin, at the write itself.
+pub(crate) struct WriteChecks<'a> {
+    pub now: Micros,
+    pub server_open: bool,
+    pub violations: &'a mut Violations,
 }
 
 pub(crate) struct Connection {
@@ -175,23 +196,41 @@
 
     /// Puts a flow behind the others; it is written at the end of the turn.
     pub(crate) fn put(&mut self, flow: Flow, now: Micros) {
-        let command = &flow.call.request.command;
         let mut bytes = std::mem::take(&mut self.spare);
+        self.compose(&flow, now, &mut bytes);
+        self.places.push_back(Place { flow, bytes, written: 0, abandoned: false, put: now, told: now });
+    }
+
+    /// The attempt as it is written: it tells its server how long its answer is waited for from now on.
+    fn compose(&self, flow: &Flow, now: Micros, bytes: &mut Vec<u8>) {
+        let command = &flow.call.request.command;
+        bytes.clear();
         bytes.reserve(command.bytes() + 128);
         let wait_ms = ((flow.until - now) / 1000).max(1) as u64;
         if self.origin {
-            http::write_request(&command.get(), self.endpoint, wait_ms, &mut bytes);
+            http::write_request(&command.get(), self.endpoint, wait_ms, bytes);
         } else {
-            command.write(wait_ms, &mut bytes);
+            command.write(wait_ms, bytes);
         }
-        self.places.push_back(Place { flow, bytes, written: 0, abandoned: false, put: now });
+    }
+
+    /// Tells anew how long answers are waited for where that has waited to be written. Danger: what lay behind a full socket
+    /// told its server of time that its client no longer had.
+    pub(crate) fn tell_anew(&mut self, now: Micros) {
+        let old = |p: &Place| p.written == 0 && !p.bytes.is_empty() && now - p.told > TOLD_FOR;
+        let mut places = std::mem::take(&mut self.places);
+        for place in places.iter_mut().filter(|p| old(p)) {
+            self.compose(&place.flow, now, &mut place.bytes);
+            place.told = now;
+        }
+        self.places = places;
     }
 
     /// Takes off what may not begin any more: a send counts from its first byte. Gives those that somebody
     /// still waited for.
-    pub(crate) fn drop_unbegun(&mut self, closed: bool, mut dropped: impl FnMut(FlowId)) {
+    pub(crate) fn drop_unbegun(&mut self, now: Micros, server_open: bool, mut dropped: impl FnMut(FlowId)) {
         self.places.retain(|p| {
-            let late = p.written == 0 && (closed || p.abandoned || p.flow.call.answered());
+            let late = p.written == 0 && (p.abandoned || p.permit(now, server_open).is_err());
             if late && !p.abandoned {
                 dropped(p.flow.id);
             }
@@ -226,9 +265,12 @@
     }
 
     /// So many bytes of that were written.
-    pub(crate) fn transmitted(&mut self, mut bytes: usize) {
+    pub(crate) fn transmitted(&mut self, mut bytes: usize, checks: &mut WriteChecks) {
         for place in self.places.iter_mut().filter(|p| !p.bytes.is_empty()) {
             let taken = bytes.min(place.bytes.len() - place.written);
+            if place.written == 0 && taken > 0 {
+                checks.violations.note(place.permit(checks.now, checks.server_open));
+            }
             place.written += taken;
             bytes -= taken;
             if place.written < place.bytes.len() {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -11,6 +11,7 @@
 use crate::transactions::{FlowState, Transaction, Transactions};
 use lapisrudder_codec::memcache::{self, ReadNote};
 use lapisrudder_decisions::maintenance::{Ban, Maintenance, NoBan};
+use lapisrudder_decisions::permit::Violations;
 use lapisrudder_decisions::{
     Action, Balancer, CacheNote, Event, Listed, Micros, Outcome, RequestId, Scope, ServerId, Settings,
 };
@@ -469,7 +470,12 @@
         if call.answered() || until.min(begin) <= now {
             return self.transactions.flow_ended(id, Outcome::NeverSent, None, now, &mut self.deadlines);
         }
-        self.pool.send(server, Flow { id, call, until, moved: false }, now, &mut self.deadlines);
+        self.pool.send(
+            server,
+            Flow { id, call, until, begin_by: begin, moved: false },
+            now,
+            &mut self.deadlines,
+        );
     }
 
     /// The answer to a flow is waited for on, unless it has not been sent and may not be any more. Danger: a repeat waited for a
@@ -524,6 +530,11 @@
         self.pool.hold_to(in_all, now, &mut self.deadlines);
     }
 
+    /// What was written to members although it was not allowed to begin, by reason.
+    pub fn violations(&self) -> &Violations {
+        self.pool.violations()
+    }
+
     /// Transactions that are owed a final answer.
     pub fn open(&self) -> usize {
         self.transactions.open
--- a/crates/engine/src/flow.rs
+++ b/crates/engine/src/flow.rs
@@ -44,6 +44,8 @@
     pub id: FlowId,
     pub call: Arc<Call>,
     pub until: Micros,
+    /// It may begin until then.
+    pub begin_by: Micros,
     /// It was put on a connection that turned out to be dead.
     pub moved: bool,
 }
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -1,10 +1,11 @@
 //! Pool members: whom flows may go to, and the connections that they go on.
 
 use crate::config::Limits;
-use crate::connection::{Abandoned, Connection, Heard, SETTLES};
+use crate::connection::{Abandoned, Connection, Heard, SETTLES, WriteChecks};
 use crate::deadlines::{self, Deadline};
 use crate::flow::{Flow, FlowId};
 use crate::order::{Conn, Order};
+use lapisrudder_decisions::permit::Violations;
 use lapisrudder_decisions::{Micros, Outcome, ServerId, Stage};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, VecDeque};
@@ -48,6 +49,9 @@
     idle_most: usize,
     /// Connections to the origin at the most.
     to_origin: usize,
+    /// When what is to be written was last checked, and what was written all the same.
+    checked: Micros,
+    violations: Violations,
     pub(crate) lost: VecDeque<Lost>,
     /// What the host is to do.
     pub(crate) orders: VecDeque<Order>,
@@ -65,6 +69,8 @@
             unwritten: Vec::new(),
             idle: BTreeSet::new(),
             idle_most: usize::MAX,
+            checked: Micros::MIN,
+            violations: Violations::default(),
             lost: VecDeque::new(),
             orders: VecDeque::new(),
         }
@@ -322,8 +328,10 @@
         if !c.up {
             return;
         }
-        let closed = self.members.get(&c.server).is_none_or(|m| m.closed);
-        c.drop_unbegun(closed, |flow| self.lost.push_back((flow, Outcome::NeverSent)));
+        let server_open = self.members.get(&c.server).is_some_and(|m| !m.closed);
+        c.drop_unbegun(now, server_open, |flow| self.lost.push_back((flow, Outcome::NeverSent)));
+        c.tell_anew(now);
+        self.checked = now;
         // What was dropped may have been all that kept a connection whose other flows were given up.
         if c.is_stale() || c.is_useless() {
             self.close(id, now, deadlines);
@@ -337,9 +345,15 @@
     }
 
     pub(crate) fn transmitted(&mut self, id: Conn, bytes: usize) {
-        if let Some(c) = self.connections.get_mut(&id) {
-            c.transmitted(bytes);
-        }
+        let Some(c) = self.connections.get_mut(&id) else { return };
+        let server_open = self.members.get(&c.server).is_some_and(|m| !m.closed);
+        let mut checks = WriteChecks { now: self.checked, server_open, violations: &mut self.violations };
+        c.transmitted(bytes, &mut checks);
+    }
+
+    /// What was written although it was not allowed to begin.
+    pub(crate) fn violations(&self) -> &Violations {
+        &self.violations
     }
 
     /// A connect has come up.
--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -49,7 +49,8 @@
 
     fn send(&mut self, attempt: u32, now: Micros) {
         let id = FlowId { request: RequestId(1), attempt };
-        let flow = Flow { id, call: self.call.clone(), until: 9, moved: false };
+        let flow =
+            Flow { id, call: self.call.clone(), until: Micros::MAX, begin_by: Micros::MAX, moved: false };
         self.pool.send(MEMBER, flow, now, &mut self.deadlines);
     }
 
@@ -141,7 +142,7 @@
     assert_eq!(desk.pool.orders, [Order::Close { conn: Conn(0) }], "its host never heard of the other");
     desk.pool.list(ServerId(2), desk.at, false, Stage::Live, &mut desk.deadlines);
     let id = FlowId { request: RequestId(1), attempt: 2 };
-    let flow = Flow { id, call: desk.call.clone(), until: 9, moved: false };
+    let flow = Flow { id, call: desk.call.clone(), until: Micros::MAX, begin_by: Micros::MAX, moved: false };
     desk.pool.send(ServerId(2), flow, 0, &mut desk.deadlines);
     assert!(desk.pool.connections.keys().eq([&Conn(2)]));
     assert_eq!(desk.deadlines.next(), Some(1), "and no deadline of the old ones is left");
@@ -348,7 +349,8 @@
     assert_eq!(desk.answer(0, "EN O9\r\n"), (true, 1));
     for (n, server) in (1..).zip(&servers) {
         let id = FlowId { request: RequestId(1), attempt: n };
-        let flow = Flow { id, call: desk.call.clone(), until: 9, moved: false };
+        let flow =
+            Flow { id, call: desk.call.clone(), until: Micros::MAX, begin_by: Micros::MAX, moved: false };
         desk.pool.send(*server, flow, Micros::from(n), &mut desk.deadlines);
         desk.comes_up(u64::from(n));
         desk.pool
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,11 +9,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
+mod attention;
 mod clock;
 mod discovery;
 mod members;
 mod socket;
 
+pub use attention::{Attention, LONGEST_LOOK, Look};
 pub use clock::Clock;
 pub use discovery::{Discovery, News};
 pub use members::Members;
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,6 +2,7 @@
 
 use super::Socket;
 use super::deadlines::Key;
+use lapisrudder::permit::{Close, Denial};
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{MAX_LINE, MAX_WHOLE};
 use lapisrudder_limits::{Activity, ConnId};
@@ -125,6 +126,10 @@
     since: Micros,
     /// When it arrived, if it has not spoken yet; else long ago.
     pub since_arrival: Micros,
+    /// What is not read came after this; none where nothing is known to have come.
+    came_after: Option<Micros>,
+    /// All that had come before this was read.
+    emptied: Micros,
     /// When this is to be looked at again.
     pub deadline: Option<Key>,
 }
@@ -151,6 +156,8 @@
             drained: 0,
             since: now,
             since_arrival: now,
+            came_after: None,
+            emptied: Micros::MIN,
             deadline: None,
         }
     }
@@ -166,6 +173,14 @@
         self.unread
     }
 
+    /// Whether it may close between requests.
+    ///
+    /// # Errors
+    /// Why not.
+    pub fn permit_close(&mut self) -> Result<(), Denial> {
+        Close { owed: !self.quiet(), unread: self.look() }.check()
+    }
+
     /// Nothing more is owed on it, and its sending side is shut.
     pub fn lingers(&self) -> bool {
         matches!(self.phase, Phase::Lingering | Phase::Parting)
@@ -247,9 +262,25 @@
         Some(self.since + lasts)
     }
 
+    /// Something has come, later than `after`.
+    pub fn has_come(&mut self, after: Micros) {
+        self.unread = true;
+        self.came_after.get_or_insert(after.max(self.emptied));
+    }
+
+    /// What is read next came after this, if nothing more is known of it than that it came after `after`.
+    pub fn came_after(&mut self, after: Micros) -> Micros {
+        *self.came_after.get_or_insert(after.max(self.emptied))
+    }
+
+    /// What is not read has waited for the answers before it, which does not count: its time begins when it is read.
+    pub fn forget_arrival(&mut self) {
+        self.came_after = None;
+    }
+
     /// Reads once, behind what an earlier read left over; gives what there is now in `scratch`. `None` means
     /// that the peer has closed. Guards others against a client that sends without end: one read a turn.
-    pub fn read<'s>(&mut self, scratch: &'s mut [u8]) -> Option<&'s [u8]> {
+    pub fn read<'s>(&mut self, scratch: &'s mut [u8], now: Micros) -> Option<&'s [u8]> {
         let held = self.input.len();
         scratch[..held].copy_from_slice(&self.input);
         self.unsure = false;
@@ -267,6 +298,9 @@
                 0
             }
         };
+        if !self.unread {
+            (self.came_after, self.emptied) = (None, now);
+        }
         Some(&scratch[..held + read])
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -108,7 +108,9 @@
     let mut node = Node::new(config, &events.handle())?;
     let mut ready = Ready::default();
     while !node.is_over() {
-        events.dispatch(node.until_next(), &mut ready).map_err(Error::Loop)?;
+        let wait = node.begin_wait();
+        events.dispatch(wait, &mut ready).map_err(Error::Loop)?;
+        let came_after = node.end_wait(!ready.sockets.is_empty());
         for signal in ready.signals.drain(..) {
             match signal {
                 Signal::SIGHUP => reload(&sources, &mut force, &log, &mut node),
@@ -118,7 +120,7 @@
                 }
             }
         }
-        node.turn(ready.sockets.drain(..));
+        node.turn(ready.sockets.drain(..), came_after);
     }
     info!("ended");
     Ok(())
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -11,6 +11,8 @@
 use super::virtual_server::{self, VirtualServer};
 use super::{CLIENTS_SHARE, Handle, OWN_SOCKETS, Owner, Ready};
 use lapisrudder::maintenance::{Ban, NoBan};
+use lapisrudder::permit::{Denial, Violations};
+use lapisrudder::time_limits::RequestTime;
 use lapisrudder::wire::{Options, digest, micros};
 use lapisrudder::{Listed, Micros, RequestId, Scope, ServerId, Stage};
 use lapisrudder_codec::management::{BadCall, Call, answer, parse};
@@ -19,7 +21,7 @@
 use lapisrudder_engine::{
     Answer, Answers, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request, TakeError,
 };
-use lapisrudder_host::{Clock, Discovery, Members, News};
+use lapisrudder_host::{Attention, Clock, Discovery, Members, News};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use lapisrudder_takeover::{self as talk, Grant, Lender, Message, State};
 use rustc_hash::FxHashMap;
@@ -57,6 +59,7 @@
     ticket: Ticket,
     /// Its value is being passed on.
     streams: bool,
+    time: RequestTime,
 }
 
 /// Whom the engine's transactions are for.
@@ -90,7 +93,8 @@
 impl Answers for Front<'_> {
     /// Passes the answer on, straight from where it was read.
     fn served(&mut self, transaction: RequestId, request: &Request, answer: Answer<'_>) {
-        let Some(Owed { client, ticket, .. }) = self.ledger.take(transaction) else { return };
+        let Some(Owed { client, ticket, time, .. }) = self.ledger.take(transaction) else { return };
+        note_answer(&mut self.server.violations, &time, self.now);
         let id = request.command.id();
         match answer {
             Answer::Value(value) => {
@@ -168,6 +172,10 @@
     clients_elsewhere: usize,
     name: String,
     clock: Clock,
+    /// When what the sockets have brought can have come.
+    attention: Attention,
+    /// Violations that were told.
+    violations_told: u64,
     scratch: Vec<u8>,
     deadlines: Deadlines,
     server: VirtualServer,
@@ -255,6 +263,8 @@
             own,
             all_descriptors: config.sockets,
             clock,
+            attention: Attention::new(now),
+            violations_told: 0,
             scratch: vec![0; SCRATCH],
             deadlines: Deadlines::default(),
             server,
@@ -294,7 +304,7 @@
             node.deadlines.add(now + ALONE_AFTER, Deadline::Alone);
         }
         node.share();
-        node.turn([]);
+        node.turn([], now);
         let mut told =
             format!("{} listens on {}\n", config.name, node.server.address().unwrap_or(config.listen));
         if let Some(at) = node.management.as_ref().and_then(|m| m.address().ok()) {
@@ -305,8 +315,22 @@
         Ok(node)
     }
 
-    /// How long the loop may wait.
-    pub fn until_next(&self) -> Option<Duration> {
+    /// How long the loop may wait from now on.
+    pub fn begin_wait(&mut self) -> Duration {
+        let next = self.until_next();
+        self.attention.begin(self.clock.now(), next)
+    }
+
+    /// The loop has waited, and found something or not. What it found came after the time that this gives.
+    pub fn end_wait(&mut self, found: bool) -> Micros {
+        let look = self.attention.end(self.clock.now(), found);
+        if let Some(held_up) = look.held_up {
+            info!(ms = held_up / 1000, open = self.engine.open(), "held up");
+        }
+        look.came_after
+    }
+
+    fn until_next(&self) -> Option<Duration> {
         if self.server.is_behind() || !self.server.resumed.is_empty() {
             return Some(Duration::ZERO);
         }
@@ -657,8 +681,8 @@
     fn client_news(&mut self) {
         while let Some(news) = self.server.news.pop_front() {
             match news {
-                virtual_server::News::Command { client, request, command } => {
-                    self.take(client, request, command);
+                virtual_server::News::Command { client, request, command, came_after } => {
+                    self.take(client, request, command, came_after);
                 }
                 virtual_server::News::Left { request } => {
                     if let Some(owed) = self.ledger.take(request) {
@@ -680,7 +704,7 @@
     }
 
     /// Takes a transaction: from here on it is owed one final answer.
-    fn take(&mut self, client: u64, id: RequestId, command: OwnedRequest) {
+    fn take(&mut self, client: u64, id: RequestId, command: OwnedRequest, came_after: Micros) {
         let now = self.clock.now();
         if self.phase == Phase::Refusing {
             return self.server.answer(client, id, &[b"SERVER_ERROR busy\r\n"], now);
@@ -697,7 +721,17 @@
         if self.engine.is_named(request.id) {
             return self.server.reject(client, id, TakeError::IdInUse, now);
         }
-        let due = now + (wait as Micros).saturating_mul(1000).clamp(0, LONGEST_HELD);
+        // Danger: a time that counted from when a request was read was over before its answer came.
+        let time = RequestTime::new(came_after, (wait as Micros).saturating_mul(1000).clamp(0, LONGEST_HELD));
+        let due = time.answer_by.max(now);
+        debug!(
+            request = %String::from_utf8_lossy(request.id),
+            client,
+            class = %String::from_utf8_lossy(name),
+            wait_ms = wait,
+            waited_us = now - came_after,
+            "taken"
+        );
         // Large values have a budget of their own.
         let bytes = command.bytes().min(MAX_WHOLE);
         let facts = Facts { worth, left: due - now, bytes, class, recallable };
@@ -712,7 +746,7 @@
         let repeated = request.named(b"r") == Some(b"1");
         let request = Request { command, key, class, tenant: 0, hint: None, repeated, due };
         match self.engine.take(now, id, request) {
-            Ok(()) => self.ledger.add(id, Owed { client, ticket, streams: false }),
+            Ok(()) => self.ledger.add(id, Owed { client, ticket, streams: false, time }),
             Err(what) => {
                 self.server.over(ticket, false, now);
                 self.server.reject(client, id, what, now);
@@ -774,8 +808,10 @@
 
     /// The final answer, in one line.
     fn end(&mut self, id: RequestId, line: &[u8]) {
-        if let Some(Owed { client, ticket, streams }) = self.ledger.take(id) {
+        if let Some(Owed { client, ticket, streams, time }) = self.ledger.take(id) {
             let now = self.clock.now();
+            debug!(request = id.0, client, line = %String::from_utf8_lossy(line).trim_end(), "ended");
+            note_answer(&mut self.server.violations, &time, now);
             match streams {
                 true => self.server.tear(client, now, &mut self.deadlines),
                 false => self.server.answer(client, id, &[line], now),
@@ -815,7 +851,8 @@
     // ---- What the engine orders -----------------------------------------------------------------------
 
     /// One turn: reads all that has come, sweeps deadlines, and carries out what the engine says of it all.
-    pub fn turn(&mut self, ready: impl IntoIterator<Item = Owner>) {
+    pub fn turn(&mut self, ready: impl IntoIterator<Item = Owner>, came_after: Micros) {
+        self.server.looked(came_after);
         ready.into_iter().for_each(|owner| self.ready(owner));
         self.send_out();
         self.sweep();
@@ -842,6 +879,7 @@
         }
         self.calls();
         self.send_out();
+        self.tell_violations();
         let handed = self.successor.as_ref().is_none_or(|s| s.link.is_flushed());
         let may_end = matches!(self.phase, Phase::Leaving | Phase::Draining | Phase::Refusing);
         if may_end && self.server.is_empty() && handed {
@@ -853,6 +891,15 @@
         }
     }
 
+    /// Tells what was done although it was not allowed, if something new was.
+    fn tell_violations(&mut self) {
+        let (engine, clients) = (self.engine.violations(), &self.server.violations);
+        let total = engine.total() + clients.total();
+        if total > std::mem::replace(&mut self.violations_told, total) {
+            warn!(attempts = %engine, clients = %clients, "not allowed, and done all the same");
+        }
+    }
+
     fn send_out(&mut self) {
         self.server.send_out(self.clock.now(), &mut self.deadlines);
     }
@@ -881,6 +928,11 @@
     }
 }
 
+/// Counts an answer that is given later than it may be.
+fn note_answer(violations: &mut Violations, time: &RequestTime, now: Micros) {
+    violations.note(if time.is_missed(now) { Err(Denial::AnsweredLate) } else { Ok(()) });
+}
+
 /// Why a member cannot be taken out or put back, as an operator is told.
 fn why_not(no: NoBan) -> &'static str {
     match no {
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -5,6 +5,8 @@
 use super::deadlines::{Deadline, Deadlines, Key};
 use super::{Handle, Owner, Socket};
 use calloop::{Interest, Mode, RegistrationToken};
+use lapisrudder::permit::{Close, Violations};
+use lapisrudder::time_limits::HOLD_UP;
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{self, Command, OwnedRequest};
 use lapisrudder_host::watch;
@@ -33,7 +35,7 @@
 /// A client that read all bytes of may have closed behind them: it is looked at again this much later.
 const LOOK_AGAIN: Micros = 50_000;
 /// What is read this long after the last turn may have waited for it, and its client may have left meanwhile.
-const STOOD_STILL: Micros = 100_000;
+const STOOD_STILL: Micros = 40_000;
 /// What can be opened at any time, to hold a descriptor.
 const SPARE: &str = "/dev/null";
 
@@ -43,6 +45,8 @@
         client: u64,
         request: RequestId,
         command: OwnedRequest,
+        /// It came later than this.
+        came_after: Micros,
     },
     Left {
         request: RequestId,
@@ -57,7 +61,22 @@
 #[derive(PartialEq)]
 enum State {
     Open,
-    Over,
+    Over(Closed),
+}
+
+/// Why a client's connection was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Closed {
+    /// Its peer has ended it, or it failed.
+    PeerEnded,
+    /// A request crossed the node's own close.
+    Crossed,
+    /// Its peer did not read, send on or close in time.
+    Stalled,
+    /// To make room, while nothing was owed on it.
+    ForRoom,
+    /// An answer that had begun cannot be finished.
+    AnswerTorn,
 }
 
 pub struct VirtualServer {
@@ -91,6 +110,14 @@
     unsure: VecDeque<(Micros, u64)>,
     /// The last turn in which clients were read from.
     turned: Micros,
+    /// What this turn finds on sockets came after this.
+    came_after: Micros,
+    /// Who waits to be accepted came after this.
+    queue_emptied: Micros,
+    /// Some waited there when it was last looked at.
+    queue_in_arrears: bool,
+    /// Closes and answers that were not allowed.
+    pub violations: Violations,
     pub news: VecDeque<News>,
     /// Large values whose servers may go on.
     pub resumed: Vec<RequestId>,
@@ -146,6 +173,10 @@
             dirty: Vec::new(),
             unsure: VecDeque::new(),
             turned: Micros::MIN / 2,
+            came_after: Micros::MIN / 2,
+            queue_emptied: Micros::MIN / 2,
+            queue_in_arrears: false,
+            violations: Violations::default(),
             news: VecDeque::new(),
             resumed: Vec::new(),
             unread: 0,
@@ -219,9 +250,12 @@
         if input.len() > HANDED_INPUT {
             return;
         }
-        let Some(id) = self.arrived(stream, peer, now, deadlines) else { return };
+        // The process that had it may have been held up before it sent it on.
+        let came_after = now - HOLD_UP;
+        let Some(id) = self.arrived(stream, peer, came_after, now, deadlines) else { return };
         if let Some(client) = self.clients.get_mut(&id) {
-            (client.input, client.unread, client.since_arrival) = (input, true, Micros::MIN);
+            client.has_come(came_after);
+            (client.input, client.since_arrival) = (input, Micros::MIN);
             self.admission.spoke(now, client.conn);
             self.touched.push(id);
         }
@@ -282,7 +316,7 @@
 
     /// It ends short of its length: the connection closes, which tells its client.
     pub fn tear(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
-        self.remove(id, now, deadlines);
+        self.remove(id, Closed::AnswerTorn, now, deadlines);
     }
 
     /// Connections of clients.
@@ -307,20 +341,38 @@
 
     // ---- Who gets in ----------------------------------------------------------------------------------
 
+    /// The loop has looked at the sockets: what it found came after this.
+    pub fn looked(&mut self, came_after: Micros) {
+        self.came_after = came_after;
+    }
+
+    /// Who is accepted now came after this. Where many wait, for long, it is not known who came when: then no more than a
+    /// hold-up is taken for granted.
+    fn queued_after(&self, now: Micros) -> Micros {
+        let known = if self.queue_in_arrears { now - HOLD_UP } else { self.came_after };
+        known.max(self.queue_emptied)
+    }
+
     /// Takes new connections as far as the limits have it. True if more may wait.
     pub fn accept(&mut self, now: Micros, deadlines: &mut Deadlines) -> bool {
         let Some(listener) = self.listener.clone().filter(|_| self.token.is_some()) else { return false };
         let most = match self.admission.accepting(now) {
             Accepting::Take(most) => most,
             Accepting::Pause { until } => {
+                self.queue_in_arrears = true;
                 self.pause(until, deadlines);
                 return false;
             }
         };
+        let came_after = self.queued_after(now);
+        self.queue_in_arrears = true;
         for _ in 0..most {
             match listener.accept() {
-                Ok((stream, peer)) => _ = self.arrived(stream, peer, now, deadlines),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
+                Ok((stream, peer)) => _ = self.arrived(stream, peer, came_after, now, deadlines),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    (self.queue_emptied, self.queue_in_arrears) = (now, false);
+                    return false;
+                }
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
                 // Guards against a loop that spins on EMFILE: the listener stays readable all the while.
@@ -339,6 +391,7 @@
         &mut self,
         stream: TcpStream,
         peer: SocketAddr,
+        came_after: Micros,
         now: Micros,
         deadlines: &mut Deadlines,
     ) -> Option<u64> {
@@ -366,7 +419,12 @@
         self.next_client += 1;
         match Socket::new(stream, &self.handle, Owner::Client(id)) {
             Ok(socket) => {
-                self.clients.insert(id, Client::new(conn, socket, now));
+                let mut client = Client::new(conn, socket, now);
+                if speaks {
+                    client.has_come(came_after);
+                    self.touched.push(id);
+                }
+                self.clients.insert(id, client);
                 self.names.insert(conn, id);
                 Some(id)
             }
@@ -497,23 +555,24 @@
 
     /// Closes a connection, unless something has come on it meanwhile: that is seen to first.
     fn close_idle(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) -> bool {
-        let comes = |c: &mut Client| !c.lingers() && c.look();
-        if self.clients.get_mut(&id).is_some_and(comes) {
+        let stays = |c: &mut Client| !c.lingers() && c.permit_close().is_err();
+        if self.clients.get_mut(&id).is_some_and(stays) {
             self.touched.push(id);
             return false;
         }
-        self.remove(id, now, deadlines);
+        self.remove(id, Closed::ForRoom, now, deadlines);
         true
     }
 
     /// The same, but reads on for a while, to see whether the close crossed a request.
     fn part(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        if client.look() {
+        if let Err(denial) = client.permit_close() {
+            debug!(client = id, %denial, "stays open");
             self.admission.spoke(now, client.conn);
             self.touched.push(id);
         } else if client.part(now).is_err() {
-            self.remove(id, now, deadlines);
+            self.remove(id, Closed::PeerEnded, now, deadlines);
         } else {
             self.watch(id, deadlines);
         }
@@ -524,8 +583,9 @@
         // Guards those whom the kernel has let in: they get in, or are told that there is no room, however full it is.
         let listener = self.listener.clone().filter(|_| self.token.is_some());
         let waiting = listener.iter().flat_map(|l| std::iter::from_fn(|| l.accept().ok()));
+        let came_after = self.queued_after(now);
         for (stream, peer) in waiting.take(BACKLOG as usize) {
-            self.arrived(stream, peer, now, deadlines);
+            self.arrived(stream, peer, came_after, now, deadlines);
         }
         self.token.take().into_iter().for_each(|token| self.handle.remove(token));
         self.listener = None;
@@ -587,8 +647,11 @@
         self.round = Some(deadlines.add(now + LOOK_ROUND, Deadline::LetGo));
     }
 
-    fn remove(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
+    fn remove(&mut self, id: u64, why: Closed, now: Micros, deadlines: &mut Deadlines) {
         let Some(mut client) = self.clients.remove(&id) else { return };
+        if why == Closed::ForRoom && !client.lingers() {
+            self.violations.note(Close { owed: !client.quiet(), unread: false }.check());
+        }
         self.unread -= client.counted;
         self.names.remove(&client.conn);
         self.admission.left(now, client.conn);
@@ -600,6 +663,7 @@
             _ => None,
         });
         let left: Vec<RequestId> = left.collect();
+        debug!(client = id, reason = ?why, owed = left.len(), "connection closed");
         self.news.extend(left.iter().map(|request| News::Left { request: *request }));
         left.into_iter().for_each(|request| self.over_with(request));
         match client.upload {
@@ -629,7 +693,7 @@
     /// A client's connection has something to tell: sends what waits, reads what has come.
     pub fn on_ready(&mut self, id: u64, scratch: &mut [u8], now: Micros, deadlines: &mut Deadlines) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        client.unread = true;
+        client.has_come(self.came_after);
         self.see_to(id, scratch, now, deadlines);
     }
 
@@ -646,20 +710,22 @@
         let state = match client.flush(now) {
             Ok(()) if client.lingers() => match client.drain(scratch) {
                 Drained::Nothing => State::Open,
-                Drained::Ended => State::Over,
+                Drained::Ended => State::Over(Closed::PeerEnded),
                 Drained::Crossed => {
                     self.admission.crossed(now, client.conn);
-                    State::Over
+                    State::Over(Closed::Crossed)
                 }
             },
             Ok(()) => self.read(id, scratch, now),
-            Err(_) => State::Over,
+            Err(_) => State::Over(Closed::PeerEnded),
         };
         let Some(client) = self.clients.get_mut(&id) else { return };
         // A client that closed its sending side only may still read what is ready.
         let flushed = client.flush(now).is_ok();
-        if state == State::Over || !flushed {
-            return self.remove(id, now, deadlines);
+        match state {
+            State::Over(why) => return self.remove(id, why, now, deadlines),
+            State::Open if !flushed => return self.remove(id, Closed::PeerEnded, now, deadlines),
+            State::Open => {}
         }
         self.resumed.extend(client.resumes());
         count(&mut self.unread, client);
@@ -689,7 +755,7 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.deadline = None;
         match client.due() {
-            Some(due) if due <= now => self.remove(id, now, deadlines),
+            Some(due) if due <= now => self.remove(id, Closed::Stalled, now, deadlines),
             _ => self.watch(id, deadlines),
         }
     }
@@ -698,13 +764,17 @@
         let Some(client) = self.clients.get_mut(&id).filter(|c| c.unread) else { return State::Open };
         // Danger: what had been taken was sent on long after its client had left, since nothing was read that told of it.
         if client.is_blind() {
-            return if client.has_left() { State::Over } else { State::Open };
+            client.forget_arrival();
+            return if client.has_left() { State::Over(Closed::PeerEnded) } else { State::Open };
         }
         // Danger: it left while its connection waited to be accepted, or the node stood still, and what it had asked was sent on.
         let waited = client.is_fresh() || now - self.turned > STOOD_STILL;
         if waited && client.has_left() {
-            return State::Over;
+            return State::Over(Closed::PeerEnded);
         }
+        // How long the first bytes of a large value have been here says nothing of its last.
+        let large = client.upload.is_some();
+        let came_after = if large { self.came_after } else { client.came_after(self.came_after) };
         let uploaded = client.upload.as_ref().map(Upload::needs);
         let whole;
         let buffer = match uploaded {
@@ -714,11 +784,11 @@
                     &whole[..]
                 }
                 Some(None) => return State::Open,
-                None => return State::Over,
+                None => return State::Over(Closed::PeerEnded),
             },
-            None => match client.read(scratch) {
+            None => match client.read(scratch, now) {
                 Some(buffer) => buffer,
-                None => return State::Over,
+                None => return State::Over(Closed::PeerEnded),
             },
         };
         let mut newest = None;
@@ -742,7 +812,8 @@
                             newest = Some(number);
                             client.slots.push_back(Slot::Waiting(number));
                             if let Some(command) = OwnedRequest::of(&request, raw) {
-                                self.news.push_back(News::Command { client: id, request: number, command });
+                                let news = News::Command { client: id, request: number, command, came_after };
+                                self.news.push_back(news);
                             }
                             None
                         }
@@ -770,7 +841,10 @@
             }
         }
         // Guards against a stall: whole commands may be left over here, and no edge tells of those.
-        client.unread |= !client.room();
+        if !client.room() {
+            client.unread = true;
+            client.forget_arrival();
+        }
         let rest = &buffer[taken..];
         if let Some(total) = memcache::large_command(rest).filter(|_| client.room()) {
             let mut upload = Upload { bytes: rest.to_vec(), total, admitted: false };
--- a/tests/held_up.rs
+++ b/tests/held_up.rs
@@ -85,10 +85,14 @@
             let mut client = node.client();
             let asked = Instant::now();
             client.begin_read(&format!("{held_from}x{n}"), WAIT_MS);
+            // The client reads on while the node is held up: an answer counts when it comes.
+            let reads = thread::spawn(move || {
+                client.answer();
+                asked.elapsed()
+            });
             thread::sleep(Duration::from_millis(held_from).saturating_sub(asked.elapsed()));
             let (held, ()) = hold_up(&node, || ());
-            client.answer();
-            (held, asked.elapsed())
+            (held, reads.join().expect("an answer"))
         });
         assert!(in_time(took), "held up from {held_from} ms on: {took:?}");
     }
