--- a/tests/held_up.rs
+++ b/tests/held_up.rs
@@ -97,3 +97,32 @@
         assert!(in_time(took), "held up from {held_from} ms on: {took:?}");
     }
 }
+
+/// Danger: a node that was told to stop while it was held up counted its last moments from when it heard of it, and was
+/// killed before they came.
+#[test]
+fn a_node_told_to_stop_while_it_is_held_up_ends_in_its_time() {
+    /// What is still owed so long after the longest deadline fails: a hold-up more, and the node is killed.
+    const LAST_CALL: Duration = Duration::from_millis(450);
+    let world = world(spec(&["a"]), ids(1));
+    world.control().pause(no(&world, "a"), 60_000_000).expect("paused");
+    let discovery = world.addresses().discovery(0).expect("discovery");
+    let settings = SETTINGS.replace(r#""give-up-s":2.5"#, r#""give-up-s":0.3"#);
+    let settings = settings.replace(r#""give-up-s":5.0"#, r#""give-up-s":0.3"#);
+    let took = took(|n| {
+        let node = Node::set(discovery, &settings);
+        node.until_ready();
+        let mut client = node.client();
+        client.begin_read(&format!("stop{n}"), 60_000);
+        until(|| asked(&world, "a") > n);
+        let (held, told) = hold_up(&node, || {
+            let told = Instant::now();
+            node.signal("-TERM");
+            told
+        });
+        assert_eq!(client.answer(), "SERVER_ERROR failed\r\n");
+        (held, told.elapsed())
+    });
+    let longest = Duration::from_millis(300);
+    assert!(took <= longest + LAST_CALL + SLACK, "{took:?}");
+}
