--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -229,8 +229,10 @@
     pub hint: Option<Micros>,
     /// The client marked it as a repeat.
     pub repeated: bool,
-    /// When the client gives up on this try.
+    /// When its final answer is given at the latest.
     pub due: Micros,
+    /// The client waits so much longer: what the host keeps back so that the answer is in time.
+    pub reserve: Micros,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/decisions/src/pressure.rs
+++ b/crates/decisions/src/pressure.rs
@@ -1,7 +1,7 @@
 //! How much of what comes is turned away while servers are short of room, by how long their answers take. No I/O, no
 //! clock, no draws.
 
-use crate::interface::Settings;
+use crate::interface::{Micros, Settings};
 
 /// Pressure (time of cache answers over their aim) from which surplus is shed, later by what it is worth, and
 /// from which all is; over the span shedding grows. Where balancers outnumber servers, and no surplus can go
@@ -13,6 +13,13 @@
 /// In a shortage surplus goes, in a jam most of the rest; were it all, no answer would tell of its end.
 const MOST: f64 = 0.9;
 
+/// How much pressure an answer shows that took so long, or a time-out after so long. Danger: time-outs that came sooner by what is
+/// kept in reserve for hold-ups showed less of a jam, and less was shed.
+pub(crate) fn felt(took: Micros, served: bool, reserve: Micros, aim: Micros) -> f64 {
+    let waited = if served { took } else { took + reserve };
+    (waited as f64 / aim.max(1) as f64).min(2.0)
+}
+
 /// The part of requests that goes under such pressure, over or within a tenant's share, where there are so many servers.
 pub(crate) fn shed(settings: &Settings, servers: f64, pressure: f64, surplus: bool) -> f64 {
     let blind = f64::from(settings.siblings) > servers && settings.tenants.is_empty();
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -385,13 +385,14 @@
         let Some(a) = self.requests.ended(id, end.attempt, end.outcome) else { return };
         let Some(r) = self.requests.get(id) else { return };
         let (load, class, write, key, aim) = (r.load, r.new.class, r.new.write, r.key, r.aim);
+        let reserve = r.new.reserve;
         // Danger: an origin that has left the list would leave the reads that joined its fetches waiting.
         let aside = self.settings.mode == Mode::Aside;
         let origin = aside && a.fetch.is_some()
             || self.servers.find(a.server).is_some_and(|i| self.servers.all[i].origin);
         self.note_server(&a, load, aim, &end);
         let far = self.note_path(aim, &end);
-        self.note_time(class, origin || far, &end);
+        self.note_time(class, origin || far, reserve, &end);
         if end.outcome == Outcome::Served && !origin && !write {
             self.table.set_holder(key, a.server);
         }
@@ -556,7 +557,7 @@
     }
 
     /// Learns from the time of an answer, or from its lack: the class's usual time, the pressure, the pace.
-    fn note_time(&mut self, class: usize, origin: bool, end: &Ended) {
+    fn note_time(&mut self, class: usize, origin: bool, reserve: Micros, end: &Ended) {
         let Some(aim) = self.settings.classes.get(class).filter(|_| !origin).map(|c| c.aim) else { return };
         let (took, served) = (end.took as f64, end.outcome == Outcome::Served);
         if served {
@@ -582,7 +583,7 @@
         }
         // Danger: in a large fleet hardly a read's copy is known; without those time-outs no jam is seen.
         if served || end.outcome == Outcome::TimedOut {
-            self.learned.pressure.add((took / aim.max(1) as f64).min(2.0), GAIN);
+            self.learned.pressure.add(pressure::felt(end.took, served, reserve, aim), GAIN);
         }
     }
 
--- a/crates/decisions/tests/all_cold/world.rs
+++ b/crates/decisions/tests/all_cold/world.rs
@@ -451,6 +451,7 @@
                         hint: None,
                         repeated: tries > 0,
                         due,
+                        reserve: 0,
                     }),
                 );
             }
--- a/crates/decisions/tests/copies/world.rs
+++ b/crates/decisions/tests/copies/world.rs
@@ -103,6 +103,7 @@
         hint: None,
         repeated: false,
         due: now + 2 * S,
+        reserve: 0,
     })
 }
 
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -19,8 +19,10 @@
     pub hint: Option<Micros>,
     /// The client marked it as a repeat.
     pub repeated: bool,
-    /// When the client gives up. Held to [`LONGEST_HELD`](crate::LONGEST_HELD) from when it is taken.
+    /// When its final answer is given at the latest. Held to [`LONGEST_HELD`](crate::LONGEST_HELD) from when it is taken.
     pub due: Micros,
+    /// The client waits so much longer: what the host keeps back so that the answer is in time.
+    pub reserve: Micros,
 }
 
 impl Request {
@@ -35,6 +37,7 @@
             hint: self.hint,
             repeated: self.repeated,
             due: self.due,
+            reserve: self.reserve,
         }
     }
 }
--- a/crates/engine/tests/world/mod.rs
+++ b/crates/engine/tests/world/mod.rs
@@ -263,6 +263,7 @@
             hint: None,
             repeated: false,
             due,
+            reserve: 0,
         };
         let number = RequestId(self.asked);
         self.engine.take(self.now, number, request.clone()).map_err(|e| e.to_string())?;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -153,6 +153,7 @@
             hint: line.cost.map(micros).filter(|c| *c > 0),
             repeated: line.resent.unwrap_or(false),
             due: micros(need(line.due, "due-s")?),
+            reserve: 0,
         }),
         "begun" => Event::Started { request: request()?, attempt: need(line.shot, "shot")? },
         "response" => Event::Ended(Ended {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -74,6 +74,7 @@
             hint: None,
             repeated: false,
             due: self.now + 2 * S,
+            reserve: 0,
         };
         (request, self.event(Event::Request(new)))
     }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -354,6 +354,7 @@
             hint: None,
             repeated: false,
             due: desk.now + 2 * S,
+            reserve: 0,
         }));
         answers[tenant].0 += i32::from(sent_to(&actions).is_some());
         answers[tenant].1 += i32::from(refused(&actions));
@@ -424,6 +425,42 @@
     assert_eq!(refusals(20 * MS), 0);
 }
 
+/// Danger: a time-out that comes sooner, so that the answer is in time after a hold-up, showed less of a jam: less was shed.
+#[test]
+fn a_time_out_counts_for_as_long_as_its_client_would_have_waited() {
+    let refusals = |took, reserve| {
+        let mut desk = Desk::of(3);
+        let mut refusals = 0;
+        for key in 0..400 {
+            desk.next += 1;
+            let request = RequestId(desk.next);
+            let new = NewRequest {
+                request,
+                key: Some(Key(key % 5)),
+                write: false,
+                class: 0,
+                tenant: 0,
+                hint: None,
+                repeated: false,
+                due: desk.now + took,
+                reserve,
+            };
+            let actions = desk.event(Event::Request(new));
+            refusals += usize::from(refused(&actions));
+            let Some(server) = sent_to(&actions) else { continue };
+            // Every other one is served, so that no server looks silent.
+            match key % 2 {
+                0 => desk.ended_after(request, server, Outcome::Served, 400 * MS),
+                _ => desk.ended_after(request, server, Outcome::TimedOut, took),
+            };
+        }
+        refusals
+    };
+    let sheds = refusals(600 * MS, 110 * MS);
+    assert!(sheds > refusals(600 * MS, 0), "{sheds} {}", refusals(600 * MS, 0));
+    assert_eq!(sheds, refusals(710 * MS, 0));
+}
+
 #[test]
 fn a_lost_list_is_asked_for_again_in_time() {
     let mut settings = settings();
@@ -831,6 +868,7 @@
             hint,
             repeated: false,
             due,
+            reserve: 0,
         };
         let server = sent_to(&desk.event(Event::Request(new))).expect("sent");
         let counted = desk.balancer.in_flight(server);
