Hold what a client that sends without end left unread to the age of one hold-up

What a full read leaves kept the arrival of the first bytes for as long as each read was full, so that a client that sends without end would be refused as out of time.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -3,6 +3,7 @@
 use super::Socket;
 use super::deadlines::Key;
 use lapisrudder::permit::{Close, Denial};
+use lapisrudder::time_limits::HOLD_UP;
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{MAX_LINE, MAX_WHOLE};
 use lapisrudder_limits::{Activity, ConnId};
@@ -298,7 +299,10 @@
                 0
             }
         };
-        if !self.unread {
+        if self.unread {
+            // Guards one that sends without end, whose first bytes came long ago: what is left came since, or in a hold-up.
+            self.came_after = self.came_after.map(|after| after.max(now - HOLD_UP));
+        } else {
             (self.came_after, self.emptied) = (None, now);
         }
         Some(&scratch[..held + read])
