Log each attempt with its request, server and outcome, and each refusal by the limits, at debug

The incident's logs could not tell which attempts of a request went where, or why they ended. Off by default (level info); lines are formatted only where the level is on.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -18,6 +18,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use thiserror::Error;
+use tracing::debug;
 
 /// A transaction that has no final answer this long after its time gets one from the engine itself.
 pub const OVERDUE: Micros = 10_000;
@@ -467,6 +468,13 @@
         let deadline = Some(self.deadlines.add(until.min(begin), Deadline::Flow(id)));
         transaction.flows.push(FlowState { server, sent: now, until, deadline, ended: None });
         let call = transaction.call.clone();
+        debug!(
+            request = %String::from_utf8_lossy(call.request.command.id()),
+            attempt = id.attempt,
+            server = server.0,
+            wait_us = until - now,
+            "attempt"
+        );
         if call.answered() || until.min(begin) <= now {
             return self.transactions.flow_ended(id, Outcome::NeverSent, None, now, &mut self.deadlines);
         }
--- a/crates/engine/src/transactions.rs
+++ b/crates/engine/src/transactions.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
+use tracing::debug;
 
 pub(crate) struct FlowState {
     pub server: ServerId,
@@ -164,6 +165,13 @@
             return;
         };
         state.ended = Some(outcome);
+        debug!(
+            request = %String::from_utf8_lossy(transaction.call.request.command.id()),
+            attempt = flow.attempt,
+            server = state.server.0,
+            ?outcome,
+            "attempt ended"
+        );
         deadlines.remove(state.deadline.take());
         let (server, sent) = (state.server, state.sent);
         let stream = transaction.streams.filter(|stream| stream.attempt == flow.attempt);
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -727,6 +727,7 @@
         let due = time.answer_by.max(now);
         debug!(
             request = %String::from_utf8_lossy(request.id),
+            number = id.0,
             client,
             class = %String::from_utf8_lossy(name),
             wait_ms = wait,
@@ -739,6 +740,7 @@
         let ticket = match self.server.intake(client, &facts, now) {
             Intake::Take { ticket } => ticket,
             Intake::Refuse { retry_ms, .. } => {
+                debug!(request = %String::from_utf8_lossy(request.id), retry_ms, "refused by the limits");
                 let line = format!("SERVER_ERROR busy {}\r\n", retry_ms.max(1));
                 return self.server.answer(client, id, &[line.as_bytes()], now);
             }
@@ -812,7 +814,7 @@
     fn end(&mut self, id: RequestId, line: &[u8]) {
         if let Some(Owed { client, ticket, streams, time }) = self.ledger.take(id) {
             let now = self.clock.now();
-            debug!(request = id.0, client, line = %String::from_utf8_lossy(line).trim_end(), "ended");
+            debug!(number = id.0, client, line = %String::from_utf8_lossy(line).trim_end(), "ended");
             note_answer(&mut self.server.violations, &time, now);
             match streams {
                 true => self.server.tear(client, now, &mut self.deadlines),
