Pair hold-ups, build requests and write faults in one place each; ask the permit at the send

The lab paired stops and continues twice (context::hold_ups serves both). Engine::send asks Begin, as the write does, in place of its own copy of the check.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -172,7 +172,7 @@
         let command = OwnedRequest::compose(&parts).map_err(BadRequest::Command)?;
         let key = Key(digest(&String::from_utf8_lossy(&request.key)));
         let repeated = request.repeated;
-        Ok((engine::Request { command, key, class, tenant: 0, hint: None, repeated, due, reserve: 0 }, place))
+        Ok((engine::Request { repeated, ..engine::Request::new(command, key, class, due) }, place))
     }
 }
 
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -11,7 +11,7 @@
 use crate::transactions::{FlowState, Transaction, Transactions};
 use lapisrudder_codec::memcache::{self, ReadNote};
 use lapisrudder_decisions::maintenance::{Ban, Maintenance, NoBan};
-use lapisrudder_decisions::permit::Violations;
+use lapisrudder_decisions::permit::{Begin, Violations};
 use lapisrudder_decisions::{
     Action, Balancer, CacheNote, Event, Listed, Micros, Outcome, RequestId, Scope, ServerId, Settings,
 };
@@ -475,15 +475,13 @@
             wait_us = until - now,
             "attempt"
         );
-        if call.answered() || until.min(begin) <= now {
+        let begin_by = begin;
+        let permit = Begin { now, owed: !call.answered(), until, begin_by, server_open: true };
+        // Whether its server is open is the pool's to say.
+        if permit.check().is_err() {
             return self.transactions.flow_ended(id, Outcome::NeverSent, None, now, &mut self.deadlines);
         }
-        self.pool.send(
-            server,
-            Flow { id, call, until, begin_by: begin, moved: false },
-            now,
-            &mut self.deadlines,
-        );
+        self.pool.send(server, Flow { id, call, until, begin_by, moved: false }, now, &mut self.deadlines);
     }
 
     /// The answer to a flow is waited for on, unless it has not been sent and may not be any more. Danger: a repeat waited for a
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -47,8 +47,7 @@
 //! // A request is taken: the engine wants a connection.
 //! let parts = Parts { key: b"teacher-12", id: b"a1", class: b"read", wait_ms: 900, ..Parts::default() };
 //! let command = OwnedRequest::compose(&parts)?;
-//! let request =
-//!     Request { command, key: Key(12), class: 0, tenant: 0, hint: None, repeated: false, due: 900_000, reserve: 0 };
+//! let request = Request::new(command, Key(12), 0, 900_000);
 //! engine.take(10, RequestId(1), request)?;
 //! let Some(Order::Connect { conn, to }) = engine.poll_order(10) else { panic!() };
 //! assert_eq!((to, engine.poll_order(10)), (endpoint, None));
--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -30,16 +30,7 @@
         };
         let parts = Parts { key: b"k", id: b"9", class: b"r", wait_ms: 1, ..Parts::default() };
         let command = OwnedRequest::compose(&parts).unwrap();
-        let request = Request {
-            command,
-            key: Key(1),
-            class: 0,
-            tenant: 0,
-            hint: None,
-            repeated: false,
-            due: 9,
-            reserve: 0,
-        };
+        let request = Request::new(command, Key(1), 0, 9);
         let mut desk = Desk {
             pool: Pool::new(limits),
             deadlines: Deadlines::default(),
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -26,6 +26,11 @@
 }
 
 impl Request {
+    /// A request of no tenant, with no hint and no reserve, that is not marked as a repeat.
+    pub fn new(command: OwnedRequest, key: Key, class: usize, due: Micros) -> Request {
+        Request { command, key, class, tenant: 0, hint: None, repeated: false, due, reserve: 0 }
+    }
+
     /// The same for the decisions.
     pub(crate) fn event(&self, request: RequestId) -> NewRequest {
         NewRequest {
--- a/crates/engine/tests/books.rs
+++ b/crates/engine/tests/books.rs
@@ -37,8 +37,7 @@
     let parts = Parts { key: b"k", id: id.as_bytes(), class: b"read", wait_ms: 900, ..Parts::default() };
     let command = OwnedRequest::compose(&parts).unwrap();
     let due = now + 900_000;
-    let request =
-        Request { command, key: Key(key), class: 0, tenant: 0, hint: None, repeated: false, due, reserve: 0 };
+    let request = Request::new(command, Key(key), 0, due);
     engine.take(now, RequestId(number), request).unwrap();
     drain(engine, now)
 }
--- a/crates/engine/tests/large.rs
+++ b/crates/engine/tests/large.rs
@@ -68,16 +68,7 @@
     engine.listed(Scope::Full, vec![member(1), member(2)]);
     let parts = Parts { key: b"k", id: b"a1", class: b"read", wait_ms: 9000, ..Parts::default() };
     let command = OwnedRequest::compose(&parts).unwrap();
-    let request = Request {
-        command,
-        key: Key(1),
-        class: 0,
-        tenant: 0,
-        hint: None,
-        repeated: false,
-        due: 9_000_000,
-        reserve: 0,
-    };
+    let request = Request::new(command, Key(1), 0, 9_000_000);
     engine.take(10, RequestId(1), request).unwrap();
     let first = turn(&mut engine, 10)[0];
     // It stays silent, so that a copy goes to the other server, which has the value.
--- a/crates/engine/tests/turn.rs
+++ b/crates/engine/tests/turn.rs
@@ -24,16 +24,7 @@
     let value = write.then_some(&b"v"[..]);
     let parts = Parts { key: b"k", id: id.as_bytes(), class: b"r", wait_ms: 900, value, ..Parts::default() };
     let command = OwnedRequest::compose(&parts).unwrap();
-    Request {
-        command,
-        key: Key(1),
-        class: 0,
-        tenant: 0,
-        hint: None,
-        repeated: false,
-        due: 900_000,
-        reserve: 0,
-    }
+    Request::new(command, Key(1), 0, 900_000)
 }
 
 #[test]
--- a/crates/engine/tests/world/mod.rs
+++ b/crates/engine/tests/world/mod.rs
@@ -255,16 +255,7 @@
         };
         let command = OwnedRequest::compose(&parts).map_err(str::to_string)?;
         let due = self.now + Micros::from(wait_ms) * 1000;
-        let request = Request {
-            command,
-            key: Key(u64::from(key) + 1),
-            class: usize::from(dear),
-            tenant: 0,
-            hint: None,
-            repeated: false,
-            due,
-            reserve: 0,
-        };
+        let request = Request::new(command, Key(u64::from(key) + 1), usize::from(dear), due);
         let number = RequestId(self.asked);
         self.engine.take(self.now, number, request.clone()).map_err(|e| e.to_string())?;
         check(self.engine.take(self.now, RequestId(u64::MAX), request).is_err(), || "one id twice".into())?;
--- a/crates/host/src/attention.rs
+++ b/crates/host/src/attention.rs
@@ -7,7 +7,7 @@
 use lapisrudder_decisions::Micros;
 use std::time::Duration;
 
-/// A host with clients waits no longer than this for something to happen before it looks at its clock again. Guards
+/// A host waits no longer than this for something to happen before it looks at its clock again. Guards
 /// requests: one that comes in a hold-up may have come right after the last look, and loses this much of its time.
 pub const LONGEST_LOOK: Micros = 20_000;
 /// A wait that lasts so much longer than it should was a hold-up, and is told.
@@ -39,8 +39,8 @@
         wait
     }
 
-    /// The look has ended, and found something or not. Gives the time that [`Attention::came_after`] tells for what it
-    /// found, and for how long the process was held up, if that was long.
+    /// The look has ended, and found something or not. Gives since when that can have come, and for how long the process
+    /// was held up, if that was long.
     pub fn end(&mut self, now: Micros, found: bool) -> Look {
         let came_after = self.found_before;
         // With nothing found, the sockets were looked at when the wait was over; else at any time since it began.
--- a/crates/lab/src/check/context.rs
+++ b/crates/lab/src/check/context.rs
@@ -5,6 +5,7 @@
 use crate::ledger::{Answer, ClientEvent, ConnNo, Index, LabEvent, Ledger, NodeEvent, NodeNo};
 use crate::ledger::{ReqId, ServerEvent, ServerNo, Signal, Try};
 use crate::{Micros, millis};
+use rustc_hash::FxHashMap;
 
 /// A run and what it was to be.
 pub(super) struct Context<'a> {
@@ -121,19 +122,9 @@
 
     /// When the last hold-up of a node's process ended that overlaps this time.
     pub(super) fn held_up_until(&self, node: NodeNo, from: Micros, until: Micros) -> Option<Micros> {
-        let mut since = None;
-        let mut last = None;
-        for r in self.ledger.nodes.records() {
-            match r.event {
-                NodeEvent::Signalled { node: n, signal: Signal::Stop } if n == node => since = Some(r.at),
-                NodeEvent::Signalled { node: n, signal: Signal::Continue } if n == node => {
-                    let overlaps = since.take().is_some_and(|since| since <= until && from <= r.at);
-                    last = if overlaps { Some(r.at) } else { last };
-                }
-                _ => {}
-            }
-        }
-        last
+        let ours = hold_ups(self.ledger).filter(|held| held.node == node && !held.killed);
+        let overlapping = ours.filter(|held| held.from <= until && from <= held.until);
+        overlapping.last().map(|held| held.until)
     }
 
     /// All whole attempts of a try, in the order of their first bytes.
@@ -202,6 +193,34 @@
     }
 }
 
+/// A time for which the lab held a node's process up.
+pub(super) struct HeldUp {
+    pub(super) node: NodeNo,
+    pub(super) from: Micros,
+    pub(super) until: Micros,
+    /// It was killed, and did not go on.
+    pub(super) killed: bool,
+}
+
+/// All hold-ups of nodes, in the order of their ends.
+pub(super) fn hold_ups(ledger: &Ledger) -> impl Iterator<Item = HeldUp> {
+    let mut stopped = FxHashMap::default();
+    ledger.nodes.records().iter().filter_map(move |r| {
+        let NodeEvent::Signalled { node, signal } = r.event else { return None };
+        match signal {
+            Signal::Stop => {
+                stopped.entry(node).or_insert(r.at);
+                None
+            }
+            Signal::Continue | Signal::Kill => {
+                let killed = signal == Signal::Kill;
+                stopped.remove(&node).map(|from| HeldUp { node, from, until: r.at, killed })
+            }
+            Signal::Term | Signal::Hup => None,
+        }
+    })
+}
+
 /// From the beginnings to the ends of the faults that fit, in order.
 fn stretches(ledger: &Ledger, end: Micros, fits: impl Fn(usize) -> bool) -> Vec<(Micros, Micros)> {
     let mut open: Vec<(u16, Micros)> = Vec::new();
--- a/crates/lab/src/check/late_lab.rs
+++ b/crates/lab/src/check/late_lab.rs
@@ -1,9 +1,9 @@
 //! Whether the lab itself was the slow part. A run in which it was is void: it says nothing about the node.
 
+use super::context::hold_ups;
 use crate::experiment::{Experiment, LONGEST_HOLD_UP_MS};
-use crate::ledger::{LabEvent, Ledger, NodeEvent, Signal};
+use crate::ledger::{LabEvent, Ledger};
 use crate::{Micros, millis};
-use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
 /// How late the lab was.
@@ -72,16 +72,5 @@
 /// The longest time from a process being stopped to its going on. A lab that is late holds a node up for longer than it has to
 /// bear.
 fn longest_hold_up(ledger: &Ledger) -> Micros {
-    let mut stopped = FxHashMap::default();
-    let mut longest = 0;
-    for r in ledger.nodes.records() {
-        match r.event {
-            NodeEvent::Signalled { node, signal: Signal::Stop } => _ = stopped.entry(node).or_insert(r.at),
-            NodeEvent::Signalled { node, signal: Signal::Continue | Signal::Kill } => {
-                longest = longest.max(stopped.remove(&node).map_or(0, |at| r.at - at));
-            }
-            _ => {}
-        }
-    }
-    longest
+    hold_ups(ledger).map(|held| held.until - held.from).max().unwrap_or(0)
 }
--- a/crates/lab/src/faults/hands.rs
+++ b/crates/lab/src/faults/hands.rs
@@ -262,13 +262,9 @@
             }
             Step::SlowOff => load.tell(Command::Slow(of.0 as u16, None)),
             Step::Term(node, rest) => self.stop(node, rest, load),
-            Step::KillNode(node) => {
-                if let Some(nodes) = &mut self.nodes {
-                    nodes.signal(node, Signal::Kill);
-                }
-            }
-            Step::HoldUp(node) => self.hold_up(node, Signal::Stop),
-            Step::GoOn(node) => self.hold_up(node, Signal::Continue),
+            Step::KillNode(node) => self.signal(node, Signal::Kill),
+            Step::HoldUp(node) => self.signal(node, Signal::Stop),
+            Step::GoOn(node) => self.signal(node, Signal::Continue),
             Step::StartNode(node) => self.start_again(node, load)?,
             Step::Hup(node, set) => {
                 if let Some(nodes) = &mut self.nodes {
@@ -280,8 +276,7 @@
         Ok(())
     }
 
-    /// Stops a node's process where it is, or lets it go on.
-    fn hold_up(&mut self, node: usize, signal: Signal) {
+    fn signal(&mut self, node: usize, signal: Signal) {
         if let Some(nodes) = &mut self.nodes {
             nodes.signal(node, signal);
         }
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -620,7 +620,7 @@
         let key = Key(digest(&String::from_utf8_lossy(request.key)));
         let repeated = request.named(b"r") == Some(b"1");
         let id: Box<[u8]> = request.id.into();
-        let request = Request { command, key, class, tenant: 0, hint: None, repeated, due, reserve: 0 };
+        let request = Request { repeated, ..Request::new(command, key, class, due) };
         match self.engine.take(now, RequestId(number), request) {
             Ok(()) => {
                 cx.counts.taken += 1;
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -56,18 +56,14 @@
         let per_min = between(draws, 2.0, 8.0);
         let lasts = between(draws, 0.3, size.seconds / 4.0);
         if draws.random_bool(SWITCHED_ON) {
-            push(&mut text, number, &fault, per_min, lasts, size);
+            let until = size.seconds - 1.0;
+            let when =
+                format!("random = {{ per_min = {per_min:.1}, from_s = {FIRST}, until_s = {until:.1} }}");
+            push(&mut text, &format!("{}-{number}", fault.kind()), &fault, &when, lasts);
         }
     }
-    let hold_ups =
-        Drawn::new("{ nodes = {} }", format!("{{ hold-ups = {{ ms = 120, every_s = {:.1} }} }}", 1.5));
-    let _ = write!(
-        text,
-        "[[fault]]\nname = \"hold-ups\"\nwho = {}\nwhat = {}\nwhen = {{ at = [1.0] }}\nfor_s = {:.1}\n",
-        hold_ups.who,
-        hold_ups.what,
-        size.seconds - 1.0
-    );
+    let hold_ups = Drawn::new("{ nodes = {} }", "{ hold-ups = { ms = 120, every_s = 1.5 } }");
+    push(&mut text, "hold-ups", &hold_ups, "at = [1.0]", size.seconds - 1.0);
     text
 }
 
@@ -81,6 +77,11 @@
     fn new(who: impl Into<String>, what: impl Into<String>) -> Drawn {
         Drawn { who: who.into(), what: what.into() }
     }
+
+    /// The name of what it is.
+    fn kind(&self) -> &str {
+        self.what.split(['{', '"', '=']).map(str::trim).find(|word| !word.is_empty()).unwrap_or("fault")
+    }
 }
 
 /// A kind of fault, drawn.
@@ -163,16 +164,12 @@
     format!("{{ network = {{ from = {{ nodes = {{}} }}, to = {} }} }}", some_servers(draws))
 }
 
-fn push(text: &mut String, number: usize, fault: &Drawn, per_min: f64, lasts: f64, size: &SoakSize) {
-    let kind =
-        fault.what.split(['{', '"', '=']).map(str::trim).find(|word| !word.is_empty()).unwrap_or("fault");
+/// Adds a fault to the experiment's text.
+fn push(text: &mut String, name: &str, fault: &Drawn, when: &str, lasts: f64) {
+    let Drawn { who, what } = fault;
     let _ = write!(
         text,
-        "[[fault]]\nname = \"{kind}-{number}\"\nwho = {}\nwhat = {}\n\
-         when = {{ random = {{ per_min = {per_min:.1}, from_s = {FIRST}, until_s = {:.1} }} }}\nfor_s = {lasts:.1}\n",
-        fault.who,
-        fault.what,
-        size.seconds - 1.0
+        "[[fault]]\nname = \"{name}\"\nwho = {who}\nwhat = {what}\nwhen = {{ {when} }}\nfor_s = {lasts:.1}\n"
     );
 }
 
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -266,7 +266,7 @@
     /// Something has come, later than `after`.
     pub fn has_come(&mut self, after: Micros) {
         self.unread = true;
-        self.came_after.get_or_insert(after.max(self.emptied));
+        self.came_after(after);
     }
 
     /// What is read next came after this, if nothing more is known of it than that it came after `after`.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -748,7 +748,7 @@
         let key = lapisrudder::Key(digest(&String::from_utf8_lossy(request.key)));
         let repeated = request.named(b"r") == Some(b"1");
         let reserve = time.due - time.answer_by;
-        let request = Request { command, key, class, tenant: 0, hint: None, repeated, due, reserve };
+        let request = Request { repeated, reserve, ..Request::new(command, key, class, due) };
         match self.engine.take(now, id, request) {
             Ok(()) => self.ledger.add(id, Owed { client, ticket, streams: false, time }),
             Err(what) => {
