--- a/crates/client/src/thread.rs
+++ b/crates/client/src/thread.rs
@@ -10,7 +10,7 @@
 use lapisrudder_config::{Options, Target};
 use lapisrudder_decisions::{Micros, RequestId, Scope, ServerId, Stage};
 use lapisrudder_engine::{self as engine, Answers, Conn, Engine, Final, Member, Order, TakeError};
-use lapisrudder_host::{Clock, Discovery, Members, News, Noted};
+use lapisrudder_host::{COME_BACK, Clock, Discovery, Members, News, Noted};
 use rustc_hash::FxHashMap;
 use std::collections::BTreeMap;
 use std::io;
@@ -18,10 +18,14 @@
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
 use tokio::sync::{Semaphore, watch};
-use tracing::{debug, error, info, info_span};
+use tracing::{debug, info, info_span, warn};
 
 /// Snapshots are told at most this often.
 const TELL_EVERY: Micros = 100_000;
+/// After the loop has failed it is tried again so soon.
+const LOOP_AGAIN: Duration = Duration::from_millis(1);
+/// The thread and its loop are tried to be had for this long.
+const START_PATIENCE: Duration = Duration::from_secs(1);
 /// What is read from a connection at a time: a whole answer with room to spare.
 const SCRATCH: usize = 128 << 10;
 
@@ -89,13 +93,14 @@
                 break;
             }
             if let Err(e) = events.dispatch(host.until_next(), &mut ready) {
-                error!("the loop failed: {e}");
-                break;
+                warn!("the loop failed, all is looked at: {e}");
+                host.look_at_all();
+                std::thread::sleep(LOOP_AGAIN);
             }
         }
         info!("ended");
     };
-    std::thread::Builder::new().name("lapisrudder".into()).spawn(run)?;
+    lapisrudder_io::spawn(START_PATIENCE, || std::thread::Builder::new().name("lapisrudder".into()), run)?;
     begun.recv().map_err(|_| io::Error::other("the thread has ended at once"))??;
     Ok(Client::new(shared, stats))
 }
@@ -229,10 +234,29 @@
         let held = self.held.values().map(|request| request.due).min();
         let discovery = self.discovery.as_ref().and_then(Discovery::next_wake);
         let tell = self.untold.then_some(self.told + TELL_EVERY);
-        let next = [self.engine.next_wake(), held, discovery, tell].into_iter().flatten().min();
+        let behind = self.members.is_behind() || self.discovery.as_ref().is_some_and(Discovery::is_behind);
+        let comes_back = behind.then(|| self.clock.now() + COME_BACK);
+        let next = [self.engine.next_wake(), held, discovery, tell, comes_back].into_iter().flatten().min();
         next.map(|at| self.clock.until(at))
     }
 
+    /// Comes back to what failed for a moment.
+    fn come_back(&mut self) {
+        let now = self.clock.now();
+        let Host { members, scratch, engine, ledger, .. } = self;
+        members.retry(scratch, engine, ledger, now);
+        if let Some(discovery) = &mut self.discovery {
+            discovery.retry(&mut self.scratch, &self.options, now);
+        }
+        self.news();
+    }
+
+    /// The loop has failed, and may have lost what it had to tell: edges come once.
+    fn look_at_all(&mut self) {
+        self.members.look_at_all();
+        self.discovery.iter_mut().for_each(Discovery::look_again);
+    }
+
     /// All is answered, and nobody can ask any more.
     fn is_over(&self) -> bool {
         let done = self.ledger.stats.phase == Phase::Closing && self.ledger.owed.is_empty();
@@ -242,6 +266,7 @@
     /// One turn: reads all that has come, sweeps deadlines, and carries out what the engine says of it all.
     fn turn(&mut self, ready: impl IntoIterator<Item = Owner>) {
         let began = self.clock.now();
+        self.come_back();
         ready.into_iter().for_each(|owner| self.ready(owner));
         self.take_commands();
         let now = self.clock.now();
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -3,7 +3,6 @@
 use crate::operators::{Refusal, Section};
 use lapisrudder_membership::{Key, MOST_SEEDS, Name, Settings};
 use serde::{Deserialize, Serialize};
-use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
@@ -70,7 +69,7 @@
     /// The file cannot be read, or a line of it is no key.
     pub fn keys(&self) -> Result<Vec<Key>, Refusal> {
         let Some(path) = &self.key_file else { return Ok(Vec::new()) };
-        let text = fs::read_to_string(path)
+        let text = lapisrudder_io::read_text(path)
             .map_err(|e| refusal("key_file", format!("cannot read {}: {e}", path.display())))?;
         let lines = text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty());
         let keys: Vec<Key> = lines
--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -149,6 +149,12 @@
         Problems(problems)
     }
 
+    /// A file could not be read, and the next try may work: nothing is known of what it says.
+    pub fn is_momentary(&self) -> bool {
+        let momentary = |e| lapisrudder_io::is_momentary(lapisrudder_io::Operation::File, e);
+        self.iter().any(|problem| matches!(&problem.fault, Fault::Read(e) if momentary(e)))
+    }
+
     /// Each problem, in the order of the files.
     pub fn iter(&self) -> impl Iterator<Item = &Problem> {
         self.0.iter()
--- a/crates/config/src/sources.rs
+++ b/crates/config/src/sources.rs
@@ -5,8 +5,8 @@
 use crate::platform::{Environment, Platform};
 use crate::problem::{Fault, Place, Problem, Problems};
 use crate::sections::{Format, Level};
+use lapisrudder_io::read_file;
 use std::collections::BTreeMap;
-use std::fs;
 use std::path::{Path, PathBuf};
 
 /// What the command line says of single settings. It goes before the operators' file, at reloads too.
@@ -123,7 +123,7 @@
 
 fn read(path: &Path) -> Result<Vec<u8>, Vec<Problem>> {
     let place = || Place::File { path: path.into(), line: None };
-    fs::read(path).map_err(|e| vec![Problem { place: place(), key: String::new(), fault: e.into() }])
+    read_file(path).map_err(|e| vec![Problem { place: place(), key: String::new(), fault: e.into() }])
 }
 
 /// Both, or the problems of both.
--- a/crates/fault-shim/src/control.rs
+++ b/crates/fault-shim/src/control.rs
@@ -11,7 +11,7 @@
 pub struct Rule {
     /// The call that fails.
     pub call: Call,
-    /// The error's number, [`table::SHORT`] or [`table::ONE_BYTE`].
+    /// The error's number, [`table::SHORT`] or [`table::ONE_BYTE`]; for the wall clock, the seconds that are added (signed).
     pub error: u64,
     /// How often it strikes, of 1.
     pub rate: f64,
--- a/crates/fault-shim/src/interpose.rs
+++ b/crates/fault-shim/src/interpose.rs
@@ -600,9 +600,8 @@
     unsafe {
         let told = sys!(SYS_clock_gettime, clock, time);
         if clock == libc::CLOCK_REALTIME && told == 0 && words().is_some() {
-            struck(Call::WallClock, Descriptor::Unknown as u64);
-            let step = header(table::WALL_CLOCK_STEP) as i64;
-            let nanos = (*time).tv_sec * 1_000_000_000 + (*time).tv_nsec + step * 1000;
+            let step = struck(Call::WallClock, Descriptor::Unknown as u64).unwrap_or(0) as i64;
+            let nanos = ((*time).tv_sec + step) * 1_000_000_000 + (*time).tv_nsec;
             (*time).tv_sec = nanos.div_euclid(1_000_000_000);
             (*time).tv_nsec = nanos.rem_euclid(1_000_000_000);
         }
--- a/crates/fault-shim/src/table.rs
+++ b/crates/fault-shim/src/table.rs
@@ -14,8 +14,6 @@
 pub const DISCOVERY_PORT: usize = 2;
 /// The port at which operators call; connections there are [`Descriptor::Management`].
 pub const MANAGEMENT_PORT: usize = 3;
-/// Added to the wall clock (microseconds, signed).
-pub const WALL_CLOCK_STEP: usize = 4;
 /// Random numbers drawn so far.
 pub const DRAWN: usize = 5;
 /// Counts of calls seen begin here, one word each.
@@ -37,7 +35,7 @@
     pub const ON: usize = 0;
     /// The number of its [`super::Call`].
     pub const CALL: usize = 1;
-    /// The error that it gives, or [`super::SHORT`].
+    /// The error that it gives, [`super::SHORT`] or [`super::ONE_BYTE`]; for the wall clock, the seconds that are added (signed).
     pub const ERROR: usize = 2;
     /// How often it strikes (in a million calls).
     pub const RATE: usize = 3;
--- a/crates/host/src/discovery.rs
+++ b/crates/host/src/discovery.rs
@@ -1,13 +1,18 @@
 //! Discovery on a socket: carries out what the watch orders, and tells it what comes of that.
 
-use crate::socket::{Noted, Socket};
+use crate::{Noted, Socket};
 use calloop::LoopHandle;
 use lapisrudder_config::{ListError, MemberList, Options, Target};
 use lapisrudder_decisions::{Micros, Scope};
 use lapisrudder_engine::{Told, Watch, WatchNews, WatchOrder};
+use lapisrudder_io::{Connecting, Opened, Read, Written, connect};
 use std::collections::VecDeque;
 use std::io::IoSlice;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// A connect that finds nothing to connect with is tried again for so long before the call has failed.
+const OPENS_FOR: Duration = Duration::from_millis(500);
 
 /// News of the list, or that a call failed.
 #[derive(Clone, Debug)]
@@ -30,6 +35,10 @@
     owner: D::Owner,
     socket: Option<Socket<D>>,
     up: bool,
+    /// A connect that found nothing to connect with, and since when it has been tried.
+    unopened: Option<(SocketAddr, Instant)>,
+    /// A call failed for a moment, and no readiness will tell.
+    again: bool,
     news: VecDeque<News>,
 }
 
@@ -43,7 +52,16 @@
         owner: D::Owner,
     ) -> Self {
         let watch = Watch::new(at, revision);
-        Discovery { watch, handle: handle.clone(), owner, socket: None, up: false, news: VecDeque::new() }
+        Discovery {
+            watch,
+            handle: handle.clone(),
+            owner,
+            socket: None,
+            up: false,
+            unopened: None,
+            again: false,
+            news: VecDeque::new(),
+        }
     }
 
     /// Where it is.
@@ -87,11 +105,13 @@
 
     /// Its connection has something to tell. `options` name the zones and kinds of the list.
     pub fn on_ready(&mut self, scratch: &mut [u8], options: &Options, now: Micros) {
+        self.again |= self.socket.as_mut().is_some_and(|socket| !socket.ensure());
         if let Some(socket) = self.socket.as_ref().filter(|_| !self.up) {
-            match socket.is_up() {
-                Ok(true) => self.up = true,
-                Ok(false) => return,
-                Err(e) => return self.broken(format!("cannot connect: {e}")),
+            match socket.connecting() {
+                Connecting::Up => self.up = true,
+                Connecting::Coming => return,
+                Connecting::Unknown => return self.again = true,
+                Connecting::Failed(e) => return self.broken(format!("cannot connect: {e}")),
             }
             self.watch.connected();
         } else {
@@ -107,9 +127,13 @@
         // A call that goes out on a new connection ends the reading of the old one.
         while let Some(socket) = self.socket.as_ref().filter(|_| self.up) {
             let news = match socket.read(scratch) {
-                Ok(None) => return,
-                Ok(Some(n)) => self.watch.received(now, scratch.get(..n).unwrap_or_default(), n == 0, decode),
-                Err(e) => self.watch.broken(format!("cannot read: {e}")),
+                Read::NotReady => return,
+                Read::Later(_) => return self.again = true,
+                Read::Bytes(n) => {
+                    self.watch.received(now, scratch.get(..n).unwrap_or_default(), false, decode)
+                }
+                Read::End => self.watch.received(now, &[], true, decode),
+                Read::Broken(e) => self.watch.broken(format!("cannot read: {e}")),
             };
             self.tell(news);
             self.carry_out();
@@ -133,25 +157,59 @@
     fn carry_out(&mut self) {
         while let Some(order) = self.watch.poll_order() {
             match order {
-                WatchOrder::Connect { to } => match Socket::connect(to, &self.handle, self.owner) {
-                    Ok(socket) => (self.socket, self.up) = (Some(socket), false),
-                    Err(e) => {
-                        let news = self.watch.broken(format!("cannot connect: {e}"));
-                        self.tell(news);
-                    }
-                },
+                WatchOrder::Connect { to } => self.open(to, Instant::now()),
                 WatchOrder::Write => self.write(),
-                WatchOrder::Close => (self.socket, self.up) = (None, false),
+                WatchOrder::Close => {
+                    (self.socket, self.up, self.unopened, self.again) = (None, false, None, false);
+                }
             }
         }
     }
 
+    fn open(&mut self, to: SocketAddr, since: Instant) {
+        let why = match connect(to) {
+            Opened::Begun(stream) => {
+                let mut socket = Socket::edge(stream, &self.handle, self.owner);
+                self.again = !socket.ensure();
+                (self.socket, self.up) = (Some(socket), false);
+                return;
+            }
+            Opened::Lacking(_) if since.elapsed() < OPENS_FOR => return self.unopened = Some((to, since)),
+            Opened::Lacking(lack) => format!("cannot connect for want of {lack:?}"),
+            Opened::Failed(e) => format!("cannot connect: {e}"),
+        };
+        let news = self.watch.broken(why);
+        self.tell(news);
+    }
+
+    /// Something is to be come back to by [`Discovery::retry`].
+    pub fn is_behind(&self) -> bool {
+        self.again || self.unopened.is_some()
+    }
+
+    /// Comes back to what failed for a moment.
+    pub fn retry(&mut self, scratch: &mut [u8], options: &Options, now: Micros) {
+        if let Some((to, since)) = self.unopened.take() {
+            self.open(to, since);
+            self.carry_out();
+        }
+        if std::mem::take(&mut self.again) {
+            self.on_ready(scratch, options, now);
+        }
+    }
+
+    /// What the loop could have told of its connection may have been lost.
+    pub fn look_again(&mut self) {
+        self.again = self.socket.is_some();
+    }
+
     fn write(&mut self) {
         while let Some(socket) = self.socket.as_ref().filter(|_| !self.watch.transmit().is_empty()) {
             match socket.write(&[IoSlice::new(self.watch.transmit())]) {
-                Ok(0) => return,
-                Ok(n) => self.watch.transmitted(n),
-                Err(e) => {
+                Written::Full => return,
+                Written::Later(_) => return self.again = true,
+                Written::Bytes(n) => self.watch.transmitted(n),
+                Written::Broken(e) => {
                     let news = self.watch.broken(format!("cannot write: {e}"));
                     return self.tell(news);
                 }
--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -1,9 +1,12 @@
 //! Sockets of connections to pool members: carries out what the engine orders, and tells it what comes of that.
 
-use crate::socket::{Noted, Socket};
+use crate::{Noted, Socket};
 use calloop::LoopHandle;
 use lapisrudder_decisions::Micros;
 use lapisrudder_engine::{Answers, Conn, Engine};
+use lapisrudder_io::{
+    Connecting, Lack, Look, Next, Opened, Read, Shortage, Written, connect, is_out_of_descriptors,
+};
 use rustc_hash::FxHashMap;
 use std::io::IoSlice;
 use std::net::SocketAddr;
@@ -11,6 +14,9 @@
 
 /// Slices that one write takes at the most; what is beyond goes with the next.
 const SLICES: usize = 64;
+/// A connect that finds nothing to connect with is tried again for so long. Guards requests against a failure of a moment; no
+/// longer, since they could go elsewhere.
+const OPENS_FOR: Micros = 100_000;
 
 struct Member<D: Noted> {
     socket: Socket<D>,
@@ -18,61 +24,124 @@
     up: bool,
 }
 
+/// A connect that found nothing to connect with, and is tried again.
+struct Unopened {
+    conn: Conn,
+    at: SocketAddr,
+    since: Micros,
+}
+
 /// The sockets of connections to members, by the engine's names for them.
 pub struct Members<D: Noted> {
     sockets: FxHashMap<Conn, Member<D>>,
     handle: LoopHandle<'static, D>,
-    /// A connect found no descriptor: the process has no more, or else the machine.
+    unopened: Vec<Unopened>,
+    /// Connections to come back to: a call failed for a moment, and no readiness will tell.
+    again: Vec<Conn>,
+    failures: Shortage,
+    /// Descriptors are short: the process has no more, or else the machine.
     shortage: Option<bool>,
 }
 
-/// The errors of a connect for want of a descriptor: the process has no more, or the machine.
-const EMFILE: i32 = 24;
-const ENFILE: i32 = 23;
-
-/// The machine's other shortages: of memory for a socket, of room for its buffers, of ephemeral ports.
-const ENOMEM: i32 = 12;
-const EADDRNOTAVAIL: i32 = 99;
-const ENOBUFS: i32 = 105;
-
-/// A connect failed for want of something here; nobody was asked.
-fn is_ours(e: &std::io::Error) -> bool {
-    let lacks = |code| matches!(code, EMFILE | ENFILE | ENOMEM | EADDRNOTAVAIL | ENOBUFS);
-    // Without a code it was the loop that could not watch the socket.
-    e.raw_os_error().is_none_or(lacks)
-}
-
 impl<D: Noted<Owner: From<Conn>>> Members<D> {
     /// None so far.
     pub fn new(handle: &LoopHandle<'static, D>) -> Self {
-        Members { sockets: FxHashMap::default(), handle: handle.clone(), shortage: None }
+        Members {
+            sockets: FxHashMap::default(),
+            handle: handle.clone(),
+            unopened: Vec::new(),
+            again: Vec::new(),
+            failures: Shortage::default(),
+            shortage: None,
+        }
     }
 
     /// Begins to connect.
     pub fn connect(&mut self, conn: Conn, at: SocketAddr, engine: &mut Engine, now: Micros) {
-        match Socket::connect(at, &self.handle, conn.into()) {
-            Ok(socket) => drop(self.sockets.insert(conn, Member { socket, at, up: false })),
-            Err(e) => {
-                warn!(about = %at, "cannot connect: {e}");
-                if let Some(code @ (EMFILE | ENFILE)) = e.raw_os_error() {
-                    self.shortage = Some(code == EMFILE);
+        self.open(Unopened { conn, at, since: now }, engine, now);
+    }
+
+    fn open(&mut self, wanted: Unopened, engine: &mut Engine, now: Micros) {
+        let Unopened { conn, at, since } = wanted;
+        let next = loop {
+            match connect(at) {
+                Opened::Begun(stream) => {
+                    self.failures.worked();
+                    let mut socket = Socket::edge(stream, &self.handle, conn.into());
+                    if !socket.ensure() {
+                        self.again.push(conn);
+                    }
+                    self.sockets.insert(conn, Member { socket, at, up: false });
+                    return;
                 }
-                if is_ours(&e) { engine.not_opened(now, conn) } else { engine.broken(now, conn) }
+                Opened::Failed(e) => {
+                    warn!(about = %at, "cannot connect: {e}");
+                    return engine.broken(now, conn);
+                }
+                Opened::Lacking(lack) => match self.failures.failed(now, lack, self.is_full(lack)) {
+                    Next::AtOnce => {}
+                    next => break (next, lack),
+                },
             }
+        };
+        match next {
+            (Next::Shortage, lack) => {
+                if let Lack::ProcessDescriptors | Lack::SystemDescriptors = lack {
+                    self.shortage = Some(lack == Lack::ProcessDescriptors);
+                }
+            }
+            _ if now - since < OPENS_FOR => return self.unopened.push(wanted),
+            _ => {}
         }
+        warn!(about = %at, lack = ?next.1, "cannot connect for now");
+        engine.not_opened(now, conn);
+    }
+
+    /// By the process's own count it has no descriptors left.
+    fn is_full(&self, lack: Lack) -> bool {
+        lack == Lack::ProcessDescriptors && is_out_of_descriptors()
     }
 
-    /// Whether a connect found no descriptor since the last look: true if the process has no more, false if the
+    /// Whether descriptors were found to be short since the last look: true if the process has no more, false if the
     /// machine has none.
     pub fn took_shortage(&mut self) -> Option<bool> {
         self.shortage.take()
     }
 
+    /// Something is to be come back to by [`Members::retry`].
+    pub fn is_behind(&self) -> bool {
+        !(self.again.is_empty() && self.unopened.is_empty())
+    }
+
+    /// Comes back to what failed for a moment.
+    pub fn retry(
+        &mut self,
+        scratch: &mut [u8],
+        engine: &mut Engine,
+        answers: &mut impl Answers,
+        now: Micros,
+    ) {
+        for wanted in std::mem::take(&mut self.unopened) {
+            self.open(wanted, engine, now);
+        }
+        for conn in std::mem::take(&mut self.again) {
+            self.on_ready(conn, scratch, engine, answers, now);
+        }
+    }
+
+    /// All connections: what the loop could have told of them may have been lost.
+    pub fn look_at_all(&mut self) {
+        self.again = self.sockets.keys().copied().collect();
+    }
+
     /// Writes as far as the socket takes it.
     pub fn write(&mut self, conn: Conn, look: bool, engine: &mut Engine, now: Micros) {
         let Some(member) = self.sockets.get(&conn) else { return };
-        if look && member.socket.has_unread() {
-            return engine.broken(now, conn);
+        match if look { member.socket.has_unread() } else { Look::No } {
+            Look::No => {}
+            Look::Yes => return engine.broken(now, conn),
+            // Danger: a good connection was broken since a look at it had failed.
+            Look::Unknown => return self.again.push(conn),
         }
         loop {
             let mut slices = [IoSlice::new(&[]); SLICES];
@@ -85,13 +154,11 @@
                 return;
             }
             match member.socket.write(&slices[..count]) {
-                Ok(written) => {
-                    engine.transmitted(conn, written);
-                    if written < bytes {
-                        return;
-                    }
-                }
-                Err(_) => return engine.broken(now, conn),
+                // Danger: what was left of a command waited for an edge that had been spent.
+                Written::Bytes(written) => engine.transmitted(conn, written),
+                Written::Full => return,
+                Written::Later(_) => return self.again.push(conn),
+                Written::Broken(_) => return engine.broken(now, conn),
             }
         }
     }
@@ -99,6 +166,7 @@
     /// Closes one, whatever was on it.
     pub fn close(&mut self, conn: Conn) {
         self.sockets.remove(&conn);
+        self.unopened.retain(|wanted| wanted.conn != conn);
     }
 
     /// A connection has something to tell: that it is up, or what has come.
@@ -111,14 +179,18 @@
         now: Micros,
     ) {
         let Some(member) = self.sockets.get_mut(&conn) else { return };
+        if !member.socket.ensure() {
+            self.again.push(conn);
+        }
         if !member.up {
-            match member.socket.is_up() {
-                Ok(true) => {
+            match member.socket.connecting() {
+                Connecting::Up => {
                     member.up = true;
                     engine.connected(now, conn);
                 }
-                Ok(false) => return,
-                Err(e) => {
+                Connecting::Coming => return,
+                Connecting::Unknown => return self.again.push(conn),
+                Connecting::Failed(e) => {
                     warn!(about = %member.at, "cannot connect: {e}");
                     return engine.broken(now, conn);
                 }
@@ -129,17 +201,18 @@
         // resumes.
         while !engine.holds(conn) {
             match member.socket.read(scratch) {
-                Ok(None) => return,
-                Ok(Some(0)) => return engine.ended(now, conn, answers),
-                Ok(Some(n)) => {
+                Read::NotReady => return,
+                Read::End => return engine.ended(now, conn, answers),
+                Read::Bytes(n) => {
                     let of_use = engine.received(now, conn, &scratch[..n], answers);
-                    // All that had come was read, and whether the peer has closed behind it is looked at before
-                    // the next write. Guards against a read that finds nothing, for each answer.
+                    // All that was due has come, and whether the peer has closed behind it is looked at before the next
+                    // write. Guards against a read that finds nothing, for each answer.
                     if !of_use || n < scratch.len() && !engine.expects(conn) {
                         return;
                     }
                 }
-                Err(_) => return engine.broken(now, conn),
+                Read::Later(_) => return self.again.push(conn),
+                Read::Broken(_) => return engine.broken(now, conn),
             }
         }
     }
--- /dev/null
+++ b/crates/io/src/process.rs
@@ -0,0 +1,55 @@
+//! What the system tells of the process itself, and its threads.
+
+use crate::outcome::Operation;
+use crate::outcome::is_momentary;
+use crate::retry::{at_once, keep_trying};
+use rustix::process::{Resource, getrlimit};
+use std::fs;
+use std::io;
+use std::thread::Builder;
+use std::time::Duration;
+
+/// Descriptors that the process may hold, where there is a limit.
+fn descriptor_limit() -> Option<u64> {
+    getrlimit(Resource::Nofile).current
+}
+
+/// Descriptors that the process holds now; none where the system does not say, or none is left to ask with.
+pub fn held_descriptors() -> Option<usize> {
+    at_once(Operation::File, || fs::read_dir("/proc/self/fd")).ok().map(Iterator::count)
+}
+
+/// Descriptors that a process which has none left may count as free: others may have been closed since.
+const ALMOST: usize = 4;
+
+/// Whether by the process's own count it has no descriptors left. Where it cannot count, it takes itself to have none.
+pub fn is_out_of_descriptors() -> bool {
+    let known = descriptor_limit().zip(held_descriptors());
+    known.is_none_or(|(limit, held)| (held + ALMOST) as u64 >= limit)
+}
+
+/// Starts a thread, which goes on by itself.
+///
+/// # Errors
+/// There is none to be had, also not for a while.
+pub fn spawn<F: FnOnce() + Send + 'static>(
+    patience: Duration,
+    builder: impl Fn() -> Builder,
+    run: F,
+) -> io::Result<()> {
+    // What a thread that does not start was to run is lost with it: it is handed over only once the thread is there.
+    let (hand, handed) = std::sync::mpsc::channel::<F>();
+    let handed = std::sync::Arc::new(std::sync::Mutex::new(handed));
+    let start = || {
+        let handed = handed.clone();
+        let begin = move || {
+            let run = handed.lock().ok().and_then(|handed| handed.recv().ok());
+            if let Some(run) = run {
+                run();
+            }
+        };
+        builder().spawn(begin).map(drop)
+    };
+    keep_trying(patience, start, |e| is_momentary(Operation::Open, e))?;
+    hand.send(run).map_err(|_| io::Error::other("the thread has ended at once"))
+}
--- a/crates/lab/src/faults/hands.rs
+++ b/crates/lab/src/faults/hands.rs
@@ -83,9 +83,9 @@
 
 /// Resets are made in stretches of this length.
 const STRETCH: Micros = 100_000;
-/// A process that was told to stop is killed no sooner than the longest deadline, counted as 3 s where it is shorter,
-/// and 0.7 s more.
-const LEAST_DEADLINE: Micros = 3_000_000;
+/// A process that was told to stop is killed at the earliest moment that the platform allows: after the longest deadline,
+/// counted as 3 s where it is longer, and 0.7 s more.
+const LONGEST_COUNTED: Micros = 3_000_000;
 
 impl Hands {
     /// Ready; nothing is due before [`Hands::begin`]. `places` are the servers in the order of their names.
@@ -482,7 +482,7 @@
         nodes.signal(node, Signal::Term);
         load.tell(Command::Stopping(node as u16));
         let longest = self.e.classes.iter().map(|c| millis(c.deadline_ms)).max().unwrap_or(0);
-        let kill_at = self.clock.now() + longest.max(LEAST_DEADLINE) + 700_000;
+        let kill_at = self.clock.now() + longest.min(LONGEST_COUNTED) + 700_000;
         self.stopping.push(Stopping { node, kill_at, rest });
     }
 
--- a/crates/lab/src/sim/hands.rs
+++ b/crates/lab/src/sim/hands.rs
@@ -23,8 +23,8 @@
 
 /// Resets are made in stretches of this length.
 const STRETCH: Micros = 100_000;
-/// A process that was told to stop is killed no sooner than the longest deadline (3 s at least) and 0.7 s more.
-const LEAST_DEADLINE: Micros = 3_000_000;
+/// A process that was told to stop is killed after the longest deadline, counted as 3 s where it is longer, and 0.7 s more.
+const LONGEST_COUNTED: Micros = 3_000_000;
 
 /// One thing to be done at a time.
 #[derive(Clone, Debug)]
@@ -282,7 +282,7 @@
             What::Move { .. } => self.move_discovery(),
             What::Term => {
                 let longest = self.e.classes.iter().map(|c| millis(c.deadline_ms)).max().unwrap_or(0);
-                let kill_at = now + longest.max(LEAST_DEADLINE) + 700_000;
+                let kill_at = now + longest.min(LONGEST_COUNTED) + 700_000;
                 for n in &hit.nodes {
                     self.term_node(*n, Some(hit.until - hit.from));
                     self.hands.push(kill_at, Deed::KillNode(*n, self.nodes[*n].starts));
@@ -604,7 +604,7 @@
             Blow::TermNode => {
                 self.term_node(node, Some(200_000));
                 self.hands
-                    .push(now + LEAST_DEADLINE + 700_000, Deed::KillNode(node, self.nodes[node].starts));
+                    .push(now + LONGEST_COUNTED + 700_000, Deed::KillNode(node, self.nodes[node].starts));
             }
             Blow::StallNode(ms) => {
                 let host = &mut self.nodes[node];
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -3,6 +3,10 @@
 //! Each seed switches a random subset of the kinds of fault on, so that no kind always hides another (swarm testing; Groce
 //! and others, ISSTA 2012), and draws how hard and when each strikes. Hold-ups of the nodes' processes are always among them.
 
+mod system_calls;
+
+pub use system_calls::{Tables, system_call_rules};
+
 use crate::experiment::{ExperimentFile, FileError};
 use lapisrudder_model::draw::stream;
 use rand::Rng;
@@ -32,6 +36,8 @@
 
 /// Share of the kinds of fault that a seed switches on.
 const SWITCHED_ON: f64 = 0.45;
+/// Share of the seeds with short deadlines.
+const SHORT: f64 = 0.25;
 /// Faults begin after this (seconds).
 const FIRST: f64 = 1.5;
 
@@ -87,7 +93,7 @@
 /// A kind of fault, drawn.
 type Kind = fn(&mut ChaCha8Rng) -> Drawn;
 
-const KINDS: [Kind; 20] = [
+const KINDS: [Kind; 22] = [
     |d| {
         Drawn::new(
             some_servers(d),
@@ -141,6 +147,15 @@
         )
     },
     |d| Drawn::new(some_nodes(d), "\"term\""),
+    // Signals in series: several nodes within a moment.
+    |_| Drawn::new("{ nodes = { count = 6 } }", "\"term\""),
+    // A crowd that fills the descriptors.
+    |d| {
+        Drawn::new(
+            "{ clients = {} }",
+            format!("{{ flood = {{ kind = \"silent\", per_s = {:.0} }} }}", between(d, 100.0, 600.0)),
+        )
+    },
     |d| Drawn::new(some_nodes(d), "{ kill = {} }"),
     |d| Drawn::new(some_nodes(d), "{ hup = {} }"),
 ];
@@ -174,7 +189,8 @@
 }
 
 fn world(draws: &mut ChaCha8Rng, seed: u64, size: &SoakSize) -> String {
-    let deadline = between(draws, 500.0, 1500.0);
+    let (usual, short) = (between(draws, 500.0, 1500.0), between(draws, 250.0, 500.0));
+    let deadline = if draws.random_bool(SHORT) { short } else { usual };
     let effect = ["safe", "keyed", "unsafe"][draws.random_range(0..3)];
     format!(
         r#"question = "Do all rules hold while faults of many kinds overlap?"
--- a/crates/limits/src/drain.rs
+++ b/crates/limits/src/drain.rs
@@ -13,11 +13,17 @@
 /// One that has not spoken yet is given this long for its first request. Guards a client whose request is on its way.
 const FRESH: Micros = 200_000;
 
+/// So long after the call nothing is waited for any more but answers. Guards the 4 s: half a command that begins as late as its
+/// connection stays has its 2 s until then.
+const STANDBY_ENDS: Micros = 3_500_000;
+
 /// A drain that has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Drain {
     from: Micros,
     over: Micros,
+    /// From then on only answers are waited for.
+    ends: Micros,
 }
 
 /// What becomes of a connection that drains.
@@ -29,17 +35,29 @@
     Close,
     /// Nothing more is taken on it, and it closes once all is answered.
     Finish,
+    /// Its half command is told that its time is over, and it closes.
+    Expire,
 }
 
 impl Drain {
     /// Operators have told the node to drain.
     pub fn standby(now: Micros) -> Drain {
-        Drain { from: now + NOTICED, over: STANDBY }
+        Drain { from: now + NOTICED, over: STANDBY, ends: now + STANDBY_ENDS }
     }
 
-    /// The process must end soon: all go now.
+    /// The process must end soon: all go now. Its end bounds the rest.
     pub fn at_once(now: Micros) -> Drain {
-        Drain { from: now, over: 0 }
+        Drain { from: now, over: 0, ends: Micros::MAX }
+    }
+
+    /// Operators began it, and may take it back.
+    pub fn is_standby(&self) -> bool {
+        self.over > 0
+    }
+
+    /// Nothing is waited for any more but answers.
+    pub fn is_over(&self, now: Micros) -> bool {
+        now >= self.ends
     }
 
     /// When the connection of that number, which arrived then, is let go.
@@ -47,7 +65,7 @@
         // Numbers are given in a row: a multiple of the golden ratio spreads those evenly.
         let part = (number.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 40) as Micros;
         let at = self.from + ((self.over * part) >> 24);
-        if self.over == 0 { at } else { at.max(arrived + FRESH) }
+        if self.over == 0 { at } else { at.max((arrived + FRESH).min(self.ends)) }
     }
 
     /// What becomes of it now.
@@ -56,7 +74,8 @@
             _ if now < self.due(number, arrived) => Release::Stays,
             Activity::Idle => Release::Close,
             Activity::Owed => Release::Finish,
-            // A part of a command is waited for as ever, and whoever is over goes by itself.
+            Activity::Unfinished if self.is_over(now) => Release::Expire,
+            // A part of a command is waited for as ever until then, and whoever is over goes by itself.
             Activity::Unfinished | Activity::Over => Release::Stays,
         }
     }
@@ -99,4 +118,20 @@
         );
         assert_eq!(standby.release(1, fresh, fresh + FRESH, Activity::Idle), Release::Close);
     }
+
+    /// Danger: half a command was waited for from its beginning, and a connection that came late for its first, whatever the drain.
+    #[test]
+    fn every_state_of_a_drained_connection_has_an_end() {
+        let (standby, late) = (Drain::standby(0), STANDBY_ENDS - 1);
+        for (activity, expected) in [
+            (Activity::Idle, Release::Close),
+            (Activity::Owed, Release::Finish),
+            (Activity::Unfinished, Release::Expire),
+            (Activity::Over, Release::Stays),
+        ] {
+            assert_eq!(standby.release(1, late, STANDBY_ENDS, activity), expected, "{activity:?}");
+        }
+        assert_eq!(standby.release(1, 0, late, Activity::Unfinished), Release::Stays);
+        assert!(!Drain::at_once(0).is_over(Micros::MAX - 1), "the process's own end bounds that");
+    }
 }
--- a/crates/log/src/queue.rs
+++ b/crates/log/src/queue.rs
@@ -15,6 +15,8 @@
 const MOST_BYTES: usize = 256 << 10;
 /// The end of a program waits so long for its last lines.
 const FAREWELL: Duration = Duration::from_millis(200);
+/// The thread that writes is tried to be had for this long.
+const START_PATIENCE: Duration = Duration::from_secs(10);
 /// The thread needs little: it writes, and formats a line now and then.
 const STACK: usize = 256 << 10;
 
@@ -123,8 +125,8 @@
         shared: Arc<Shared>,
         dispatch: Dispatch,
     ) -> io::Result<()> {
-        let thread = thread::Builder::new().name("log".into()).stack_size(STACK);
-        thread.spawn(move || self.run(out, &shared, &dispatch)).map(drop)
+        let builder = || thread::Builder::new().name("log".into()).stack_size(STACK);
+        lapisrudder_io::spawn(START_PATIENCE, builder, move || self.run(out, &shared, &dispatch))
     }
 
     fn run(self, mut out: impl Write, shared: &Shared, dispatch: &Dispatch) {
@@ -140,7 +142,7 @@
             match message {
                 Message::Line(line) => {
                     // Nobody can be told that this failed.
-                    let _ = out.write_all(&line);
+                    let _ = lapisrudder_io::write_line(&mut out, &line);
                     self.counts.bytes.fetch_sub(line.len(), Ordering::Relaxed);
                 }
                 Message::Wake => {}
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -6,10 +6,11 @@
 use lapisrudder::time_limits::HOLD_UP;
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{MAX_LINE, MAX_WHOLE};
+use lapisrudder_io::{Look, Read, Written};
 use lapisrudder_limits::{Activity, ConnId};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
-use std::net::TcpStream;
+use std::os::fd::OwnedFd;
 
 /// Commands of one connection that may wait for their answers. Guards memory: no more are read until some
 /// have been answered.
@@ -112,9 +113,8 @@
     phase: Phase,
     /// The socket may hold more that was not read.
     pub unread: bool,
-    /// The last read did not fill its room, so all bytes that had come were read; whether the peer has closed behind
-    /// them is not known.
-    pub unsure: bool,
+    /// A call failed for a moment, and no readiness will tell: it is to be come back to.
+    pub later: bool,
     /// It goes to another process once nothing is owed on it: nothing more is taken meanwhile.
     pub leaving: bool,
     /// It is on the list of those to look at again.
@@ -149,7 +149,7 @@
             sent: 0,
             phase: Phase::Open,
             unread: false,
-            unsure: false,
+            later: false,
             leaving: false,
             listed: false,
             dirty: false,
@@ -170,7 +170,8 @@
 
     /// Looks whether something has come that no callback has told of yet.
     pub fn look(&mut self) -> bool {
-        self.unread |= self.socket.has_unread();
+        // Danger: a look that failed told of bytes that were not there, or of none.
+        self.unread |= self.socket.has_unread() != Look::No;
         self.unread
     }
 
@@ -230,9 +231,16 @@
         self.since_arrival != Micros::MIN
     }
 
-    /// Its peer has gone, seen past what is not read.
-    pub fn has_left(&self) -> bool {
-        self.socket.is_ended()
+    /// Its peer has gone, seen past what is not read. Where that cannot be told, it is to be asked again.
+    pub fn has_left(&mut self) -> Look {
+        let left = self.socket.is_ended();
+        self.later |= left == Look::Unknown;
+        left
+    }
+
+    /// Puts its socket on the loop, if that was not allowed before.
+    pub fn ensure_watched(&mut self) {
+        self.later |= !self.socket.ensure();
     }
 
     /// Takes no more commands.
@@ -284,20 +292,22 @@
     pub fn read<'s>(&mut self, scratch: &'s mut [u8], now: Micros) -> Option<&'s [u8]> {
         let held = self.input.len();
         scratch[..held].copy_from_slice(&self.input);
-        self.unsure = false;
         let read = match self.socket.read(&mut scratch[held..]) {
-            Ok(Some(0)) | Err(_) => return None,
-            Ok(Some(n)) => {
-                // A read that finds nothing would cost as much as one that does, for each command.
-                self.unsure = held + n < scratch.len();
-                self.unread = !self.unsure;
+            Read::End | Read::Broken(_) => return None,
+            Read::Bytes(n) => {
+                // Danger: few bytes were taken for all, and the rest of a command waited for an edge that had been spent.
+                self.unread = held + n == scratch.len() || self.socket.has_unread() != Look::No;
                 self.since_arrival = Micros::MIN;
                 n
             }
-            Ok(None) => {
+            Read::NotReady => {
                 self.unread = false;
                 0
             }
+            Read::Later(_) => {
+                self.later = true;
+                0
+            }
         };
         if self.unread {
             // Guards one that sends without end, whose first bytes came long ago: what is left came since, or in a hold-up.
@@ -314,12 +324,13 @@
         let Some(upload) = self.upload.as_mut().filter(|u| u.admitted) else { return Some(None) };
         let room = (upload.total - upload.bytes.len()).min(scratch.len());
         match self.socket.read(&mut scratch[..room]) {
-            Ok(Some(0)) | Err(_) => return None,
-            Ok(Some(n)) => {
+            Read::End | Read::Broken(_) => return None,
+            Read::Bytes(n) => {
                 upload.bytes.extend_from_slice(&scratch[..n]);
                 self.since = now;
             }
-            Ok(None) => self.unread = false,
+            Read::NotReady => self.unread = false,
+            Read::Later(_) => self.later = true,
         }
         let whole = upload.bytes.len() == upload.total;
         Some(self.upload.take_if(|_| whole).map(|upload| upload.bytes))
@@ -335,10 +346,11 @@
     /// Drops what comes, up to a point.
     pub fn drain(&mut self, scratch: &mut [u8]) -> Drained {
         match self.socket.read(scratch) {
-            Ok(Some(0)) | Err(_) => return Drained::Ended,
-            Ok(Some(_)) if self.phase == Phase::Parting => return Drained::Crossed,
-            Ok(Some(n)) => self.drained += n,
-            Ok(None) => self.unread = false,
+            Read::End | Read::Broken(_) => return Drained::Ended,
+            Read::Bytes(_) if self.phase == Phase::Parting => return Drained::Crossed,
+            Read::Bytes(n) => self.drained += n,
+            Read::NotReady => self.unread = false,
+            Read::Later(_) => self.later = true,
         }
         self.unread &= self.drained < DRAINED;
         Drained::Nothing
@@ -350,8 +362,14 @@
     }
 
     /// The connection, and what was read of its next command.
-    pub fn into_parts(self) -> io::Result<(TcpStream, Vec<u8>)> {
-        Ok((self.socket.into_stream()?, self.input))
+    ///
+    /// # Errors
+    /// Itself, where the connection cannot be taken off the loop.
+    pub fn into_parts(self) -> Result<(OwnedFd, Vec<u8>), Box<Client>> {
+        match self.socket.into_inner() {
+            Ok(stream) => Ok((stream.into(), self.input)),
+            Err(socket) => Err(Box::new(Client { socket, later: true, ..self })),
+        }
     }
 
     /// Sends ready answers as far as the socket takes them.
@@ -371,12 +389,17 @@
             self.slots.pop_front();
         }
         while self.sent < self.output.len() {
-            match self.socket.write(&[IoSlice::new(&self.output[self.sent..])])? {
-                0 => {
+            match self.socket.write(&[IoSlice::new(&self.output[self.sent..])]) {
+                Written::Bytes(n) => self.sent += n,
+                Written::Full => {
                     self.compact();
                     return Ok(());
                 }
-                n => self.sent += n,
+                Written::Later(_) => {
+                    self.later = true;
+                    return Ok(());
+                }
+                Written::Broken(e) => return Err(e),
             }
             self.since = now;
         }
@@ -462,7 +485,12 @@
         let held = self.output.len() - self.sent;
         let mut slices = vec![IoSlice::new(&self.output[self.sent..])];
         slices.extend(parts.iter().map(|p| IoSlice::new(p)));
-        let mut done = self.socket.write(&slices)?;
+        let mut done = match self.socket.write(&slices) {
+            Written::Bytes(n) => n,
+            // All answers of the turn are sent once more at its end.
+            Written::Full | Written::Later(_) => 0,
+            Written::Broken(e) => return Err(e),
+        };
         self.sent += done.min(held);
         done -= done.min(held);
         for part in parts {
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -16,6 +16,10 @@
     Alone,
     /// Accepting was paused for want of descriptors.
     Accept,
+    /// The way in for the next process is opened again.
+    OpenDoor,
+    /// The next process gets what could not be handed over before.
+    Lend,
     /// A stopping node may end, if no client is left.
     Leave,
     /// The time for which a stopping node takes new connections and requests is over.
--- a/src/net/fleet/look.rs
+++ b/src/net/fleet/look.rs
@@ -1,18 +1,19 @@
 //! Where operators look inside: one line comes in on a connection; `members` gets one line of JSON, `watch` the same and
 //! then a line a change for as long as the caller stays.
 
-use super::super::{Handle, Owner, Socket};
-use calloop::{Interest, Mode, RegistrationToken};
-use lapisrudder_host::watch;
+use super::super::{Handle, Owner, Ready, Socket};
+use lapisrudder_host::Watched;
+use lapisrudder_io::{Accepted, Listener, Read, Written};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, IoSlice};
-use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
+use std::net::SocketAddr;
 
 /// Those who look at a time; one more puts out the one that has been here for longest.
 pub const CALLERS: usize = 8;
 /// Bytes of a call at the most.
 const MOST_CALL: usize = 64;
+/// Callers that the kernel keeps until they are accepted.
+const BACKLOG: i32 = 128;
 /// Bytes that wait for one that does not read. Beyond them it is put out: what it sees would have a gap. All rows of the
 /// largest table are 1.2 MB.
 const MOST_WAITING: usize = 4 << 20;
@@ -29,32 +30,51 @@
 
 /// The listener and who looks.
 pub struct Look {
-    listener: Rc<TcpListener>,
-    token: RegistrationToken,
+    listener: Watched<Ready, Listener>,
     handle: Handle,
     callers: BTreeMap<u64, Caller>,
     next: u64,
     /// Callers whose line is whole.
     whole: Vec<(u64, String)>,
+    /// Callers to come back to: a call failed for a moment, and no readiness will tell.
+    again: Vec<u64>,
 }
 
 impl Look {
     pub fn new(at: SocketAddr, handle: &Handle) -> io::Result<Look> {
-        let listener = TcpListener::bind(at)?;
-        listener.set_nonblocking(true)?;
-        let listener = Rc::new(listener);
-        let token = watch(listener.clone(), Interest::READ, Mode::Level, handle, Owner::Look)?;
-        let (callers, whole) = (BTreeMap::new(), Vec::new());
-        Ok(Look { listener, token, handle: handle.clone(), callers, next: 0, whole })
+        let mut listener = Watched::level(Listener::bind(at, BACKLOG, false)?, handle, Owner::Look);
+        listener.ensure();
+        let (callers, whole, again) = (BTreeMap::new(), Vec::new(), Vec::new());
+        Ok(Look { listener, handle: handle.clone(), callers, next: 0, whole, again })
+    }
+
+    /// Something is to be come back to by [`Look::retry`].
+    pub fn is_behind(&self) -> bool {
+        !(self.listener.is_telling() && self.again.is_empty())
+    }
+
+    /// Comes back to what failed for a moment.
+    pub fn retry(&mut self) {
+        self.listener.ensure();
+        std::mem::take(&mut self.again).into_iter().for_each(|id| self.on_ready(id));
+    }
+
+    /// What the loop would have told of any caller may have been lost.
+    pub fn look_at_all(&mut self) {
+        self.again = self.callers.keys().copied().collect();
     }
 
     /// Takes those who have come.
     pub fn accept(&mut self) {
         for _ in 0..CALLERS {
-            let Ok((stream, _)) = self.listener.accept() else { return };
+            let stream = match self.listener.accept() {
+                Accepted::Client(stream, _) => stream,
+                Accepted::Gone | Accepted::Lacking(_) => continue,
+                Accepted::Empty | Accepted::Broken(_) => return,
+            };
             let id = self.next;
             self.next += 1;
-            let Ok(socket) = Socket::new(stream, &self.handle, Owner::Looker(id)) else { continue };
+            let socket = Socket::edge(stream, &self.handle, Owner::Looker(id));
             let (input, output) = (Vec::new(), VecDeque::new());
             self.callers.insert(id, Caller { socket, input, output, answered: false, watches: false });
             if self.callers.len() > CALLERS {
@@ -67,12 +87,19 @@
     /// A caller has something to say, or takes more, or has gone.
     pub fn on_ready(&mut self, id: u64) {
         let Some(caller) = self.callers.get_mut(&id) else { return };
+        if !caller.socket.ensure() {
+            self.again.push(id);
+        }
         let mut buffer = [0; MOST_CALL];
         let gone = loop {
             match caller.socket.read(&mut buffer) {
-                Ok(None) => break false,
-                Ok(Some(0)) | Err(_) => break true,
-                Ok(Some(n)) => caller.input.extend_from_slice(buffer.get(..n).unwrap_or_default()),
+                Read::NotReady => break false,
+                Read::Later(_) => {
+                    self.again.push(id);
+                    break false;
+                }
+                Read::End | Read::Broken(_) => break true,
+                Read::Bytes(n) => caller.input.extend_from_slice(buffer.get(..n).unwrap_or_default()),
             }
             if caller.input.len() > MOST_CALL {
                 break true;
@@ -119,9 +146,13 @@
                 break caller.answered && !caller.watches && self.whole.iter().all(|(other, _)| *other != id);
             }
             match caller.socket.write(&[IoSlice::new(first)]) {
-                Ok(0) => break caller.output.len() > MOST_WAITING,
-                Ok(n) => drop(caller.output.drain(..n)),
-                Err(_) => break true,
+                Written::Full => break caller.output.len() > MOST_WAITING,
+                Written::Bytes(n) => drop(caller.output.drain(..n)),
+                Written::Later(_) => {
+                    self.again.push(id);
+                    break false;
+                }
+                Written::Broken(_) => break true,
             }
         };
         if over {
@@ -129,9 +160,3 @@
         }
     }
 }
-
-impl Drop for Look {
-    fn drop(&mut self) {
-        self.handle.remove(self.token);
-    }
-}
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -3,21 +3,20 @@
 
 mod look;
 
-use super::{Handle, Owner};
-use calloop::{Interest, Mode, RegistrationToken};
+use super::{Handle, Owner, Ready};
 use lapisrudder::Micros;
 use lapisrudder_config::Fleet as Section;
-use lapisrudder_host::watch;
+use lapisrudder_host::Watched;
+use lapisrudder_io::{Datagrams, Received};
 use lapisrudder_membership::{
     Census, Change, Config, Counts, Envelope, Inherited, MOST_DATAGRAM, Membership, Output, State, View,
 };
 use look::Look;
 use rand::Rng;
 use serde::Serialize;
-use std::io::{self, ErrorKind};
-use std::net::{SocketAddr, UdpSocket};
+use std::io;
+use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
-use std::rc::Rc;
 use thiserror::Error;
 use tracing::{info, warn};
 
@@ -40,6 +39,16 @@
     Keys(lapisrudder_config::Refusal),
 }
 
+impl Error {
+    /// What the system said, where that is the cause.
+    pub fn source_io(&self) -> Option<&io::Error> {
+        match self {
+            Error::Listen { source, .. } | Error::Look { source, .. } => Some(source),
+            Error::Name(_) | Error::Keys(_) => None,
+        }
+    }
+}
+
 /// A member, as operators see it.
 #[derive(Serialize)]
 struct Row {
@@ -86,9 +95,7 @@
 /// The node's place in its fleet.
 pub struct Fleet {
     section: Section,
-    socket: Rc<UdpSocket>,
-    token: RegistrationToken,
-    handle: Handle,
+    socket: Watched<Ready, Datagrams>,
     envelope: Envelope,
     core: Membership,
     census: Census,
@@ -113,13 +120,11 @@
         let envelope = Envelope::new(&section.name, section.keys().map_err(Error::Keys)?);
         let listen = |source| Error::Listen { at: section.listen, source };
         let (inherited, socket) = match before {
-            Some((inherited, socket)) => (Some(inherited), UdpSocket::from(socket)),
-            None => (None, UdpSocket::bind(section.listen).map_err(listen)?),
+            Some((inherited, socket)) => (Some(inherited), Datagrams::adopt(socket)),
+            None => (None, Datagrams::bind(section.listen)),
         };
-        socket.set_nonblocking(true).map_err(listen)?;
-        let socket = Rc::new(socket);
-        let token =
-            watch(socket.clone(), Interest::READ, Mode::Level, handle, Owner::Fleet).map_err(listen)?;
+        let mut socket = Watched::level(socket.map_err(listen)?, handle, Owner::Fleet);
+        socket.ensure();
         let look = section
             .look
             .map(|at| Look::new(at, handle).map_err(|source| Error::Look { at, source }))
@@ -142,12 +147,9 @@
         let mut census = Census::new(section.expected, hold(&section));
         census.saw(now, &core.own_view().name, State::Alive);
         let counted = census.count(now);
-        let (token, handle) = (token, handle.clone());
         let mut fleet = Fleet {
             section,
             socket,
-            token,
-            handle,
             envelope,
             core,
             census,
@@ -207,28 +209,43 @@
 
     /// What the next process of this node goes on with.
     pub fn hand_over(&self, now: Micros) -> io::Result<(Inherited, OwnedFd)> {
-        Ok((self.core.hand_over(now), OwnedFd::from(self.socket.try_clone()?)))
+        Ok((self.core.hand_over(now), self.socket.copy()?))
     }
 
     /// Datagrams have come.
     pub fn on_ready(&mut self, now: Micros) {
         let mut buffer = [0; MOST_DATAGRAM + 1];
         for _ in 0..A_TURN {
-            match self.socket.recv_from(&mut buffer) {
-                Ok((bytes, from)) => match self.envelope.open(buffer.get(..bytes).unwrap_or_default()) {
-                    Ok(body) => self.core.receive(now, from, body),
-                    Err(_) => self.refused += 1,
-                },
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                // What was sent before found nobody there: a matter of that address, which is found out otherwise.
-                Err(e) if e.kind() == ErrorKind::Interrupted || e.kind() == ErrorKind::ConnectionRefused => {}
-                Err(e) => {
-                    return warn!("fleet: cannot read: {e}");
+            match self.socket.receive(&mut buffer) {
+                Received::Datagram(bytes, from) => {
+                    match self.envelope.open(buffer.get(..bytes).unwrap_or_default()) {
+                        Ok(body) => self.core.receive(now, from, body),
+                        Err(_) => self.refused += 1,
+                    }
                 }
+                Received::NotReady => return,
+                Received::Nothing => {}
+                Received::Broken(e) => return warn!("fleet: cannot read: {e}"),
             }
         }
     }
 
+    /// Something is to be come back to by [`Fleet::retry`].
+    pub fn is_behind(&self) -> bool {
+        !self.socket.is_telling() || self.look.as_ref().is_some_and(Look::is_behind)
+    }
+
+    /// Comes back to what failed for a moment.
+    pub fn retry(&mut self) {
+        self.socket.ensure();
+        self.look.iter_mut().for_each(Look::retry);
+    }
+
+    /// What the loop would have told may have been lost.
+    pub fn look_at_all(&mut self) {
+        self.look.iter_mut().for_each(Look::look_at_all);
+    }
+
     /// Somebody would look inside.
     pub fn on_look(&mut self) {
         self.look.iter_mut().for_each(Look::accept);
@@ -279,7 +296,7 @@
             match output {
                 Output::Send { to, body } => {
                     // Lost like any datagram, if the system does not take it.
-                    let _ = self.socket.send_to(&self.envelope.seal(&body), to);
+                    self.socket.send(&self.envelope.seal(&body), to);
                 }
                 Output::Told(change) => self.told(change, now),
             }
@@ -333,12 +350,6 @@
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        self.handle.remove(self.token);
-    }
-}
-
 fn hold(section: &Section) -> Micros {
     Micros::from(section.hold_s) * 1_000_000
 }
--- a/src/net/management.rs
+++ b/src/net/management.rs
@@ -1,15 +1,14 @@
 //! The operators' address: one line comes in on a connection, one goes out. What a call does is the node's matter.
 
 use super::deadlines::{Deadline, Deadlines};
-use super::{Handle, Owner, Socket};
-use calloop::{Interest, Mode, RegistrationToken};
+use super::{Handle, Owner, Ready, Socket};
 use lapisrudder::Micros;
 use lapisrudder_codec::management::{MAX_CALL, parse};
-use lapisrudder_host::watch;
+use lapisrudder_host::Watched;
+use lapisrudder_io::{Accepted, Listener, Read, Written};
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind, IoSlice};
-use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
+use std::io::{self, IoSlice};
+use std::net::SocketAddr;
 
 /// Callers that are held at a time; their descriptors are set aside. One more puts out the one that has been silent
 /// for longest. Guards calls against callers that say nothing and stay.
@@ -22,57 +21,75 @@
 const LINGER: Micros = 1_000_000;
 /// Callers taken in one turn at the most. Guards clients against a flood of them.
 const A_TURN: usize = 64;
+/// Callers that the kernel keeps until they are accepted.
+const BACKLOG: i32 = 128;
 
 struct Caller {
     socket: Socket,
     input: Vec<u8>,
     answered: bool,
+    /// What is still to be sent of its answer.
+    output: Vec<u8>,
     /// When this is over.
     until: Micros,
 }
 
 /// The listener and who has called.
 pub struct Management {
-    listener: Rc<TcpListener>,
-    token: RegistrationToken,
+    listener: Watched<Ready, Listener>,
     handle: Handle,
     /// By number: the first has been here for longest.
     callers: BTreeMap<u64, Caller>,
     next: u64,
     /// Callers whose line is whole, or is none.
     whole: Vec<u64>,
+    /// Callers to come back to: a call failed for a moment, and no readiness will tell.
+    again: Vec<u64>,
 }
 
 impl Management {
     pub fn new(at: SocketAddr, handle: &Handle) -> io::Result<Management> {
-        let listener = TcpListener::bind(at)?;
-        listener.set_nonblocking(true)?;
-        let listener = Rc::new(listener);
-        let token = watch(listener.clone(), Interest::READ, Mode::Level, handle, Owner::Management)?;
-        let (callers, whole) = (BTreeMap::new(), Vec::new());
-        Ok(Management { listener, token, handle: handle.clone(), callers, next: 0, whole })
+        let mut listener = Watched::level(Listener::bind(at, BACKLOG, false)?, handle, Owner::Management);
+        listener.ensure();
+        let (callers, whole, again) = (BTreeMap::new(), Vec::new(), Vec::new());
+        Ok(Management { listener, handle: handle.clone(), callers, next: 0, whole, again })
     }
 
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+        self.listener.address()
+    }
+
+    /// Something is to be come back to by [`Management::retry`].
+    pub fn is_behind(&self) -> bool {
+        !(self.listener.is_telling() && self.again.is_empty())
+    }
+
+    /// Comes back to what failed for a moment.
+    pub fn retry(&mut self) {
+        self.listener.ensure();
+        std::mem::take(&mut self.again).into_iter().for_each(|id| self.on_ready(id));
+    }
+
+    /// What the loop would have told of any caller may have been lost.
+    pub fn look_at_all(&mut self) {
+        self.again = self.callers.keys().copied().collect();
     }
 
     /// Takes those who have come.
     pub fn accept(&mut self, now: Micros, deadlines: &mut Deadlines) {
         for _ in 0..A_TURN {
             let stream = match self.listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                    continue;
-                }
-                Err(_) => return,
+                Accepted::Client(stream, _) => stream,
+                Accepted::Gone | Accepted::Lacking(_) => continue,
+                Accepted::Empty | Accepted::Broken(_) => return,
             };
             let id = self.next;
             self.next += 1;
-            let Ok(socket) = Socket::new(stream, &self.handle, Owner::Caller(id)) else { continue };
+            let socket = Socket::edge(stream, &self.handle, Owner::Caller(id));
             let until = now + PATIENCE;
             deadlines.add(until, Deadline::Caller(id));
-            self.callers.insert(id, Caller { socket, input: Vec::new(), answered: false, until });
+            let (input, output) = (Vec::new(), Vec::new());
+            self.callers.insert(id, Caller { socket, input, answered: false, output, until });
             // What a caller says comes with its connect: it is heard before another puts it out.
             self.on_ready(id);
             while self.callers.len() > CALLERS {
@@ -87,17 +104,25 @@
     /// A caller has something to say, or has gone.
     pub fn on_ready(&mut self, id: u64) {
         let Some(caller) = self.callers.get_mut(&id) else { return };
+        if !caller.socket.ensure() {
+            self.again.push(id);
+        }
         let mut buffer = [0; MAX_CALL];
         for _ in 0..A_TURN {
             match caller.socket.read(&mut buffer) {
-                Ok(None) => return,
-                Ok(Some(0)) | Err(_) => {
+                Read::NotReady => return self.flush(id),
+                Read::Later(_) => {
+                    self.again.push(id);
+                    return self.flush(id);
+                }
+                Read::End if caller.answered && !caller.output.is_empty() => return self.flush(id),
+                Read::End | Read::Broken(_) => {
                     self.callers.remove(&id);
                     self.whole.retain(|other| *other != id);
                     return;
                 }
-                Ok(Some(_)) if caller.answered || self.whole.contains(&id) => {}
-                Ok(Some(n)) => {
+                Read::Bytes(_) if caller.answered || self.whole.contains(&id) => {}
+                Read::Bytes(n) => {
                     let room = MAX_CALL.saturating_sub(caller.input.len());
                     caller.input.extend_from_slice(&buffer[..n.min(room)]);
                     if !matches!(parse(&caller.input), Ok(None)) {
@@ -109,6 +134,25 @@
         // It sends without end, and has had its line.
         if caller.answered {
             self.callers.remove(&id);
+        } else {
+            self.again.push(id);
+        }
+    }
+
+    /// Sends what is left of an answer, and ends the sending behind it.
+    fn flush(&mut self, id: u64) {
+        let Some(caller) = self.callers.get_mut(&id).filter(|c| !c.output.is_empty()) else { return };
+        while !caller.output.is_empty() {
+            match caller.socket.write(&[IoSlice::new(&caller.output)]) {
+                // Danger: a short write cut the line.
+                Written::Bytes(n) => drop(caller.output.drain(..n)),
+                Written::Full => return,
+                Written::Later(_) => return self.again.push(id),
+                Written::Broken(_) => return drop(self.callers.remove(&id)),
+            }
+        }
+        if caller.socket.finish().is_err() {
+            self.callers.remove(&id);
         }
     }
 
@@ -123,11 +167,8 @@
         let Some(caller) = self.callers.get_mut(&id) else { return };
         (caller.answered, caller.until) = (true, now + LINGER);
         deadlines.add(caller.until, Deadline::Caller(id));
-        // A fresh socket takes a line at once; a caller that lets it not is none.
-        let told = caller.socket.write(&[IoSlice::new(line.as_bytes())]).and_then(|_| caller.socket.finish());
-        if told.is_err() {
-            self.callers.remove(&id);
-        }
+        caller.output = line.into();
+        self.flush(id);
     }
 
     /// A caller's time may be over.
@@ -140,9 +181,3 @@
         }
     }
 }
-
-impl Drop for Management {
-    fn drop(&mut self) {
-        self.handle.remove(self.token);
-    }
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,13 +14,15 @@
 use lapisrudder_config::{self as config, Config, Platform, Sources};
 use lapisrudder_engine::Conn;
 use lapisrudder_host::Noted;
+use lapisrudder_io::{Operation, is_momentary, keep_trying};
 use lapisrudder_log::{self as log, Log};
-use node::Node;
+use node::{Node, START_PATIENCE};
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::{Duration, Instant};
 use thiserror::Error;
-use tracing::{Level, error, info};
+use tracing::{Level, error, info, warn};
 
 /// Descriptors that are neither a client's nor a member's: standard streams, loop, listener, discovery, the spare.
 pub const OWN_SOCKETS: usize = 24;
@@ -90,54 +92,128 @@
     Limits(#[from] lapisrudder_limits::SettingsError),
     #[error(transparent)]
     Fleet(#[from] fleet::Error),
-    #[error("the loop failed: {0}")]
-    Loop(#[source] calloop::Error),
 }
 
+/// A configuration that could not be read is read again so soon, and for so long after SIGHUP at the most.
+const RELOAD_AGAIN: Duration = Duration::from_millis(20);
+const RELOADS_FOR: Duration = Duration::from_secs(3);
+/// After the loop has failed it is tried again so soon.
+const LOOP_AGAIN: Duration = Duration::from_millis(1);
+
 /// Runs the node until it is told to stop and has answered all that it took. On SIGHUP the sources are read again.
 pub fn serve(sources: Sources, config: Config) -> Result<(), Error> {
-    let mut events: EventLoop<Ready> = EventLoop::try_new().map_err(Error::Start)?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(Error::Signals)?;
+    let mut events: EventLoop<Ready> =
+        keep_trying(START_PATIENCE, EventLoop::try_new, may_pass).map_err(Error::Start)?;
+    let told = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP];
+    let signals = keep_trying(START_PATIENCE, || Signals::new(&told), may_pass).map_err(Error::Signals)?;
     // Danger: threads begun before the signals are blocked would take them, and SIGTERM would kill the node.
     let log = Log::start(log_settings(&config.operators.log), io::stderr())?;
-    events
-        .handle()
-        .insert_source(signals, |event, _, ready| ready.signals.push(event.signal()))
-        .map_err(|e| Error::Signals(e.error))?;
-    let mut force = config.platform.clone();
+    watch_signals(&events.handle(), signals)?;
+    let force = config.platform.clone();
     let mut node = Node::new(config, &events.handle())?;
+    let mut reloads = Reloads { sources: &sources, force, log: &log, again: None };
     let mut ready = Ready::default();
     while !node.is_over() {
         let wait = node.begin_wait();
-        events.dispatch(wait, &mut ready).map_err(Error::Loop)?;
-        let found = !ready.sockets.is_empty() || !ready.signals.is_empty();
+        let wait = reloads.again.map_or(wait, |again| wait.min(again.left()));
+        let looked = events.dispatch(wait, &mut ready);
+        let found = looked.is_err() || !ready.sockets.is_empty() || !ready.signals.is_empty();
         let came_after = node.end_wait(found);
+        if let Err(e) = looked {
+            // Danger: one failed call of the loop ended the process with all that it owed.
+            warn!("the loop failed, all is looked at: {e}");
+            node.look_at_all();
+            std::thread::sleep(LOOP_AGAIN);
+        }
         for signal in ready.signals.drain(..) {
             match signal {
-                Signal::SIGHUP => reload(&sources, &mut force, &log, &mut node),
+                Signal::SIGHUP => reloads.begin(&mut node),
                 signal => {
                     info!(?signal, "told to stop");
                     node.stop(came_after);
                 }
             }
         }
+        reloads.wake(&mut node);
         node.turn(ready.sockets.drain(..), came_after);
     }
     info!("ended");
     Ok(())
 }
 
-/// Reads all configuration again. If anything is wrong with it, nothing of it is used.
-fn reload(sources: &Sources, force: &mut Platform, log: &Log, node: &mut Node) {
-    let path = sources.environment.config.as_deref().unwrap_or(Path::new(""));
-    let sound = |config: Config| config.platform.has_all_of(force, path).map(|()| config);
-    match sources.reload().and_then(sound) {
-        Ok(config) => {
-            *force = config.platform.clone();
-            log.apply(log_settings(&config.operators.log));
-            node.reload(config);
+/// Puts the signals on the loop.
+fn watch_signals(handle: &Handle, signals: Signals) -> Result<(), Error> {
+    let mut source = Some(signals);
+    let insert = || {
+        let Some(signals) = source.take() else { return Ok(()) };
+        let inserted = handle.insert_source(signals, |event, _, ready| ready.signals.push(event.signal()));
+        inserted.map(drop).map_err(|failed| {
+            source = Some(failed.inserted);
+            failed.error
+        })
+    };
+    keep_trying(START_PATIENCE, insert, may_pass).map_err(Error::Signals)
+}
+
+/// A failure of the loop at the start that the next try may not meet.
+fn may_pass(error: &calloop::Error) -> bool {
+    matches!(error, calloop::Error::IoError(e) if is_momentary(Operation::Open, e))
+}
+
+/// When a configuration is read again that could not be read.
+#[derive(Clone, Copy)]
+struct Again {
+    at: Instant,
+    /// It is given up then.
+    until: Instant,
+}
+
+impl Again {
+    fn left(&self) -> Duration {
+        self.at.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Configuration that is read while the node runs.
+struct Reloads<'a> {
+    sources: &'a Sources,
+    /// What the platform's file said last.
+    force: Platform,
+    log: &'a Log,
+    again: Option<Again>,
+}
+
+impl Reloads<'_> {
+    /// SIGHUP has come.
+    fn begin(&mut self, node: &mut Node) {
+        self.read(Instant::now() + RELOADS_FOR, node);
+    }
+
+    /// Reads again what could not be read, if it is time.
+    fn wake(&mut self, node: &mut Node) {
+        if let Some(again) = self.again.filter(|again| again.left().is_zero()) {
+            self.read(again.until, node);
+        }
+    }
+
+    /// Reads all configuration again. If anything is wrong with it, nothing of it is used. Danger: a new one was passed over
+    /// since a call had failed for a moment.
+    fn read(&mut self, until: Instant, node: &mut Node) {
+        self.again = None;
+        let path = self.sources.environment.config.as_deref().unwrap_or(Path::new(""));
+        let sound = |config: Config| config.platform.has_all_of(&self.force, path).map(|()| config);
+        match self.sources.reload().and_then(sound) {
+            Ok(config) => {
+                self.force = config.platform.clone();
+                self.log.apply(log_settings(&config.operators.log));
+                node.reload(config);
+            }
+            Err(problems) if problems.is_momentary() && Instant::now() < until => {
+                warn!("reload: it is read again shortly: {problems}");
+                self.again = Some(Again { at: Instant::now() + RELOAD_AGAIN, until });
+            }
+            Err(problems) => error!("reload: the old configuration stays: {problems}"),
         }
-        Err(problems) => error!("reload: the old configuration stays: {problems}"),
     }
 }
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -8,7 +8,7 @@
 use super::fleet::{self, Fleet};
 use super::management::{self, Management};
 use super::takeover::{self, Door, Link};
-use super::virtual_server::{self, VirtualServer};
+use super::virtual_server::{self, Queue, VirtualServer};
 use super::{CLIENTS_SHARE, Handle, OWN_SOCKETS, Owner, Ready};
 use lapisrudder::maintenance::{Ban, NoBan};
 use lapisrudder::permit::{Denial, Violations};
@@ -21,14 +21,13 @@
 use lapisrudder_engine::{
     Answer, Answers, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request, TakeError,
 };
-use lapisrudder_host::{Attention, Clock, Discovery, Members, News};
+use lapisrudder_host::{Attention, COME_BACK, Clock, Discovery, Members, News};
+use lapisrudder_io::{Operation, held_descriptors, is_momentary, keep_trying, read_text, write_line};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use lapisrudder_takeover::{self as talk, Grant, Lender, Message, State};
 use rustc_hash::FxHashMap;
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
-use std::os::fd::OwnedFd;
-use std::path::PathBuf;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tracing::{debug, info, warn};
 
@@ -44,12 +43,18 @@
 /// A process before this one that said nothing is gone this long after the start of this: 6 s until this one's yes,
 /// 3.7 s until its end.
 const ALONE_AFTER: Micros = 10_000_000;
+/// A stopping node tries again so soon to take those who wait, where it could not.
+const ACCEPT_AGAIN: Micros = 1_000;
+/// A way in that could not be opened for the next process is tried again so soon.
+const OPEN_AGAIN: Micros = 100_000;
 /// So many clients' connections go to the next process at a time, and so often. Guards the limit on descriptors: what
 /// it may hold grows with what this one has closed.
 const A_HAND: usize = 16;
 const HAND_EVERY: Micros = 5_000;
 /// Members that have left, of which the next process is told. A release replaces a few hundred at a time.
 const GONE: usize = 4096;
+/// What a start needs of the system is tried to be had for this long.
+pub(super) const START_PATIENCE: Duration = Duration::from_secs(10);
 /// How often the process's memory is looked at.
 const MEMORY_EVERY: Micros = 1_000_000;
 
@@ -219,10 +224,11 @@
         let now = clock.now();
         let settings = config.options.on_sockets();
         let bounds = &config.options.bounds;
-        let management = config
-            .management
-            .map(|at| Management::new(at, handle).map_err(|source| super::Error::Management { at, source }));
-        let management = management.transpose()?;
+        let manage = |at| {
+            let listens = keep_trying(START_PATIENCE, || Management::new(at, handle), may_pass);
+            listens.map_err(|source| super::Error::Management { at, source })
+        };
+        let management = config.management.map(manage).transpose()?;
         let place = takeover::meeting_place(&config.name, config.listen);
         let asked = place.as_ref().map(|place| takeover::ask(place, &config.name, handle));
         let silent = matches!(asked, Some(Err(_)));
@@ -234,18 +240,27 @@
             Some((state, listener, link)) => (Some(state), Some(listener), Some(link)),
             None => (None, None, None),
         };
-        let handed = handed.filter(|l| l.local_addr().is_ok_and(|at| at == config.listen));
+        let mut handed = handed.filter(|l| l.address().is_ok_and(|at| at == config.listen));
         let own = OWN_SOCKETS + takeover::SOCKETS + management.as_ref().map_or(0, |_| management::SOCKETS);
         let own = own + operators.fleet.as_ref().map_or(0, |_| fleet::SOCKETS);
         let sockets = config.sockets.saturating_sub(own);
         let limits = limits(&config.options, settings.siblings, sockets);
-        let admission = Admission::new(operators.limits, config.seed, now)?;
-        let server = VirtualServer::new(config.listen, handed, admission, handle)
-            .map_err(|source| super::Error::Listen { at: config.listen, source })?;
+        let listen = || {
+            let admission = Admission::new(operators.limits.clone(), config.seed, now)?;
+            let server = VirtualServer::new(config.listen, handed.take(), admission, handle);
+            server.map_err(|source| super::Error::Listen { at: config.listen, source })
+        };
+        let may_listen =
+            |e: &super::Error| matches!(e, super::Error::Listen { source, .. } if may_pass(source));
+        let server = keep_trying(START_PATIENCE, listen, may_listen)?;
         let fleet_section = operators.fleet;
         // A process before this one hands its place among the others over when clients go to this one.
         let alone = fleet_section.clone().filter(|_| predecessor.is_none());
-        let fleet = alone.map(|section| Fleet::new(section, &config.name, None, handle, now));
+        let begin = |section: lapisrudder_config::Fleet| {
+            let fleet = || Fleet::new(section.clone(), &config.name, None, handle, now);
+            keep_trying(START_PATIENCE, fleet, |e| e.source_io().is_some_and(may_pass))
+        };
+        let fleet = alone.map(begin);
         // The list of the process before is newer than what the platform remembers.
         let told = state.as_ref().and_then(|state| list_of(state, config.discovery));
         let theirs = told.is_some();
@@ -311,7 +326,7 @@
             told += &format!("{} is managed at {at}\n", config.name);
         }
         // Nobody need read it.
-        let _ = std::io::stdout().write_all(told.as_bytes());
+        let _ = write_line(&mut std::io::stdout(), told.as_bytes());
         Ok(node)
     }
 
@@ -330,10 +345,62 @@
         look.came_after
     }
 
+    /// Something is to be come back to: a call failed for a moment, and no readiness will tell.
+    fn is_behind(&self) -> bool {
+        let links = [&self.predecessor, &self.knocking];
+        let link = links.into_iter().flatten().chain(self.successor.as_ref().map(|s| &s.link));
+        self.members.is_behind()
+            || self.discovery.is_behind()
+            || self.management.as_ref().is_some_and(Management::is_behind)
+            || self.fleet.as_ref().is_some_and(Fleet::is_behind)
+            || self.door.as_ref().is_some_and(|door| !door.is_telling())
+            || link.into_iter().any(Link::is_behind)
+    }
+
+    /// Comes back to what failed for a moment.
+    fn come_back(&mut self) {
+        let now = self.clock.now();
+        let Node { members, scratch, engine, server, ledger, .. } = self;
+        members.retry(scratch, engine, &mut Front { server, ledger, now }, now);
+        self.discovery.retry(&mut self.scratch, &self.options, now);
+        self.discovery_news();
+        self.management.iter_mut().for_each(Management::retry);
+        self.fleet.iter_mut().for_each(Fleet::retry);
+        self.server.keep_listening();
+        self.door.iter_mut().for_each(Door::ensure);
+        if self.predecessor.as_ref().is_some_and(Link::is_behind) {
+            self.hear_predecessor(now);
+        }
+        let successor = self.successor.as_ref().map(|s| &s.link).or(self.knocking.as_ref());
+        if successor.is_some_and(Link::is_behind) {
+            self.hear_successor(now);
+        }
+    }
+
+    /// The loop has failed, and may have lost what it had to tell: edges come once. All is looked at.
+    pub fn look_at_all(&mut self) {
+        self.server.look_at_all();
+        self.members.look_at_all();
+        self.discovery.look_again();
+        self.management.iter_mut().for_each(Management::look_at_all);
+        self.fleet.iter_mut().for_each(Fleet::look_at_all);
+        let links = [&mut self.predecessor, &mut self.knocking];
+        links.into_iter().flatten().for_each(Link::look_again);
+        self.successor.iter_mut().for_each(|s| s.link.look_again());
+    }
+
     fn until_next(&self) -> Option<Duration> {
-        if self.server.is_behind() || !self.server.resumed.is_empty() {
+        if !self.server.resumed.is_empty() {
             return Some(Duration::ZERO);
         }
+        let behind = self.is_behind().then_some(COME_BACK);
+        let comes_back = behind.into_iter().chain(self.server.comes_back_in()).min();
+        let next = self.until_next_deadline();
+        let comes_back = comes_back.map(|wait| Duration::from_micros(wait.max(0) as u64));
+        comes_back.into_iter().chain(next).min()
+    }
+
+    fn until_next_deadline(&self) -> Option<Duration> {
         let deadlines =
             [self.deadlines.next(), self.engine.next_wake(), self.discovery.next_wake(), self.server.due()];
         let fleet = self.fleet.as_ref().map(Fleet::next_wake);
@@ -350,7 +417,7 @@
     fn ready(&mut self, owner: Owner) {
         let now = self.clock.now();
         match owner {
-            Owner::Listener => self.accept(now),
+            Owner::Listener => _ = self.accept(now),
             Owner::Client(id) => {
                 self.server.on_ready(id, &mut self.scratch, now, &mut self.deadlines);
                 self.client_news();
@@ -377,8 +444,8 @@
         }
     }
 
-    fn accept(&mut self, now: Micros) {
-        self.server.accept(now, &mut self.deadlines);
+    fn accept(&mut self, now: Micros) -> Queue {
+        self.server.accept(now, &mut self.deadlines)
     }
 
     /// The configuration may have changed. Limits, settings and discovery's address hold from here on; what else the
@@ -494,7 +561,10 @@
         match Door::open(place, &self.handle) {
             Ok(door) => self.door = Some(door),
             // Another process of this node could still listen beside this one.
-            Err(e) => info!("takeover: no other process can ask: {e}"),
+            Err(e) => {
+                info!("takeover: no other process can ask for now: {e}");
+                self.deadlines.add(self.clock.now() + OPEN_AGAIN, Deadline::OpenDoor);
+            }
         }
     }
 
@@ -528,9 +598,7 @@
 
     /// Clients come here from now on, and so does the next process.
     fn take_clients(&mut self) {
-        if let Err(e) = self.server.begin_accepting() {
-            warn!("cannot accept: {e}");
-        }
+        self.server.begin_accepting();
         if self.door.is_none() {
             self.open_door();
         }
@@ -543,7 +611,7 @@
     }
 
     fn somebody_knocks(&mut self) {
-        let Some(link) = self.door.as_ref().and_then(Door::accept) else { return };
+        let Some(link) = self.door.as_ref().and_then(|door| door.accept(&self.handle)) else { return };
         // One at a time: another finds its talk ended, and begins without.
         if self.successor.is_none() && self.phase == Phase::Serving {
             self.knocking = Some(link);
@@ -557,7 +625,7 @@
                 Message::Grant(grant) => self.granted(grant, now),
                 Message::Client { input } => {
                     if let Some(along) = along {
-                        self.server.adopt(TcpStream::from(along), input, now, &mut self.deadlines);
+                        self.server.adopt(along, input, now, &mut self.deadlines);
                     }
                 }
                 Message::Fleet(inherited) => self.begin_fleet(along.map(|fd| (inherited, fd)), now),
@@ -595,9 +663,7 @@
             if self.phase == Phase::Serving {
                 self.begin_fleet(None, now);
             }
-            if let Err(e) = self.server.take_clients_back() {
-                warn!("cannot accept: {e}");
-            }
+            self.server.take_clients_back();
             for (stream, input) in successor.link.unsent() {
                 self.server.adopt(stream, input, now, &mut self.deadlines);
             }
@@ -611,8 +677,18 @@
 
     /// Another process wants to take the place of this one: it gets what is worth having, and room beside this one.
     fn lend(&mut self, now: Micros) {
-        let Some((mut link, listener)) = self.knocking.take().zip(self.server.listener()) else { return };
-        let lender = Lender::new(self.all_descriptors, held_descriptors());
+        let listener = match self.server.listener() {
+            Ok(Some(listener)) => listener,
+            Ok(None) => return self.knocking = None,
+            // Danger: the other process took its talk for ended, and began alone beside this one.
+            Err(e) => {
+                info!("takeover: nothing can be handed over for now: {e}");
+                self.deadlines.add(now + HAND_EVERY, Deadline::Lend);
+                return;
+            }
+        };
+        let Some(mut link) = self.knocking.take() else { return };
+        let lender = Lender::new(self.all_descriptors, self.descriptors());
         let maintenance = self.engine.maintenance();
         let state = State {
             standby: self.server.is_standby(),
@@ -642,15 +718,22 @@
         self.hand_over(now);
     }
 
+    /// Descriptors that the process holds now; where the system does not say, all that it may. Guards the limit: what it does
+    /// not know of it would lend.
+    fn descriptors(&self) -> usize {
+        held_descriptors().unwrap_or(self.all_descriptors)
+    }
+
     /// Hands clients' connections over on which nothing is owed, and says how much the other may hold by now.
     fn hand_over(&mut self, now: Micros) {
         let Some(successor) = &mut self.successor else { return };
         if successor.ready {
             for (stream, input) in self.server.leavers(A_HAND, now, &mut self.deadlines) {
-                successor.link.say(&Message::Client { input }, Some(OwnedFd::from(stream)));
+                successor.link.say(&Message::Client { input }, Some(stream));
             }
         }
-        let (held, clients) = (held_descriptors(), self.server.count());
+        let (held, clients) = (self.descriptors(), self.server.count());
+        let Some(successor) = &mut self.successor else { return };
         // What is left of its own is both sides'.
         let room = successor.lender.kept().saturating_sub(held) / 2;
         successor.clients = clients + room;
@@ -792,9 +875,18 @@
                 Deadline::Alone => {}
                 Deadline::Leave => self.phase = Phase::Leaving,
                 Deadline::StopAccepting => {
-                    self.phase = Phase::Draining;
-                    self.server.stop_accepting(now, &mut self.deadlines);
+                    if matches!(self.phase, Phase::Stopping | Phase::Leaving) {
+                        self.phase = Phase::Draining;
+                    }
+                    let last = self.phase == Phase::Refusing;
+                    if !self.server.stop_accepting(last, now, &mut self.deadlines) {
+                        self.deadlines.add(now + ACCEPT_AGAIN, Deadline::StopAccepting);
+                    }
                 }
+                Deadline::OpenDoor if self.door.is_none() && !self.is_replaced() => self.open_door(),
+                Deadline::OpenDoor => {}
+                Deadline::Lend if self.successor.is_none() => self.lend(now),
+                Deadline::Lend => {}
                 Deadline::LastCall => {
                     let mut open: Vec<RequestId> = self.ledger.owed.keys().copied().collect();
                     open.sort_unstable();
@@ -857,6 +949,7 @@
     /// One turn: reads all that has come, sweeps deadlines, and carries out what the engine says of it all.
     pub fn turn(&mut self, ready: impl IntoIterator<Item = Owner>, came_after: Micros) {
         self.server.looked(came_after);
+        self.come_back();
         ready.into_iter().for_each(|owner| self.ready(owner));
         self.send_out();
         self.sweep();
@@ -888,8 +981,8 @@
         let may_end = matches!(self.phase, Phase::Leaving | Phase::Draining | Phase::Refusing);
         if may_end && self.server.is_empty() && handed {
             // Guards who has come since the loop told of the others: what waits to be accepted would be reset.
-            self.accept(self.clock.now());
-            if self.server.is_empty() {
+            let queue = self.accept(self.clock.now());
+            if queue == Queue::Empty && self.server.is_empty() {
                 self.phase = Phase::Over;
             }
         }
@@ -932,6 +1025,11 @@
     }
 }
 
+/// A failure at the start that the next try may not meet.
+fn may_pass(error: &std::io::Error) -> bool {
+    is_momentary(Operation::Open, error)
+}
+
 /// Counts an answer that is given later than it may be.
 fn note_answer(violations: &mut Violations, time: &RequestTime, now: Micros) {
     violations.note(if time.is_missed(now) { Err(Denial::AnsweredLate) } else { Ok(()) });
@@ -1006,14 +1104,9 @@
     Some(Target { listed, endpoint: m.endpoint.parse().ok()? })
 }
 
-/// Descriptors that the process holds now; none where the system does not say.
-fn held_descriptors() -> usize {
-    std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count)
-}
-
 /// Ephemeral ports that the machine has; 0 where the system does not say.
 fn ephemeral_ports() -> u64 {
-    let told = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
+    let told = read_text(Path::new("/proc/sys/net/ipv4/ip_local_port_range")).unwrap_or_default();
     let mut ends = told.split_whitespace().map(str::parse::<u64>);
     match (ends.next(), ends.next()) {
         (Some(Ok(first)), Some(Ok(last))) => (last + 1).saturating_sub(first),
@@ -1023,7 +1116,7 @@
 
 /// Memory that the process holds now; 0 where the system does not say.
 fn resident_bytes() -> u64 {
-    let told = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let told = read_text(Path::new("/proc/self/status")).unwrap_or_default();
     let line = told.lines().find_map(|l| l.strip_prefix("VmRSS:"));
     line.and_then(|l| l.trim().trim_end_matches(" kB").parse::<u64>().ok()).unwrap_or(0) << 10
 }
--- a/src/net/takeover.rs
+++ b/src/net/takeover.rs
@@ -1,24 +1,16 @@
 //! The talk between two processes of one node, on a Unix socket in `$TMPDIR`, and the sockets that go along. What is
 //! said is [`lapisrudder_takeover`]'s matter; what follows from it, the node's.
 
-use super::{Handle, Owner};
-use calloop::{Interest, Mode, RegistrationToken};
-use lapisrudder_host::watch;
+use super::{Handle, Owner, Ready};
+use lapisrudder_host::Watched;
+use lapisrudder_io::{Knock, Listener, LocalListener, LocalStream, Message as Heard, Sent, Sibling, knock};
 use lapisrudder_takeover::{BadFrame, Message, State, decode, encode};
-use rustix::net::{
-    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
-    SendFlags, recvmsg, sendmsg,
-};
 use std::collections::VecDeque;
-use std::fs;
-use std::io::{self, IoSlice, IoSliceMut};
-use std::mem::MaybeUninit;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io;
+use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
-use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tracing::info;
 
@@ -26,6 +18,8 @@
 const ANSWERS_IN: Duration = Duration::from_millis(1000);
 /// Descriptors that the talk takes: the listener, a peer, and one that goes along.
 pub const SOCKETS: usize = 4;
+/// Whether there is an old process is tried to be found out for this long.
+const ASKS_FOR: Duration = Duration::from_millis(1000);
 /// Bytes read at a time.
 const CHUNK: usize = 64 << 10;
 
@@ -60,28 +54,46 @@
 
 /// One end of the talk.
 pub struct Link {
-    stream: Rc<UnixStream>,
-    token: Option<(RegistrationToken, Handle)>,
+    stream: Watched<Ready, LocalStream>,
     outgoing: VecDeque<Outgoing>,
     input: Vec<u8>,
     /// Sockets that came along, in order.
     came: VecDeque<OwnedFd>,
+    /// A call failed for a moment, and no readiness will tell: it is to be heard again.
+    again: bool,
+}
+
+/// What a read brought.
+#[derive(PartialEq)]
+enum More {
+    Came,
+    Nothing,
 }
 
 impl Link {
-    fn new(stream: UnixStream) -> Link {
+    fn new(stream: LocalStream, handle: &Handle, owner: Owner) -> Link {
         let (outgoing, input, came) = (VecDeque::new(), Vec::new(), VecDeque::new());
-        Link { stream: Rc::new(stream), token: None, outgoing, input, came }
+        let stream = Watched::edge(stream, handle, owner);
+        Link { stream, outgoing, input, came, again: false }
     }
 
     /// Puts it on the loop.
-    fn watch(&mut self, handle: &Handle, owner: Owner) -> io::Result<()> {
-        self.stream.set_nonblocking(true)?;
-        let token = watch(self.stream.clone(), Interest::BOTH, Mode::Edge, handle, owner)?;
-        self.token = Some((token, handle.clone()));
+    fn watch(&mut self) -> io::Result<()> {
+        self.stream.never_block()?;
+        self.again = true;
         Ok(())
     }
 
+    /// It is to be heard again shortly.
+    pub fn is_behind(&self) -> bool {
+        self.again
+    }
+
+    /// What the loop would have told of it may have been lost.
+    pub fn look_again(&mut self) {
+        self.again = true;
+    }
+
     /// Says something, as far as the peer takes it by now; a socket may go along. An error comes back when the peer is
     /// heard.
     pub fn say(&mut self, message: &Message, along: Option<OwnedFd>) {
@@ -97,49 +109,40 @@
     /// Sends as far as the peer takes it.
     fn flush(&mut self) -> Result<(), Error> {
         while let Some(next) = self.outgoing.front_mut() {
-            let slices = [IoSlice::new(next.frame.get(next.sent..).unwrap_or_default())];
-            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-            let mut control = SendAncillaryBuffer::new(&mut space);
-            let along = next.along.as_ref().map(|fd| [fd.as_fd()]);
-            along.iter().for_each(|fds| _ = control.push(SendAncillaryMessage::ScmRights(fds)));
-            match sendmsg(&*self.stream, &slices, &mut control, SendFlags::NOSIGNAL | SendFlags::DONTWAIT) {
-                Ok(n) => {
+            let rest = next.frame.get(next.sent..).unwrap_or_default();
+            match self.stream.send(rest, next.along.as_ref().map(AsFd::as_fd))? {
+                Sent::Bytes(n) => {
                     (next.sent, next.along) = (next.sent + n, None);
                     if next.sent >= next.frame.len() {
                         self.outgoing.pop_front();
                     }
                 }
-                // Too many sockets under way: the peer takes them, and its turn comes.
-                Err(rustix::io::Errno::AGAIN | rustix::io::Errno::TOOMANYREFS) => return Ok(()),
-                Err(rustix::io::Errno::INTR) => {}
-                Err(e) => return Err(io::Error::from(e).into()),
+                Sent::Full => return Ok(()),
+                Sent::Later => {
+                    self.again = true;
+                    return Ok(());
+                }
             }
         }
         Ok(())
     }
 
-    /// Reads once. False if nothing had come.
-    fn read(&mut self) -> Result<bool, Error> {
+    /// Reads once.
+    fn read(&mut self) -> Result<More, Error> {
         let mut buffer = vec![0; CHUNK];
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-        let mut control = RecvAncillaryBuffer::new(&mut space);
-        let mut slices = [IoSliceMut::new(&mut buffer)];
-        let read = match recvmsg(&*self.stream, &mut slices, &mut control, RecvFlags::CMSG_CLOEXEC) {
-            Ok(read) => read.bytes,
-            Err(rustix::io::Errno::INTR) => return Ok(true),
-            Err(rustix::io::Errno::AGAIN) => return Ok(false),
-            Err(e) => return Err(io::Error::from(e).into()),
-        };
-        for message in control.drain() {
-            if let RecvAncillaryMessage::ScmRights(fds) = message {
-                self.came.extend(fds);
+        match self.stream.receive(&mut buffer)? {
+            Heard::Bytes(bytes, along) => {
+                self.came.extend(along);
+                self.input.extend_from_slice(buffer.get(..bytes).unwrap_or_default());
+                Ok(More::Came)
+            }
+            Heard::End => Err(Error::Ended),
+            Heard::NotReady => Ok(More::Nothing),
+            Heard::Later => {
+                self.again = true;
+                Ok(More::Nothing)
             }
         }
-        if read == 0 {
-            return Err(Error::Ended);
-        }
-        self.input.extend_from_slice(buffer.get(..read).unwrap_or_default());
-        Ok(true)
     }
 
     /// The next message, if it is whole, and the socket that came along where one must.
@@ -159,6 +162,7 @@
     pub fn hear(&mut self) -> (Vec<(Message, Option<OwnedFd>)>, Option<Error>) {
         let mut heard = Vec::new();
         let mut over = None;
+        self.again = !self.stream.ensure();
         loop {
             let more = self.read();
             loop {
@@ -169,8 +173,8 @@
                 }
             }
             match more {
-                Ok(true) => {}
-                Ok(false) => break,
+                Ok(More::Came) => {}
+                Ok(More::Nothing) => break,
                 Err(e) => {
                     over = Some(e);
                     break;
@@ -181,40 +185,33 @@
     }
 
     /// Clients' connections that were to go along, and did not, with what was read of their next commands.
-    pub fn unsent(&mut self) -> Vec<(TcpStream, Vec<u8>)> {
+    pub fn unsent(&mut self) -> Vec<(OwnedFd, Vec<u8>)> {
         let client = |o: Outgoing| match (decode(&o.frame), o.along) {
-            (Ok(Some((Message::Client { input }, _))), Some(along)) => Some((TcpStream::from(along), input)),
+            (Ok(Some((Message::Client { input }, _))), Some(along)) => Some((along, input)),
             _ => None,
         };
         self.outgoing.drain(..).filter_map(client).collect()
     }
 }
 
-impl Drop for Link {
-    fn drop(&mut self) {
-        if let Some((token, handle)) = self.token.take() {
-            handle.remove(token);
-        }
-    }
-}
-
 /// Asks the process that serves at present for what it has. `None` where there is none; gives what it said, the
 /// clients' listener, and the talk, which goes on.
-pub fn ask(place: &Path, name: &str, handle: &Handle) -> Result<Option<(State, TcpListener, Link)>, Error> {
-    let Ok(stream) = UnixStream::connect(place) else { return Ok(None) };
-    stream.set_read_timeout(Some(ANSWERS_IN))?;
-    stream.set_write_timeout(Some(ANSWERS_IN))?;
-    let mut link = Link::new(stream);
+pub fn ask(place: &Path, name: &str, handle: &Handle) -> Result<Option<(State, Listener, Link)>, Error> {
+    let Knock::Somebody(stream) = knock(place, ASKS_FOR)? else { return Ok(None) };
+    stream.block_for(ANSWERS_IN)?;
+    let mut link = Link::new(stream, handle, Owner::Predecessor);
     link.say(&Message::Hello { name: name.into() }, None);
+    let until = Instant::now() + ANSWERS_IN;
     loop {
+        link.flush()?;
         if let Some((message, along)) = link.take()? {
             let Message::State(state) = message else { return Err(Error::Unexpected) };
-            let listener = TcpListener::from(along.ok_or(Error::NoSocket)?);
-            listener.set_nonblocking(true)?;
-            link.watch(handle, Owner::Predecessor)?;
+            let listener = Listener::adopt(along.ok_or(Error::NoSocket)?)?;
+            link.watch()?;
             return Ok(Some((state, listener, link)));
         }
-        if !link.read()? {
+        let more = link.read()?;
+        if more == More::Nothing && Instant::now() >= until {
             return Err(io::Error::from(io::ErrorKind::TimedOut).into());
         }
     }
@@ -222,30 +219,34 @@
 
 /// Where the next process of this node can ask.
 pub struct Door {
-    listener: Rc<UnixListener>,
-    token: RegistrationToken,
-    handle: Handle,
+    listener: Watched<Ready, LocalListener>,
 }
 
 impl Door {
     /// Opens it at that place, over whatever is there.
     pub fn open(place: &Path, handle: &Handle) -> io::Result<Door> {
-        // Danger: between taking away and binding nobody could be met; a rename leaves no such gap.
         let beside = place.with_extension(std::process::id().to_string());
-        let _ = fs::remove_file(&beside);
-        let listener = UnixListener::bind(&beside)?;
-        listener.set_nonblocking(true)?;
-        fs::rename(&beside, place)?;
-        let listener = Rc::new(listener);
-        let token = watch(listener.clone(), Interest::READ, Mode::Level, handle, Owner::Door)?;
-        Ok(Door { listener, token, handle: handle.clone() })
+        let listener = LocalListener::bind(place, &beside)?;
+        let mut listener = Watched::level(listener, handle, Owner::Door);
+        listener.ensure();
+        Ok(Door { listener })
+    }
+
+    /// The loop tells of it.
+    pub fn is_telling(&self) -> bool {
+        self.listener.is_telling()
     }
 
-    /// Whoever has come.
-    pub fn accept(&self) -> Option<Link> {
-        let (stream, _) = self.listener.accept().ok()?;
-        let mut link = Link::new(stream);
-        match link.watch(&self.handle, Owner::Successor) {
+    /// Has the loop tell of it, if that can be by now.
+    pub fn ensure(&mut self) {
+        self.listener.ensure();
+    }
+
+    /// Whoever has come. Who cannot be taken for now waits; the loop tells again.
+    pub fn accept(&self, handle: &Handle) -> Option<Link> {
+        let Sibling::Came(stream) = self.listener.accept() else { return None };
+        let mut link = Link::new(stream, handle, Owner::Successor);
+        match link.watch() {
             Ok(()) => Some(link),
             Err(e) => {
                 info!("takeover: a new process cannot be heard: {e}");
@@ -254,9 +255,3 @@
         }
     }
 }
-
-impl Drop for Door {
-    fn drop(&mut self) {
-        self.handle.remove(self.token);
-    }
-}
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -3,13 +3,16 @@
 
 use super::client::{Client, Drained, Slot, Upload};
 use super::deadlines::{Deadline, Deadlines, Key};
-use super::{Handle, Owner, Socket};
-use calloop::{Interest, Mode, RegistrationToken};
+use super::{Handle, Owner, Ready, Socket};
 use lapisrudder::permit::{Close, Violations};
 use lapisrudder::time_limits::HOLD_UP;
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{self, Command, OwnedRequest};
-use lapisrudder_host::watch;
+use lapisrudder_host::{COME_BACK, Watched};
+use lapisrudder_io::{
+    Accepted, Lack, Listener, Look, Next, Read, Shortage as Failures, Stream, Written, is_out_of_descriptors,
+    open_file,
+};
 use lapisrudder_limits::budget::Budget;
 use lapisrudder_limits::drain::{Drain, Release};
 use lapisrudder_limits::{
@@ -17,28 +20,35 @@
     Shortage, Ticket, Verdict,
 };
 use rustc_hash::FxHashMap;
-use socket2::{Domain, Protocol, Type};
 use std::collections::VecDeque;
 use std::fs::File;
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{self, IoSlice};
+use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
-use std::rc::Rc;
+use std::path::Path;
 use tracing::{debug, info, warn};
 
 /// Connections that the kernel keeps until they are accepted. Guards against a burst whose connects are dropped
 /// there and tried again only after a second.
 const BACKLOG: i32 = 1024;
-/// The errors of `accept` for want of a descriptor: the process has no more, or the machine.
-const EMFILE: i32 = 24;
-const ENFILE: i32 = 23;
-/// A client that read all bytes of may have closed behind them: it is looked at again this much later.
+/// Calls of `accept` in one turn that may bring nothing. The loop tells again of those who wait.
+const IN_VAIN: usize = 64;
+/// Whether a client has left whose bytes are not read for now is looked at this often.
 const LOOK_AGAIN: Micros = 50_000;
 /// What is read this long after the last turn may have waited for it, and its client may have left meanwhile.
 const STOOD_STILL: Micros = 40_000;
 /// What can be opened at any time, to hold a descriptor.
 const SPARE: &str = "/dev/null";
 
+/// What there is in the listener's queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Queue {
+    /// Nobody waits, or nobody is taken here any more.
+    Empty,
+    /// Some may wait.
+    Waiting,
+}
+
 /// What the clients' side tells the node.
 pub enum News {
     Command {
@@ -84,8 +94,11 @@
     /// Who they are in the books.
     names: FxHashMap<ConnId, u64>,
     admission: Admission,
-    listener: Option<Rc<TcpListener>>,
-    token: Option<RegistrationToken>,
+    listener: Option<Watched<Ready, Listener>>,
+    /// New connections are this process's.
+    accepting: bool,
+    /// Failures of `accept` in a row.
+    failures: Failures,
     handle: Handle,
     /// Held so that a connection can be accepted and told that there is no room, when descriptors have run out.
     spare: Option<File>,
@@ -104,10 +117,12 @@
     next_request: u64,
     /// Clients to see to in this turn: they may have more to read, or another deadline.
     touched: Vec<u64>,
+    /// Clients to come back to shortly: a call failed for a moment.
+    later: Vec<u64>,
     /// Clients that have answers of this turn to be sent.
     dirty: Vec<u64>,
-    /// Clients to look at again, and when, in order.
-    unsure: VecDeque<(Micros, u64)>,
+    /// Clients that are not read from, and when to look whether they have left, in order.
+    blind: VecDeque<(Micros, u64)>,
     /// The last turn in which clients were read from.
     turned: Micros,
     /// What this turn finds on sockets came after this.
@@ -144,21 +159,23 @@
     /// [`VirtualServer::begin_accepting`].
     pub fn new(
         at: SocketAddr,
-        handed: Option<TcpListener>,
+        handed: Option<Listener>,
         admission: Admission,
         handle: &Handle,
     ) -> io::Result<VirtualServer> {
         let waits = handed.is_some();
-        let listener = Rc::new(match handed {
+        let listener = match handed {
             Some(listener) => listener,
-            None => listen(at)?,
-        });
+            None => Listener::bind(at, BACKLOG, true)?,
+        };
+        let listener = Watched::level(listener, handle, Owner::Listener);
         let mut server = VirtualServer {
             clients: FxHashMap::default(),
             names: FxHashMap::default(),
             admission,
             listener: Some(listener),
-            token: None,
+            accepting: false,
+            failures: Failures::default(),
             handle: handle.clone(),
             spare: None,
             paused: None,
@@ -170,8 +187,9 @@
             next_client: 0,
             next_request: 0,
             touched: Vec::new(),
+            later: Vec::new(),
             dirty: Vec::new(),
-            unsure: VecDeque::new(),
+            blind: VecDeque::new(),
             turned: Micros::MIN / 2,
             came_after: Micros::MIN / 2,
             queue_emptied: Micros::MIN / 2,
@@ -186,37 +204,52 @@
         };
         server.take_spare();
         if !waits {
-            server.begin_accepting()?;
+            server.begin_accepting();
         }
         Ok(server)
     }
 
     /// Clients may come.
-    pub fn begin_accepting(&mut self) -> io::Result<()> {
-        let Some(listener) = self.listener.clone().filter(|_| self.token.is_none()) else { return Ok(()) };
-        self.token = Some(watch(listener, Interest::READ, Mode::Level, &self.handle, Owner::Listener)?);
-        Ok(())
+    pub fn begin_accepting(&mut self) {
+        self.accepting = true;
+        self.keep_listening();
     }
 
-    /// The listener, for another process of this node.
-    pub fn listener(&self) -> Option<OwnedFd> {
-        self.listener.as_ref()?.try_clone().ok().map(OwnedFd::from)
+    /// Has the loop tell of new connections, or not, as is wanted. Danger: a failure here would be for good.
+    pub fn keep_listening(&mut self) {
+        let wanted = self.wants_connections();
+        let Some(listener) = &mut self.listener else { return };
+        if wanted {
+            listener.ensure();
+        } else {
+            listener.silence();
+        }
+    }
+
+    fn wants_connections(&self) -> bool {
+        self.accepting && self.paused.is_none()
+    }
+
+    /// The listener, for another process.
+    pub fn listener(&self) -> io::Result<Option<OwnedFd>> {
+        self.listener.as_ref().map(|listener| listener.copy()).transpose()
     }
 
     /// Another process takes all new connections from here on, and those there are as they come free.
     pub fn yield_clients(&mut self, deadlines: &mut Deadlines) {
         deadlines.remove(self.paused.take());
-        self.token.take().into_iter().for_each(|token| self.handle.remove(token));
+        self.accepting = false;
+        self.keep_listening();
         self.drain = None;
     }
 
     /// That process is gone: all is as before.
-    pub fn take_clients_back(&mut self) -> io::Result<()> {
+    pub fn take_clients_back(&mut self) {
         for (id, client) in self.clients.iter_mut().filter(|(_, c)| c.leaving) {
             client.leaving = false;
             self.touched.push(*id);
         }
-        self.begin_accepting()
+        self.begin_accepting();
     }
 
     /// Connections for the other process, so many at the most, with what was read of their next command. Nothing more
@@ -226,7 +259,7 @@
         most: usize,
         now: Micros,
         deadlines: &mut Deadlines,
-    ) -> Vec<(TcpStream, Vec<u8>)> {
+    ) -> Vec<(OwnedFd, Vec<u8>)> {
         for client in self.clients.values_mut() {
             client.leaving = client.input.len() <= HANDED_INPUT && client.upload.is_none();
         }
@@ -234,18 +267,31 @@
             self.clients.iter().filter(|(_, c)| c.can_leave()).map(|(id, _)| *id).take(most).collect();
         let leave = |id| {
             let mut client = self.clients.remove(&id)?;
-            self.unread -= client.counted;
-            self.names.remove(&client.conn);
-            self.admission.left(now, client.conn);
-            deadlines.remove(client.deadline.take());
-            client.into_parts().ok()
+            let (conn, counted, deadline) = (client.conn, client.counted, client.deadline.take());
+            match client.into_parts() {
+                Ok(parts) => {
+                    self.unread -= counted;
+                    self.names.remove(&conn);
+                    self.admission.left(now, conn);
+                    deadlines.remove(deadline);
+                    Some(parts)
+                }
+                // Danger: it was closed with the request that had come on it.
+                Err(mut client) => {
+                    client.deadline = deadline;
+                    self.clients.insert(id, *client);
+                    self.later.push(id);
+                    None
+                }
+            }
         };
         free.into_iter().filter_map(leave).collect()
     }
 
     /// Goes on with a connection that another process had, or could not hand over.
-    pub fn adopt(&mut self, stream: TcpStream, input: Vec<u8>, now: Micros, deadlines: &mut Deadlines) {
-        let Ok(peer) = stream.peer_addr() else { return };
+    pub fn adopt(&mut self, stream: OwnedFd, input: Vec<u8>, now: Micros, deadlines: &mut Deadlines) {
+        let Ok(stream) = Stream::adopt(stream.into()) else { return };
+        let Ok(peer) = stream.peer() else { return };
         // Guards the room for reading, which what is left of a command must fit in.
         if input.len() > HANDED_INPUT {
             return;
@@ -325,7 +371,7 @@
     }
 
     pub fn address(&self) -> Option<SocketAddr> {
-        self.listener.as_ref()?.local_addr().ok()
+        self.listener.as_ref()?.address().ok()
     }
 
     /// No client is left. One that has all that is owed to it goes when it closes, or soon after: a process that ended before
@@ -334,9 +380,21 @@
         self.clients.is_empty()
     }
 
-    /// Clients have more to read: the loop must not wait.
-    pub fn is_behind(&self) -> bool {
-        !self.touched.is_empty()
+    /// For how long the loop may wait at the most, where something is to be come back to (microseconds).
+    pub fn comes_back_in(&self) -> Option<Micros> {
+        if !self.touched.is_empty() {
+            return Some(0);
+        }
+        let unwatched = self.wants_connections() && self.listener.as_ref().is_some_and(|l| !l.is_telling());
+        (unwatched || !self.later.is_empty()).then_some(COME_BACK)
+    }
+
+    /// The loop has failed: what it would have told of any client may have been lost.
+    pub fn look_at_all(&mut self) {
+        for (id, client) in &mut self.clients {
+            client.has_come(self.came_after);
+            self.touched.push(*id);
+        }
     }
 
     // ---- Who gets in ----------------------------------------------------------------------------------
@@ -353,54 +411,88 @@
         known.max(self.queue_emptied)
     }
 
-    /// Takes new connections as far as the limits have it. True if more may wait.
-    pub fn accept(&mut self, now: Micros, deadlines: &mut Deadlines) -> bool {
-        let Some(listener) = self.listener.clone().filter(|_| self.token.is_some()) else { return false };
+    /// Takes new connections as far as the limits have it. Says whether more may wait.
+    pub fn accept(&mut self, now: Micros, deadlines: &mut Deadlines) -> Queue {
+        self.keep_listening();
+        if !self.wants_connections() {
+            return if self.accepting { Queue::Waiting } else { Queue::Empty };
+        }
         let most = match self.admission.accepting(now) {
             Accepting::Take(most) => most,
             Accepting::Pause { until } => {
                 self.queue_in_arrears = true;
                 self.pause(until, deadlines);
-                return false;
+                return Queue::Waiting;
             }
         };
         let came_after = self.queued_after(now);
         self.queue_in_arrears = true;
-        for _ in 0..most {
+        let Some(listener) = self.listener.take() else { return Queue::Empty };
+        let queue = self.accept_from(&listener, most, came_after, now, deadlines);
+        self.listener = Some(listener);
+        self.keep_listening();
+        if queue == Queue::Empty {
+            (self.queue_emptied, self.queue_in_arrears) = (now, false);
+        }
+        queue
+    }
+
+    fn accept_from(
+        &mut self,
+        listener: &Listener,
+        most: usize,
+        came_after: Micros,
+        now: Micros,
+        deadlines: &mut Deadlines,
+    ) -> Queue {
+        let (mut taken, mut in_vain) = (0, 0);
+        while taken < most && in_vain < IN_VAIN {
             match listener.accept() {
-                Ok((stream, peer)) => _ = self.arrived(stream, peer, came_after, now, deadlines),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    (self.queue_emptied, self.queue_in_arrears) = (now, false);
-                    return false;
+                Accepted::Client(stream, peer) => {
+                    self.failures.worked();
+                    taken += 1;
+                    self.arrived(stream, peer, came_after, now, deadlines);
                 }
-                Err(e)
-                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
-                // Guards against a loop that spins on EMFILE: the listener stays readable all the while.
-                Err(e) => {
+                Accepted::Gone => in_vain += 1,
+                Accepted::Empty => return Queue::Empty,
+                Accepted::Lacking(lack) => match self.failures.failed(now, lack, is_full(lack)) {
+                    Next::AtOnce => in_vain += 1,
+                    Next::After(wait) => {
+                        self.pause(now + wait, deadlines);
+                        return Queue::Waiting;
+                    }
+                    // Guards against a loop that spins on EMFILE: the listener stays readable all the while.
+                    Next::Shortage => {
+                        warn!(?lack, "cannot accept");
+                        self.ran_out(listener, lack, now, deadlines);
+                        return Queue::Waiting;
+                    }
+                },
+                Accepted::Broken(e) => {
                     warn!("cannot accept: {e}");
-                    self.ran_out(&listener, &e, now, deadlines);
-                    return false;
+                    self.pause(now + ACCEPT_AGAIN, deadlines);
+                    return Queue::Waiting;
                 }
             }
         }
-        most > 0
+        Queue::Waiting
     }
 
     /// A connection that may get in; gives its number.
     fn arrived(
         &mut self,
-        stream: TcpStream,
+        stream: Stream,
         peer: SocketAddr,
         came_after: Micros,
         now: Micros,
         deadlines: &mut Deadlines,
     ) -> Option<u64> {
-        let speaks = stream.set_nonblocking(true).is_ok() && stream.peek(&mut [0]).is_ok_and(|n| n > 0);
+        let speaks = stream.speaks();
         let (conn, mut victim) = match self.admission.arrived(now, peer.ip(), speaks) {
             Verdict::Keep { conn } => (conn, None),
             Verdict::KeepAndClose { conn, victim } => (conn, Some(victim)),
             Verdict::Refuse { retry_ms, .. } => {
-                tell_busy(stream, retry_ms);
+                tell_busy(&stream, retry_ms);
                 return None;
             }
         };
@@ -411,42 +503,36 @@
             }
             victim = self.admission.instead(now, conn, other);
             if victim.is_none() {
-                tell_busy(stream, None);
+                tell_busy(&stream, None);
                 return None;
             }
         }
         let id = self.next_client;
         self.next_client += 1;
-        match Socket::new(stream, &self.handle, Owner::Client(id)) {
-            Ok(socket) => {
-                let mut client = Client::new(conn, socket, now);
-                if speaks {
-                    client.has_come(came_after);
-                    self.touched.push(id);
-                }
-                self.clients.insert(id, client);
-                self.names.insert(conn, id);
-                Some(id)
-            }
-            Err(_) => {
-                self.admission.left(now, conn);
-                None
-            }
+        let mut client = Client::new(conn, Socket::edge(stream, &self.handle, Owner::Client(id)), now);
+        // Danger: a connection that could not be watched at once was dropped, read by nobody.
+        client.ensure_watched();
+        if speaks || client.later {
+            client.has_come(came_after);
+            self.touched.push(id);
         }
+        self.clients.insert(id, client);
+        self.names.insert(conn, id);
+        Some(id)
     }
 
-    /// `accept` failed. Where descriptors have run out, one that waits is told so with the spare one's help.
-    fn ran_out(&mut self, listener: &TcpListener, e: &io::Error, now: Micros, deadlines: &mut Deadlines) {
-        let own = e.raw_os_error() == Some(EMFILE);
-        if !own && e.raw_os_error() != Some(ENFILE) {
+    /// Calls of `accept` only fail. Where descriptors have run out, one that waits is told so with the spare one's help.
+    fn ran_out(&mut self, listener: &Listener, lack: Lack, now: Micros, deadlines: &mut Deadlines) {
+        let own = lack == Lack::ProcessDescriptors;
+        if !own && lack != Lack::SystemDescriptors {
             return self.pause(now + ACCEPT_AGAIN, deadlines);
         }
         match self.admission.ran_out(now, own) {
             Shortage::Pause { until } => self.pause(until, deadlines),
             Shortage::UseSpare { retry_ms } => {
                 self.spare = None;
-                if let Ok((stream, _)) = listener.accept() {
-                    tell_busy(stream, Some(retry_ms));
+                if let Accepted::Client(stream, _) = listener.accept() {
+                    tell_busy(&stream, Some(retry_ms));
                 }
                 self.take_spare();
             }
@@ -460,24 +546,21 @@
     }
 
     fn take_spare(&mut self) {
-        self.spare = File::open(SPARE).ok();
+        self.spare = open_file(Path::new(SPARE)).ok();
         self.admission.spare(self.spare.is_some());
     }
 
     fn pause(&mut self, until: Micros, deadlines: &mut Deadlines) {
-        let Some(token) = self.token.as_ref().filter(|_| self.paused.is_none()) else { return };
-        if self.handle.disable(token).is_ok() {
+        if self.paused.is_none() {
             self.paused = Some(deadlines.add(until, Deadline::Accept));
         }
+        self.keep_listening();
     }
 
     /// Accepts again, if that was paused.
     pub fn resume(&mut self, deadlines: &mut Deadlines) {
-        if let Some(token) = self.token.as_ref().filter(|_| self.paused.is_some())
-            && self.handle.enable(token).is_ok()
-        {
-            deadlines.remove(self.paused.take());
-        }
+        deadlines.remove(self.paused.take());
+        self.keep_listening();
     }
 
     // ---- Who is kept ----------------------------------------------------------------------------------
@@ -489,17 +572,15 @@
 
     /// When the limits want to be asked again, or a client is to be looked at.
     pub fn due(&self) -> Option<Micros> {
-        self.admission.due().into_iter().chain(self.unsure.front().map(|(at, _)| *at)).min()
+        self.admission.due().into_iter().chain(self.blind.front().map(|(at, _)| *at)).min()
     }
 
-    /// Looks again at clients of which nothing has come since, and at those that are not read from. Guards against one that
-    /// closed right behind its last command: no edge tells of that.
+    /// Looks whether clients that are not read from have left. Danger: what had been taken was sent on long after that.
     pub fn look_again(&mut self, now: Micros) {
-        while let Some((_, id)) = self.unsure.pop_front_if(|(at, _)| *at <= now) {
+        while let Some((_, id)) = self.blind.pop_front_if(|(at, _)| *at <= now) {
             let Some(client) = self.clients.get_mut(&id) else { continue };
             client.listed = false;
-            if client.unsure || client.is_blind() {
-                client.unread = true;
+            if client.is_blind() {
                 self.touched.push(id);
             }
         }
@@ -518,11 +599,8 @@
                     }
                 }
                 Order::Expire { conn } => {
-                    let client = self.names.get(&conn).and_then(|id| Some((*id, self.clients.get_mut(id)?)));
-                    if let Some((id, client)) = client {
-                        client.slots.push_back(Slot::Ready(error("command not finished in time")));
-                        client.finish();
-                        self.touched.push(id);
+                    if let Some(&id) = self.names.get(&conn) {
+                        self.expire(id);
                     }
                 }
                 Order::Recall { ticket, retry_ms, .. } => {
@@ -539,6 +617,15 @@
         }
     }
 
+    /// Half a command is waited for no longer.
+    fn expire(&mut self, id: u64) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.slots.push_back(Slot::Ready(error("command not finished in time")));
+            client.finish();
+            self.touched.push(id);
+        }
+    }
+
     /// Takes other settings on; nobody is dropped who is owed an answer.
     pub fn reload(
         &mut self,
@@ -578,18 +665,43 @@
         }
     }
 
-    /// Takes no more new connections; those there are close between requests.
-    pub fn stop_accepting(&mut self, now: Micros, deadlines: &mut Deadlines) {
-        // Guards those whom the kernel has let in: they get in, or are told that there is no room, however full it is.
-        let listener = self.listener.clone().filter(|_| self.token.is_some());
-        let waiting = listener.iter().flat_map(|l| std::iter::from_fn(|| l.accept().ok()));
-        let came_after = self.queued_after(now);
-        for (stream, peer) in waiting.take(BACKLOG as usize) {
-            self.arrived(stream, peer, came_after, now, deadlines);
+    /// Takes no more new connections; those there are close between requests. False if some may wait that cannot be taken for
+    /// now: then this is to be called again, unless it is the `last` time.
+    pub fn stop_accepting(&mut self, last: bool, now: Micros, deadlines: &mut Deadlines) -> bool {
+        let emptied = !self.accepting || self.take_all(now, deadlines) == Queue::Empty;
+        if emptied || last {
+            deadlines.remove(self.paused.take());
+            self.accepting = false;
+            self.listener = None;
+        }
+        if self.drain.is_none_or(|drain| drain.is_standby()) {
+            self.begin_drain(Drain::at_once(now), now, deadlines);
         }
-        self.token.take().into_iter().for_each(|token| self.handle.remove(token));
-        self.listener = None;
-        self.begin_drain(Drain::at_once(now), now, deadlines);
+        emptied || last
+    }
+
+    /// Takes all that the kernel has let in: they get in, or are told that there is no room, however full it is. Danger: the
+    /// first failure, of whatever kind, ended this, and all behind it were reset.
+    fn take_all(&mut self, now: Micros, deadlines: &mut Deadlines) -> Queue {
+        let Some(listener) = self.listener.take() else { return Queue::Empty };
+        let came_after = self.queued_after(now);
+        let mut in_vain = 0;
+        let queue = loop {
+            match listener.accept() {
+                Accepted::Client(stream, peer) => {
+                    self.failures.worked();
+                    in_vain = 0;
+                    self.arrived(stream, peer, came_after, now, deadlines);
+                }
+                Accepted::Empty => break Queue::Empty,
+                Accepted::Gone | Accepted::Lacking(_) | Accepted::Broken(_) => in_vain += 1,
+            }
+            if in_vain == IN_VAIN {
+                break Queue::Waiting;
+            }
+        };
+        self.listener = Some(listener);
+        queue
     }
 
     /// Operators tell the node to drain, or to serve again. Again is no harm.
@@ -631,15 +743,17 @@
             let unread = c.room() && c.look();
             let activity = if c.upload.is_some() { Activity::Unfinished } else { c.activity() };
             let release = drain.release(*id, c.since_arrival, now, activity);
-            // Danger: whole commands that waited behind the room for a pipeline got no answer.
-            let release = if c.is_blind() { Release::Stays } else { release };
+            // Danger: whole commands that waited behind the room for a pipeline got no answer. Once the drain is over, what is
+            // not read goes elsewhere: its client sends it once more.
+            let release = if c.is_blind() && !drain.is_over(now) { Release::Stays } else { release };
             (release != Release::Stays).then_some((*id, release, unread))
         };
         let released: Vec<_> = self.clients.iter_mut().filter_map(release).collect();
         for (id, release, unread) in released {
             match release {
-                _ if unread => self.touched.push(id),
+                _ if unread && release != Release::Expire => self.touched.push(id),
                 Release::Close => self.part(id, now, deadlines),
+                Release::Expire => self.expire(id),
                 _ => self.clients.get_mut(&id).into_iter().for_each(Client::finish),
             }
         }
@@ -699,7 +813,8 @@
 
     /// Reads on from clients that have more, once each.
     pub fn read_on(&mut self, scratch: &mut [u8], now: Micros, deadlines: &mut Deadlines) {
-        for id in std::mem::take(&mut self.touched) {
+        let later = std::mem::take(&mut self.later);
+        for id in std::mem::take(&mut self.touched).into_iter().chain(later) {
             self.see_to(id, scratch, now, deadlines);
         }
         self.turned = now;
@@ -707,6 +822,8 @@
 
     fn see_to(&mut self, id: u64, scratch: &mut [u8], now: Micros, deadlines: &mut Deadlines) {
         let Some(client) = self.clients.get_mut(&id) else { return };
+        client.later = false;
+        client.ensure_watched();
         let state = match client.flush(now) {
             Ok(()) if client.lingers() => match client.drain(scratch) {
                 Drained::Nothing => State::Open,
@@ -730,11 +847,13 @@
         self.resumed.extend(client.resumes());
         count(&mut self.unread, client);
         let blind = client.is_blind();
-        if client.unread && !blind {
+        if client.later {
+            self.later.push(id);
+        } else if client.unread && !blind {
             self.touched.push(id);
         }
-        if (client.unsure || blind) && !std::mem::replace(&mut client.listed, true) {
-            self.unsure.push_back((now + LOOK_AGAIN, id));
+        if blind && !std::mem::replace(&mut client.listed, true) {
+            self.blind.push_back((now + LOOK_AGAIN, id));
         }
         self.admission.state(now, client.conn, client.activity());
         self.watch(id, deadlines);
@@ -765,12 +884,14 @@
         // Danger: what had been taken was sent on long after its client had left, since nothing was read that told of it.
         if client.is_blind() {
             client.forget_arrival();
-            return if client.has_left() { State::Over(Closed::PeerEnded) } else { State::Open };
+            return if client.has_left() == Look::Yes { State::Over(Closed::PeerEnded) } else { State::Open };
         }
         // Danger: it left while its connection waited to be accepted, or the node stood still, and what it had asked was sent on.
         let waited = client.is_fresh() || now - self.turned > STOOD_STILL;
-        if waited && client.has_left() {
-            return State::Over(Closed::PeerEnded);
+        match if waited { client.has_left() } else { Look::No } {
+            Look::No => {}
+            Look::Yes => return State::Over(Closed::PeerEnded),
+            Look::Unknown => return State::Open,
         }
         // How long the first bytes of a large value have been here says nothing of its last.
         let large = client.upload.is_some();
@@ -891,6 +1012,9 @@
             if client.unread || client.lingers() {
                 self.touched.push(id);
             }
+            if client.later {
+                self.later.push(id);
+            }
             self.admission.state(now, client.conn, client.activity());
             self.watch(id, deadlines);
         }
@@ -913,15 +1037,9 @@
     }
 }
 
-/// Listens; another process of this node may do so, too.
-fn listen(at: SocketAddr) -> io::Result<TcpListener> {
-    let listener = socket2::Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
-    listener.set_reuse_address(true)?;
-    rustix::net::sockopt::set_socket_reuseport(&listener, true)?;
-    listener.bind(&at.into())?;
-    listener.listen(BACKLOG)?;
-    listener.set_nonblocking(true)?;
-    Ok(TcpListener::from(listener))
+/// By its own count the process has none of what it lacks.
+fn is_full(lack: Lack) -> bool {
+    lack == Lack::ProcessDescriptors && is_out_of_descriptors()
 }
 
 /// It is to be sent what the turn has brought.
@@ -945,17 +1063,23 @@
 const DROPPED: usize = 16;
 
 /// Says on a connection that does not get in when to come again, and closes it.
-fn tell_busy(mut stream: TcpStream, retry_ms: Option<u32>) {
-    if let Some(ms) = retry_ms {
-        // It is fresh: a line fits in its buffer, and whether it arrives is not waited for.
-        let _ = stream.set_nonblocking(true);
-        let _ = stream.set_nodelay(true);
-        let _ = stream.write_all(format!("SERVER_ERROR busy {ms}\r\n").as_bytes());
-        let _ = stream.shutdown(std::net::Shutdown::Write);
-        // Danger: a close over unread bytes resets the connection, and the line may go with it.
-        let mut dropped = [0; 4096];
-        (0..DROPPED).take_while(|_| stream.read(&mut dropped).is_ok_and(|n| n > 0)).for_each(drop);
+fn tell_busy(stream: &Stream, retry_ms: Option<u32>) {
+    let Some(ms) = retry_ms else { return };
+    let line = format!("SERVER_ERROR busy {ms}\r\n");
+    let mut rest = line.as_bytes();
+    // It is fresh: a line fits in its buffer, and whether it arrives is not waited for.
+    for _ in 0..DROPPED {
+        match stream.write(&[IoSlice::new(rest)]) {
+            Written::Bytes(n) if n < rest.len() => rest = &rest[n..],
+            Written::Later(_) => {}
+            _ => break,
+        }
     }
+    let _ = stream.finish();
+    // Danger: a close over unread bytes resets the connection, and the line may go with it.
+    let mut dropped = [0; 4096];
+    let more = |_: &usize| matches!(stream.read(&mut dropped), Read::Bytes(_) | Read::Later(_));
+    (0..DROPPED).take_while(more).for_each(drop);
 }
 
 fn error(what: impl std::fmt::Display) -> Vec<u8> {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -7,8 +7,11 @@
 use harness::shim::{delivered, start, table};
 use harness::*;
 use lapisrudder_fault_shim::{Call, Control, Descriptor, Rule, table as faults};
+use lapisrudder_lab::stand::{Books, World};
 use std::fmt;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -85,16 +88,16 @@
     }
 }
 
-/// One client's requests: two clients in three keep their connections.
-fn ask_on(node: &Node, number: usize, until: Instant) -> Tally {
+/// One client's requests, one after the other as long as `goes_on`: two clients in three keep their connections.
+fn ask_on(address: SocketAddr, number: usize, goes_on: impl Fn() -> bool) -> Tally {
     let mut tally = Tally::default();
     let mut kept = None;
     for id in (0..REQUESTS).map(|n| (number * REQUESTS + n).to_string()) {
-        if Instant::now() >= until {
+        if !goes_on() {
             break;
         }
         let asked = Instant::now();
-        let client = kept.take().map_or_else(|| Client::at(node.address), Ok);
+        let client = kept.take().map_or_else(|| Client::at(address), Ok);
         let answered = client.and_then(|mut client| {
             let answer = client.try_ask(&format!("mg k{id} v O{id} Pc=read,d={WAIT_MS}\r\n"))?;
             Ok((client, answer))
@@ -117,9 +120,10 @@
     node.until_ready();
     rules.iter().for_each(|rule| control.add(*rule).expect("a rule"));
     let until = Instant::now() + PLAY;
+    let node = &node;
     let tally = thread::scope(|scope| {
-        let node = &node;
-        let clients: Vec<_> = (0..CLIENTS).map(|n| scope.spawn(move || ask_on(node, n, until))).collect();
+        let ask = |n| scope.spawn(move || ask_on(node.address, n, || Instant::now() < until));
+        let clients: Vec<_> = (0..CLIENTS).map(ask).collect();
         clients.into_iter().map(|c| c.join().expect("a client")).fold(Tally::default(), Tally::add)
     });
     (tally, control)
@@ -130,6 +134,11 @@
     Rule { burst: 3, ..Rule::often(call, error, 0.1) }
 }
 
+/// The first calls from here on fail so, as many as burst in a row.
+fn first(call: Call, error: i32) -> Rule {
+    Rule { burst: 3, most: 3, ..Rule::always(call, error) }
+}
+
 fn one_byte(call: Call) -> Rule {
     Rule { error: faults::ONE_BYTE, ..Rule::often(call, 0, 0.3) }
 }
@@ -244,3 +253,175 @@
     assert!(control.delivered(Call::Accept).expect("a count") > 0, "no fault was delivered");
     assert_eq!((unserved, open), (Vec::new(), 0), "not served, and open at 4 s");
 }
+
+/// A short life of a node, in which calls fail so: it starts, serves, reads its files again, is asked and told to stop.
+fn live(world: &World<Books>, rules: &[Rule], first_id: usize) -> Result<Control, String> {
+    let mut control = table(1);
+    rules.iter().for_each(|rule| control.add(*rule).expect("a rule"));
+    let discovery = world.addresses().discovery(0).expect("discovery");
+    let mut node = start(discovery, &control);
+    node.until_ready();
+    let (mut kept, mut wrong) = (node.client(), Vec::new());
+    for id in (first_id..first_id + 4).map(|id| id.to_string()) {
+        for answer in [kept.read(&id, WAIT_MS), node.client().read(&format!("{id}x"), WAIT_MS)] {
+            if !answer.starts_with("value of") {
+                wrong.push(answer);
+            }
+        }
+    }
+    node.reload(str::to_string);
+    let status = node.call("status\n");
+    if status != "ok ready\n" {
+        wrong.push(status);
+    }
+    node.signal("-TERM");
+    drop(kept);
+    let ended = node.child.wait().expect("its end");
+    if !ended.success() {
+        wrong.push(ended.to_string());
+    }
+    if wrong.is_empty() { Ok(control) } else { Err(wrong.join(", ")) }
+}
+
+/// Danger: what is called once, at the start or the end, and fails for a moment, was given up for good.
+#[test]
+fn each_call_of_a_short_life_may_fail_for_a_moment() {
+    /// Of each call so many are failed one after the other, and the next one with each.
+    const MOST: u64 = 24;
+    const AT_ONCE: usize = 12;
+    let failures = [
+        (Call::Accept, EMFILE),
+        (Call::Socket, ENFILE),
+        (Call::Connect, EADDRNOTAVAIL),
+        (Call::Bind, ENOMEM),
+        (Call::EpollCreate, EMFILE),
+        (Call::EpollCtl, ENOSPC),
+        (Call::EpollWait, EINTR),
+        (Call::Poll, ENOMEM),
+        (Call::Read, EINTR),
+        (Call::Recv, ENOMEM),
+        (Call::Send, ENOBUFS),
+        (Call::Write, EIO),
+        (Call::Shutdown, ENOBUFS),
+        (Call::Getsockopt, ENOBUFS),
+        (Call::Setsockopt, ENOMEM),
+        (Call::Getpeername, ENOBUFS),
+        (Call::Getsockname, ENOBUFS),
+        (Call::Fcntl, EINTR),
+        (Call::Ioctl, EINTR),
+        (Call::Open, EIO),
+        (Call::Thread, EAGAIN),
+        (Call::TimerfdCreate, EMFILE),
+        (Call::TimerfdSettime, ECANCELED),
+        (Call::Signalfd, ENFILE),
+        (Call::Close, EIO),
+    ];
+    let world = world(spec(&["a", "b"]), (0..8000).flat_map(|n| [n.to_string(), format!("{n}x")]));
+    let clean = live(&world, &[], 0).expect("a life without faults");
+    let mut plays = Vec::new();
+    for (call, error) in failures {
+        let seen = clean.seen(call).expect("a count");
+        assert!(seen > 0 || matches!(call, Call::Fcntl | Call::Ioctl), "{call:?} is not reached");
+        plays.extend((0..seen.min(MOST)).map(|skip| Rule {
+            burst: 2,
+            most: 2,
+            skip,
+            ..Rule::always(call, error)
+        }));
+    }
+    let mut wrong = Vec::new();
+    for (number, some) in plays.chunks(AT_ONCE).enumerate() {
+        thread::scope(|scope| {
+            let world = &world;
+            let first = |n| 4 + 4 * (number * AT_ONCE + n);
+            let lives =
+                some.iter().enumerate().map(|(n, rule)| scope.spawn(move || live(world, &[*rule], first(n))));
+            for (rule, life) in some.iter().zip(lives.collect::<Vec<_>>()) {
+                let what = life.join().unwrap_or_else(|_| Err("it did not live".into()));
+                wrong.extend(what.err().map(|what| format!("{:?} number {}: {what}", rule.call, rule.skip)));
+            }
+        });
+    }
+    eprintln!("{} lives", plays.len());
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+/// Danger: a call that failed once left the new process alone beside the old one, dropped a client's connection with its request
+/// on the way over, or shut the way in for the next process for good.
+#[test]
+fn another_process_takes_over_though_calls_fail_for_a_moment() {
+    let all = [Descriptor::HandOver, Descriptor::File, Descriptor::Client, Descriptor::Listener];
+    let cases = [
+        vec![first(Call::Connect, EAGAIN).on(&[Descriptor::HandOver])],
+        vec![often(Call::Dup, EMFILE), often(Call::Fcntl, EINTR), often(Call::Ioctl, EINTR)],
+        vec![first(Call::Bind, ENOSPC), first(Call::Rename, EIO), first(Call::Unlink, EIO)],
+        vec![often(Call::Sendmsg, ENOBUFS), often(Call::Recvmsg, ENOMEM)],
+        vec![often(Call::Sendmsg, EAGAIN), often(Call::Recvmsg, EAGAIN)],
+        vec![often(Call::EpollCtl, ENOMEM), often(Call::Accept, ENFILE)],
+        vec![often(Call::Recv, ENOBUFS).on(&all), Rule::short(Call::Send, 0.3).on(&all)],
+    ];
+    let take_over = |rules: &[Rule]| {
+        let world = world(spec(&["a", "b"]), ids(CLIENTS * REQUESTS));
+        let mut control = table(1);
+        let discovery = world.addresses().discovery(0).expect("discovery");
+        control.set(faults::DISCOVERY_PORT, discovery.port().into()).expect("set");
+        let mut node = Node::replaceable_under(discovery, 384, Some(control.path()));
+        until(|| node.call("status\n") == "ok ready\n");
+        rules.iter().for_each(|rule| control.add(*rule).expect("a rule"));
+        let (address, over) = (node.address, AtomicBool::new(false));
+        let tally = thread::scope(|scope| {
+            let over = &over;
+            let pace = move || {
+                thread::sleep(Duration::from_millis(10));
+                !over.load(Ordering::SeqCst)
+            };
+            let clients: Vec<_> =
+                (0..CLIENTS).map(|n| scope.spawn(move || ask_on(address, n, pace))).collect();
+            for _ in 0..2 {
+                let new = node.replace();
+                assert!(node.child.wait().expect("its end").success());
+                node = new;
+            }
+            over.store(true, Ordering::SeqCst);
+            clients.into_iter().map(|c| c.join().expect("a client")).fold(Tally::default(), Tally::add)
+        });
+        let calls: Vec<Call> = rules.iter().map(|rule| rule.call).collect();
+        eprintln!("{calls:?}: {} calls failed; {tally}", delivered(&control, &calls));
+        assert!(delivered(&control, &calls) > 0, "{calls:?}: no fault was delivered");
+        assert!(tally.served > 0 && tally.served == tally.asked && tally.late == 0, "{calls:?}: {tally}");
+    };
+    thread::scope(|scope| cases.iter().for_each(|rules| _ = scope.spawn(move || take_over(rules))));
+}
+
+/// Danger: a new configuration was passed over, and an operator's answer cut or not given, since a call had failed for a moment.
+#[test]
+fn operators_are_heard_and_answered_though_calls_fail_for_a_moment() {
+    let world = world(spec(&["a", "b"]), ids(1));
+    let mut control = table(1);
+    let node = start(world.addresses().discovery(0).expect("discovery"), &control);
+    node.until_ready();
+    for rule in [
+        often(Call::Accept, EMFILE),
+        often(Call::EpollCtl, ENOMEM),
+        often(Call::Recv, ENOBUFS),
+        one_byte(Call::Send),
+    ] {
+        control.add(rule.on(&[Descriptor::Management])).expect("a rule");
+    }
+    for _ in 0..40 {
+        assert_eq!(node.call("status\n"), "ok ready\n");
+    }
+    assert!(
+        delivered(&control, &[Call::Accept, Call::EpollCtl, Call::Recv, Call::Send]) > 0,
+        "no fault was delivered"
+    );
+    control.clear().expect("cleared");
+    // Longer than one reading of the file tries again.
+    control.add(Rule { most: 40, ..Rule::always(Call::Open, EIO) }).expect("a rule");
+    node.reload(|text| text.replace(r#""name":"put""#, r#""name":"book""#));
+    until(|| {
+        let answer = node.client().ask("mg k0 v O0 Pc=book,d=1000\r\n");
+        answer != "CLIENT_ERROR unknown class\r\n"
+    });
+    assert_eq!(control.delivered(Call::Open).expect("a count"), 40);
+}
