--- a/crates/client/examples/cost.rs
+++ b/crates/client/examples/cost.rs
@@ -5,6 +5,8 @@
 //!
 //! The server is a stand-in that answers at once, in a process of its own, so that its CPU counts for nobody.
 
+#![allow(clippy::disallowed_methods)]
+
 use lapisrudder_client::{Class, Client, FixedMember, Request};
 use lapisrudder_lab::stand::Scripted;
 use std::error::Error;
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -147,6 +147,7 @@
 }
 
 #[cfg(test)]
+#[allow(clippy::disallowed_methods)]
 mod tests {
     use crate::Operators;
     use std::path::Path;
--- a/crates/config/tests/sources.rs
+++ b/crates/config/tests/sources.rs
@@ -1,5 +1,7 @@
 //! What all sources say together, where each setting came from, and the operators' file that is delivered.
 
+#![allow(clippy::disallowed_methods)]
+
 use lapisrudder_config::{
     Arguments, Environment, Fleet, Format, Level, Operators, Part, Setting, Source, Sources, to_toml,
 };
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -76,6 +76,8 @@
     }
 }
 
+// A command that somebody waits for: a failure is told, and the call made again by hand.
+#[allow(clippy::disallowed_methods)]
 fn call(at: SocketAddr, what: &str) -> Result<BufReader<TcpStream>, String> {
     let failed = |e: io::Error| format!("{at}: {e}");
     let mut stream = TcpStream::connect_timeout(&at, PATIENCE).map_err(failed)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! Start at [`Balancer`]; all types it speaks are in [`interface`].
 #![doc = include_str!("../README.md")]
+#![deny(clippy::disallowed_methods)]
 #![forbid(unsafe_code)]
 
 pub mod wire;
