--- a/crates/client/src/thread.rs
+++ b/crates/client/src/thread.rs
@@ -6,11 +6,13 @@
 use crate::response::{BadRequest, Error, Response};
 use crate::stats::{MemberStats, Phase, Stats};
 use bytes::{Bytes, BytesMut};
-use calloop::{EventLoop, ping};
+use calloop::EventLoop;
+use calloop::ping::{self, PingSource};
 use lapisrudder_config::{Options, Target};
 use lapisrudder_decisions::{Micros, RequestId, Scope, ServerId, Stage};
 use lapisrudder_engine::{self as engine, Answers, Conn, Engine, Final, Member, Order, TakeError};
 use lapisrudder_host::{COME_BACK, Clock, Discovery, Members, News, Noted};
+use lapisrudder_io::{Operation, is_momentary, keep_trying};
 use rustc_hash::FxHashMap;
 use std::collections::BTreeMap;
 use std::io;
@@ -24,6 +26,8 @@
 const TELL_EVERY: Micros = 100_000;
 /// After the loop has failed it is tried again so soon.
 const LOOP_AGAIN: Duration = Duration::from_millis(1);
+/// The thread looks for callers this often, whether it was woken or not.
+const LOOKS_EVERY: Micros = 100_000;
 /// The thread and its loop are tried to be had for this long.
 const START_PATIENCE: Duration = Duration::from_secs(1);
 /// What is read from a connection at a time: a whole answer with room to spare.
@@ -55,7 +59,7 @@
 
 /// Starts the thread, and gives the first client.
 pub(crate) fn start(plan: Plan, classes: Vec<ClassName>, in_flight: usize) -> Result<Client, StartError> {
-    let (ping, pinged) = ping::make_ping()?;
+    let (ping, pinged) = keep_trying(START_PATIENCE, ping::make_ping, |e| is_momentary(Operation::Open, e))?;
     let queue = Arc::new(Queue::new(ping, std::process::id()));
     let places = Arc::new(Semaphore::new(in_flight.min(Semaphore::MAX_PERMITS)));
     let clock = Clock::default();
@@ -74,11 +78,7 @@
     let (began, begun) = mpsc::channel();
     let run = move || {
         let _span = info_span!("plug-in", service = %plan.name).entered();
-        let started = EventLoop::<Ready>::try_new().map_err(io::Error::from).and_then(|events| {
-            let inserted = events.handle().insert_source(pinged, |(), (), _| {});
-            inserted.map_err(|e| io::Error::other(e.error)).map(|_| events)
-        });
-        let mut events = match started {
+        let mut events = match start_loop(pinged) {
             Ok(events) => events,
             Err(e) => return drop(began.send(Err(e))),
         };
@@ -105,6 +105,25 @@
     Ok(Client::new(shared, stats))
 }
 
+/// The loop, woken by callers.
+fn start_loop(pinged: PingSource) -> Result<EventLoop<'static, Ready>, io::Error> {
+    let may_pass =
+        |e: &calloop::Error| matches!(e, calloop::Error::IoError(e) if is_momentary(Operation::Open, e));
+    let events =
+        keep_trying(START_PATIENCE, EventLoop::<Ready>::try_new, may_pass).map_err(io::Error::from)?;
+    let mut source = Some(pinged);
+    let insert = || {
+        let Some(pinged) = source.take() else { return Ok(()) };
+        let inserted = events.handle().insert_source(pinged, |(), (), _| {});
+        inserted.map(drop).map_err(|failed| {
+            source = Some(failed.inserted);
+            failed.error
+        })
+    };
+    keep_trying(START_PATIENCE, insert, may_pass).map_err(io::Error::from)?;
+    Ok(events)
+}
+
 /// Goes with the thread, however that ends: nobody waits for what cannot come any more.
 struct End {
     queue: Arc<Queue>,
@@ -235,7 +254,8 @@
         let discovery = self.discovery.as_ref().and_then(Discovery::next_wake);
         let tell = self.untold.then_some(self.told + TELL_EVERY);
         let behind = self.members.is_behind() || self.discovery.as_ref().is_some_and(Discovery::is_behind);
-        let comes_back = behind.then(|| self.clock.now() + COME_BACK);
+        // Danger: a caller's call to wake the thread that failed for a moment would be heard by nobody.
+        let comes_back = Some(self.clock.now() + if behind { COME_BACK } else { LOOKS_EVERY });
         let next = [self.engine.next_wake(), held, discovery, tell, comes_back].into_iter().flatten().min();
         next.map(|at| self.clock.until(at))
     }
--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -5,7 +5,7 @@
 use lapisrudder_decisions::Micros;
 use lapisrudder_engine::{Answers, Conn, Engine};
 use lapisrudder_io::{
-    Connecting, Lack, Look, Next, Opened, Read, Shortage, Written, connect, is_out_of_descriptors,
+    Connecting, Lack, Look, Next, Opened, Operation, Read, Shortage, Written, connect, count_of, is_momentary,
 };
 use rustc_hash::FxHashMap;
 use std::io::IoSlice;
@@ -75,10 +75,11 @@
                     return;
                 }
                 Opened::Failed(e) => {
+                    self.failures.worked();
                     warn!(about = %at, "cannot connect: {e}");
                     return engine.broken(now, conn);
                 }
-                Opened::Lacking(lack) => match self.failures.failed(now, lack, self.is_full(lack)) {
+                Opened::Lacking(lack) => match self.failures.failed(now, count_of(lack)) {
                     Next::AtOnce => {}
                     next => break (next, lack),
                 },
@@ -97,11 +98,6 @@
         engine.not_opened(now, conn);
     }
 
-    /// By the process's own count it has no descriptors left.
-    fn is_full(&self, lack: Lack) -> bool {
-        lack == Lack::ProcessDescriptors && is_out_of_descriptors()
-    }
-
     /// Whether descriptors were found to be short since the last look: true if the process has no more, false if the
     /// machine has none.
     pub fn took_shortage(&mut self) -> Option<bool> {
@@ -190,6 +186,11 @@
                 }
                 Connecting::Coming => return,
                 Connecting::Unknown => return self.again.push(conn),
+                Connecting::Failed(e) if is_momentary(Operation::Connect, &e) => {
+                    warn!(about = %member.at, "cannot connect for now: {e}");
+                    self.sockets.remove(&conn);
+                    return engine.not_opened(now, conn);
+                }
                 Connecting::Failed(e) => {
                     warn!(about = %member.at, "cannot connect: {e}");
                     return engine.broken(now, conn);
--- a/crates/io/src/connection.rs
+++ b/crates/io/src/connection.rs
@@ -1,7 +1,8 @@
 //! Connections over TCP: bytes in and out, and whether the peer is there.
 
 use crate::FAILS_FOR;
-use crate::outcome::{Lack, Operation, Outcome, classify};
+use crate::counts::judge;
+use crate::outcome::{Lack, Operation, Outcome};
 use crate::retry::{AT_ONCE, at_once};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{Domain, Protocol, SockAddr, Type};
@@ -141,7 +142,7 @@
                 }
                 Err(e) => e,
             };
-            match classify(Operation::Transfer, &error) {
+            match judge(Operation::Transfer, &error) {
                 Outcome::Repeat => {}
                 // Danger: readiness that is not there any more, but was never used up, comes back by no edge.
                 Outcome::NotReady => match self.is_ready(readiness) {
@@ -201,7 +202,7 @@
         match at_once(Operation::Open, || self.stream.take_error()) {
             Ok(Some(e)) => return Connecting::Failed(e),
             Ok(None) => {}
-            Err(e) if classify(Operation::Open, &e) == Outcome::Over => return Connecting::Failed(e),
+            Err(e) if judge(Operation::Open, &e) == Outcome::Over => return Connecting::Failed(e),
             Err(_) => return Connecting::Unknown,
         }
         match at_once(Operation::Open, || self.stream.peer_addr()) {
@@ -262,7 +263,7 @@
     };
     let address = SockAddr::from(to);
     match at_once(Operation::Connect, || socket.connect(&address)) {
-        Err(e) if !matches!(classify(Operation::Connect, &e), Outcome::Begun | Outcome::Done) => {
+        Err(e) if !matches!(judge(Operation::Connect, &e), Outcome::Begun | Outcome::Done) => {
             lacking(Operation::Connect, e)
         }
         _ => Opened::Begun(Stream::new(socket.into())),
@@ -270,7 +271,7 @@
 }
 
 fn lacking(operation: Operation, error: io::Error) -> Opened {
-    match classify(operation, &error) {
+    match judge(operation, &error) {
         Outcome::Lacking(lack) => Opened::Lacking(lack),
         _ => Opened::Failed(error),
     }
--- a/crates/io/src/datagram.rs
+++ b/crates/io/src/datagram.rs
@@ -1,6 +1,7 @@
 //! Datagrams over UDP, which may be lost anyway: only what says something of the socket itself is told.
 
-use crate::outcome::{Operation, Outcome, classify};
+use crate::counts::judge;
+use crate::outcome::{Operation, Outcome};
 use crate::retry::at_once;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -47,7 +48,7 @@
         match self.0.recv_from(into) {
             Ok((bytes, from)) => Received::Datagram(bytes, from),
             Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => Received::Nothing,
-            Err(e) => match classify(Operation::Transfer, &e) {
+            Err(e) => match judge(Operation::Transfer, &e) {
                 Outcome::NotReady => Received::NotReady,
                 Outcome::Over => Received::Broken(e),
                 _ => Received::Nothing,
--- a/crates/io/src/lib.rs
+++ b/crates/io/src/lib.rs
@@ -31,6 +31,7 @@
 #![allow(clippy::disallowed_methods)]
 
 mod connection;
+mod counts;
 mod datagram;
 mod file;
 mod listener;
@@ -41,14 +42,15 @@
 mod shortage;
 
 pub use connection::{Connecting, Look, Opened, Read, Stream, Written, connect};
+pub use counts::FailedCalls;
 pub use datagram::{Datagrams, Received};
 pub use file::{open_file, read_file, read_text, write_line};
 pub use listener::{Accepted, Listener};
 pub use local::{Knock, LocalListener, LocalStream, Message, Sent, Sibling, knock};
 pub use outcome::{Lack, Operation, Outcome, classify, is_momentary};
-pub use process::{held_descriptors, is_out_of_descriptors, spawn};
+pub use process::{count_of, held_descriptors, spawn};
 pub use retry::{AT_ONCE, at_once, keep_trying};
-pub use shortage::{Next, Shortage};
+pub use shortage::{Count, Next, Shortage};
 
 /// A socket whose transfers only fail for so long is broken.
-pub const FAILS_FOR: std::time::Duration = std::time::Duration::from_secs(1);
+pub const FAILS_FOR: std::time::Duration = std::time::Duration::from_secs(10);
--- a/crates/io/src/listener.rs
+++ b/crates/io/src/listener.rs
@@ -1,7 +1,8 @@
 //! Listeners over TCP.
 
 use crate::connection::Stream;
-use crate::outcome::{Lack, Operation, Outcome, classify};
+use crate::counts::judge;
+use crate::outcome::{Lack, Operation, Outcome};
 use crate::retry::at_once;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::net::{SocketFlags, acceptfrom_with};
@@ -67,7 +68,7 @@
             }
             Err(errno) => io::Error::from(errno),
         };
-        match classify(Operation::Accept, &error) {
+        match judge(Operation::Accept, &error) {
             Outcome::NotReady if self.has_waiting() => Accepted::Gone,
             Outcome::NotReady => Accepted::Empty,
             Outcome::Lacking(lack) => Accepted::Lacking(lack),
--- a/crates/io/src/local.rs
+++ b/crates/io/src/local.rs
@@ -1,6 +1,7 @@
 //! Unix sockets between two processes of one node, and the descriptors that go along.
 
-use crate::outcome::{Operation, Outcome, classify};
+use crate::counts::judge;
+use crate::outcome::{Operation, Outcome};
 use crate::retry::{AT_ONCE, at_once, keep_trying};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
@@ -119,7 +120,7 @@
 
     fn failed(&self, errno: Errno, readiness: PollFlags) -> io::Result<Wait> {
         let error = io::Error::from(errno);
-        match classify(Operation::Transfer, &error) {
+        match judge(Operation::Transfer, &error) {
             Outcome::NotReady => {
                 let mut look = [PollFd::new(&self.0, readiness)];
                 let found = poll(&mut look, Some(&Timespec::default()));
@@ -213,7 +214,7 @@
     pub fn accept(&self) -> Sibling {
         match at_once(Operation::Accept, || self.0.accept()) {
             Ok((stream, _)) => Sibling::Came(LocalStream(stream)),
-            Err(e) => match classify(Operation::Accept, &e) {
+            Err(e) => match judge(Operation::Accept, &e) {
                 Outcome::NotReady => Sibling::Nobody,
                 _ => Sibling::Later,
             },
--- a/crates/io/src/outcome.rs
+++ b/crates/io/src/outcome.rs
@@ -18,6 +18,23 @@
     File,
 }
 
+impl Operation {
+    /// All of them.
+    pub const ALL: [Operation; 5] =
+        [Operation::Transfer, Operation::Accept, Operation::Connect, Operation::Open, Operation::File];
+
+    /// As logs name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Operation::Transfer => "transfer",
+            Operation::Accept => "accept",
+            Operation::Connect => "connect",
+            Operation::Open => "open",
+            Operation::File => "file",
+        }
+    }
+}
+
 /// What this machine or process had too little of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lack {
--- a/crates/io/src/process.rs
+++ b/crates/io/src/process.rs
@@ -1,8 +1,8 @@
 //! What the system tells of the process itself, and its threads.
 
-use crate::outcome::Operation;
-use crate::outcome::is_momentary;
+use crate::outcome::{Lack, Operation, Outcome, classify, is_momentary};
 use crate::retry::{at_once, keep_trying};
+use crate::shortage::Count;
 use rustix::process::{Resource, getrlimit};
 use std::fs;
 use std::io;
@@ -16,16 +16,28 @@
 
 /// Descriptors that the process holds now; none where the system does not say, or none is left to ask with.
 pub fn held_descriptors() -> Option<usize> {
-    at_once(Operation::File, || fs::read_dir("/proc/self/fd")).ok().map(Iterator::count)
+    count_descriptors().ok()
+}
+
+fn count_descriptors() -> io::Result<usize> {
+    at_once(Operation::File, || fs::read_dir("/proc/self/fd")).map(Iterator::count)
 }
 
 /// Descriptors that a process which has none left may count as free: others may have been closed since.
 const ALMOST: usize = 4;
 
-/// Whether by the process's own count it has no descriptors left. Where it cannot count, it takes itself to have none.
-pub fn is_out_of_descriptors() -> bool {
-    let known = descriptor_limit().zip(held_descriptors());
-    known.is_none_or(|(limit, held)| (held + ALMOST) as u64 >= limit)
+/// What the process itself counts of what a call lacked.
+pub fn count_of(lack: Lack) -> Count {
+    if lack != Lack::ProcessDescriptors {
+        return Count::Unknown;
+    }
+    match (descriptor_limit(), count_descriptors()) {
+        (Some(limit), Ok(held)) if (held + ALMOST) as u64 >= limit => Count::Full,
+        (Some(_), Ok(_)) => Count::Room,
+        // There is none to count with, either.
+        (_, Err(e)) if classify(Operation::File, &e) == Outcome::Lacking(lack) => Count::Full,
+        _ => Count::Unknown,
+    }
 }
 
 /// Starts a thread, which goes on by itself.
--- a/crates/io/src/retry.rs
+++ b/crates/io/src/retry.rs
@@ -1,6 +1,7 @@
 //! Calls that are made again where a failure says nothing of the world.
 
-use crate::outcome::{Operation, is_momentary};
+use crate::counts::judge;
+use crate::outcome::{Operation, Outcome};
 use std::io;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,7 +20,7 @@
     let mut last = call();
     for _ in 1..AT_ONCE {
         match &last {
-            Err(e) if is_momentary(operation, e) => last = call(),
+            Err(e) if matches!(judge(operation, e), Outcome::Repeat | Outcome::Lacking(_)) => last = call(),
             _ => break,
         }
     }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,7 +9,9 @@
 
 use clap::{Args, Parser, Subcommand};
 use lapisrudder_config::{Arguments, Environment, Format, Level, Sources};
+use lapisrudder_io::write_line;
 use std::error::Error;
+use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -73,7 +75,8 @@
         Command::Version => version::run(),
     };
     done.unwrap_or_else(|error| {
-        eprintln!("lapisrudder: {error}");
+        // Danger: the macro for this panics where standard error takes nothing.
+        let _ = write_line(&mut io::stderr(), format!("lapisrudder: {error}\n").as_bytes());
         ExitCode::FAILURE
     })
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -22,7 +22,9 @@
     Answer, Answers, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request, TakeError,
 };
 use lapisrudder_host::{Attention, COME_BACK, Clock, Discovery, Members, News};
-use lapisrudder_io::{Operation, held_descriptors, is_momentary, keep_trying, read_text, write_line};
+use lapisrudder_io::{
+    FailedCalls, Operation, held_descriptors, is_momentary, keep_trying, read_text, write_line,
+};
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use lapisrudder_takeover::{self as talk, Grant, Lender, Message, State};
 use rustc_hash::FxHashMap;
@@ -181,6 +183,8 @@
     attention: Attention,
     /// Violations that were told.
     violations_told: u64,
+    /// Failed calls that were told.
+    failed_calls_told: FailedCalls,
     scratch: Vec<u8>,
     deadlines: Deadlines,
     server: VirtualServer,
@@ -280,6 +284,7 @@
             clock,
             attention: Attention::new(now),
             violations_told: 0,
+            failed_calls_told: FailedCalls::default(),
             scratch: vec![0; SCRATCH],
             deadlines: Deadlines::default(),
             server,
@@ -920,7 +925,9 @@
     fn keep_limits(&mut self) {
         let now = self.clock.now();
         if now - self.resident.0 >= MEMORY_EVERY {
-            self.resident = (now, resident_bytes());
+            // Danger: a reading that failed passed for a process that holds nothing.
+            self.resident = (now, resident_bytes().unwrap_or(self.resident.1));
+            self.tell_failed_calls();
         }
         let resources = Resources {
             connections: match &self.successor {
@@ -988,6 +995,14 @@
         }
     }
 
+    /// Tells how many calls of the system have failed for a moment, if there are more.
+    fn tell_failed_calls(&mut self) {
+        let failed = FailedCalls::so_far();
+        if failed != std::mem::replace(&mut self.failed_calls_told, failed) {
+            info!(calls = %failed, "calls of the system failed for a moment, since the start");
+        }
+    }
+
     /// Tells what was done although it was not allowed, if something new was.
     fn tell_violations(&mut self) {
         let (engine, clients) = (self.engine.violations(), &self.server.violations);
@@ -1114,9 +1129,9 @@
     }
 }
 
-/// Memory that the process holds now; 0 where the system does not say.
-fn resident_bytes() -> u64 {
-    let told = read_text(Path::new("/proc/self/status")).unwrap_or_default();
-    let line = told.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    line.and_then(|l| l.trim().trim_end_matches(" kB").parse::<u64>().ok()).unwrap_or(0) << 10
+/// Memory that the process holds now; none where the system does not say.
+fn resident_bytes() -> Option<u64> {
+    let told = read_text(Path::new("/proc/self/status")).ok()?;
+    let line = told.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    Some(line.trim().trim_end_matches(" kB").parse::<u64>().ok()? << 10)
 }
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -10,8 +10,7 @@
 use lapisrudder_codec::memcache::{self, Command, OwnedRequest};
 use lapisrudder_host::{COME_BACK, Watched};
 use lapisrudder_io::{
-    Accepted, Lack, Listener, Look, Next, Read, Shortage as Failures, Stream, Written, is_out_of_descriptors,
-    open_file,
+    Accepted, Lack, Listener, Look, Next, Read, Shortage as Failures, Stream, Written, count_of, open_file,
 };
 use lapisrudder_limits::budget::Budget;
 use lapisrudder_limits::drain::{Drain, Release};
@@ -454,8 +453,12 @@
                     self.arrived(stream, peer, came_after, now, deadlines);
                 }
                 Accepted::Gone => in_vain += 1,
-                Accepted::Empty => return Queue::Empty,
-                Accepted::Lacking(lack) => match self.failures.failed(now, lack, is_full(lack)) {
+                Accepted::Empty => {
+                    // The kernel finds a descriptor before it looks who waits.
+                    self.failures.worked();
+                    return Queue::Empty;
+                }
+                Accepted::Lacking(lack) => match self.failures.failed(now, count_of(lack)) {
                     Next::AtOnce => in_vain += 1,
                     Next::After(wait) => {
                         self.pause(now + wait, deadlines);
@@ -1037,11 +1040,6 @@
     }
 }
 
-/// By its own count the process has none of what it lacks.
-fn is_full(lack: Lack) -> bool {
-    lack == Lack::ProcessDescriptors && is_out_of_descriptors()
-}
-
 /// It is to be sent what the turn has brought.
 fn mark(dirty: &mut Vec<u64>, id: u64, client: &mut Client) {
     if !std::mem::replace(&mut client.dirty, true) {
