Split accepting, releasing, replacing and coming back out of the node's two largest files

Management and the look at the fleet share one listener of callers (callers.rs); tests and the soak share the shim's error numbers. No behaviour changes.

--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -9,6 +9,7 @@
 #![warn(missing_docs)]
 
 mod control;
+pub mod errno;
 #[cfg(feature = "interpose")]
 mod interpose;
 pub mod table;
--- a/crates/io/tests/table.rs
+++ b/crates/io/tests/table.rs
@@ -1,5 +1,6 @@
 //! The table of the crate's page, row by row: what each documented error of each operation is.
 
+use lapisrudder_fault_shim::errno::*;
 use lapisrudder_io::{Lack, Operation, Outcome, classify, is_momentary};
 use std::io;
 
@@ -7,41 +8,6 @@
 use Operation::{Accept, Connect, File, Open, Transfer};
 use Outcome::{Begun, Done, Lacking, NotReady, Over, Repeat};
 
-const ENOENT: i32 = 2;
-const EINTR: i32 = 4;
-const EIO: i32 = 5;
-const EBADF: i32 = 9;
-const EAGAIN: i32 = 11;
-const ENOMEM: i32 = 12;
-const EACCES: i32 = 13;
-const EPERM: i32 = 1;
-const EINVAL: i32 = 22;
-const ENFILE: i32 = 23;
-const EMFILE: i32 = 24;
-const ENOSPC: i32 = 28;
-const EPIPE: i32 = 32;
-const EPROTO: i32 = 71;
-const ENOTSOCK: i32 = 88;
-const ENOPROTOOPT: i32 = 92;
-const EOPNOTSUPP: i32 = 95;
-const EADDRINUSE: i32 = 98;
-const EADDRNOTAVAIL: i32 = 99;
-const ENETDOWN: i32 = 100;
-const ENETUNREACH: i32 = 101;
-const ECONNABORTED: i32 = 103;
-const ECONNRESET: i32 = 104;
-const ENOBUFS: i32 = 105;
-const EISCONN: i32 = 106;
-const ENOTCONN: i32 = 107;
-const ETIMEDOUT: i32 = 110;
-const ECONNREFUSED: i32 = 111;
-const EHOSTDOWN: i32 = 112;
-const EHOSTUNREACH: i32 = 113;
-const EALREADY: i32 = 114;
-const EINPROGRESS: i32 = 115;
-const EDQUOT: i32 = 122;
-const ECANCELED: i32 = 125;
-
 const TABLE: &[(Operation, &[i32], Outcome)] = &[
     (Transfer, &[EINTR], Repeat),
     (Transfer, &[EAGAIN], NotReady),
--- a/crates/lab/src/soak/system_calls.rs
+++ b/crates/lab/src/soak/system_calls.rs
@@ -1,6 +1,9 @@
 //! The system calls that fail in a soak: which, how, how often and when, drawn from its seed.
 
 use super::{SWITCHED_ON, between};
+use lapisrudder_fault_shim::errno::{
+    EADDRNOTAVAIL, EAGAIN, ECANCELED, ECONNABORTED, EINTR, EIO, EMFILE, ENFILE, ENOBUFS, ENOMEM, ENOSPC,
+};
 use lapisrudder_fault_shim::{Call, Control, Rule, table};
 use lapisrudder_model::draw::stream;
 use rand::Rng;
@@ -8,18 +11,6 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
-const EINTR: i32 = 4;
-const EIO: i32 = 5;
-const EAGAIN: i32 = 11;
-const ENOMEM: i32 = 12;
-const ENFILE: i32 = 23;
-const EMFILE: i32 = 24;
-const ENOSPC: i32 = 28;
-const EADDRNOTAVAIL: i32 = 99;
-const ECONNABORTED: i32 = 103;
-const ENOBUFS: i32 = 105;
-const ECANCELED: i32 = 125;
-
 /// How a call can fail.
 #[derive(Clone, Copy)]
 enum How {
--- a/src/net/fleet/look.rs
+++ b/src/net/fleet/look.rs
@@ -1,9 +1,9 @@
 //! Where operators look inside: one line comes in on a connection; `members` gets one line of JSON, `watch` the same and
 //! then a line a change for as long as the caller stays.
 
-use super::super::{Handle, Owner, Ready, Socket};
-use lapisrudder_host::Watched;
-use lapisrudder_io::{Accepted, Listener, Read, Written};
+use super::super::callers::{Arrival, Callers};
+use super::super::{Handle, Owner, Socket};
+use lapisrudder_io::{Read, Written};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
@@ -12,8 +12,6 @@
 pub const CALLERS: usize = 8;
 /// Bytes of a call at the most.
 const MOST_CALL: usize = 64;
-/// Callers that the kernel keeps until they are accepted.
-const BACKLOG: i32 = 128;
 /// Bytes that wait for one that does not read. Beyond them it is put out: what it sees would have a gap. All rows of the
 /// largest table are 1.2 MB.
 const MOST_WAITING: usize = 4 << 20;
@@ -30,51 +28,41 @@
 
 /// The listener and who looks.
 pub struct Look {
-    listener: Watched<Ready, Listener>,
-    handle: Handle,
+    door: Callers,
     callers: BTreeMap<u64, Caller>,
-    next: u64,
     /// Callers whose line is whole.
     whole: Vec<(u64, String)>,
-    /// Callers to come back to: a call failed for a moment, and no readiness will tell.
-    again: Vec<u64>,
 }
 
 impl Look {
     pub fn new(at: SocketAddr, handle: &Handle) -> io::Result<Look> {
-        let mut listener = Watched::level(Listener::bind(at, BACKLOG, false)?, handle, Owner::Look);
-        listener.ensure();
-        let (callers, whole, again) = (BTreeMap::new(), Vec::new(), Vec::new());
-        Ok(Look { listener, handle: handle.clone(), callers, next: 0, whole, again })
+        let door = Callers::new(at, Owner::Look, handle)?;
+        Ok(Look { door, callers: BTreeMap::new(), whole: Vec::new() })
     }
 
     /// Something is to be come back to by [`Look::retry`].
     pub fn is_behind(&self) -> bool {
-        !(self.listener.is_telling() && self.again.is_empty())
+        self.door.is_behind()
     }
 
     /// Comes back to what failed for a moment.
     pub fn retry(&mut self) {
-        self.listener.ensure();
-        std::mem::take(&mut self.again).into_iter().for_each(|id| self.on_ready(id));
+        self.door.behind().into_iter().for_each(|id| self.on_ready(id));
     }
 
     /// What the loop would have told of any caller may have been lost.
     pub fn look_at_all(&mut self) {
-        self.again = self.callers.keys().copied().collect();
+        self.callers.keys().for_each(|id| self.door.come_back_to(*id));
     }
 
     /// Takes those who have come.
     pub fn accept(&mut self) {
         for _ in 0..CALLERS {
-            let stream = match self.listener.accept() {
-                Accepted::Client(stream, _) => stream,
-                Accepted::Gone | Accepted::Lacking(_) => continue,
-                Accepted::Empty | Accepted::Broken(_) => return,
+            let (id, socket) = match self.door.accept(Owner::Looker) {
+                Arrival::Came(id, socket) => (id, socket),
+                Arrival::Missed => continue,
+                Arrival::Nobody => return,
             };
-            let id = self.next;
-            self.next += 1;
-            let socket = Socket::edge(stream, &self.handle, Owner::Looker(id));
             let (input, output) = (Vec::new(), VecDeque::new());
             self.callers.insert(id, Caller { socket, input, output, answered: false, watches: false });
             if self.callers.len() > CALLERS {
@@ -88,14 +76,14 @@
     pub fn on_ready(&mut self, id: u64) {
         let Some(caller) = self.callers.get_mut(&id) else { return };
         if !caller.socket.ensure() {
-            self.again.push(id);
+            self.door.come_back_to(id);
         }
         let mut buffer = [0; MOST_CALL];
         let gone = loop {
             match caller.socket.read(&mut buffer) {
                 Read::NotReady => break false,
                 Read::Later(_) => {
-                    self.again.push(id);
+                    self.door.come_back_to(id);
                     break false;
                 }
                 Read::End | Read::Broken(_) => break true,
@@ -149,7 +137,7 @@
                 Written::Full => break caller.output.len() > MOST_WAITING,
                 Written::Bytes(n) => drop(caller.output.drain(..n)),
                 Written::Later(_) => {
-                    self.again.push(id);
+                    self.door.come_back_to(id);
                     break false;
                 }
                 Written::Broken(_) => break true,
--- a/src/net/management.rs
+++ b/src/net/management.rs
@@ -1,11 +1,11 @@
 //! The operators' address: one line comes in on a connection, one goes out. What a call does is the node's matter.
 
+use super::callers::{Arrival, Callers};
 use super::deadlines::{Deadline, Deadlines};
-use super::{Handle, Owner, Ready, Socket};
+use super::{Handle, Owner, Socket};
 use lapisrudder::Micros;
 use lapisrudder_codec::management::{MAX_CALL, parse};
-use lapisrudder_host::Watched;
-use lapisrudder_io::{Accepted, Listener, Read, Written};
+use lapisrudder_io::{Read, Written};
 use std::collections::BTreeMap;
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
@@ -21,8 +21,6 @@
 const LINGER: Micros = 1_000_000;
 /// Callers taken in one turn at the most. Guards clients against a flood of them.
 const A_TURN: usize = 64;
-/// Callers that the kernel keeps until they are accepted.
-const BACKLOG: i32 = 128;
 
 struct Caller {
     socket: Socket,
@@ -36,56 +34,46 @@
 
 /// The listener and who has called.
 pub struct Management {
-    listener: Watched<Ready, Listener>,
-    handle: Handle,
+    door: Callers,
     /// By number: the first has been here for longest.
     callers: BTreeMap<u64, Caller>,
-    next: u64,
     /// Callers whose line is whole, or is none.
     whole: Vec<u64>,
-    /// Callers to come back to: a call failed for a moment, and no readiness will tell.
-    again: Vec<u64>,
 }
 
 impl Management {
     pub fn new(at: SocketAddr, handle: &Handle) -> io::Result<Management> {
-        let mut listener = Watched::level(Listener::bind(at, BACKLOG, false)?, handle, Owner::Management);
-        listener.ensure();
-        let (callers, whole, again) = (BTreeMap::new(), Vec::new(), Vec::new());
-        Ok(Management { listener, handle: handle.clone(), callers, next: 0, whole, again })
+        let door = Callers::new(at, Owner::Management, handle)?;
+        Ok(Management { door, callers: BTreeMap::new(), whole: Vec::new() })
     }
 
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.address()
+        self.door.address()
     }
 
     /// Something is to be come back to by [`Management::retry`].
     pub fn is_behind(&self) -> bool {
-        !(self.listener.is_telling() && self.again.is_empty())
+        self.door.is_behind()
     }
 
     /// Comes back to what failed for a moment.
     pub fn retry(&mut self) {
-        self.listener.ensure();
-        std::mem::take(&mut self.again).into_iter().for_each(|id| self.on_ready(id));
+        self.door.behind().into_iter().for_each(|id| self.on_ready(id));
     }
 
     /// What the loop would have told of any caller may have been lost.
     pub fn look_at_all(&mut self) {
-        self.again = self.callers.keys().copied().collect();
+        self.callers.keys().for_each(|id| self.door.come_back_to(*id));
     }
 
     /// Takes those who have come.
     pub fn accept(&mut self, now: Micros, deadlines: &mut Deadlines) {
         for _ in 0..A_TURN {
-            let stream = match self.listener.accept() {
-                Accepted::Client(stream, _) => stream,
-                Accepted::Gone | Accepted::Lacking(_) => continue,
-                Accepted::Empty | Accepted::Broken(_) => return,
+            let (id, socket) = match self.door.accept(Owner::Caller) {
+                Arrival::Came(id, socket) => (id, socket),
+                Arrival::Missed => continue,
+                Arrival::Nobody => return,
             };
-            let id = self.next;
-            self.next += 1;
-            let socket = Socket::edge(stream, &self.handle, Owner::Caller(id));
             let until = now + PATIENCE;
             deadlines.add(until, Deadline::Caller(id));
             let (input, output) = (Vec::new(), Vec::new());
@@ -105,14 +93,14 @@
     pub fn on_ready(&mut self, id: u64) {
         let Some(caller) = self.callers.get_mut(&id) else { return };
         if !caller.socket.ensure() {
-            self.again.push(id);
+            self.door.come_back_to(id);
         }
         let mut buffer = [0; MAX_CALL];
         for _ in 0..A_TURN {
             match caller.socket.read(&mut buffer) {
                 Read::NotReady => return self.flush(id),
                 Read::Later(_) => {
-                    self.again.push(id);
+                    self.door.come_back_to(id);
                     return self.flush(id);
                 }
                 Read::End if caller.answered && !caller.output.is_empty() => return self.flush(id),
@@ -135,7 +123,7 @@
         if caller.answered {
             self.callers.remove(&id);
         } else {
-            self.again.push(id);
+            self.door.come_back_to(id);
         }
     }
 
@@ -147,7 +135,7 @@
                 // Danger: a short write cut the line.
                 Written::Bytes(n) => drop(caller.output.drain(..n)),
                 Written::Full => return,
-                Written::Later(_) => return self.again.push(id),
+                Written::Later(_) => return self.door.come_back_to(id),
                 Written::Broken(_) => return drop(self.callers.remove(&id)),
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The node on real sockets: one thread, one loop.
 
+mod callers;
 mod classes;
 mod client;
 mod deadlines;
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -1,43 +1,36 @@
 //! The clients' side: the listener, and the connections that it has accepted. Who gets in, who is kept and for how
 //! long, and what is taken in is decided by [`lapisrudder_limits`]; this carries it out.
 
+mod accepting;
+mod release;
+
 use super::client::{Client, Drained, Slot, Upload};
 use super::deadlines::{Deadline, Deadlines, Key};
-use super::{Handle, Owner, Ready, Socket};
+use super::{Handle, Owner, Ready};
 use lapisrudder::permit::{Close, Violations};
-use lapisrudder::time_limits::HOLD_UP;
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{self, Command, OwnedRequest};
 use lapisrudder_host::{COME_BACK, Watched};
-use lapisrudder_io::{
-    Accepted, Lack, Listener, Look, Next, Read, Shortage as Failures, Stream, Written, count_of, open_file,
-};
+use lapisrudder_io::{Listener, Look, Shortage as Failures};
 use lapisrudder_limits::budget::Budget;
-use lapisrudder_limits::drain::{Drain, Release};
+use lapisrudder_limits::drain::Drain;
 use lapisrudder_limits::{
-    Accepting, Activity, Admission, ConnId, EventKind, Facts, Intake, Order, Resources, SettingsError,
-    Shortage, Ticket, Verdict,
+    Admission, ConnId, EventKind, Facts, Intake, Order, Resources, SettingsError, Ticket,
 };
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::fs::File;
-use std::io::{self, IoSlice};
+use std::io;
 use std::net::SocketAddr;
-use std::os::fd::OwnedFd;
-use std::path::Path;
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
 
 /// Connections that the kernel keeps until they are accepted. Guards against a burst whose connects are dropped
 /// there and tried again only after a second.
 const BACKLOG: i32 = 1024;
-/// Calls of `accept` in one turn that may bring nothing. The loop tells again of those who wait.
-const IN_VAIN: usize = 64;
 /// Whether a client has left whose bytes are not read for now is looked at this often.
 const LOOK_AGAIN: Micros = 50_000;
 /// What is read this long after the last turn may have waited for it, and its client may have left meanwhile.
 const STOOD_STILL: Micros = 40_000;
-/// What can be opened at any time, to hold a descriptor.
-const SPARE: &str = "/dev/null";
 
 /// What there is in the listener's queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -145,13 +138,9 @@
 
 /// The request ids of `mn`, which is no transaction, lie above all others.
 const READY: u64 = 1 << 63;
-/// So much of a command goes along with its connection to another process at the most.
-const HANDED_INPUT: usize = 64 << 10;
 /// The answers to `mn`.
 const READY_LINE: &[u8] = b"MN\r\n";
 const NOT_READY: &[u8] = b"SERVER_ERROR draining\r\n";
-/// How often connections are looked at that are to be let go: a hundredth of the time that they have.
-const LOOK_ROUND: Micros = 15_000;
 
 impl VirtualServer {
     /// Listens there, or goes on where another process of this node has listened: then nothing is accepted before
@@ -208,104 +197,6 @@
         Ok(server)
     }
 
-    /// Clients may come.
-    pub fn begin_accepting(&mut self) {
-        self.accepting = true;
-        self.keep_listening();
-    }
-
-    /// Has the loop tell of new connections, or not, as is wanted. Danger: a failure here would be for good.
-    pub fn keep_listening(&mut self) {
-        let wanted = self.wants_connections();
-        let Some(listener) = &mut self.listener else { return };
-        if wanted {
-            listener.ensure();
-        } else {
-            listener.silence();
-        }
-    }
-
-    fn wants_connections(&self) -> bool {
-        self.accepting && self.paused.is_none()
-    }
-
-    /// The listener, for another process.
-    pub fn listener(&self) -> io::Result<Option<OwnedFd>> {
-        self.listener.as_ref().map(|listener| listener.copy()).transpose()
-    }
-
-    /// Another process takes all new connections from here on, and those there are as they come free.
-    pub fn yield_clients(&mut self, deadlines: &mut Deadlines) {
-        deadlines.remove(self.paused.take());
-        self.accepting = false;
-        self.keep_listening();
-        self.drain = None;
-    }
-
-    /// That process is gone: all is as before.
-    pub fn take_clients_back(&mut self) {
-        for (id, client) in self.clients.iter_mut().filter(|(_, c)| c.leaving) {
-            client.leaving = false;
-            self.touched.push(*id);
-        }
-        self.begin_accepting();
-    }
-
-    /// Connections for the other process, so many at the most, with what was read of their next command. Nothing more
-    /// is taken on any other that may go once its answers are out.
-    pub fn leavers(
-        &mut self,
-        most: usize,
-        now: Micros,
-        deadlines: &mut Deadlines,
-    ) -> Vec<(OwnedFd, Vec<u8>)> {
-        for client in self.clients.values_mut() {
-            client.leaving = client.input.len() <= HANDED_INPUT && client.upload.is_none();
-        }
-        let free: Vec<u64> =
-            self.clients.iter().filter(|(_, c)| c.can_leave()).map(|(id, _)| *id).take(most).collect();
-        let leave = |id| {
-            let mut client = self.clients.remove(&id)?;
-            let (conn, counted, deadline) = (client.conn, client.counted, client.deadline.take());
-            match client.into_parts() {
-                Ok(parts) => {
-                    self.unread -= counted;
-                    self.names.remove(&conn);
-                    self.admission.left(now, conn);
-                    deadlines.remove(deadline);
-                    Some(parts)
-                }
-                // Danger: it was closed with the request that had come on it.
-                Err(mut client) => {
-                    client.deadline = deadline;
-                    self.clients.insert(id, *client);
-                    self.later.push(id);
-                    None
-                }
-            }
-        };
-        free.into_iter().filter_map(leave).collect()
-    }
-
-    /// Goes on with a connection that another process had, or could not hand over.
-    pub fn adopt(&mut self, stream: OwnedFd, input: Vec<u8>, now: Micros, deadlines: &mut Deadlines) {
-        let Ok(stream) = Stream::adopt(stream.into()) else { return };
-        let Ok(peer) = stream.peer() else { return };
-        // Guards the room for reading, which what is left of a command must fit in.
-        if input.len() > HANDED_INPUT {
-            return;
-        }
-        // The process that had it may have been held up before it sent it on.
-        let came_after = now - HOLD_UP;
-        let Some(id) = self.arrived(stream, peer, came_after, now, deadlines) else { return };
-        if let Some(client) = self.clients.get_mut(&id) {
-            client.has_come(came_after);
-            (client.input, client.since_arrival) = (input, Micros::MIN);
-            self.admission.spoke(now, client.conn);
-            self.touched.push(id);
-        }
-    }
-
     /// Commands with large values may take so many bytes, and answers that clients have not taken so many.
     pub fn set_budgets(&mut self, uploads: usize, unread: usize) {
         (self.uploads, self.unread_most) = (Budget::new(uploads), unread);
@@ -396,176 +287,11 @@
         }
     }
 
-    // ---- Who gets in ----------------------------------------------------------------------------------
-
     /// The loop has looked at the sockets: what it found came after this.
     pub fn looked(&mut self, came_after: Micros) {
         self.came_after = came_after;
     }
 
-    /// Who is accepted now came after this. Where many wait, for long, it is not known who came when: then no more than a
-    /// hold-up is taken for granted.
-    fn queued_after(&self, now: Micros) -> Micros {
-        let known = if self.queue_in_arrears { now - HOLD_UP } else { self.came_after };
-        known.max(self.queue_emptied)
-    }
-
-    /// Takes new connections as far as the limits have it. Says whether more may wait.
-    pub fn accept(&mut self, now: Micros, deadlines: &mut Deadlines) -> Queue {
-        self.keep_listening();
-        if !self.wants_connections() {
-            return if self.accepting { Queue::Waiting } else { Queue::Empty };
-        }
-        let most = match self.admission.accepting(now) {
-            Accepting::Take(most) => most,
-            Accepting::Pause { until } => {
-                self.queue_in_arrears = true;
-                self.pause(until, deadlines);
-                return Queue::Waiting;
-            }
-        };
-        let came_after = self.queued_after(now);
-        self.queue_in_arrears = true;
-        let Some(listener) = self.listener.take() else { return Queue::Empty };
-        let queue = self.accept_from(&listener, most, came_after, now, deadlines);
-        self.listener = Some(listener);
-        self.keep_listening();
-        if queue == Queue::Empty {
-            (self.queue_emptied, self.queue_in_arrears) = (now, false);
-        }
-        queue
-    }
-
-    fn accept_from(
-        &mut self,
-        listener: &Listener,
-        most: usize,
-        came_after: Micros,
-        now: Micros,
-        deadlines: &mut Deadlines,
-    ) -> Queue {
-        let (mut taken, mut in_vain) = (0, 0);
-        while taken < most && in_vain < IN_VAIN {
-            match listener.accept() {
-                Accepted::Client(stream, peer) => {
-                    self.failures.worked();
-                    taken += 1;
-                    self.arrived(stream, peer, came_after, now, deadlines);
-                }
-                Accepted::Gone => in_vain += 1,
-                Accepted::Empty => {
-                    // The kernel finds a descriptor before it looks who waits.
-                    self.failures.worked();
-                    return Queue::Empty;
-                }
-                Accepted::Lacking(lack) => match self.failures.failed(now, count_of(lack)) {
-                    Next::AtOnce => in_vain += 1,
-                    Next::After(wait) => {
-                        self.pause(now + wait, deadlines);
-                        return Queue::Waiting;
-                    }
-                    // Guards against a loop that spins on EMFILE: the listener stays readable all the while.
-                    Next::Shortage => {
-                        warn!(?lack, "cannot accept");
-                        self.ran_out(listener, lack, now, deadlines);
-                        return Queue::Waiting;
-                    }
-                },
-                Accepted::Broken(e) => {
-                    warn!("cannot accept: {e}");
-                    self.pause(now + ACCEPT_AGAIN, deadlines);
-                    return Queue::Waiting;
-                }
-            }
-        }
-        Queue::Waiting
-    }
-
-    /// A connection that may get in; gives its number.
-    fn arrived(
-        &mut self,
-        stream: Stream,
-        peer: SocketAddr,
-        came_after: Micros,
-        now: Micros,
-        deadlines: &mut Deadlines,
-    ) -> Option<u64> {
-        let speaks = stream.speaks();
-        let (conn, mut victim) = match self.admission.arrived(now, peer.ip(), speaks) {
-            Verdict::Keep { conn } => (conn, None),
-            Verdict::KeepAndClose { conn, victim } => (conn, Some(victim)),
-            Verdict::Refuse { retry_ms, .. } => {
-                tell_busy(&stream, retry_ms);
-                return None;
-            }
-        };
-        while let Some(other) = victim {
-            let id = self.names.get(&other).copied();
-            if id.is_none_or(|id| self.close_idle(id, now, deadlines)) {
-                break;
-            }
-            victim = self.admission.instead(now, conn, other);
-            if victim.is_none() {
-                tell_busy(&stream, None);
-                return None;
-            }
-        }
-        let id = self.next_client;
-        self.next_client += 1;
-        let mut client = Client::new(conn, Socket::edge(stream, &self.handle, Owner::Client(id)), now);
-        // Danger: a connection that could not be watched at once was dropped, read by nobody.
-        client.ensure_watched();
-        if speaks || client.later {
-            client.has_come(came_after);
-            self.touched.push(id);
-        }
-        self.clients.insert(id, client);
-        self.names.insert(conn, id);
-        Some(id)
-    }
-
-    /// Calls of `accept` only fail. Where descriptors have run out, one that waits is told so with the spare one's help.
-    fn ran_out(&mut self, listener: &Listener, lack: Lack, now: Micros, deadlines: &mut Deadlines) {
-        let own = lack == Lack::ProcessDescriptors;
-        if !own && lack != Lack::SystemDescriptors {
-            return self.pause(now + ACCEPT_AGAIN, deadlines);
-        }
-        match self.admission.ran_out(now, own) {
-            Shortage::Pause { until } => self.pause(until, deadlines),
-            Shortage::UseSpare { retry_ms } => {
-                self.spare = None;
-                if let Accepted::Client(stream, _) = listener.accept() {
-                    tell_busy(&stream, Some(retry_ms));
-                }
-                self.take_spare();
-            }
-        }
-    }
-
-    /// A connect to a member found no descriptor: clients make room, so that the next one finds it.
-    pub fn short(&mut self, own: bool, now: Micros) {
-        // Nobody waits to be told; the spare one stays.
-        let _ = self.admission.ran_out(now, own);
-    }
-
-    fn take_spare(&mut self) {
-        self.spare = open_file(Path::new(SPARE)).ok();
-        self.admission.spare(self.spare.is_some());
-    }
-
-    fn pause(&mut self, until: Micros, deadlines: &mut Deadlines) {
-        if self.paused.is_none() {
-            self.paused = Some(deadlines.add(until, Deadline::Accept));
-        }
-        self.keep_listening();
-    }
-
-    /// Accepts again, if that was paused.
-    pub fn resume(&mut self, deadlines: &mut Deadlines) {
-        deadlines.remove(self.paused.take());
-        self.keep_listening();
-    }
-
     // ---- Who is kept ----------------------------------------------------------------------------------
 
     /// What the node can bear now.
@@ -668,102 +394,6 @@
         }
     }
 
-    /// Takes no more new connections; those there are close between requests. False if some may wait that cannot be taken for
-    /// now: then this is to be called again, unless it is the `last` time.
-    pub fn stop_accepting(&mut self, last: bool, now: Micros, deadlines: &mut Deadlines) -> bool {
-        let emptied = !self.accepting || self.take_all(now, deadlines) == Queue::Empty;
-        if emptied || last {
-            deadlines.remove(self.paused.take());
-            self.accepting = false;
-            self.listener = None;
-        }
-        if self.drain.is_none_or(|drain| drain.is_standby()) {
-            self.begin_drain(Drain::at_once(now), now, deadlines);
-        }
-        emptied || last
-    }
-
-    /// Takes all that the kernel has let in: they get in, or are told that there is no room, however full it is. Danger: the
-    /// first failure, of whatever kind, ended this, and all behind it were reset.
-    fn take_all(&mut self, now: Micros, deadlines: &mut Deadlines) -> Queue {
-        let Some(listener) = self.listener.take() else { return Queue::Empty };
-        let came_after = self.queued_after(now);
-        let mut in_vain = 0;
-        let queue = loop {
-            match listener.accept() {
-                Accepted::Client(stream, peer) => {
-                    self.failures.worked();
-                    in_vain = 0;
-                    self.arrived(stream, peer, came_after, now, deadlines);
-                }
-                Accepted::Empty => break Queue::Empty,
-                Accepted::Gone | Accepted::Lacking(_) | Accepted::Broken(_) => in_vain += 1,
-            }
-            if in_vain == IN_VAIN {
-                break Queue::Waiting;
-            }
-        };
-        self.listener = Some(listener);
-        queue
-    }
-
-    /// Operators tell the node to drain, or to serve again. Again is no harm.
-    pub fn set_standby(&mut self, standby: bool, now: Micros, deadlines: &mut Deadlines) {
-        if std::mem::replace(&mut self.standby, standby) == standby {
-            return;
-        }
-        if standby {
-            for id in std::mem::take(&mut self.asked_ready) {
-                self.answer(id, RequestId(READY), &[NOT_READY], now);
-            }
-            self.begin_drain(Drain::standby(now), now, deadlines);
-        } else {
-            self.drain = None;
-        }
-    }
-
-    /// Operators have told the node to drain.
-    pub fn is_standby(&self) -> bool {
-        self.standby
-    }
-
-    /// It answers `mn` with a yes.
-    pub fn says_ready(&self) -> bool {
-        self.ready && !self.standby
-    }
-
-    /// Clients' connections are let go from now on.
-    fn begin_drain(&mut self, drain: Drain, now: Micros, deadlines: &mut Deadlines) {
-        self.drain = Some(drain);
-        self.let_go(now, deadlines);
-    }
-
-    /// Lets go the connections whose time has come.
-    pub fn let_go(&mut self, now: Micros, deadlines: &mut Deadlines) {
-        let Some(drain) = self.drain else { return };
-        let release = |(id, c): (&u64, &mut Client)| {
-            // What has come was asked before the connection closed: it is heard first.
-            let unread = c.room() && c.look();
-            let activity = if c.upload.is_some() { Activity::Unfinished } else { c.activity() };
-            let release = drain.release(*id, c.since_arrival, now, activity);
-            // Danger: whole commands that waited behind the room for a pipeline got no answer. Once the drain is over, what is
-            // not read goes elsewhere: its client sends it once more.
-            let release = if c.is_blind() && !drain.is_over(now) { Release::Stays } else { release };
-            (release != Release::Stays).then_some((*id, release, unread))
-        };
-        let released: Vec<_> = self.clients.iter_mut().filter_map(release).collect();
-        for (id, release, unread) in released {
-            match release {
-                _ if unread && release != Release::Expire => self.touched.push(id),
-                Release::Close => self.part(id, now, deadlines),
-                Release::Expire => self.expire(id),
-                _ => self.clients.get_mut(&id).into_iter().for_each(Client::finish),
-            }
-        }
-        deadlines.remove(self.round.take());
-        self.round = Some(deadlines.add(now + LOOK_ROUND, Deadline::LetGo));
-    }
-
     fn remove(&mut self, id: u64, why: Closed, now: Micros, deadlines: &mut Deadlines) {
         let Some(mut client) = self.clients.remove(&id) else { return };
         if why == Closed::ForRoom && !client.lingers() {
@@ -1053,33 +683,6 @@
     *unread = *unread + held - std::mem::replace(&mut client.counted, held);
 }
 
-/// After accepting has failed for another reason than want of descriptors, it is tried again this soon.
-const ACCEPT_AGAIN: Micros = 50_000;
-
-/// What has come on a connection that does not get in is read and dropped, so many times a buffer at the most: a request is
-/// smaller, and who sends on and on is not waited for.
-const DROPPED: usize = 16;
-
-/// Says on a connection that does not get in when to come again, and closes it.
-fn tell_busy(stream: &Stream, retry_ms: Option<u32>) {
-    let Some(ms) = retry_ms else { return };
-    let line = format!("SERVER_ERROR busy {ms}\r\n");
-    let mut rest = line.as_bytes();
-    // It is fresh: a line fits in its buffer, and whether it arrives is not waited for.
-    for _ in 0..DROPPED {
-        match stream.write(&[IoSlice::new(rest)]) {
-            Written::Bytes(n) if n < rest.len() => rest = &rest[n..],
-            Written::Later(_) => {}
-            _ => break,
-        }
-    }
-    let _ = stream.finish();
-    // Danger: a close over unread bytes resets the connection, and the line may go with it.
-    let mut dropped = [0; 4096];
-    let more = |_: &usize| matches!(stream.read(&mut dropped), Read::Bytes(_) | Read::Later(_));
-    (0..DROPPED).take_while(more).for_each(drop);
-}
-
 fn error(what: impl std::fmt::Display) -> Vec<u8> {
     format!("CLIENT_ERROR {what}\r\n").into_bytes()
 }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -6,6 +6,10 @@
 
 use harness::shim::{delivered, start, table};
 use harness::*;
+use lapisrudder_fault_shim::errno::{
+    EADDRNOTAVAIL, EAGAIN, ECANCELED, ECONNABORTED, EINTR, EIO, EMFILE, ENFILE, ENOBUFS, ENOMEM, ENOSPC,
+    EPROTO,
+};
 use lapisrudder_fault_shim::{Call, Control, Descriptor, Rule, table as faults};
 use lapisrudder_lab::stand::{Books, World};
 use std::fmt;
@@ -15,19 +19,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const EINTR: i32 = 4;
-const EIO: i32 = 5;
-const EAGAIN: i32 = 11;
-const ENOMEM: i32 = 12;
-const ENFILE: i32 = 23;
-const EMFILE: i32 = 24;
-const ENOSPC: i32 = 28;
-const EPROTO: i32 = 71;
-const EADDRNOTAVAIL: i32 = 99;
-const ECONNABORTED: i32 = 103;
-const ENOBUFS: i32 = 105;
-const ECANCELED: i32 = 125;
-
 const CLIENTS: usize = 12;
 /// Requests of each client.
 const REQUESTS: usize = 50;
