Take new connections while the event loop only fails

Cause: by reading. look_at_all looked at what was open, and left listeners to the loop, which tells of nobody while its calls fail. Test: a node whose timerfd_settime, then epoll_wait, fails always serves 19 new and 19 kept requests within their time, and a call of the operators; all of tests/faults.rs passed.

--- a/src/net/node/come_back.rs
+++ b/src/net/node/come_back.rs
@@ -1,6 +1,7 @@
 //! What is come back to shortly, since a call of the system failed for a moment and no readiness will tell.
 
 use super::{Front, Node};
+use crate::net::Owner;
 use crate::net::fleet::Fleet;
 use crate::net::management::Management;
 use crate::net::takeover::{Door, Link};
@@ -50,6 +51,10 @@
         let links = [&mut self.predecessor, &mut self.knocking];
         links.into_iter().flatten().for_each(Link::look_again);
         self.successor.iter_mut().for_each(|s| s.link.look_again());
+        // Danger: while the loop only fails, it tells of nobody who comes.
+        for owner in [Owner::Listener, Owner::Management, Owner::Door, Owner::Fleet, Owner::Look] {
+            self.ready(owner);
+        }
     }
 
     pub(super) fn until_next(&self) -> Option<Duration> {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -444,3 +444,31 @@
     }
     assert!(control.delivered(Call::Accept).expect("a count") > 0, "no fault was delivered");
 }
+
+/// Danger: while the loop's own calls only failed, nobody was told of new connections, or of anything.
+#[test]
+fn a_node_whose_loop_only_fails_for_a_while_serves_on() {
+    let world = world(spec(&["a", "b"]), ids(400));
+    let mut control = table(1);
+    let node = start(world.addresses().discovery(0).expect("discovery"), &control);
+    node.until_ready();
+    let mut kept = node.client();
+    assert!(kept.read("0", WAIT_MS).starts_with("value of"));
+    for (round, call) in [Call::TimerfdSettime, Call::EpollWait].into_iter().enumerate() {
+        control.add(Rule::always(call, if round == 0 { ECANCELED } else { EIO })).expect("a rule");
+        for id in (1..20).map(|n| (round * 20 + n).to_string()) {
+            let mut new = node.client();
+            let asked = Instant::now();
+            let answers = [kept.read(&id, WAIT_MS), new.read(&format!("{id}0"), WAIT_MS)];
+            assert!(answers.iter().all(|answer| answer.starts_with("value of")), "{call:?}: {answers:?}");
+            assert!(
+                asked.elapsed() < Duration::from_millis(WAIT_MS) + SLACK,
+                "{call:?}: {:?}",
+                asked.elapsed()
+            );
+        }
+        assert_eq!(node.call("status\n"), "ok ready\n");
+        assert!(control.delivered(call).expect("a count") > 0, "{call:?}: no fault was delivered");
+        control.clear().expect("cleared");
+    }
+}
