Tell at the default level what is open at each phase of an end and of a drain; keep the last steps

The excerpts of the incident had two lines for four seconds, and at debug the cap on repeats held 1,952 of 1,962 lines back, so nobody could see which requests were open at the last call, or whose connections a drain had left.

Change: one line with requests and connections by state at SIGTERM, at each phase of a stop, and at standby and active; the open requests at the last call, and the connections that a drain has left after 2 s and 3.5 s, eight a line and ten lines at the most. A flight recorder in the engine keeps the last 2,048 steps of requests (taken, chosen, begun, attempt ended, violated); it is written to the log when a violation is counted (once in 10 s at the most) and on the operators' call 'history'. Ruled out: the same from debug events of the log; they would be formatted for each request.

--- a/crates/codec/src/management.rs
+++ b/crates/codec/src/management.rs
@@ -18,6 +18,8 @@
     Standby,
     /// The end of the drain.
     Active,
+    /// Write the last steps of requests to the log.
+    History,
 }
 
 impl fmt::Display for Call<'_> {
@@ -28,6 +30,7 @@
             Call::MaintOff(id) => write!(f, "maint-off {id}"),
             Call::Standby => f.write_str("standby"),
             Call::Active => f.write_str("active"),
+            Call::History => f.write_str("history"),
         }
     }
 }
@@ -45,7 +48,7 @@
     #[error("not UTF-8")]
     NotText,
     /// No such call.
-    #[error("unknown call; status, maint-on ID, maint-off ID, standby and active are known")]
+    #[error("unknown call; status, maint-on ID, maint-off ID, standby, active and history are known")]
     Unknown,
     /// A call that needs an id came without one.
     #[error("the id is missing")]
@@ -71,6 +74,7 @@
         Some("maint-off") => Call::MaintOff(words.next().ok_or(BadCall::NoId)?),
         Some("standby") => Call::Standby,
         Some("active") => Call::Active,
+        Some("history") => Call::History,
         _ => return Err(BadCall::Unknown),
     };
     if words.next().is_some() { Err(BadCall::Surplus) } else { Ok(Some(call)) }
@@ -94,7 +98,7 @@
     fn a_call_is_one_line_and_anything_else_is_told_apart() {
         let long = "x".repeat(MAX_CALL);
         type Case = (&'static [u8], Result<Option<Call<'static>>, BadCall>);
-        let cases: [Case; 15] = [
+        let cases: [Case; 16] = [
             (b"", Ok(None)),
             (b"stat", Ok(None)),
             (b"status\r", Ok(None)),
@@ -105,6 +109,7 @@
             (b"maint-off s-1\n", Ok(Some(Call::MaintOff("s-1")))),
             (b"standby\n", Ok(Some(Call::Standby))),
             (b"active\n", Ok(Some(Call::Active))),
+            (b"history\n", Ok(Some(Call::History))),
             (b"maint-on\n", Err(BadCall::NoId)),
             (b"maint-off a b\n", Err(BadCall::Surplus)),
             (b"STATUS\n", Err(BadCall::Unknown)),
--- a/crates/decisions/src/permit.rs
+++ b/crates/decisions/src/permit.rs
@@ -26,10 +26,16 @@
     Unread,
     /// The answer's time is over.
     AnsweredLate,
+    /// The host owes the request no answer, though the engine does.
+    NotOpenAtHost,
+    /// Host and engine do not agree about which requests are owed an answer.
+    BooksDiffer,
+    /// A client's connection was held when the time of its drain was over.
+    HeldPastDrain,
 }
 
 impl Denial {
-    const ALL: [Denial; 8] = [
+    const ALL: [Denial; 11] = [
         Denial::NothingOwed,
         Denial::OutOfTime,
         Denial::Forgotten,
@@ -38,6 +44,9 @@
         Denial::AnswersOwed,
         Denial::Unread,
         Denial::AnsweredLate,
+        Denial::NotOpenAtHost,
+        Denial::BooksDiffer,
+        Denial::HeldPastDrain,
     ];
 
     /// As logs name it.
@@ -51,6 +60,9 @@
             Denial::AnswersOwed => "answers-owed",
             Denial::Unread => "unread",
             Denial::AnsweredLate => "answered-late",
+            Denial::NotOpenAtHost => "not-open-at-host",
+            Denial::BooksDiffer => "books-differ",
+            Denial::HeldPastDrain => "held-past-drain",
         }
     }
 }
--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -82,6 +82,8 @@
     pub now: Micros,
     pub server_open: bool,
     pub violations: &'a mut Violations,
+    /// Attempts whose first byte was written, and whether they were allowed to begin.
+    pub begun: &'a mut Vec<(FlowId, Result<(), Denial>)>,
 }
 
 pub(crate) struct Connection {
@@ -269,7 +271,9 @@
         for place in self.places.iter_mut().filter(|p| !p.bytes.is_empty()) {
             let taken = bytes.min(place.bytes.len() - place.written);
             if place.written == 0 && taken > 0 {
-                checks.violations.note(place.permit(checks.now, checks.server_open));
+                let permitted = place.permit(checks.now, checks.server_open);
+                checks.violations.note(permitted);
+                checks.begun.push((place.flow.id, permitted));
             }
             place.written += taken;
             bytes -= taken;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,6 +7,7 @@
 use crate::generations::Generations;
 use crate::order::{Answer, Conn, Final, Order};
 use crate::pool::Pool;
+use crate::recorder::{ClientId, Recorder, Step};
 use crate::request::Request;
 use crate::transactions::{FlowState, Transaction, Transactions};
 use lapisrudder_codec::memcache::{self, ReadNote};
@@ -102,6 +103,17 @@
     pub further: u64,
 }
 
+/// An attempt that has not ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptOut {
+    /// Its server.
+    pub server: ServerId,
+    /// Where that answers, if the list has it.
+    pub endpoint: Option<SocketAddr>,
+    /// All of it is written.
+    pub sent: bool,
+}
+
 impl Engine {
     /// Begins with no member.
     pub fn new(config: Config, now: Micros) -> Engine {
@@ -165,6 +177,8 @@
         request.due = request.due.clamp(now, now.saturating_add(LONGEST_HELD));
         let due = request.due;
         let deadline = Some(self.deadlines.add(due + OVERDUE, Deadline::Transaction(transaction)));
+        let id = ClientId::new(request.command.id());
+        self.transactions.recorder.note(now, transaction, None, Step::Taken(id));
         let call = Arc::new(Call::new(request));
         self.transactions
             .add(transaction, Transaction { call, due, deadline, flows: Vec::new(), streams: None });
@@ -439,6 +453,10 @@
     /// So many bytes of that were taken.
     pub fn transmitted(&mut self, conn: Conn, bytes: usize) {
         self.pool.transmitted(conn, bytes);
+        let at = self.pool.checked();
+        for (flow, permitted) in self.pool.begun.drain(..) {
+            self.transactions.begins(flow, permitted, at);
+        }
     }
 
     fn carry_out(&mut self, action: Action, now: Micros) {
@@ -475,6 +493,7 @@
             wait_us = until - now,
             "attempt"
         );
+        self.transactions.recorder.note(now, request, Some(id.attempt), Step::Chosen(server));
         let begin_by = begin;
         let permit = Begin { now, owed: !call.answered(), until, begin_by, server_open: true };
         // Whether its server is open is the pool's to say.
@@ -541,6 +560,28 @@
         self.pool.violations()
     }
 
+    /// The last steps of requests.
+    pub fn recorder(&self) -> &Recorder {
+        &self.transactions.recorder
+    }
+
+    /// A request that is in hand, be it answered already.
+    pub fn request(&self, transaction: RequestId) -> Option<&Request> {
+        self.transactions.all.get(&transaction).map(|t| &t.call.request)
+    }
+
+    /// The attempts of a request that have not ended.
+    pub fn attempts_out(&self, transaction: RequestId) -> Vec<AttemptOut> {
+        let flows = self.transactions.all.get(&transaction).into_iter().flat_map(|t| t.flows.iter());
+        let out = (0..).zip(flows).filter(|(_, flow)| flow.ended.is_none());
+        let describe = |(attempt, flow): (u32, &FlowState)| {
+            let id = FlowId { request: transaction, attempt };
+            let sent = self.pool.is_sent(flow.server, id);
+            AttemptOut { server: flow.server, endpoint: self.pool.endpoint(flow.server), sent }
+        };
+        out.map(describe).collect()
+    }
+
     /// Transactions that are owed a final answer.
     pub fn open(&self) -> usize {
         self.transactions.open
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -5,7 +5,7 @@
 use crate::deadlines::{self, Deadline};
 use crate::flow::{Flow, FlowId};
 use crate::order::{Conn, Order};
-use lapisrudder_decisions::permit::Violations;
+use lapisrudder_decisions::permit::{Denial, Violations};
 use lapisrudder_decisions::{Micros, Outcome, ServerId, Stage};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, VecDeque};
@@ -52,6 +52,8 @@
     /// When what is to be written was last checked, and what was written all the same.
     checked: Micros,
     violations: Violations,
+    /// Attempts whose first byte was written, and whether they were allowed to begin.
+    pub(crate) begun: Vec<(FlowId, Result<(), Denial>)>,
     pub(crate) lost: VecDeque<Lost>,
     /// What the host is to do.
     pub(crate) orders: VecDeque<Order>,
@@ -71,6 +73,7 @@
             idle_most: usize::MAX,
             checked: Micros::MIN,
             violations: Violations::default(),
+            begun: Vec::new(),
             lost: VecDeque::new(),
             orders: VecDeque::new(),
         }
@@ -345,12 +348,18 @@
     }
 
     pub(crate) fn transmitted(&mut self, id: Conn, bytes: usize) {
-        let Some(c) = self.connections.get_mut(&id) else { return };
-        let server_open = self.members.get(&c.server).is_some_and(|m| !m.closed);
-        let mut checks = WriteChecks { now: self.checked, server_open, violations: &mut self.violations };
+        let Pool { connections, members, checked, violations, begun, .. } = self;
+        let Some(c) = connections.get_mut(&id) else { return };
+        let server_open = members.get(&c.server).is_some_and(|m| !m.closed);
+        let mut checks = WriteChecks { now: *checked, server_open, violations, begun };
         c.transmitted(bytes, &mut checks);
     }
 
+    /// When what is written was last checked.
+    pub(crate) fn checked(&self) -> Micros {
+        self.checked
+    }
+
     /// What was written although it was not allowed to begin.
     pub(crate) fn violations(&self) -> &Violations {
         &self.violations
@@ -381,6 +390,17 @@
         ids.find(|id| self.connections.get(id).is_some_and(|c| c.carries(flow)))
     }
 
+    /// All of a flow has been written.
+    pub(crate) fn is_sent(&self, server: ServerId, flow: FlowId) -> bool {
+        let on = self.carrier(server, flow).and_then(|id| self.connections.get(&id));
+        on.is_some_and(|c| c.is_sent(flow))
+    }
+
+    /// Where a member answers.
+    pub(crate) fn endpoint(&self, server: ServerId) -> Option<SocketAddr> {
+        self.members.get(&server).map(|m| m.endpoint)
+    }
+
     pub(crate) fn holds(&self, id: Conn) -> bool {
         self.connections.get(&id).is_some_and(|c| c.held)
     }
@@ -520,8 +540,7 @@
         now: Micros,
         deadlines: &mut Deadlines,
     ) -> bool {
-        let sent = |id: Conn| self.connections.get(&id).is_some_and(|c| c.is_sent(flow));
-        !self.carrier(server, flow).is_some_and(sent) && self.abandon(server, flow, true, now, deadlines)
+        !self.is_sent(server, flow) && self.abandon(server, flow, true, now, deadlines)
     }
 
     /// Nobody waits for a flow any more. Its connection closes, which tells the member, unless that would
--- a/crates/engine/src/transactions.rs
+++ b/crates/engine/src/transactions.rs
@@ -2,6 +2,8 @@
 
 use crate::deadlines::{Deadline, Deadlines, Key};
 use crate::flow::{Call, FlowId};
+use crate::recorder::{Recorder, Step};
+use lapisrudder_decisions::permit::Denial;
 use lapisrudder_decisions::{CacheNote, Ended, Event, Micros, Outcome, RequestId, ServerId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::borrow::Borrow;
@@ -63,6 +65,7 @@
     over: Vec<RequestId>,
     /// Those whose value ended short of its length.
     pub torn: Vec<RequestId>,
+    pub recorder: Recorder,
 }
 
 /// A value that is being passed on, and of which nothing has come for so long, is given up. Guards descriptors against a
@@ -109,6 +112,21 @@
         self.all.insert(id, transaction);
     }
 
+    /// The first byte of an attempt was written; tells whether it was allowed to begin.
+    pub(crate) fn begins(&mut self, flow: FlowId, permitted: Result<(), Denial>, at: Micros) {
+        let Some(server) = self.server_of(flow) else { return };
+        self.recorder.note(at, flow.request, Some(flow.attempt), Step::Begun(server));
+        if let Err(rule) = permitted {
+            self.recorder.note(at, flow.request, Some(flow.attempt), Step::Violated(rule));
+        }
+    }
+
+    /// The server that an attempt was given to.
+    pub(crate) fn server_of(&self, flow: FlowId) -> Option<ServerId> {
+        let transaction = self.all.get(&flow.request)?;
+        Some(transaction.flows.get(flow.attempt as usize)?.server)
+    }
+
     /// The value of a flow begins to be passed on: no deadline holds from here on.
     pub(crate) fn begun(&mut self, flow: FlowId, now: Micros, deadlines: &mut Deadlines<Deadline>) {
         let Some(transaction) = self.all.get_mut(&flow.request) else { return };
@@ -172,6 +190,8 @@
             ?outcome,
             "attempt ended"
         );
+        let step = Step::AttemptEnded(state.server, outcome);
+        self.recorder.note(now, flow.request, Some(flow.attempt), step);
         deadlines.remove(state.deadline.take());
         let (server, sent) = (state.server, state.sent);
         let stream = transaction.streams.filter(|stream| stream.attempt == flow.attempt);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -205,6 +205,16 @@
         }
     }
 
+    /// Its state in a few words.
+    pub fn describe(&self, now: Micros) -> String {
+        let (owed, unsent) = (self.slots.len(), self.output.len() - self.sent);
+        let upload = if self.upload.is_some() { " upload" } else { "" };
+        let unread = if self.unread { " unread" } else { "" };
+        let leaving = if self.leaving { " leaving" } else { "" };
+        let (activity, last_ms) = (self.activity(), (now - self.since) / 1000);
+        format!("{activity:?} owed={owed} unsent={unsent} last_sent_ms={last_ms}{upload}{unread}{leaving}")
+    }
+
     /// Shuts its sending side between requests. Guards the count of closes that crossed a request: what comes from
     /// here on does.
     pub fn part(&mut self, now: Micros) -> io::Result<()> {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -3,6 +3,7 @@
 mod among;
 mod come_back;
 mod replacing;
+mod report;
 
 use super::classes::Classes;
 use super::client::SCRATCH;
@@ -28,6 +29,7 @@
 use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
 use lapisrudder_takeover::{Lender, Message};
 use replacing::{list_of, of_ban, of_gone};
+use report::Told;
 use rustc_hash::FxHashMap;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -49,6 +51,8 @@
 const ACCEPT_AGAIN: Micros = 1_000;
 /// What a start needs of the system is tried to be had for this long.
 pub(super) const START_PATIENCE: Duration = Duration::from_secs(10);
+/// So long after the call to drain the log is told which connections are left.
+const DRAIN_REPORTS: [Micros; 2] = [2_000_000, 3_500_000];
 /// How often the process's memory is looked at.
 const MEMORY_EVERY: Micros = 1_000_000;
 
@@ -75,6 +79,10 @@
         self.owed.insert(request, owed);
     }
 
+    fn iter(&self) -> impl Iterator<Item = (&RequestId, &Owed)> {
+        self.owed.iter()
+    }
+
     fn take(&mut self, request: RequestId) -> Option<Owed> {
         let owed = self.owed.remove(&request)?;
         self.tickets.remove(&owed.ticket);
@@ -131,7 +139,7 @@
     }
 }
 
-#[derive(PartialEq)]
+#[derive(Clone, Copy, PartialEq)]
 enum Phase {
     Serving,
     /// Told to stop, and serves on: clients have nobody else to ask on the connections that they have.
@@ -145,6 +153,20 @@
     Over,
 }
 
+impl Phase {
+    /// As logs name it.
+    fn name(self) -> &'static str {
+        match self {
+            Phase::Serving => "serving",
+            Phase::Stopping => "stopping",
+            Phase::Leaving => "leaving",
+            Phase::Draining => "draining",
+            Phase::Refusing => "refusing",
+            Phase::Over => "over",
+        }
+    }
+}
+
 /// The process that takes the place of this one.
 struct Successor {
     link: Link,
@@ -173,8 +195,8 @@
     clock: Clock,
     /// When what the sockets have brought can have come.
     attention: Attention,
-    /// Violations that were told.
-    violations_told: u64,
+    /// What was told of violations.
+    told: Told,
     /// Failed calls that were told.
     failed_calls_told: FailedCalls,
     scratch: Vec<u8>,
@@ -275,7 +297,7 @@
             all_descriptors: config.sockets,
             clock,
             attention: Attention::new(now),
-            violations_told: 0,
+            told: Told::default(),
             failed_calls_told: FailedCalls::default(),
             scratch: vec![0; SCRATCH],
             deadlines: Deadlines::default(),
@@ -424,7 +446,7 @@
     /// The operators end the node, which was told so after `told_after`: what was taken is answered, then it ends.
     pub fn stop(&mut self, told_after: Micros) {
         if self.phase == Phase::Serving {
-            self.phase = if self.is_replaced() { Phase::Leaving } else { Phase::Stopping };
+            self.enter(if self.is_replaced() { Phase::Leaving } else { Phase::Stopping });
             self.server.stopping();
             let now = self.clock.now();
             if !self.is_replaced() {
@@ -479,10 +501,18 @@
                 }
                 answer(back.map(|()| "may serve").map_err(why_not))
             }
+            Ok(Call::History) => {
+                let steps = self.tell_history();
+                answer(Ok::<_, BadCall>(format!("{steps} steps are in the log")))
+            }
             Ok(call @ (Call::Standby | Call::Active)) => {
                 let standby = call == Call::Standby;
                 self.server.set_standby(standby, now, &mut self.deadlines);
                 self.tell(&Message::Standby(standby));
+                self.tell_state(if standby { "standby" } else { "active" });
+                for after in DRAIN_REPORTS.into_iter().filter(|_| standby) {
+                    self.deadlines.add(now + after, Deadline::DrainReport);
+                }
                 answer(Ok::<_, BadCall>(if standby { "draining" } else { "serving" }))
             }
         };
@@ -594,6 +624,8 @@
                 Deadline::Client(id) => self.server.on_deadline(id, now, &mut self.deadlines),
                 Deadline::Caller(id) => self.management.iter_mut().for_each(|m| m.on_deadline(id, now)),
                 Deadline::LetGo => self.server.let_go(now, &mut self.deadlines),
+                Deadline::DrainReport if self.server.is_standby() => self.tell_connections("drain"),
+                Deadline::DrainReport => {}
                 Deadline::Accept => {
                     self.server.resume(&mut self.deadlines);
                     self.accept(now);
@@ -603,10 +635,10 @@
                     self.hold_to(self.all_descriptors, now);
                 }
                 Deadline::Alone => {}
-                Deadline::Leave => self.phase = Phase::Leaving,
+                Deadline::Leave => self.enter(Phase::Leaving),
                 Deadline::StopAccepting => {
                     if matches!(self.phase, Phase::Stopping | Phase::Leaving) {
-                        self.phase = Phase::Draining;
+                        self.enter(Phase::Draining);
                     }
                     let last = self.phase == Phase::Refusing;
                     if !self.server.stop_accepting(last, now, &mut self.deadlines) {
@@ -618,12 +650,13 @@
                 Deadline::Lend if self.successor.is_none() => self.lend(now),
                 Deadline::Lend => {}
                 Deadline::LastCall => {
+                    self.tell_requests("last call");
                     let mut open: Vec<RequestId> = self.ledger.owed.keys().copied().collect();
                     open.sort_unstable();
                     open.into_iter().for_each(|id| self.end(id, b"SERVER_ERROR failed\r\n"));
-                    self.phase = Phase::Refusing;
+                    self.enter(Phase::Refusing);
                 }
-                Deadline::End => self.phase = Phase::Over,
+                Deadline::End => self.enter(Phase::Over),
             }
         }
         self.discovery.wake(now);
@@ -715,7 +748,7 @@
             // Guards who has come since the loop told of the others: what waits to be accepted would be reset.
             let queue = self.accept(self.clock.now());
             if queue == Queue::Empty && self.server.is_empty() {
-                self.phase = Phase::Over;
+                self.enter(Phase::Over);
             }
         }
     }
@@ -728,15 +761,6 @@
         }
     }
 
-    /// Tells what was done although it was not allowed, if something new was.
-    fn tell_violations(&mut self) {
-        let (engine, clients) = (self.engine.violations(), &self.server.violations);
-        let total = engine.total() + clients.total();
-        if total > std::mem::replace(&mut self.violations_told, total) {
-            warn!(attempts = %engine, clients = %clients, "not allowed, and done all the same");
-        }
-    }
-
     fn send_out(&mut self) {
         self.server.send_out(self.clock.now(), &mut self.deadlines);
     }
--- a/src/net/node/replacing.rs
+++ b/src/net/node/replacing.rs
@@ -182,7 +182,7 @@
         self.server.yield_clients(&mut self.deadlines);
         self.door = None;
         if self.phase == Phase::Stopping {
-            self.phase = Phase::Leaving;
+            self.enter(Phase::Leaving);
         }
         info!("takeover: another process serves, clients go to it");
         self.yield_fleet(now);
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -3,6 +3,7 @@
 
 mod accepting;
 mod release;
+mod states;
 
 use super::client::{Client, Drained, Slot, Upload};
 use super::deadlines::{Deadline, Deadlines, Key};
@@ -18,6 +19,7 @@
     Admission, ConnId, EventKind, Facts, Intake, Order, Resources, SettingsError, Ticket,
 };
 use rustc_hash::FxHashMap;
+use states::ConnectionStates;
 use std::collections::VecDeque;
 use std::fs::File;
 use std::io;
@@ -260,6 +262,21 @@
         self.clients.len()
     }
 
+    /// How many connections there are, by state.
+    pub fn states(&self) -> ConnectionStates {
+        let mut states = ConnectionStates::default();
+        self.clients.values().for_each(|client| states.count(client));
+        states
+    }
+
+    /// Each connection with its state, oldest first.
+    pub fn describe_all(&self, now: Micros) -> Vec<String> {
+        let mut ids: Vec<&u64> = self.clients.keys().collect();
+        ids.sort_unstable();
+        let described = ids.into_iter().filter_map(|id| Some((id, self.clients.get(id)?)));
+        described.map(|(id, client)| format!("connection {id} {}", client.describe(now))).collect()
+    }
+
     pub fn address(&self) -> Option<SocketAddr> {
         self.listener.as_ref()?.address().ok()
     }
