End a request in the host and in the engine by one call; check each write against the host's record

Cause: the host answered what was open at its last call and did not call it off, so that the engine went on with misses, refusals, broken connections and hedged requests until the process ended. The class: two records of who is owed an answer, closed by hand in two steps; the permit to begin asked the engine's own record, and so found nothing.

Change: src/net/requests.rs holds the host's record; the only ways out of it are close(), which answers or tears, tells the limits and calls the engine off, and the engine's own answers. Last call, recall, a client that left, refusals, failures and broken values go through it. Engine::check_write: the host's record is asked before each write, and an attempt without an open request is taken off, counted and logged (the plug-in, too).

The engine's random stories check each write the same way.

--- a/crates/client/src/thread.rs
+++ b/crates/client/src/thread.rs
@@ -447,7 +447,10 @@
                 self.ledger.stats.connects += 1;
                 self.members.connect(conn, to, &mut self.engine, now);
             }
-            Order::Write { conn, look } => self.members.write(conn, look, &mut self.engine, now),
+            Order::Write { conn, look } => {
+                let Host { members, engine, ledger, .. } = self;
+                members.write(conn, look, engine, |id| ledger.owed.contains_key(&id), now);
+            }
             Order::Close { conn } => self.members.close(conn),
             Order::Answer { transaction, answer } => {
                 let error = match answer {
--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -5,7 +5,7 @@
 use lapisrudder_codec::http;
 use lapisrudder_codec::memcache::{self, Answer, MAX_LINE, MAX_VALUE, MAX_WHOLE, ReadNote};
 use lapisrudder_decisions::permit::{Begin, Denial, Violations};
-use lapisrudder_decisions::{Micros, Outcome, ServerId};
+use lapisrudder_decisions::{Micros, Outcome, RequestId, ServerId};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use tracing::warn;
@@ -240,6 +240,21 @@
         });
     }
 
+    /// Takes off what has not begun and has no open request at the host, and tells of it.
+    pub(crate) fn deny_unbegun(
+        &mut self,
+        is_open: impl Fn(RequestId) -> bool,
+        mut denied: impl FnMut(FlowId),
+    ) {
+        self.places.retain(|p| {
+            let denies = p.written == 0 && !p.bytes.is_empty() && !is_open(p.flow.id.request);
+            if denies {
+                denied(p.flow.id);
+            }
+            !denies
+        });
+    }
+
     /// Its peer has spoken on out of turn, while nothing was asked for.
     pub(crate) fn is_stale(&self) -> bool {
         self.is_fresh() && !self.input.is_empty()
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -450,6 +450,20 @@
         self.pool.transmit(conn)
     }
 
+    /// The host is about to write on a connection. Attempts that have not begun are taken off it where the host has no open
+    /// request for them, or their time is over.
+    pub fn check_write(&mut self, now: Micros, conn: Conn, is_open: impl Fn(RequestId) -> bool) {
+        self.pool.check_write(conn, now, is_open, &mut self.deadlines);
+        for flow in std::mem::take(&mut self.pool.denied) {
+            self.transactions.denied(flow, now);
+        }
+    }
+
+    /// Attempts that were kept from beginning since the host had no open request for them.
+    pub fn denied(&self) -> u64 {
+        self.transactions.denied
+    }
+
     /// So many bytes of that were taken.
     pub fn transmitted(&mut self, conn: Conn, bytes: usize) {
         self.pool.transmitted(conn, bytes);
@@ -582,6 +596,17 @@
         out.map(describe).collect()
     }
 
+    /// It is owed a final answer.
+    pub fn is_open(&self, transaction: RequestId) -> bool {
+        self.transactions.all.get(&transaction).is_some_and(|t| !t.call.answered())
+    }
+
+    /// All that are owed a final answer.
+    pub fn open_requests(&self) -> impl Iterator<Item = RequestId> {
+        let all = self.transactions.all.iter();
+        all.filter(|(_, t)| !t.call.answered()).map(|(id, _)| *id)
+    }
+
     /// Transactions that are owed a final answer.
     pub fn open(&self) -> usize {
         self.transactions.open
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,7 +14,8 @@
 //!    [`take`](Engine::take), [`left`](Engine::left); and [`wake`](Engine::wake) when
 //!    [`next_wake`](Engine::next_wake) has come. A flow that goes out while its transaction's answer waits unread in
 //!    a socket is work for nothing.
-//! 2. **Then carry out** what [`poll_order`](Engine::poll_order) gives, each at once, until it gives none. What
+//! 2. **Then carry out** what [`poll_order`](Engine::poll_order) gives, each at once, until it gives none. Before a
+//!    write the host tells which requests are open by its own record ([`check_write`](Engine::check_write)). What
 //!    carrying out brings (a connect that fails, a write that does) is told at once, and may bring more orders.
 //! 3. Wait until something happens or [`next_wake`](Engine::next_wake) has come.
 //!
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -6,7 +6,7 @@
 use crate::flow::{Flow, FlowId};
 use crate::order::{Conn, Order};
 use lapisrudder_decisions::permit::{Denial, Violations};
-use lapisrudder_decisions::{Micros, Outcome, ServerId, Stage};
+use lapisrudder_decisions::{Micros, Outcome, RequestId, ServerId, Stage};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -54,6 +54,8 @@
     violations: Violations,
     /// Attempts whose first byte was written, and whether they were allowed to begin.
     pub(crate) begun: Vec<(FlowId, Result<(), Denial>)>,
+    /// Attempts that were kept from beginning since the host had no open request for them.
+    pub(crate) denied: Vec<FlowId>,
     pub(crate) lost: VecDeque<Lost>,
     /// What the host is to do.
     pub(crate) orders: VecDeque<Order>,
@@ -74,6 +76,7 @@
             checked: Micros::MIN,
             violations: Violations::default(),
             begun: Vec::new(),
+            denied: Vec::new(),
             lost: VecDeque::new(),
             orders: VecDeque::new(),
         }
@@ -343,6 +346,32 @@
         }
     }
 
+    /// Takes attempts off a connection that may not begin now: for some the host has no open request.
+    pub(crate) fn check_write(
+        &mut self,
+        id: Conn,
+        now: Micros,
+        is_open: impl Fn(RequestId) -> bool,
+        deadlines: &mut Deadlines,
+    ) {
+        let Pool { connections, members, lost, denied, .. } = self;
+        let Some(c) = connections.get_mut(&id).filter(|c| c.up) else { return };
+        let server_open = members.get(&c.server).is_some_and(|m| !m.closed);
+        let before = c.flows();
+        c.drop_unbegun(now, server_open, |flow| lost.push_back((flow, Outcome::NeverSent)));
+        c.deny_unbegun(is_open, |flow| {
+            denied.push(flow);
+            lost.push_back((flow, Outcome::NeverSent));
+        });
+        let dropped = c.flows() < before;
+        self.checked = now;
+        if dropped && c.is_useless() {
+            self.close(id, now, deadlines);
+        } else if dropped {
+            self.freed(id, now, deadlines);
+        }
+    }
+
     pub(crate) fn transmit(&self, id: Conn) -> impl Iterator<Item = &[u8]> {
         self.connections.get(&id).into_iter().flat_map(Connection::transmit)
     }
--- a/crates/engine/src/transactions.rs
+++ b/crates/engine/src/transactions.rs
@@ -10,7 +10,7 @@
 use std::collections::VecDeque;
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
-use tracing::debug;
+use tracing::{debug, warn};
 
 pub(crate) struct FlowState {
     pub server: ServerId,
@@ -66,6 +66,8 @@
     /// Those whose value ended short of its length.
     pub torn: Vec<RequestId>,
     pub recorder: Recorder,
+    /// Attempts that were kept from beginning since the host had no open request for them.
+    pub denied: u64,
 }
 
 /// A value that is being passed on, and of which nothing has come for so long, is given up. Guards descriptors against a
@@ -121,6 +123,15 @@
         }
     }
 
+    /// An attempt was kept from beginning.
+    pub(crate) fn denied(&mut self, flow: FlowId, at: Micros) {
+        self.denied += 1;
+        let server = self.server_of(flow).unwrap_or_default();
+        let step = Step::Denied(server, Denial::NotOpenAtHost);
+        self.recorder.note(at, flow.request, Some(flow.attempt), step);
+        warn!(number = flow.request.0, attempt = flow.attempt, "no open request, the attempt does not begin");
+    }
+
     /// The server that an attempt was given to.
     pub(crate) fn server_of(&self, flow: FlowId) -> Option<ServerId> {
         let transaction = self.all.get(&flow.request)?;
--- a/crates/engine/tests/turn.rs
+++ b/crates/engine/tests/turn.rs
@@ -145,3 +145,30 @@
     fn send<T: Send>(_: &T) {}
     send(&engine());
 }
+
+/// Guards against: an attempt began for a request that the host had ended without telling the engine, since the permit to begin
+/// asked the engine's own record alone.
+#[test]
+fn no_attempt_begins_for_which_the_host_has_no_open_request() {
+    let mut engine = engine();
+    engine.take(0, RequestId(1), request("a", false)).unwrap();
+    engine.take(0, RequestId(2), request("b", false)).unwrap();
+    let mut written = String::new();
+    let mut told = Vec::new();
+    while let Some(order) = engine.poll_order(0) {
+        match order {
+            Order::Connect { conn, .. } => engine.connected(0, conn),
+            Order::Write { conn, .. } => {
+                engine.check_write(0, conn, |id| id != RequestId(1));
+                let bytes: Vec<u8> = engine.transmit(conn).flatten().copied().collect();
+                engine.transmitted(conn, bytes.len());
+                written += &String::from_utf8_lossy(&bytes);
+            }
+            other => told.push(other),
+        }
+    }
+    assert!(written.contains("Ob ") && !written.contains("Oa "), "{written}");
+    assert!(engine.denied() > 0);
+    assert!(engine.is_open(RequestId(1)) || !told.is_empty(), "the engine's own record is its own matter");
+    assert_eq!(engine.violations().total(), 0);
+}
--- a/crates/engine/tests/world/mod.rs
+++ b/crates/engine/tests/world/mod.rs
@@ -394,6 +394,10 @@
             self.engine.broken(self.now, conn);
             return Ok(());
         }
+        let open = &self.open;
+        self.engine.check_write(self.now, conn, |id| open.contains_key(&id));
+        check(self.engine.denied() == 0, || "the records of open requests differ".into())?;
+        let Some(line) = self.lines.get_mut(&conn) else { return Ok(()) };
         let bytes: Vec<u8> = self.engine.transmit(conn).flatten().copied().collect();
         check(!bytes.is_empty(), || format!("nothing to write on {conn:?}"))?;
         let taken = bytes.len().min(line.room);
--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -2,7 +2,7 @@
 
 use crate::{Noted, Socket};
 use calloop::LoopHandle;
-use lapisrudder_decisions::Micros;
+use lapisrudder_decisions::{Micros, RequestId};
 use lapisrudder_engine::{Answers, Conn, Engine};
 use lapisrudder_io::{
     Connecting, Lack, Look, Next, Opened, Operation, Read, Shortage, Written, connect, count_of, is_momentary,
@@ -130,8 +130,15 @@
         self.again = self.sockets.keys().copied().collect();
     }
 
-    /// Writes as far as the socket takes it.
-    pub fn write(&mut self, conn: Conn, look: bool, engine: &mut Engine, now: Micros) {
+    /// Writes as far as the socket takes it. No attempt begins whose request is not open by the host's own record.
+    pub fn write(
+        &mut self,
+        conn: Conn,
+        look: bool,
+        engine: &mut Engine,
+        is_open: impl Fn(RequestId) -> bool,
+        now: Micros,
+    ) {
         let Some(member) = self.sockets.get(&conn) else { return };
         match if look { member.socket.has_unread() } else { Look::No } {
             Look::No => {}
@@ -139,6 +146,7 @@
             // Danger: a good connection was broken since a look at it had failed.
             Look::Unknown => return self.again.push(conn),
         }
+        engine.check_write(now, conn, is_open);
         loop {
             let mut slices = [IoSlice::new(&[]); SLICES];
             let (mut count, mut bytes) = (0, 0);
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -2,6 +2,9 @@
 
 mod among;
 mod come_back;
+mod ending;
+mod intake;
+mod operators;
 mod replacing;
 mod report;
 
@@ -10,39 +13,28 @@
 use super::deadlines::{Deadline, Deadlines, Key as DeadlineKey};
 use super::fleet::{self, Fleet};
 use super::management::{self, Management};
+use super::requests::{Front, OpenRequests};
 use super::takeover::{self, Door, Link};
-use super::virtual_server::{self, Queue, VirtualServer};
+use super::virtual_server::{Queue, VirtualServer};
 use super::{CLIENTS_SHARE, Handle, OWN_SOCKETS, Owner, Ready};
-use lapisrudder::maintenance::{Ban, NoBan};
-use lapisrudder::permit::{Denial, Violations};
-use lapisrudder::time_limits::RequestTime;
-use lapisrudder::wire::{Options, digest, micros};
-use lapisrudder::{Micros, RequestId, Scope, ServerId};
-use lapisrudder_codec::management::{BadCall, Call, answer, parse};
-use lapisrudder_codec::memcache::{MAX_WHOLE, OwnedRequest};
+use lapisrudder::wire::{Options, micros};
+use lapisrudder::{Micros, Scope};
 use lapisrudder_config::{Config, Platform, Target};
-use lapisrudder_engine::{
-    Answer, Answers, Engine, Final, LONGEST_HELD, Limits, Member, Order, Request, TakeError,
-};
+use lapisrudder_engine::recorder::EndReason;
+use lapisrudder_engine::{Engine, Final, Limits, Member, Order};
 use lapisrudder_host::{Attention, Clock, Discovery, Members, News};
 use lapisrudder_io::{FailedCalls, Operation, is_momentary, keep_trying, read_text, write_line};
-use lapisrudder_limits::{Admission, Facts, Intake, Resources, Ticket, Used};
-use lapisrudder_takeover::{Lender, Message};
-use replacing::{list_of, of_ban, of_gone};
+use lapisrudder_limits::{Admission, Resources, Used};
+use lapisrudder_takeover::Lender;
+use replacing::{list_of, of_gone};
 use report::Told;
-use rustc_hash::FxHashMap;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tracing::{debug, info, warn};
 
-/// How long a stopping node stays though it has no client: new connections go on coming for up to 0.4 s.
-const ACCEPTS_ON: Micros = 500_000;
-/// A stopping node is killed 0.7 s after the longest deadline or 3 s. Until this long after the deadline it
-/// serves as ever, then closes connections between requests; what is open at its last call fails. It ends when its clients
-/// have what is theirs, and have closed, but no later than the last.
-const STOP_TAKING: Micros = 150_000;
-const LAST_CALL: Micros = 450_000;
-const END: Micros = 550_000;
+/// The final answer of a request that came to nothing.
+const FAILED: &[u8] = b"SERVER_ERROR failed\r\n";
+/// The longest deadline that the platform allows a stopping node for.
 const LONGEST_WAIT: Micros = 3_000_000;
 /// A process before this one that said nothing is gone this long after the start of this: 6 s until this one's yes,
 /// 3.7 s until its end.
@@ -56,89 +48,6 @@
 /// How often the process's memory is looked at.
 const MEMORY_EVERY: Micros = 1_000_000;
 
-/// A transaction that is owed an answer.
-struct Owed {
-    client: u64,
-    ticket: Ticket,
-    /// Its value is being passed on.
-    streams: bool,
-    time: RequestTime,
-}
-
-/// Whom the engine's transactions are for.
-#[derive(Default)]
-struct Ledger {
-    owed: FxHashMap<RequestId, Owed>,
-    /// Which of them the limits mean.
-    tickets: FxHashMap<Ticket, RequestId>,
-}
-
-impl Ledger {
-    fn add(&mut self, request: RequestId, owed: Owed) {
-        self.tickets.insert(owed.ticket, request);
-        self.owed.insert(request, owed);
-    }
-
-    fn iter(&self) -> impl Iterator<Item = (&RequestId, &Owed)> {
-        self.owed.iter()
-    }
-
-    fn take(&mut self, request: RequestId) -> Option<Owed> {
-        let owed = self.owed.remove(&request)?;
-        self.tickets.remove(&owed.ticket);
-        Some(owed)
-    }
-}
-
-/// The clients' side, as the engine's answers see it.
-struct Front<'a> {
-    server: &'a mut VirtualServer,
-    ledger: &'a mut Ledger,
-    now: Micros,
-}
-
-impl Answers for Front<'_> {
-    /// Passes the answer on, straight from where it was read.
-    fn served(&mut self, transaction: RequestId, request: &Request, answer: Answer<'_>) {
-        let Some(Owed { client, ticket, time, .. }) = self.ledger.take(transaction) else { return };
-        note_answer(&mut self.server.violations, &time, self.now);
-        let id = request.command.id();
-        match answer {
-            Answer::Value(value) => {
-                let length = value.len().to_string();
-                let parts = [b"VA ", length.as_bytes(), b" O", id, b"\r\n", value, b"\r\n"];
-                self.server.answer(client, transaction, &parts, self.now);
-            }
-            Answer::Receipt(receipt) => {
-                let parts: [&[u8]; 5] = [b"HD O", id, b" c", receipt, b"\r\n"];
-                self.server.answer(client, transaction, &parts, self.now);
-            }
-        }
-        self.server.over(ticket, true, self.now);
-    }
-
-    fn begins(&mut self, transaction: RequestId, request: &Request, length: usize) -> bool {
-        let Some(owed) = self.ledger.owed.get_mut(&transaction) else { return false };
-        owed.streams = true;
-        let mut head = format!("VA {length} O").into_bytes();
-        head.extend_from_slice(request.command.id());
-        head.extend_from_slice(b"\r\n");
-        self.server.begin(owed.client, transaction, head);
-        true
-    }
-
-    fn piece(&mut self, transaction: RequestId, bytes: &[u8]) -> bool {
-        let Some(owed) = self.ledger.owed.get(&transaction) else { return true };
-        self.server.piece(owed.client, transaction, bytes, self.now)
-    }
-
-    fn ends(&mut self, transaction: RequestId) {
-        let Some(Owed { client, ticket, .. }) = self.ledger.take(transaction) else { return };
-        self.server.end(client, transaction);
-        self.server.over(ticket, true, self.now);
-    }
-}
-
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
     Serving,
@@ -209,7 +118,7 @@
     fleet_section: Option<lapisrudder_config::Fleet>,
     members: Members<Ready>,
     discovery: Discovery<Ready>,
-    ledger: Ledger,
+    requests: OpenRequests,
     engine: Engine,
     options: Options,
     classes: Classes,
@@ -307,7 +216,7 @@
             fleet_section,
             members: Members::new(handle),
             discovery: Discovery::new(config.discovery, revision, handle, Owner::Discovery),
-            ledger: Ledger::default(),
+            requests: OpenRequests::default(),
             engine: Engine::new(lapisrudder_engine::Config { settings, seed: config.seed, limits }, now),
             phase: Phase::Serving,
             sockets,
@@ -387,8 +296,8 @@
                 self.client_news();
             }
             Owner::Member(conn) => {
-                let Node { members, scratch, engine, server, ledger, .. } = self;
-                members.on_ready(conn, scratch, engine, &mut Front { server, ledger, now }, now);
+                let Node { members, scratch, engine, server, requests, .. } = self;
+                members.on_ready(conn, scratch, engine, &mut Front { server, requests, now }, now);
             }
             Owner::Management => {
                 let (management, deadlines) = (self.management.iter_mut(), &mut self.deadlines);
@@ -443,164 +352,8 @@
         self.discovery_news();
     }
 
-    /// The operators end the node, which was told so after `told_after`: what was taken is answered, then it ends.
-    pub fn stop(&mut self, told_after: Micros) {
-        if self.phase == Phase::Serving {
-            self.enter(if self.is_replaced() { Phase::Leaving } else { Phase::Stopping });
-            self.server.stopping();
-            let now = self.clock.now();
-            if !self.is_replaced() {
-                self.fleet.iter_mut().for_each(|f| f.leave(now));
-            }
-            self.deadlines.add(now + ACCEPTS_ON, Deadline::Leave);
-            // Danger: a process that heard of it late was killed before it had answered all. It is killed so long after it was told.
-            // Danger: where deadlines are short, new connections still come when it is time to stop.
-            let stop = (self.longest_wait + STOP_TAKING).max(ACCEPTS_ON);
-            let last_call = (self.longest_wait + LAST_CALL).max(stop + END - LAST_CALL);
-            self.deadlines.add(told_after + stop, Deadline::StopAccepting);
-            self.deadlines.add(told_after + last_call, Deadline::LastCall);
-            self.deadlines.add(told_after + last_call + END - LAST_CALL, Deadline::End);
-        }
-    }
-
-    // ---- Operators ------------------------------------------------------------------------------------
-
-    /// Answers the operators' calls, each once it binds.
-    fn calls(&mut self) {
-        let now = self.clock.now();
-        while let Some((caller, line)) = self.management.as_mut().and_then(Management::poll_call) {
-            let call = parse(&line).and_then(|call| call.ok_or(BadCall::NoEnd));
-            let told = self.call(call, now);
-            self.management.iter_mut().for_each(|m| m.answer(caller, &told, now, &mut self.deadlines));
-        }
-    }
-
-    fn call(&mut self, call: Result<Call, BadCall>, now: Micros) -> String {
-        let asked = call.map_or_else(|bad| bad.to_string(), |call| call.to_string());
-        let told = match call {
-            Err(bad) => answer(Err::<&str, _>(bad)),
-            Ok(Call::Status) if self.is_replaced() => answer(Err::<&str, _>("replaced by another process")),
-            Ok(Call::Status) => match (self.server.says_ready(), &self.phase) {
-                (true, Phase::Serving) => answer(Ok::<_, BadCall>("ready")),
-                (_, Phase::Serving) if self.server.ready => answer(Err::<&str, _>("draining")),
-                (_, Phase::Serving) => answer(Err::<&str, _>("no member may be used yet")),
-                _ => answer(Err::<&str, _>("stopping")),
-            },
-            Ok(Call::MaintOn(name)) => {
-                let ban = Ban { name: name.into(), since: now };
-                let out = self.engine.take_out(ServerId(digest(name)), ban.clone());
-                if out.is_ok() {
-                    self.tell(&Message::Out(of_ban(ServerId(digest(name)), &ban)));
-                }
-                answer(out.map(|()| "out").map_err(why_not))
-            }
-            Ok(Call::MaintOff(name)) => {
-                let back = self.engine.put_back(now, ServerId(digest(name)));
-                if back.is_ok() {
-                    self.tell(&Message::Back { id: digest(name) });
-                }
-                answer(back.map(|()| "may serve").map_err(why_not))
-            }
-            Ok(Call::History) => {
-                let steps = self.tell_history();
-                answer(Ok::<_, BadCall>(format!("{steps} steps are in the log")))
-            }
-            Ok(call @ (Call::Standby | Call::Active)) => {
-                let standby = call == Call::Standby;
-                self.server.set_standby(standby, now, &mut self.deadlines);
-                self.tell(&Message::Standby(standby));
-                self.tell_state(if standby { "standby" } else { "active" });
-                for after in DRAIN_REPORTS.into_iter().filter(|_| standby) {
-                    self.deadlines.add(now + after, Deadline::DrainReport);
-                }
-                answer(Ok::<_, BadCall>(if standby { "draining" } else { "serving" }))
-            }
-        };
-        info!(about = %asked, "management: {}", told.trim_end());
-        told
-    }
-
     // ---- What happens goes to the engine --------------------------------------------------------------
 
-    fn client_news(&mut self) {
-        while let Some(news) = self.server.news.pop_front() {
-            match news {
-                virtual_server::News::Command { client, request, command, came_after } => {
-                    self.take(client, request, command, came_after);
-                }
-                virtual_server::News::Left { request } => {
-                    if let Some(owed) = self.ledger.take(request) {
-                        self.server.over(owed.ticket, false, self.clock.now());
-                        self.engine.left(self.clock.now(), request);
-                    }
-                }
-                virtual_server::News::Recall { ticket, retry_ms } => {
-                    let Some(&request) = self.ledger.tickets.get(&ticket) else { continue };
-                    // What has begun to be passed on is not taken back.
-                    if self.ledger.owed.get(&request).is_none_or(|owed| owed.streams) {
-                        continue;
-                    }
-                    self.end(request, format!("SERVER_ERROR busy {retry_ms}\r\n").as_bytes());
-                    self.engine.left(self.clock.now(), request);
-                }
-            }
-        }
-    }
-
-    /// Takes a transaction: from here on it is owed one final answer.
-    fn take(&mut self, client: u64, id: RequestId, command: OwnedRequest, came_after: Micros) {
-        let now = self.clock.now();
-        if self.phase == Phase::Refusing {
-            return self.server.answer(client, id, &[b"SERVER_ERROR busy\r\n"], now);
-        }
-        let request = command.get();
-        let name = request.named(b"c").unwrap_or_default();
-        let Some(class) = self.classes.find(name, now) else {
-            return self.server.reject(client, id, "unknown class", now);
-        };
-        let (worth, recallable, class) = (class.worth, class.recallable, class.place);
-        let Some(wait) = request.wait_ms() else {
-            return self.server.reject(client, id, "bad time to wait", now);
-        };
-        if self.engine.is_named(request.id) {
-            return self.server.reject(client, id, TakeError::IdInUse, now);
-        }
-        // Danger: a time that counted from when a request was read was over before its answer came.
-        let time = RequestTime::new(came_after, (wait as Micros).saturating_mul(1000).clamp(0, LONGEST_HELD));
-        let due = time.answer_by.max(now);
-        debug!(
-            request = %String::from_utf8_lossy(request.id),
-            number = id.0,
-            client,
-            class = %String::from_utf8_lossy(name),
-            wait_ms = wait,
-            waited_us = now - came_after,
-            "taken"
-        );
-        // Large values have a budget of their own.
-        let bytes = command.bytes().min(MAX_WHOLE);
-        let facts = Facts { worth, left: due - now, bytes, class, recallable };
-        let ticket = match self.server.intake(client, &facts, now) {
-            Intake::Take { ticket } => ticket,
-            Intake::Refuse { retry_ms, .. } => {
-                debug!(request = %String::from_utf8_lossy(request.id), retry_ms, "refused by the limits");
-                let line = format!("SERVER_ERROR busy {}\r\n", retry_ms.max(1));
-                return self.server.answer(client, id, &[line.as_bytes()], now);
-            }
-        };
-        let key = lapisrudder::Key(digest(&String::from_utf8_lossy(request.key)));
-        let repeated = request.named(b"r") == Some(b"1");
-        let reserve = time.due - time.answer_by;
-        let request = Request { repeated, reserve, ..Request::new(command, key, class, due) };
-        match self.engine.take(now, id, request) {
-            Ok(()) => self.ledger.add(id, Owed { client, ticket, streams: false, time }),
-            Err(what) => {
-                self.server.over(ticket, false, now);
-                self.server.reject(client, id, what, now);
-            }
-        }
-    }
-
     fn discovery_news(&mut self) {
         while let Some(news) = self.discovery.poll_news() {
             match news {
@@ -649,13 +402,7 @@
                 Deadline::OpenDoor => {}
                 Deadline::Lend if self.successor.is_none() => self.lend(now),
                 Deadline::Lend => {}
-                Deadline::LastCall => {
-                    self.tell_requests("last call");
-                    let mut open: Vec<RequestId> = self.ledger.owed.keys().copied().collect();
-                    open.sort_unstable();
-                    open.into_iter().for_each(|id| self.end(id, b"SERVER_ERROR failed\r\n"));
-                    self.enter(Phase::Refusing);
-                }
+                Deadline::LastCall => self.last_call(),
                 Deadline::End => self.enter(Phase::Over),
             }
         }
@@ -665,20 +412,6 @@
         self.engine.wake(now);
     }
 
-    /// The final answer, in one line.
-    fn end(&mut self, id: RequestId, line: &[u8]) {
-        if let Some(Owed { client, ticket, streams, time }) = self.ledger.take(id) {
-            let now = self.clock.now();
-            debug!(number = id.0, client, line = %String::from_utf8_lossy(line).trim_end(), "ended");
-            note_answer(&mut self.server.violations, &time, now);
-            match streams {
-                true => self.server.tear(client, now, &mut self.deadlines),
-                false => self.server.answer(client, id, &[line], now),
-            }
-            self.server.over(ticket, false, now);
-        }
-    }
-
     /// Tells the limits what there is, and does what they say.
     fn keep_limits(&mut self) {
         let now = self.clock.now();
@@ -735,6 +468,7 @@
                 None => {}
             }
         }
+        self.compare_records();
         if !self.server.ready && self.engine.any_open() {
             self.server.now_ready(self.clock.now());
             self.take_over();
@@ -768,19 +502,23 @@
     fn carry_out(&mut self, order: Order, now: Micros) {
         match order {
             Order::Connect { conn, to } => self.members.connect(conn, to, &mut self.engine, now),
-            Order::Write { conn, look } => self.members.write(conn, look, &mut self.engine, now),
+            Order::Write { conn, look } => {
+                let Node { members, engine, requests, .. } = self;
+                members.write(conn, look, engine, |id| requests.is_open(id), now);
+            }
             Order::Close { conn } => self.members.close(conn),
             Order::Answer { transaction, answer } => match answer {
-                Final::Refused { retry_in: None } => self.end(transaction, b"SERVER_ERROR busy\r\n"),
+                Final::Refused { retry_in: None } => {
+                    self.end(transaction, b"SERVER_ERROR busy\r\n", EndReason::Refused);
+                }
                 Final::Refused { retry_in: Some(retry_in) } => {
                     let line = format!("SERVER_ERROR busy {}\r\n", (retry_in / 1000).max(1));
-                    self.end(transaction, line.as_bytes());
-                }
-                Final::Failed { .. } | Final::Overdue { .. } => {
-                    self.end(transaction, b"SERVER_ERROR failed\r\n");
+                    self.end(transaction, line.as_bytes(), EndReason::Refused);
                 }
+                Final::Failed { .. } => self.end(transaction, FAILED, EndReason::Failed),
+                Final::Overdue { .. } => self.end(transaction, FAILED, EndReason::Overdue),
             },
-            Order::Break { transaction } => self.end(transaction, b""),
+            Order::Break { transaction } => self.end(transaction, b"", EndReason::BrokenOff),
             Order::Watch => {
                 self.discovery.watch(now);
                 self.discovery_news();
@@ -794,19 +532,6 @@
     is_momentary(Operation::Open, error)
 }
 
-/// Counts an answer that is given later than it may be.
-fn note_answer(violations: &mut Violations, time: &RequestTime, now: Micros) {
-    violations.note(if time.is_missed(now) { Err(Denial::AnsweredLate) } else { Ok(()) });
-}
-
-/// Why a member cannot be taken out or put back, as an operator is told.
-fn why_not(no: NoBan) -> &'static str {
-    match no {
-        NoBan::NeverListed => "no such server was ever listed",
-        NoBan::IsOrigin => "it is the origin",
-    }
-}
-
 fn limits(options: &Options, siblings: u32, sockets: usize) -> Limits {
     let bounds = &options.bounds;
     let (connect, idle) = (micros(bounds.connect_timeout_s), micros(bounds.conn_idle_s));
--- a/src/net/node/come_back.rs
+++ b/src/net/node/come_back.rs
@@ -1,9 +1,10 @@
 //! What is come back to shortly, since a call of the system failed for a moment and no readiness will tell.
 
-use super::{Front, Node};
+use super::Node;
 use crate::net::Owner;
 use crate::net::fleet::Fleet;
 use crate::net::management::Management;
+use crate::net::requests::Front;
 use crate::net::takeover::{Door, Link};
 use lapisrudder_host::COME_BACK;
 use std::time::Duration;
@@ -24,8 +25,8 @@
     /// Comes back to what failed for a moment.
     pub(super) fn come_back(&mut self) {
         let now = self.clock.now();
-        let Node { members, scratch, engine, server, ledger, .. } = self;
-        members.retry(scratch, engine, &mut Front { server, ledger, now }, now);
+        let Node { members, scratch, engine, server, requests, .. } = self;
+        members.retry(scratch, engine, &mut Front { server, requests, now }, now);
         self.discovery.retry(&mut self.scratch, &self.options, now);
         self.discovery_news();
         self.management.iter_mut().for_each(Management::retry);
--- /dev/null
+++ b/src/net/node/intake.rs
@@ -0,0 +1,90 @@
+//! Requests come in: what clients ask is checked and taken, refused or rejected.
+
+use super::{Node, Phase};
+use crate::net::requests::{Ending, OpenRequest};
+use crate::net::virtual_server::News;
+use lapisrudder::time_limits::RequestTime;
+use lapisrudder::wire::digest;
+use lapisrudder::{Micros, RequestId};
+use lapisrudder_codec::memcache::{MAX_WHOLE, OwnedRequest};
+use lapisrudder_engine::recorder::EndReason;
+use lapisrudder_engine::{LONGEST_HELD, Request, TakeError};
+use lapisrudder_limits::{Facts, Intake};
+use tracing::debug;
+
+impl Node {
+    /// Sees to what the clients' side tells.
+    pub(super) fn client_news(&mut self) {
+        while let Some(news) = self.server.news.pop_front() {
+            match news {
+                News::Command { client, request, command, came_after } => {
+                    self.take(client, request, command, came_after);
+                }
+                News::Left { request } => self.close(request, Ending::ClientLeft),
+                News::Recall { ticket, retry_ms } => {
+                    let Some(request) = self.requests.of_ticket(ticket) else { continue };
+                    // What has begun to be passed on is not taken back.
+                    if self.requests.get(request).is_none_or(|open| open.streams) {
+                        continue;
+                    }
+                    let line = format!("SERVER_ERROR busy {retry_ms}\r\n");
+                    self.end(request, line.as_bytes(), EndReason::Recalled);
+                }
+            }
+        }
+    }
+
+    /// Takes a transaction: from here on it is owed one final answer.
+    fn take(&mut self, client: u64, id: RequestId, command: OwnedRequest, came_after: Micros) {
+        let now = self.clock.now();
+        if self.phase == Phase::Refusing {
+            return self.server.answer(client, id, &[b"SERVER_ERROR busy\r\n"], now);
+        }
+        let request = command.get();
+        let name = request.named(b"c").unwrap_or_default();
+        let Some(class) = self.classes.find(name, now) else {
+            return self.server.reject(client, id, "unknown class", now);
+        };
+        let (worth, recallable, class) = (class.worth, class.recallable, class.place);
+        let Some(wait) = request.wait_ms() else {
+            return self.server.reject(client, id, "bad time to wait", now);
+        };
+        if self.engine.is_named(request.id) {
+            return self.server.reject(client, id, TakeError::IdInUse, now);
+        }
+        // Danger: a time that counted from when a request was read was over before its answer came.
+        let time = RequestTime::new(came_after, (wait as Micros).saturating_mul(1000).clamp(0, LONGEST_HELD));
+        let due = time.answer_by.max(now);
+        debug!(
+            request = %String::from_utf8_lossy(request.id),
+            number = id.0,
+            client,
+            class = %String::from_utf8_lossy(name),
+            wait_ms = wait,
+            waited_us = now - came_after,
+            "taken"
+        );
+        // Large values have a budget of their own.
+        let bytes = command.bytes().min(MAX_WHOLE);
+        let facts = Facts { worth, left: due - now, bytes, class, recallable };
+        let ticket = match self.server.intake(client, &facts, now) {
+            Intake::Take { ticket } => ticket,
+            Intake::Refuse { retry_ms, .. } => {
+                debug!(request = %String::from_utf8_lossy(request.id), retry_ms, "refused by the limits");
+                let line = format!("SERVER_ERROR busy {}\r\n", retry_ms.max(1));
+                return self.server.answer(client, id, &[line.as_bytes()], now);
+            }
+        };
+        let key = lapisrudder::Key(digest(&String::from_utf8_lossy(request.key)));
+        let repeated = request.named(b"r") == Some(b"1");
+        let reserve = time.due - time.answer_by;
+        let request = Request { repeated, reserve, ..Request::new(command, key, class, due) };
+        match self.engine.take(now, id, request) {
+            Ok(()) => self.requests.add(id, OpenRequest { client, ticket, streams: false, time }),
+            Err(what) => {
+                self.server.over(ticket, false, now);
+                self.server.reject(client, id, what, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/node/operators.rs
@@ -0,0 +1,77 @@
+//! Operators' calls, and what each does.
+
+use super::replacing::of_ban;
+use super::{DRAIN_REPORTS, Node, Phase};
+use crate::net::deadlines::Deadline;
+use crate::net::management::Management;
+use lapisrudder::maintenance::{Ban, NoBan};
+use lapisrudder::wire::digest;
+use lapisrudder::{Micros, ServerId};
+use lapisrudder_codec::management::{BadCall, Call, answer, parse};
+use lapisrudder_takeover::Message;
+use tracing::info;
+
+impl Node {
+    /// Answers the operators' calls, each once it binds.
+    pub(super) fn calls(&mut self) {
+        let now = self.clock.now();
+        while let Some((caller, line)) = self.management.as_mut().and_then(Management::poll_call) {
+            let call = parse(&line).and_then(|call| call.ok_or(BadCall::NoEnd));
+            let told = self.call(call, now);
+            self.management.iter_mut().for_each(|m| m.answer(caller, &told, now, &mut self.deadlines));
+        }
+    }
+
+    fn call(&mut self, call: Result<Call, BadCall>, now: Micros) -> String {
+        let asked = call.map_or_else(|bad| bad.to_string(), |call| call.to_string());
+        let told = match call {
+            Err(bad) => answer(Err::<&str, _>(bad)),
+            Ok(Call::Status) if self.is_replaced() => answer(Err::<&str, _>("replaced by another process")),
+            Ok(Call::Status) => match (self.server.says_ready(), &self.phase) {
+                (true, Phase::Serving) => answer(Ok::<_, BadCall>("ready")),
+                (_, Phase::Serving) if self.server.ready => answer(Err::<&str, _>("draining")),
+                (_, Phase::Serving) => answer(Err::<&str, _>("no member may be used yet")),
+                _ => answer(Err::<&str, _>("stopping")),
+            },
+            Ok(Call::MaintOn(name)) => {
+                let ban = Ban { name: name.into(), since: now };
+                let out = self.engine.take_out(ServerId(digest(name)), ban.clone());
+                if out.is_ok() {
+                    self.tell(&Message::Out(of_ban(ServerId(digest(name)), &ban)));
+                }
+                answer(out.map(|()| "out").map_err(why_not))
+            }
+            Ok(Call::MaintOff(name)) => {
+                let back = self.engine.put_back(now, ServerId(digest(name)));
+                if back.is_ok() {
+                    self.tell(&Message::Back { id: digest(name) });
+                }
+                answer(back.map(|()| "may serve").map_err(why_not))
+            }
+            Ok(Call::History) => {
+                let steps = self.tell_history();
+                answer(Ok::<_, BadCall>(format!("{steps} steps are in the log")))
+            }
+            Ok(call @ (Call::Standby | Call::Active)) => {
+                let standby = call == Call::Standby;
+                self.server.set_standby(standby, now, &mut self.deadlines);
+                self.tell(&Message::Standby(standby));
+                self.tell_state(if standby { "standby" } else { "active" });
+                for after in DRAIN_REPORTS.into_iter().filter(|_| standby) {
+                    self.deadlines.add(now + after, Deadline::DrainReport);
+                }
+                answer(Ok::<_, BadCall>(if standby { "draining" } else { "serving" }))
+            }
+        };
+        info!(about = %asked, "management: {}", told.trim_end());
+        told
+    }
+}
+
+/// Why a member cannot be taken out or put back, as an operator is told.
+fn why_not(no: NoBan) -> &'static str {
+    match no {
+        NoBan::NeverListed => "no such server was ever listed",
+        NoBan::IsOrigin => "it is the origin",
+    }
+}
--- a/src/net/node/report.rs
+++ b/src/net/node/report.rs
@@ -4,7 +4,7 @@
 use super::{Node, Phase};
 use lapisrudder::permit::Violations;
 use lapisrudder::{Micros, RequestId};
-use lapisrudder_engine::recorder::Entry;
+use lapisrudder_engine::recorder::{Entry, Recorder};
 use std::fmt;
 use std::fmt::Write;
 use tracing::{info, warn};
@@ -49,7 +49,7 @@
     /// How many requests and connections are open, in which state.
     pub(super) fn tell_state(&self, moment: &str) {
         let mut requests = RequestStates::default();
-        for (id, open) in self.ledger.iter() {
+        for (id, open) in self.requests.iter() {
             let attempts = self.engine.attempts_out(*id);
             let count = match () {
                 () if open.streams => &mut requests.streaming,
@@ -66,12 +66,12 @@
     /// Each request that is owed an answer: its id, class, time left, and the servers of its attempts.
     pub(super) fn tell_requests(&self, moment: &str) {
         let now = self.clock.now();
-        let mut open: Vec<RequestId> = self.ledger.iter().map(|(id, _)| *id).collect();
+        let mut open: Vec<RequestId> = self.requests.iter().map(|(id, _)| *id).collect();
         open.sort_unstable();
         tell_parts(moment, "open requests", open.iter().map(|id| self.describe(*id, now)));
     }
 
-    fn describe(&self, id: RequestId, now: Micros) -> String {
+    pub(super) fn describe(&self, id: RequestId, now: Micros) -> String {
         let mut text = format!("#{}", id.0);
         if let Some(request) = self.engine.request(id) {
             let command = request.command.get();
@@ -111,7 +111,8 @@
 
     /// Writes out the last steps of requests; gives how many.
     pub(super) fn tell_history(&self) -> usize {
-        let mut entries: Vec<&Entry> = self.engine.recorder().entries().collect();
+        let recorders = [self.engine.recorder(), self.requests.recorder()];
+        let mut entries: Vec<&Entry> = recorders.into_iter().flat_map(Recorder::entries).collect();
         entries.sort_by_key(|entry| entry.at);
         for (part, some) in entries.chunks(ENTRIES).enumerate() {
             let steps = joined(some.iter());
