Call off whatever of a request is not written whole when the request ends

What servers saw: the rest of an attempt that was half written when its request ended went out where another flow waited on the same connection, or where the settings allow no cancel, and ran after the answer.

Cause: what is out was called off by the decisions alone, which do so only where the settings allow it, and a half-written flow kept its connection as long as anything else waited there.

Change: each end of a request (served, failed, refused, left by the host) calls off its attempts that wait for a connection, are unwritten or half written, in one place of the engine. A half-written one closes its connection unless another that is sent waits for its answer there; what had not begun goes elsewhere. What servers have whole stays the decisions' matter. Red before: what_is_half_written_when_its_request_ends_is_broken_off (no close was ordered).

--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -191,6 +191,11 @@
         self.places.iter().any(|p| p.flow.id == flow && p.bytes.is_empty())
     }
 
+    /// Some flow on it that somebody waits for is written whole.
+    pub(crate) fn expects_wanted(&self) -> bool {
+        self.places.iter().any(|p| !p.abandoned && p.bytes.is_empty())
+    }
+
     /// Nobody waits for anything on it.
     pub(crate) fn is_useless(&self) -> bool {
         !self.places.is_empty() && self.places.iter().all(|p| p.abandoned)
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -288,6 +288,7 @@
             // The first that serves is passed on; what comes later for the same transaction is dropped.
             if outcome == Outcome::Served && flow.call.answer() {
                 transactions.open -= 1;
+                transactions.answered.push(id);
                 match answer {
                     memcache::Answer::Begins { .. } => {
                         begun.push(flow.id);
@@ -425,6 +426,9 @@
             if let Some(order) = self.pool.orders.pop_front() {
                 return Some(order);
             }
+            while let Some(request) = self.transactions.answered.pop() {
+                self.call_off_unsent(request, now);
+            }
             while let Some((flow, outcome)) = self.pool.lost.pop_front() {
                 self.transactions.flow_ended(flow, outcome, None, now, &mut self.deadlines);
             }
@@ -543,6 +547,18 @@
         self.transactions.flow_ended(flow, outcome, None, now, &mut self.deadlines);
     }
 
+    /// A request has got its end: its attempts that are not written whole never will be. What servers have whole is the
+    /// decisions' matter.
+    fn call_off_unsent(&mut self, request: RequestId, now: Micros) {
+        let flows = self.transactions.all.get(&request).into_iter().flat_map(|t| t.flows.iter());
+        let out = (0..).zip(flows).filter(|(_, flow)| flow.ended.is_none());
+        let unsent = out.map(|(attempt, flow)| (FlowId { request, attempt }, flow.server));
+        let unsent: Vec<_> = unsent.filter(|(flow, server)| !self.pool.is_sent(*server, *flow)).collect();
+        for (flow, _) in unsent {
+            self.give_up(flow, Outcome::Cancelled, now);
+        }
+    }
+
     /// The final answer that is no member's.
     fn end(&mut self, transaction: RequestId, answer: impl FnOnce(bool) -> Final) {
         if let Some(may_have_run) = self.transactions.answer(transaction, &mut self.deadlines) {
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -573,7 +573,7 @@
     }
 
     /// Nobody waits for a flow any more. Its connection closes, which tells the member, unless that would
-    /// break its neighbours; `called_off` it does so all the same. True if it was never sent whole, nor ever will be.
+    /// break neighbours that are sent; `called_off` it does so all the same. True if it was never sent whole, nor ever will be.
     pub(crate) fn abandon(
         &mut self,
         server: ServerId,
@@ -592,7 +592,8 @@
             return false;
         };
         let abandoned = c.abandon(flow);
-        let closes = c.is_useless() || called_off && abandoned != Abandoned::Unbegun;
+        let half_written = abandoned == Abandoned::Begun && !c.expects_wanted();
+        let closes = c.is_useless() || half_written || called_off && abandoned != Abandoned::Unbegun;
         if closes {
             self.close(id, now, deadlines);
         } else {
--- a/crates/engine/src/transactions.rs
+++ b/crates/engine/src/transactions.rs
@@ -61,6 +61,8 @@
     /// Those that have no final answer yet.
     pub open: usize,
     pub events: VecDeque<Event>,
+    /// Those that have got their final answer, or that nobody waits for: what of them is not sent is to be called off.
+    pub answered: Vec<RequestId>,
     /// Transactions that may be over.
     over: Vec<RequestId>,
     /// Those whose value ended short of its length.
@@ -235,6 +237,7 @@
         deadlines.remove(transaction.deadline.take());
         let may_have_run = transaction.may_have_run();
         self.open -= 1;
+        self.answered.push(request);
         self.forget(request);
         Some(may_have_run)
     }
--- a/crates/engine/tests/turn.rs
+++ b/crates/engine/tests/turn.rs
@@ -172,3 +172,31 @@
     assert!(engine.is_open(RequestId(1)) || !told.is_empty(), "the engine's own record is its own matter");
     assert_eq!(engine.violations().total(), 0);
 }
+
+/// Guards against: an attempt that was half written when its request ended was written to its end, where another waited on the
+/// same connection or the settings allow no cancel, and ran.
+#[test]
+fn what_is_half_written_when_its_request_ends_is_broken_off() {
+    let class = Class { aim: 750_000, worth: 1.0, ..Class::default() };
+    let settings = Settings { classes: vec![class], max_attempts: 1, siblings: 1, ..Settings::default() };
+    let limits = Limits { per_member: 1, multiplex: 4, in_all: 9, ..Limits::default() };
+    let mut engine = Engine::new(Config { settings, limits, ..Config::default() }, 0);
+    let listed = Listed { server: ServerId(7), weight: 1.0, ..Listed::default() };
+    engine.listed(Scope::Full, vec![Member { listed, endpoint: ([127, 0, 0, 1], 1).into() }]);
+    (1..).zip(["a", "b"]).for_each(|(n, id)| engine.take(0, RequestId(n), request(id, false)).unwrap());
+    let mut on = None;
+    while let Some(order) = engine.poll_order(0) {
+        match order {
+            Order::Connect { conn, .. } => engine.connected(0, conn),
+            // The socket takes a part of the first.
+            Order::Write { conn, .. } if on.replace(conn).is_none() => engine.transmitted(conn, 5),
+            other => panic!("{other:?}"),
+        }
+    }
+    let conn = on.unwrap();
+    let bytes: Vec<u8> = engine.transmit(conn).flatten().copied().collect();
+    let first = if String::from_utf8_lossy(&bytes).contains("Oa ") { RequestId(1) } else { RequestId(2) };
+    assert!(engine.left(1, first));
+    assert_eq!(engine.poll_order(1), Some(Order::Close { conn }), "the rest of it never goes out");
+    assert!(engine.poll_order(1).is_some(), "the other goes on elsewhere");
+}
