Give every connection of a drained node one time by which it is closed, kept as a deadline

Cause: a drain's end was an outcome of looking round at what connections were doing. Answers owed were waited for however long, what a client did not read for 30 s; who always had something unread was not let go; a drain was forgotten when the process that took over died (yield_clients set it to none, and nothing brought it back).

The operators' drain and the end of the process are two drains side by side, so that neither takes the place of the other. Who waits to be accepted is taken in at 3.5 s.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -7,6 +7,7 @@
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{MAX_LINE, MAX_WHOLE};
 use lapisrudder_io::{Look, Read, Written};
+use lapisrudder_limits::drain::State;
 use lapisrudder_limits::{Activity, ConnId};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
@@ -27,6 +28,8 @@
 /// many bytes. Guards the error line: closing on unread bytes sends a reset, which may destroy it.
 const LINGER: Micros = 1_000_000;
 const DRAINED: usize = 1 << 20;
+/// A drain cuts off an answer that is being taken only once nothing of it was taken for so long.
+const TAKES_ON: Micros = 2_000_000;
 /// One that was closed between requests is read from for this long, to see whether the close crossed a request.
 const PARTING: Micros = 100_000;
 
@@ -125,6 +128,10 @@
     drained: usize,
     /// When it was last sent something, or began to be over.
     since: Micros,
+    /// When it last took bytes of its answers.
+    took: Micros,
+    /// The node drains: the connection is closed by then.
+    pub close_by: Option<Micros>,
     /// When it arrived, if it has not spoken yet; else long ago.
     pub since_arrival: Micros,
     /// What is not read came after this; none where nothing is known to have come.
@@ -156,6 +163,8 @@
             errors: 0,
             drained: 0,
             since: now,
+            took: now,
+            close_by: None,
             since_arrival: now,
             came_after: None,
             emptied: Micros::MIN,
@@ -270,6 +279,43 @@
 
     /// The time at which it is to be closed, if nothing happens until then and it is not between requests.
     pub fn due(&self) -> Option<Micros> {
+        [self.stalls_at(), self.drained_by()].into_iter().flatten().min()
+    }
+
+    /// The node drains, and its time is over.
+    pub fn is_past_drain(&self, now: Micros) -> bool {
+        self.drained_by().is_some_and(|at| at <= now)
+    }
+
+    /// By when a drain closes it. A client that is taking its answer keeps the connection while it takes on.
+    fn drained_by(&self) -> Option<Micros> {
+        let takes_on = if self.is_sending() { self.took + TAKES_ON } else { Micros::MIN };
+        self.close_by.map(|at| at.max(takes_on))
+    }
+
+    /// A large value is passed on, or answers wait for the client to take them.
+    fn is_sending(&self) -> bool {
+        let streams = matches!(self.slots.front(), Some(Slot::Stream { .. }));
+        streams || self.sent < self.output.len()
+    }
+
+    /// What it is doing, as a drain sees it. Looks whether something has come.
+    pub fn drain_state(&mut self) -> State {
+        let open = self.phase == Phase::Open;
+        let unread = if self.room() { self.look() } else { self.unread };
+        match () {
+            () if self.lingers() => State::Lingering,
+            () if open && self.upload.is_some() => State::Unfinished,
+            () if !self.slots.is_empty() && !self.is_sending() && open && unread => State::OwedUnread,
+            () if !self.slots.is_empty() && !self.is_sending() => State::Owed,
+            () if self.is_sending() => State::Sending,
+            () if unread => State::Unread,
+            () if !self.input.is_empty() => State::Unfinished,
+            () => State::Idle,
+        }
+    }
+
+    fn stalls_at(&self) -> Option<Micros> {
         let lasts = match self.phase {
             Phase::Lingering => LINGER,
             Phase::Parting => PARTING,
@@ -400,7 +446,10 @@
         }
         while self.sent < self.output.len() {
             match self.socket.write(&[IoSlice::new(&self.output[self.sent..])]) {
-                Written::Bytes(n) => self.sent += n,
+                Written::Bytes(n) => {
+                    self.sent += n;
+                    self.took = now;
+                }
                 Written::Full => {
                     self.compact();
                     return Ok(());
@@ -501,6 +550,9 @@
             Written::Full | Written::Later(_) => 0,
             Written::Broken(e) => return Err(e),
         };
+        if done > 0 {
+            self.took = now;
+        }
         self.sent += done.min(held);
         done -= done.min(held);
         for part in parts {
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -10,6 +10,8 @@
     Caller(u64),
     /// Clients' connections are let go.
     LetGo,
+    /// A drain takes in who waits to be accepted.
+    EmptyQueue,
     /// The log is told which connections a drain has left.
     DrainReport,
     /// Clients' connections go to the process that takes the place of this one.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -377,6 +377,7 @@
                 Deadline::Client(id) => self.server.on_deadline(id, now, &mut self.deadlines),
                 Deadline::Caller(id) => self.management.iter_mut().for_each(|m| m.on_deadline(id, now)),
                 Deadline::LetGo => self.server.let_go(now, &mut self.deadlines),
+                Deadline::EmptyQueue => self.server.empty_queue(now, &mut self.deadlines),
                 Deadline::DrainReport if self.server.is_standby() => self.tell_connections("drain"),
                 Deadline::DrainReport => {}
                 Deadline::Accept => {
--- a/src/net/node/intake.rs
+++ b/src/net/node/intake.rs
@@ -1,6 +1,6 @@
 //! Requests come in: what clients ask is checked and taken, refused or rejected.
 
-use super::{Node, Phase};
+use super::{FAILED, Node, Phase};
 use crate::net::requests::{Ending, OpenRequest};
 use crate::net::virtual_server::News;
 use lapisrudder::time_limits::RequestTime;
@@ -21,6 +21,7 @@
                     self.take(client, request, command, came_after);
                 }
                 News::Left { request } => self.close(request, Ending::ClientLeft),
+                News::DrainOver { request } => self.end(request, FAILED, EndReason::DrainOver),
                 News::Recall { ticket, retry_ms } => {
                     let Some(request) = self.requests.of_ticket(ticket) else { continue };
                     // What has begun to be passed on is not taken back.
@@ -37,7 +38,7 @@
     /// Takes a transaction: from here on it is owed one final answer.
     fn take(&mut self, client: u64, id: RequestId, command: OwnedRequest, came_after: Micros) {
         let now = self.clock.now();
-        if self.phase == Phase::Refusing {
+        if self.phase == Phase::Refusing || self.server.refuses(now) {
             return self.server.answer(client, id, &[b"SERVER_ERROR busy\r\n"], now);
         }
         let request = command.get();
--- a/src/net/node/operators.rs
+++ b/src/net/node/operators.rs
@@ -54,7 +54,7 @@
             }
             Ok(call @ (Call::Standby | Call::Active)) => {
                 let standby = call == Call::Standby;
-                self.server.set_standby(standby, now, &mut self.deadlines);
+                self.server.set_standby(standby.then_some(now), now, &mut self.deadlines);
                 self.tell(&Message::Standby(standby));
                 self.tell_state(if standby { "standby" } else { "active" });
                 for after in DRAIN_REPORTS.into_iter().filter(|_| standby) {
--- a/src/net/node/replacing.rs
+++ b/src/net/node/replacing.rs
@@ -49,7 +49,7 @@
         for ban in state.bans {
             self.engine.adopt_ban(ServerId(ban.id), Ban { name: ban.name, since: ban.since });
         }
-        self.server.set_standby(state.standby, now, &mut self.deadlines);
+        self.server.set_standby(state.standby.then_some(now), now, &mut self.deadlines);
         self.granted(state.grant, now);
         info!(descriptors = state.grant.descriptors, "takeover: beside the process before");
     }
@@ -226,7 +226,9 @@
             }
             // It was listed there, and so it was here or will be.
             Message::Back { id } => _ = self.engine.put_back(now, ServerId(id)),
-            Message::Standby(standby) => self.server.set_standby(standby, now, &mut self.deadlines),
+            Message::Standby(standby) => {
+                self.server.set_standby(standby.then_some(now), now, &mut self.deadlines);
+            }
             _ => {}
         }
     }
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -8,7 +8,7 @@
 use super::client::{Client, Drained, Slot, Upload};
 use super::deadlines::{Deadline, Deadlines, Key};
 use super::{Handle, Owner, Ready};
-use lapisrudder::permit::{Close, Violations};
+use lapisrudder::permit::{Close, Denial, Violations};
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{self, Command, OwnedRequest};
 use lapisrudder_host::{COME_BACK, Watched};
@@ -24,7 +24,7 @@
 use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 /// Connections that the kernel keeps until they are accepted. Guards against a burst whose connects are dropped
 /// there and tried again only after a second.
@@ -55,6 +55,10 @@
     Left {
         request: RequestId,
     },
+    /// The drain of its connection is over: what is owed fails.
+    DrainOver {
+        request: RequestId,
+    },
     /// A transaction that was taken must be given up at once; its client may come again after so many milliseconds.
     Recall {
         ticket: Ticket,
@@ -81,6 +85,8 @@
     ForRoom,
     /// An answer that had begun cannot be finished.
     AnswerTorn,
+    /// The drain's time was over.
+    DrainOver,
 }
 
 pub struct VirtualServer {
@@ -98,12 +104,12 @@
     spare: Option<File>,
     /// Nothing is accepted until then.
     paused: Option<Key>,
-    /// Connections are let go between requests, for good or until that is taken back.
-    drain: Option<Drain>,
+    /// Operators have told the node to drain: connections are let go until that is taken back, and `mn` gets a no.
+    standby: Option<Drain>,
+    /// The process ends soon, and connections are let go for good.
+    ends: Option<Drain>,
     /// When it is looked again whose time has come.
     round: Option<Key>,
-    /// Operators have told the node to drain: `mn` gets a no.
-    standby: bool,
     /// `mn` is answered.
     pub ready: bool,
     asked_ready: Vec<u64>,
@@ -169,9 +175,9 @@
             handle: handle.clone(),
             spare: None,
             paused: None,
-            drain: None,
+            standby: None,
+            ends: None,
             round: None,
-            standby: false,
             ready: false,
             asked_ready: Vec::new(),
             next_client: 0,
@@ -524,7 +530,14 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.deadline = None;
         match client.due() {
-            Some(due) if due <= now => self.remove(id, Closed::Stalled, now, deadlines),
+            Some(due) if due <= now => {
+                let drained = client.is_past_drain(now);
+                if drained && !client.lingers() {
+                    warn!(about = %format_args!("connection {id}"), state = %client.describe(now), "held past a drain");
+                    self.violations.note(Err(Denial::HeldPastDrain));
+                }
+                self.remove(id, if drained { Closed::DrainOver } else { Closed::Stalled }, now, deadlines);
+            }
             _ => self.watch(id, deadlines),
         }
     }
@@ -588,8 +601,8 @@
                             }
                             None
                         }
-                        Command::Ready if self.standby || self.ready => {
-                            let line = if self.standby { NOT_READY } else { READY_LINE };
+                        Command::Ready if self.standby.is_some() || self.ready => {
+                            let line = if self.standby.is_some() { NOT_READY } else { READY_LINE };
                             client.slots.push_back(Slot::Ready(line.to_vec()));
                             None
                         }
--- a/src/net/virtual_server/accepting.rs
+++ b/src/net/virtual_server/accepting.rs
@@ -7,7 +7,6 @@
 use lapisrudder::Micros;
 use lapisrudder::time_limits::HOLD_UP;
 use lapisrudder_io::{Accepted, Lack, Listener, Next, Read, Stream, Written, count_of, open_file};
-use lapisrudder_limits::drain::Drain;
 use lapisrudder_limits::{Accepting, Shortage, Verdict};
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
@@ -170,6 +169,7 @@
         }
         self.clients.insert(id, client);
         self.names.insert(conn, id);
+        self.close_in_time(id, now, deadlines);
         Some(id)
     }
 
@@ -230,9 +230,7 @@
             self.accepting = false;
             self.listener = None;
         }
-        if self.drain.is_none_or(|drain| drain.is_standby()) {
-            self.begin_drain(Drain::at_once(now), now, deadlines);
-        }
+        self.begin_end(now, deadlines);
         emptied || last
     }
 
--- a/src/net/virtual_server/release.rs
+++ b/src/net/virtual_server/release.rs
@@ -1,17 +1,18 @@
 //! How clients' connections leave this process: let go between requests in a drain, or handed over to another process.
 
-use super::{NOT_READY, READY, VirtualServer};
-use crate::net::client::Client;
+use super::{NOT_READY, News, READY, VirtualServer};
+use crate::net::client::{Client, Slot};
 use crate::net::deadlines::{Deadline, Deadlines};
 use lapisrudder::time_limits::HOLD_UP;
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_io::Stream;
-use lapisrudder_limits::Activity;
-use lapisrudder_limits::drain::{Drain, Release};
+use lapisrudder_limits::drain::{Drain, Phase, Release};
 use std::os::fd::OwnedFd;
 
 /// So much of a command goes along with its connection to another process at the most.
 const HANDED_INPUT: usize = 64 << 10;
+/// The arrival of who was here before a drain was called for.
+const EARLIER: Micros = Micros::MIN / 2;
 /// How often connections are looked at that are to be let go: a hundredth of the time that they have.
 const LOOK_ROUND: Micros = 15_000;
 
@@ -21,7 +22,7 @@
         deadlines.remove(self.paused.take());
         self.accepting = false;
         self.keep_listening();
-        self.drain = None;
+        self.ends = None;
     }
 
     /// That process is gone: all is as before.
@@ -88,60 +89,109 @@
         }
     }
 
-    /// Operators tell the node to drain, or to serve again. Again is no harm.
-    pub fn set_standby(&mut self, standby: bool, now: Micros, deadlines: &mut Deadlines) {
-        if std::mem::replace(&mut self.standby, standby) == standby {
-            return;
-        }
-        if standby {
-            for id in std::mem::take(&mut self.asked_ready) {
-                self.answer(id, RequestId(READY), &[NOT_READY], now);
+    /// Operators have told the node to drain, at that time, or to serve again. A repeated call changes nothing.
+    pub fn set_standby(&mut self, called: Option<Micros>, now: Micros, deadlines: &mut Deadlines) {
+        match called {
+            Some(called) if self.standby.is_none() => {
+                self.begin_standby(Drain::standby(called), now, deadlines)
+            }
+            Some(_) => {}
+            None => {
+                self.standby = None;
+                self.clients.values_mut().for_each(|client| client.close_by = None);
             }
-            self.begin_drain(Drain::standby(now), now, deadlines);
-        } else {
-            self.drain = None;
         }
     }
 
+    fn begin_standby(&mut self, drain: Drain, now: Micros, deadlines: &mut Deadlines) {
+        self.standby = Some(drain);
+        for id in std::mem::take(&mut self.asked_ready) {
+            self.answer(id, RequestId(READY), &[NOT_READY], now);
+        }
+        let ids: Vec<u64> = self.clients.keys().copied().collect();
+        for id in ids {
+            self.close_in_time(id, EARLIER, deadlines);
+        }
+        deadlines.add(drain.empties_queue_at(), Deadline::EmptyQueue);
+        self.let_go(now, deadlines);
+    }
+
     /// Operators have told the node to drain.
     pub fn is_standby(&self) -> bool {
-        self.standby
+        self.standby.is_some()
     }
 
     /// It answers `mn` with a yes.
     pub fn says_ready(&self) -> bool {
-        self.ready && !self.standby
+        self.ready && !self.is_standby()
     }
 
-    /// Clients' connections are let go from now on.
-    pub(super) fn begin_drain(&mut self, drain: Drain, now: Micros, deadlines: &mut Deadlines) {
-        self.drain = Some(drain);
-        self.let_go(now, deadlines);
+    /// New requests are refused: the drain is nearly over.
+    pub fn refuses(&self, now: Micros) -> bool {
+        self.standby.is_some_and(|drain| drain.refuses(now))
+    }
+
+    /// The process must end soon: clients' connections go at once, each between requests.
+    pub(super) fn begin_end(&mut self, now: Micros, deadlines: &mut Deadlines) {
+        if self.ends.is_none() {
+            self.ends = Some(Drain::at_once(now));
+            self.let_go(now, deadlines);
+        }
+    }
+
+    /// Sets the time by which a connection that arrived then is closed, if the node drains.
+    pub(super) fn close_in_time(&mut self, id: u64, arrived: Micros, deadlines: &mut Deadlines) {
+        let Some(drain) = self.standby else { return };
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.close_by = drain.closes(arrived);
+            self.watch(id, deadlines);
+        }
+    }
+
+    /// Who waits to be accepted is taken now, so that it is told in time, however short descriptors are.
+    pub fn empty_queue(&mut self, now: Micros, deadlines: &mut Deadlines) {
+        if self.is_standby() && self.accepting {
+            self.resume(deadlines);
+            self.take_all(now, deadlines);
+        }
     }
 
     /// Lets go the connections whose time has come.
     pub fn let_go(&mut self, now: Micros, deadlines: &mut Deadlines) {
-        let Some(drain) = self.drain else { return };
-        let release = |(id, c): (&u64, &mut Client)| {
-            // What has come was asked before the connection closed: it is heard first.
-            let unread = c.room() && c.look();
-            let activity = if c.upload.is_some() { Activity::Unfinished } else { c.activity() };
-            let release = drain.release(*id, c.since_arrival, now, activity);
-            // Danger: whole commands that waited behind the room for a pipeline got no answer. Once the drain is over, what is
-            // not read goes elsewhere: its client sends it once more.
-            let release = if c.is_blind() && !drain.is_over(now) { Release::Stays } else { release };
-            (release != Release::Stays).then_some((*id, release, unread))
+        let drains = [self.standby, self.ends];
+        if drains == [None, None] {
+            return;
+        }
+        let release = |(id, client): (&u64, &mut Client)| {
+            let phases = drains.iter().flatten().map(|drain| drain.phase(*id, client.since_arrival, now));
+            let phase = phases.max().unwrap_or(Phase::Before);
+            let release =
+                if phase == Phase::Before { Release::Stays } else { phase.release(client.drain_state()) };
+            (release != Release::Stays).then_some((*id, release))
         };
         let released: Vec<_> = self.clients.iter_mut().filter_map(release).collect();
-        for (id, release, unread) in released {
+        for (id, release) in released {
             match release {
-                _ if unread && release != Release::Expire => self.touched.push(id),
+                Release::Stays => {}
+                Release::Read => self.touched.push(id),
                 Release::Close => self.part(id, now, deadlines),
                 Release::Expire => self.expire(id),
-                _ => self.clients.get_mut(&id).into_iter().for_each(Client::finish),
+                Release::Finish => self.clients.get_mut(&id).into_iter().for_each(Client::finish),
+                Release::Fail => self.fail(id),
             }
         }
         deadlines.remove(self.round.take());
         self.round = Some(deadlines.add(now + LOOK_ROUND, Deadline::LetGo));
     }
+
+    /// What is owed on a connection fails, and it closes. A value that is being passed on goes on.
+    fn fail(&mut self, id: u64) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let owed = client.slots.iter().filter_map(|slot| match slot {
+            Slot::Waiting(request) if request.0 != READY => Some(News::DrainOver { request: *request }),
+            _ => None,
+        });
+        self.news.extend(owed);
+        client.finish();
+    }
 }
--- a/tests/drained.rs
+++ b/tests/drained.rs
@@ -20,6 +20,8 @@
 const KEYS: usize = 1000;
 /// A call may be heard so late: its answer is due within 1 s.
 const HEARD_AFTER: Duration = Duration::from_millis(800);
+/// Bytes of a large value.
+const LARGE: usize = 4 << 20;
 /// The longest hold-up, less what the signals take.
 const HELD_FOR: Duration = Duration::from_millis(125);
 
@@ -117,6 +119,13 @@
     (resets > 0).then(|| format!("{what}: {resets} reset"))
 }
 
+/// The servers fall silent, or go on.
+fn silence(world: &World<Books>, silent: bool) {
+    let micros = if silent { 60_000_000 } else { 0 };
+    let servers = ["a", "b"].into_iter();
+    servers.for_each(|uid| world.control().pause(no(world, uid), micros).expect("paused"));
+}
+
 fn warm() -> World<Books> {
     world(spec(&["a", "b"]), ids(KEYS))
 }
@@ -147,28 +156,35 @@
     held.into_iter().chain(reset("no pause, and hold-ups", ends())).collect()
 }
 
-fn late_replacement() -> Vec<String> {
+/// Servers fall silent once the next process has the clients.
+fn late_replacement(habit: Habit, silent: bool) -> Vec<String> {
     let world = warm();
     let node = Node::replaceable(&world, 384);
-    let ends = crowd(&node, Habit::busy(12, 64));
+    let ends = crowd(&node, habit);
     let told = drain(&node);
     sleep_until(told + Duration::from_millis(1200));
     let new = Node::beside_unready(&node);
-    let held = held_when_over("a late replacement", &node, told);
+    sleep_until(told + Duration::from_millis(1600));
+    silence(&world, silent);
+    let held = held_when_over(&format!("a late replacement, silent {silent}"), &node, told);
     drop((node, new));
     ends();
     held.into_iter().collect()
 }
 
+fn late_replacement_always_unread() -> Vec<String> {
+    late_replacement(Habit::busy(12, 64), false)
+}
+
+fn late_replacement_then_silence() -> Vec<String> {
+    late_replacement(Habit { clients: 48, outstanding: 1, rest: Duration::from_millis(20) }, true)
+}
+
 fn replacement_dies() -> Vec<String> {
     let world = warm();
     let node = Node::replaceable(&world, 384);
-    let pause = |micros| {
-        let servers = ["a", "b"].into_iter();
-        servers.for_each(|uid| world.control().pause(no(&world, uid), micros).expect("paused"));
-    };
     // What is owed stays with the old process.
-    pause(60_000_000);
+    silence(&world, true);
     let ends = crowd(&node, Habit { clients: 12, outstanding: 1, rest: Duration::from_millis(300) });
     until(|| asked(&world, "a") + asked(&world, "b") == 12);
     let told = drain(&node);
@@ -176,7 +192,7 @@
     until(|| node.call("status\n") == "fail replaced by another process\n");
     drop(new);
     until(|| node.call("status\n") == "fail draining\n");
-    pause(0);
+    silence(&world, false);
     let held = held_when_over("a replacement dies", &node, told);
     drop(node);
     ends();
@@ -186,9 +202,7 @@
 fn owed_at_the_end() -> Vec<String> {
     let world = warm();
     let node = Node::managed(&world, 1024);
-    for uid in ["a", "b"] {
-        world.control().pause(no(&world, uid), 60_000_000).expect("paused");
-    }
+    silence(&world, true);
     let mut clients: Vec<Client> = (0..12).map(|_| node.client()).collect();
     for (n, client) in clients.iter_mut().enumerate() {
         client.begin_read(&n.to_string(), 60_000);
@@ -214,6 +228,7 @@
     sleep_until(told + HEARD_AFTER);
     control.clear().expect("an end");
     assert_eq!(caller.answer(), "ok draining\n");
+    silence(&world, true);
     let held = held_when_over("a call heard late", &node, told);
     ends();
     held.into_iter().collect()
@@ -221,7 +236,6 @@
 
 /// A node whose one server has a value of 4 MiB for all who ask.
 fn large() -> (World<Books>, Scripted, Node) {
-    const LARGE: usize = 4 << 20;
     let server = Scripted::answering(|asked| {
         let value = "v".repeat(LARGE);
         Some(format!("VA {LARGE} O{}\r\n{value}\r\n", asked.id))
@@ -246,10 +260,11 @@
 /// it counted from when the call was heard; who always had something unread, owed answers or unread ones stayed.
 #[test]
 fn no_connection_is_held_when_a_drain_is_over() {
-    let cases: [fn() -> Vec<String>; 7] = [
+    let cases: [fn() -> Vec<String>; 8] = [
         always_unread,
         no_pause_and_hold_ups,
-        late_replacement,
+        late_replacement_always_unread,
+        late_replacement_then_silence,
         replacement_dies,
         owed_at_the_end,
         call_heard_late,
@@ -259,3 +274,27 @@
     let wrong: Vec<String> = plays.into_iter().flat_map(|play| play.join().expect("a play")).collect();
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
+
+/// Guards against: the end of a drain cut a large value that its client was taking, which loses the request.
+#[test]
+fn a_drain_does_not_cut_a_value_that_its_client_takes_on() {
+    const VALUES: usize = 3;
+    const PIECE: usize = 200 << 10;
+    let (_world, _server, node) = large();
+    let mut client = node.client();
+    (0..VALUES).for_each(|n| client.begin_read(&n.to_string(), 60_000));
+    let told = drain(&node);
+    for n in 0..VALUES {
+        assert_eq!(client.line(), format!("VA {LARGE} O{n}\r\n"));
+        let mut left = LARGE;
+        while left > 0 {
+            let piece = left.min(PIECE);
+            assert_eq!(client.bytes(piece).len(), piece);
+            left -= piece;
+            thread::sleep(Duration::from_millis(90));
+        }
+        assert_eq!(client.bytes(2), b"\r\n");
+    }
+    assert!(told.elapsed() > OVER, "it was taken on past the drain: {:?}", told.elapsed());
+    assert!(client.has_ended_by(Instant::now() + Duration::from_secs(1)), "it ends behind the last value");
+}
