Count a drain from the operators' call in every process of the node

Cause: state and message of a hand-over carried a flag alone, so that the next process began the drain's time anew when it heard of it; of two calls that crossed on the link the one that arrived last held, not the one that was made last.

Change: the call goes along with its time on the machine's monotonic clock, which both processes read and no step of the wall clock moves; the later call holds in both. A connection that comes over keeps the drain's end. The flag of an older version is still understood; an older version does not understand the new form, and ends the talk if operators call in the midst of such an upgrade.

The test of two processes, one of which dies after the call, was written after the mend and not run without it.

--- a/crates/io/src/lib.rs
+++ b/crates/io/src/lib.rs
@@ -48,7 +48,7 @@
 pub use listener::{Accepted, Listener};
 pub use local::{Knock, LocalListener, LocalStream, Message, Sent, Sibling, knock};
 pub use outcome::{Lack, Operation, Outcome, classify, is_momentary};
-pub use process::{count_of, held_descriptors, spawn};
+pub use process::{count_of, held_descriptors, monotonic_micros, spawn};
 pub use retry::{AT_ONCE, at_once, keep_trying};
 pub use shortage::{Count, Next, Shortage};
 
--- a/crates/io/src/process.rs
+++ b/crates/io/src/process.rs
@@ -4,11 +4,18 @@
 use crate::retry::{at_once, keep_trying};
 use crate::shortage::Count;
 use rustix::process::{Resource, getrlimit};
+use rustix::time::{ClockId, clock_gettime};
 use std::fs;
 use std::io;
 use std::thread::Builder;
 use std::time::Duration;
 
+/// The machine's monotonic clock in microseconds: the same for all its processes.
+pub fn monotonic_micros() -> i64 {
+    let time = clock_gettime(ClockId::Monotonic);
+    time.tv_sec * 1_000_000 + time.tv_nsec / 1_000
+}
+
 /// Descriptors that the process may hold, where there is a limit.
 fn descriptor_limit() -> Option<u64> {
     getrlimit(Resource::Nofile).current
--- a/crates/takeover/src/frame.rs
+++ b/crates/takeover/src/frame.rs
@@ -72,7 +72,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{Ban, Grant, Member, State};
+    use crate::{Ban, DrainCall, Grant, Member, State};
 
     fn messages() -> Vec<Message> {
         let ban = Ban { id: u64::MAX, name: "s-1".into(), since: -1 };
@@ -91,6 +91,7 @@
             Message::Hello { name: "n\u{fc}".into() },
             Message::State(State {
                 standby: true,
+                drain: Some(DrainCall { drains: true, called: Some(-1), heard: Some(7) }),
                 bans: vec![ban.clone()],
                 discovery: "127.0.0.1:2".into(),
                 revision: Some(0),
@@ -103,7 +104,7 @@
             Message::Client { input: vec![0, 255, b'\r'] },
             Message::Out(ban),
             Message::Back { id: 7 },
-            Message::Standby(false),
+            Message::Standby(DrainCall::untimed(false)),
         ]
     }
 
@@ -145,4 +146,10 @@
         assert_eq!(decode(&long), Err(BadFrame::TooLong(u32::MAX as usize)));
         assert_eq!(decode(b""), Ok(None));
     }
+
+    #[test]
+    fn a_call_to_drain_of_an_older_version_is_understood() {
+        let call: Result<Message, _> = serde_json::from_str(r#"{"Standby":true}"#);
+        assert_eq!(call.unwrap(), Message::Standby(DrainCall::untimed(true)));
+    }
 }
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -74,6 +74,53 @@
     pub clients_kept: usize,
 }
 
+/// What operators have said about a drain of the node. Times are on the machine's monotonic clock, which both processes read, in
+/// microseconds; an older version of the program tells none.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(from = "DrainCallForm")]
+pub struct DrainCall {
+    /// The node drains; else it serves.
+    pub drains: bool,
+    /// When they called for it at the earliest: the drain's time counts from there.
+    pub called: Option<i64>,
+    /// When it was heard: the later of two calls holds.
+    pub heard: Option<i64>,
+}
+
+impl DrainCall {
+    /// The same call without times.
+    pub fn untimed(drains: bool) -> DrainCall {
+        DrainCall { drains, called: None, heard: None }
+    }
+
+    /// Another call was heard later than this one.
+    pub fn is_before(&self, other: &DrainCall) -> bool {
+        matches!((self.heard, other.heard), (Some(this), Some(other)) if this < other)
+    }
+}
+
+/// The forms in which it is read.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum DrainCallForm {
+    /// Of an older version.
+    Flag(bool),
+    Call {
+        drains: bool,
+        called: Option<i64>,
+        heard: Option<i64>,
+    },
+}
+
+impl From<DrainCallForm> for DrainCall {
+    fn from(form: DrainCallForm) -> DrainCall {
+        match form {
+            DrainCallForm::Flag(drains) => DrainCall::untimed(drains),
+            DrainCallForm::Call { drains, called, heard } => DrainCall { drains, called, heard },
+        }
+    }
+}
+
 /// What the old process has that is worth having.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct State {
@@ -87,6 +134,9 @@
     pub revision: Option<u64>,
     /// The list.
     pub members: Vec<Member>,
+    /// The call by which it drains or serves, if there was one.
+    #[serde(default)]
+    pub drain: Option<DrainCall>,
     /// Who has left it, lately: an old list that names one of them does not bring it back.
     #[serde(default)]
     pub gone: Vec<Gone>,
@@ -123,5 +173,5 @@
         id: u64,
     },
     /// Either way: operators have told the node to drain, or to serve again.
-    Standby(bool),
+    Standby(DrainCall),
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -25,7 +25,7 @@
 use lapisrudder_host::{Attention, Clock, Discovery, Members, News};
 use lapisrudder_io::{FailedCalls, Operation, is_momentary, keep_trying, read_text, write_line};
 use lapisrudder_limits::{Admission, Resources, Used};
-use lapisrudder_takeover::Lender;
+use lapisrudder_takeover::{DrainCall, Lender};
 use replacing::{list_of, of_gone};
 use report::Told;
 use std::path::{Path, PathBuf};
@@ -132,6 +132,8 @@
     sockets: usize,
     /// Descriptors of the node, which two processes may share.
     all_descriptors: usize,
+    /// What operators last said about a drain, to this process or the other one.
+    drain_call: Option<DrainCall>,
     /// Transactions that may be held at a time, and bytes of their commands.
     most_held: usize,
     most_bytes: usize,
@@ -223,6 +225,7 @@
             shortest_aim: shortest_aim(&config.options),
             longest_wait: longest_wait(&config.options),
             classes: Classes::new(&config.options),
+            drain_call: None,
             most_held: bounds.most_held.max(1),
             // The rest is for what is read and sent.
             most_bytes: (config.memory_mb as usize) << 18,
--- a/src/net/node/operators.rs
+++ b/src/net/node/operators.rs
@@ -8,7 +8,7 @@
 use lapisrudder::wire::digest;
 use lapisrudder::{Micros, ServerId};
 use lapisrudder_codec::management::{BadCall, Call, answer, parse};
-use lapisrudder_takeover::Message;
+use lapisrudder_takeover::{DrainCall, Message};
 use tracing::info;
 
 impl Node {
@@ -22,6 +22,34 @@
         }
     }
 
+    /// Operators have told this process that the node drains, or serves.
+    fn drain_or_serve(&mut self, drains: bool, now: Micros) {
+        // A drain that is called for again goes on as it began.
+        let begun = self.drain_call.filter(|call| call.drains && drains);
+        let called = begun.map_or_else(|| Some(self.clock.to_monotonic(now)), |call| call.called);
+        let call = DrainCall { drains, called, heard: Some(self.clock.to_monotonic(now)) };
+        self.take_drain_call(call, now);
+        self.tell(&Message::Standby(call));
+    }
+
+    /// What operators have said about a drain, to this process or the other one, holds here.
+    pub(super) fn take_drain_call(&mut self, call: DrainCall, now: Micros) {
+        if self.drain_call.is_some_and(|known| call.is_before(&known)) {
+            return;
+        }
+        self.drain_call = Some(call);
+        let called = call.called.map_or(now, |at| self.clock.from_monotonic(at).min(now));
+        let drains = call.drains.then_some(called);
+        let was = self.server.is_standby();
+        self.server.set_standby(drains, now, &mut self.deadlines);
+        if was != call.drains {
+            self.tell_state(if call.drains { "standby" } else { "active" });
+            for after in DRAIN_REPORTS.into_iter().filter(|_| call.drains) {
+                self.deadlines.add(called + after, Deadline::DrainReport);
+            }
+        }
+    }
+
     fn call(&mut self, call: Result<Call, BadCall>, now: Micros) -> String {
         let asked = call.map_or_else(|bad| bad.to_string(), |call| call.to_string());
         let told = match call {
@@ -54,12 +82,7 @@
             }
             Ok(call @ (Call::Standby | Call::Active)) => {
                 let standby = call == Call::Standby;
-                self.server.set_standby(standby.then_some(now), now, &mut self.deadlines);
-                self.tell(&Message::Standby(standby));
-                self.tell_state(if standby { "standby" } else { "active" });
-                for after in DRAIN_REPORTS.into_iter().filter(|_| standby) {
-                    self.deadlines.add(now + after, Deadline::DrainReport);
-                }
+                self.drain_or_serve(standby, now);
                 answer(Ok::<_, BadCall>(if standby { "draining" } else { "serving" }))
             }
         };
--- a/src/net/node/replacing.rs
+++ b/src/net/node/replacing.rs
@@ -7,7 +7,7 @@
 use lapisrudder::{Listed, Micros, ServerId, Stage};
 use lapisrudder_config::Target;
 use lapisrudder_io::held_descriptors;
-use lapisrudder_takeover::{self as talk, Grant, Lender, Message, State};
+use lapisrudder_takeover::{self as talk, DrainCall, Grant, Lender, Message, State};
 use std::net::SocketAddr;
 use tracing::info;
 
@@ -49,7 +49,9 @@
         for ban in state.bans {
             self.engine.adopt_ban(ServerId(ban.id), Ban { name: ban.name, since: ban.since });
         }
-        self.server.set_standby(state.standby.then_some(now), now, &mut self.deadlines);
+        if state.standby || state.drain.is_some() {
+            self.take_drain_call(state.drain.unwrap_or(DrainCall::untimed(state.standby)), now);
+        }
         self.granted(state.grant, now);
         info!(descriptors = state.grant.descriptors, "takeover: beside the process before");
     }
@@ -163,6 +165,7 @@
         let maintenance = self.engine.maintenance();
         let state = State {
             standby: self.server.is_standby(),
+            drain: self.drain_call,
             bans: maintenance.bans().map(|(id, ban)| of_ban(id, ban)).collect(),
             discovery: self.discovery.address().to_string(),
             revision: self.discovery.revision(),
@@ -226,9 +229,7 @@
             }
             // It was listed there, and so it was here or will be.
             Message::Back { id } => _ = self.engine.put_back(now, ServerId(id)),
-            Message::Standby(standby) => {
-                self.server.set_standby(standby.then_some(now), now, &mut self.deadlines);
-            }
+            Message::Standby(call) => self.take_drain_call(call, now),
             _ => {}
         }
     }
--- a/tests/drained.rs
+++ b/tests/drained.rs
@@ -298,3 +298,27 @@
     assert!(told.elapsed() > OVER, "it was taken on past the drain: {:?}", told.elapsed());
     assert!(client.has_ended_by(Instant::now() + Duration::from_secs(1)), "it ends behind the last value");
 }
+
+/// Guards against: of two processes of a node one drained on, or served on, after operators had told the other one otherwise and
+/// that had died.
+#[test]
+fn what_operators_tell_one_process_holds_in_the_other_though_that_dies() {
+    let world = warm();
+    let old = Node::replaceable(&world, 384);
+    drain(&old);
+    let new = Node::beside_unready(&old);
+    until(|| new.call("status\n") == "fail draining\n");
+    assert_eq!(
+        new.client().ask("mn\r\n"),
+        "SERVER_ERROR draining\r\n",
+        "the next process drains from its start"
+    );
+    assert_eq!(new.call("active\n"), "ok serving\n");
+    drop(new);
+    until(|| old.call("status\n") == "ok ready\n");
+    assert_eq!(old.client().read("1", 60_000).len(), by("a", "1").len());
+    let new = Node::beside(&old);
+    assert_eq!(new.call("standby\n"), "ok draining\n");
+    drop(new);
+    until(|| old.call("status\n") == "fail draining\n");
+}
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -153,6 +153,7 @@
     let grant = Grant { descriptors: 192, clients_kept: 0 };
     let state = Message::State(State {
         standby: false,
+        drain: None,
         bans: Vec::new(),
         discovery: "127.0.0.1:9".into(),
         revision: None,
