Count a drain from when its call can have come, not from when it is heard

Cause: the drain's time was the clock when the line was whole.

Change: the operators' address keeps since when what it reads can have come, as clients' connections do: the last look at the sockets that did not find it, or the first failed accept. No more than 1 s is taken for granted, within which a call is answered.

--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -48,8 +48,8 @@
                 self.next += 1;
                 Arrival::Came(id, Socket::edge(stream, &self.handle, owner(id)))
             }
-            Accepted::Gone | Accepted::Lacking(_) => Arrival::Missed,
-            Accepted::Empty | Accepted::Broken(_) => Arrival::Nobody,
+            Accepted::Gone | Accepted::Lacking(_) | Accepted::Broken(_) => Arrival::Missed,
+            Accepted::Empty => Arrival::Nobody,
         }
     }
 
--- a/src/net/management.rs
+++ b/src/net/management.rs
@@ -25,6 +25,8 @@
 struct Caller {
     socket: Socket,
     input: Vec<u8>,
+    /// What is not read came after this; none where nothing is known to have come.
+    came_after: Option<Micros>,
     answered: bool,
     /// What is still to be sent of its answer.
     output: Vec<u8>,
@@ -37,14 +39,31 @@
     door: Callers,
     /// By number: the first has been here for longest.
     callers: BTreeMap<u64, Caller>,
-    /// Callers whose line is whole, or is none.
-    whole: Vec<u64>,
+    /// Callers whose line is whole, or is none, and since when that can have come.
+    whole: Vec<(u64, Micros)>,
+    /// What this turn finds came after this.
+    looked: Micros,
+    /// Who waits to be accepted came after this, where that failed before.
+    waiting_since: Option<Micros>,
+}
+
+/// A call, and since when it can have come.
+pub struct Said {
+    pub caller: u64,
+    pub line: Vec<u8>,
+    pub came_after: Micros,
 }
 
 impl Management {
-    pub fn new(at: SocketAddr, handle: &Handle) -> io::Result<Management> {
+    pub fn new(at: SocketAddr, handle: &Handle, now: Micros) -> io::Result<Management> {
         let door = Callers::new(at, Owner::Management, handle)?;
-        Ok(Management { door, callers: BTreeMap::new(), whole: Vec::new() })
+        let (callers, whole) = (BTreeMap::new(), Vec::new());
+        Ok(Management { door, callers, whole, looked: now, waiting_since: None })
+    }
+
+    /// The loop has looked at the sockets: what it found came after this.
+    pub fn looked(&mut self, came_after: Micros) {
+        self.looked = came_after;
     }
 
     pub fn address(&self) -> io::Result<SocketAddr> {
@@ -71,18 +90,25 @@
         for _ in 0..A_TURN {
             let (id, socket) = match self.door.accept(Owner::Caller) {
                 Arrival::Came(id, socket) => (id, socket),
-                Arrival::Missed => continue,
-                Arrival::Nobody => return,
+                Arrival::Missed => {
+                    self.waiting_since.get_or_insert(self.looked);
+                    continue;
+                }
+                Arrival::Nobody => {
+                    self.waiting_since = None;
+                    return;
+                }
             };
+            let came_after = Some(self.waiting_since.unwrap_or(self.looked));
             let until = now + PATIENCE;
             deadlines.add(until, Deadline::Caller(id));
             let (input, output) = (Vec::new(), Vec::new());
-            self.callers.insert(id, Caller { socket, input, answered: false, output, until });
+            self.callers.insert(id, Caller { socket, input, came_after, answered: false, output, until });
             // What a caller says comes with its connect: it is heard before another puts it out.
             self.on_ready(id);
             while self.callers.len() > CALLERS {
                 let answered = self.callers.iter().find(|(_, c)| c.answered).map(|(id, _)| *id);
-                let silent = || self.callers.keys().find(|id| !self.whole.contains(id)).copied();
+                let silent = || self.callers.keys().find(|id| !self.is_whole(**id)).copied();
                 let Some(id) = answered.or_else(silent) else { break };
                 self.callers.remove(&id);
             }
@@ -91,14 +117,19 @@
 
     /// A caller has something to say, or has gone.
     pub fn on_ready(&mut self, id: u64) {
+        let mut whole = self.is_whole(id);
         let Some(caller) = self.callers.get_mut(&id) else { return };
+        let came_after = *caller.came_after.get_or_insert(self.looked);
         if !caller.socket.ensure() {
             self.door.come_back_to(id);
         }
         let mut buffer = [0; MAX_CALL];
         for _ in 0..A_TURN {
             match caller.socket.read(&mut buffer) {
-                Read::NotReady => return self.flush(id),
+                Read::NotReady => {
+                    caller.came_after = None;
+                    return self.flush(id);
+                }
                 Read::Later(_) => {
                     self.door.come_back_to(id);
                     return self.flush(id);
@@ -106,15 +137,16 @@
                 Read::End if caller.answered && !caller.output.is_empty() => return self.flush(id),
                 Read::End | Read::Broken(_) => {
                     self.callers.remove(&id);
-                    self.whole.retain(|other| *other != id);
+                    self.whole.retain(|(other, _)| *other != id);
                     return;
                 }
-                Read::Bytes(_) if caller.answered || self.whole.contains(&id) => {}
+                Read::Bytes(_) if caller.answered || whole => {}
                 Read::Bytes(n) => {
                     let room = MAX_CALL.saturating_sub(caller.input.len());
                     caller.input.extend_from_slice(&buffer[..n.min(room)]);
                     if !matches!(parse(&caller.input), Ok(None)) {
-                        self.whole.push(id);
+                        self.whole.push((id, came_after));
+                        whole = true;
                     }
                 }
             }
@@ -144,10 +176,16 @@
         }
     }
 
+    /// The line of this caller is whole, or will not be.
+    fn is_whole(&self, id: u64) -> bool {
+        self.whole.iter().any(|(other, _)| *other == id)
+    }
+
     /// The next caller whose line is whole, or will not be, and what it said.
-    pub fn poll_call(&mut self) -> Option<(u64, Vec<u8>)> {
-        let id = self.whole.pop()?;
-        Some((id, self.callers.get(&id).map(|c| c.input.clone()).unwrap_or_default()))
+    pub fn poll_call(&mut self) -> Option<Said> {
+        let (caller, came_after) = self.whole.pop()?;
+        let line = self.callers.get(&caller).map(|c| c.input.clone()).unwrap_or_default();
+        Some(Said { caller, line, came_after })
     }
 
     /// The one line that a caller gets.
@@ -164,8 +202,8 @@
         let Some(caller) = self.callers.get(&id).filter(|c| c.until <= now) else { return };
         if caller.answered {
             self.callers.remove(&id);
-        } else if !self.whole.contains(&id) {
-            self.whole.push(id);
+        } else if !self.is_whole(id) {
+            self.whole.push((id, now));
         }
     }
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -154,7 +154,7 @@
         let settings = config.options.on_sockets();
         let bounds = &config.options.bounds;
         let manage = |at| {
-            let listens = keep_trying(START_PATIENCE, || Management::new(at, handle), may_pass);
+            let listens = keep_trying(START_PATIENCE, || Management::new(at, handle, now), may_pass);
             listens.map_err(|source| super::Error::Management { at, source })
         };
         let management = config.management.map(manage).transpose()?;
@@ -451,6 +451,7 @@
     /// One turn: reads all that has come, sweeps deadlines, and carries out what the engine says of it all.
     pub fn turn(&mut self, ready: impl IntoIterator<Item = Owner>, came_after: Micros) {
         self.server.looked(came_after);
+        self.management.iter_mut().for_each(|m| m.looked(came_after));
         self.come_back();
         ready.into_iter().for_each(|owner| self.ready(owner));
         self.send_out();
--- a/src/net/node/operators.rs
+++ b/src/net/node/operators.rs
@@ -3,7 +3,7 @@
 use super::replacing::of_ban;
 use super::{DRAIN_REPORTS, Node, Phase};
 use crate::net::deadlines::Deadline;
-use crate::net::management::Management;
+use crate::net::management::{Management, Said};
 use lapisrudder::maintenance::{Ban, NoBan};
 use lapisrudder::wire::digest;
 use lapisrudder::{Micros, ServerId};
@@ -11,22 +11,27 @@
 use lapisrudder_takeover::{DrainCall, Message};
 use tracing::info;
 
+/// An operators' call is answered within this time, and so came no earlier.
+const HEARD_WITHIN: Micros = 1_000_000;
+
 impl Node {
     /// Answers the operators' calls, each once it binds.
     pub(super) fn calls(&mut self) {
         let now = self.clock.now();
-        while let Some((caller, line)) = self.management.as_mut().and_then(Management::poll_call) {
+        while let Some(Said { caller, line, came_after }) =
+            self.management.as_mut().and_then(Management::poll_call)
+        {
             let call = parse(&line).and_then(|call| call.ok_or(BadCall::NoEnd));
-            let told = self.call(call, now);
+            let told = self.call(call, came_after.max(now - HEARD_WITHIN), now);
             self.management.iter_mut().for_each(|m| m.answer(caller, &told, now, &mut self.deadlines));
         }
     }
 
-    /// Operators have told this process that the node drains, or serves.
-    fn drain_or_serve(&mut self, drains: bool, now: Micros) {
+    /// Operators have told this process that the node drains, or serves; they did so after `came_after`.
+    fn drain_or_serve(&mut self, drains: bool, came_after: Micros, now: Micros) {
         // A drain that is called for again goes on as it began.
         let begun = self.drain_call.filter(|call| call.drains && drains);
-        let called = begun.map_or_else(|| Some(self.clock.to_monotonic(now)), |call| call.called);
+        let called = begun.map_or_else(|| Some(self.clock.to_monotonic(came_after)), |call| call.called);
         let call = DrainCall { drains, called, heard: Some(self.clock.to_monotonic(now)) };
         self.take_drain_call(call, now);
         self.tell(&Message::Standby(call));
@@ -50,7 +55,7 @@
         }
     }
 
-    fn call(&mut self, call: Result<Call, BadCall>, now: Micros) -> String {
+    fn call(&mut self, call: Result<Call, BadCall>, came_after: Micros, now: Micros) -> String {
         let asked = call.map_or_else(|bad| bad.to_string(), |call| call.to_string());
         let told = match call {
             Err(bad) => answer(Err::<&str, _>(bad)),
@@ -82,7 +87,7 @@
             }
             Ok(call @ (Call::Standby | Call::Active)) => {
                 let standby = call == Call::Standby;
-                self.drain_or_serve(standby, now);
+                self.drain_or_serve(standby, came_after, now);
                 answer(Ok::<_, BadCall>(if standby { "draining" } else { "serving" }))
             }
         };
