Read on after a close that a request crosses, and for longer than a hold-up

Cause: a connection that was closed between requests was closed for good as soon as the first bytes of a request crossed, over the rest of it; and 0.1 s after its close, which is shorter than a hold-up (0.15 s).

Change: what crosses is read and dropped until the client closes, for 1 s and 1 MiB at the most, as behind an error; a resting connection is read from for 0.25 s. A drain's own time still bounds both.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -30,8 +30,9 @@
 const DRAINED: usize = 1 << 20;
 /// A drain cuts off an answer that is being taken only once nothing of it was taken for so long.
 const TAKES_ON: Micros = 2_000_000;
-/// One that was closed between requests is read from for this long, to see whether the close crossed a request.
-const PARTING: Micros = 100_000;
+/// One that was closed between requests is read from for this long, to see whether the close crossed a request: longer than a
+/// hold-up, in which nothing is read.
+const PARTING: Micros = HOLD_UP + 100_000;
 
 /// Answers up to this size are copied together, so that all of a turn go out in one write; larger ones go straight
 /// from where they were read.
@@ -400,11 +401,17 @@
     }
 
     /// Drops what comes, up to a point.
-    pub fn drain(&mut self, scratch: &mut [u8]) -> Drained {
+    pub fn drain(&mut self, scratch: &mut [u8], now: Micros) -> Drained {
         match self.socket.read(scratch) {
             Read::End | Read::Broken(_) => return Drained::Ended,
-            Read::Bytes(_) if self.phase == Phase::Parting => return Drained::Crossed,
-            Read::Bytes(n) => self.drained += n,
+            Read::Bytes(n) => {
+                self.drained += n;
+                if self.phase == Phase::Parting {
+                    // A close over what still comes would reset the connection.
+                    (self.phase, self.since) = (Phase::Lingering, now);
+                    return Drained::Crossed;
+                }
+            }
             Read::NotReady => self.unread = false,
             Read::Later(_) => self.later = true,
         }
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -77,8 +77,6 @@
 enum Closed {
     /// Its peer has ended it, or it failed.
     PeerEnded,
-    /// A request crossed the node's own close.
-    Crossed,
     /// Its peer did not read, send on or close in time.
     Stalled,
     /// To make room, while nothing was owed on it.
@@ -481,12 +479,13 @@
         client.later = false;
         client.ensure_watched();
         let state = match client.flush(now) {
-            Ok(()) if client.lingers() => match client.drain(scratch) {
+            Ok(()) if client.lingers() => match client.drain(scratch, now) {
                 Drained::Nothing => State::Open,
                 Drained::Ended => State::Over(Closed::PeerEnded),
                 Drained::Crossed => {
+                    debug!(client = id, "a request crossed the close");
                     self.admission.crossed(now, client.conn);
-                    State::Over(Closed::Crossed)
+                    State::Open
                 }
             },
             Ok(()) => self.read(id, scratch, now),
--- a/tests/drained.rs
+++ b/tests/drained.rs
@@ -322,3 +322,37 @@
     drop(new);
     until(|| old.call("status\n") == "fail draining\n");
 }
+
+/// Guards against: a request that crossed the close of its connection had that reset as soon as its first bytes were read, or
+/// 0.1 s after the close, which a hold-up of the node makes less.
+#[test]
+fn a_request_that_crosses_a_close_resets_nothing() {
+    /// A client may see the close so late.
+    const SEES_LATE: Duration = Duration::from_millis(130);
+    let world = warm();
+    let node = Node::managed(&world, 1024);
+    let mut clients: Vec<Client> = (0..16).map(|_| node.client()).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(client.ask("mn\r\n"), "MN\r\n"));
+    drain(&node);
+    let cross = |(n, mut client): (usize, Client)| {
+        assert_eq!(client.answer(), "", "it is closed between requests");
+        thread::sleep(SEES_LATE * u32::from(n.is_multiple_of(2)));
+        let sent = ["mg k1 v", " O1 Pc=re", "ad,d=60000\r\n"].map(|part| {
+            let sent = client.try_send(part);
+            thread::sleep(Duration::from_millis(10));
+            sent
+        });
+        (sent.iter().any(Result::is_err) || client.was_reset()).then_some(n)
+    };
+    let crossed = clients.into_iter().enumerate().map(|client| thread::spawn(move || cross(client)));
+    let crossed: Vec<_> = crossed.collect();
+    for _ in 0..4 {
+        thread::sleep(Duration::from_millis(200));
+        node.stand_still();
+        thread::sleep(HELD_FOR);
+        node.signal("-CONT");
+    }
+    let reset: Vec<usize> =
+        crossed.into_iter().filter_map(|client| client.join().expect("a client")).collect();
+    assert_eq!(reset, Vec::<usize>::new());
+}
