Soak nodes that drain, and servers that hang until after a last call; judge what begins after an answer

Change: faults term-hang and standby (real processes; the simulator plays term-hang as term, and no standby); the nodes of such an experiment have a second address. Rule left: no attempt begins after its client has the final answer, but what lay in a server or a network that was away. Rule management: 4 s after the call no client's connection is idle, or had a request in the last 2 s. An edge for each. Missing still: maint-on, maint-off and replacements in the soak.

--- a/crates/lab/src/check/context.rs
+++ b/crates/lab/src/check/context.rs
@@ -15,6 +15,8 @@
     pub(super) rules: &'a Rules,
     /// Stretches in which a slow answer may be the client's or the network's doing.
     slow_clients: Vec<(Micros, Micros)>,
+    /// When the network to servers was slow or cut.
+    slow_servers: Vec<(Micros, Micros)>,
     /// Stretches in which the network keeps what nodes send, and delivers it at their end.
     kept_back: Vec<(Micros, Micros)>,
 }
@@ -59,7 +61,13 @@
         let kept_back = stretches(ledger, index.end(), |fault| {
             e.faults.get(fault).is_some_and(|f| matches!(f.what, What::Cut { heal: Heal::Resend }))
         });
-        Self { index, ledger, e, rules: &e.world.rules, slow_clients, kept_back }
+        let slow_servers = stretches(ledger, index.end(), |fault| {
+            let slow = |f: &crate::experiment::Fault| {
+                matches!(f.what, What::Cut { .. } | What::Delay { .. } | What::ShortWrites { .. })
+            };
+            e.faults.get(fault).is_some_and(slow)
+        });
+        Self { index, ledger, e, rules: &e.world.rules, slow_clients, slow_servers, kept_back }
     }
 
     /// What real sockets add to a time limit.
@@ -98,6 +106,11 @@
         self.kept_back.iter().any(|(from, to)| *from <= sent && *from <= came && came <= *to + just)
     }
 
+    /// The network to servers was slow or cut at some time between these.
+    pub(super) fn slow_to_servers(&self, from: Micros, until: Micros) -> bool {
+        self.slow_servers.iter().any(|(a, b)| *a <= until && from <= *b)
+    }
+
     /// When the process that a node had at that time was started.
     pub(super) fn process_start(&self, node: NodeNo, at: Micros) -> Option<Micros> {
         let records = self.ledger.nodes.records();
--- a/crates/lab/src/check/edges.rs
+++ b/crates/lab/src/check/edges.rs
@@ -174,6 +174,18 @@
         day.answered(req, conn, LATER + 20 * MS, Answer::Value, digest);
         day.closed(conn, LATER + 40 * MS, Closer::Us);
     }),
+    ("an attempt for an answered request", Rule::Left, SOCKETS, |day, after| {
+        let (req, conn) = day.sent(LATER, 0, 0);
+        day.answered(req, conn, LATER + 10 * MS, Answer::Failed, 0);
+        day.attempt(req, 0, 0, LATER + 10 * MS + after, 4000, None);
+        day.closed(conn, LATER + S, Closer::Us);
+    }),
+    ("a connection that a drained node holds", Rule::Management, 4 * S + SOCKETS, |day, until| {
+        let conn = day.opened(LATER, 0);
+        called(day, LATER, 0, 1, Call::Standby, Some(MS));
+        day.closed(conn, LATER + until, Closer::Them);
+        day.read(LATER + 6 * S, 0, 1, 4000);
+    }),
     ("a send for a client that has left", Rule::Left, 300 * MS + SOCKETS, |day, after| {
         left(day, LATER, after);
     }),
--- a/crates/lab/src/check/left.rs
+++ b/crates/lab/src/check/left.rs
@@ -3,11 +3,14 @@
 //! [`BORNE`] later than [`SEEN`] (each with the slack for sockets). The time of a send is that of its first byte at the server.
 //! What a cut network kept back, and delivered when it ended, may have been sent before.
 //! A client that only stops waiting, and keeps its connection, cannot be seen to leave.
+//!
+//! Nor does any attempt begin once the client has its final answer, later than the slack for sockets. What a server that stood still
+//! or was away reads late, and what a slow or cut network brings late, may have been sent before.
 
 use super::context::Context;
 use super::{Rule, Violation};
 use crate::Micros;
-use crate::ledger::{ClientEvent, Closer, ServerEvent};
+use crate::ledger::{ClientEvent, Closer, ServerEvent, ServerNo, ServerState};
 
 /// A node has this long to see a close.
 const SEEN: Micros = 100_000;
@@ -17,6 +20,7 @@
 const NOTICED: Micros = 300_000;
 
 pub(super) fn check(cx: &Context<'_>, out: &mut Vec<Violation>) {
+    sent_after_the_answer(cx, out);
     let (seen, noticed) = (SEEN + cx.slack(), NOTICED + cx.slack());
     let mut late = Vec::new();
     for r in cx.ledger.clients.records() {
@@ -38,3 +42,38 @@
         }
     }
 }
+
+/// What lies in a server's machine before it is read there may be this old.
+const LIES: Micros = 2_000_000;
+
+fn sent_after_the_answer(cx: &Context<'_>, out: &mut Vec<Violation>) {
+    for r in cx.ledger.clients.records() {
+        let ClientEvent::Answered { req, .. } = r.event else { continue };
+        let Some(t) = cx.index.find(req).filter(|t| !t.flags.bad && !t.flags.borrowed) else { continue };
+        let begins = |e: &ServerEvent| matches!(e, ServerEvent::FirstByte { .. });
+        let late = cx.index.server(req).filter(|s| s.at > r.at + cx.slack() && begins(&s.event));
+        let mut late = late.filter(|s| !was_away(cx, s.event.server(), r.at - LIES, s.at));
+        let Some(s) = late.find(|s| !cx.slow_to_servers(r.at - LIES, s.at)) else { continue };
+        let (server, after) = (cx.ledger.names.server(s.event.server()), (s.at - r.at) as f64 / 1e3);
+        let text = format!("an attempt began at {server} {after:.1} ms after the client had its answer");
+        out.push(cx.broken(Rule::Left, s.at, t, text));
+    }
+}
+
+/// A server stood still or was gone at some time between these.
+fn was_away(cx: &Context<'_>, server: ServerNo, from: Micros, until: Micros) -> bool {
+    let states = cx.ledger.servers.records().iter().filter(|r| r.event.server() == server && r.at <= until);
+    let mut away = false;
+    for r in states {
+        let ServerEvent::State { state, .. } = r.event else { continue };
+        if r.at >= from && matches!(state, ServerState::Resumed | ServerState::Cold) {
+            return true;
+        }
+        match state {
+            ServerState::Paused | ServerState::Gone | ServerState::Fallen => away = true,
+            ServerState::Resumed | ServerState::Cold | ServerState::Warm => away = false,
+            ServerState::Draining => {}
+        }
+    }
+    away
+}
--- a/crates/lab/src/check/management.rs
+++ b/crates/lab/src/check/management.rs
@@ -1,14 +1,19 @@
 //! **Management.** Each whole call on a node's second address gets one line, within `management_within_s` (and the slack
-//! for sockets): `ok` where it can be done, `fail` for an id that was never listed. A drained node is not ready.
+//! for sockets): `ok` where it can be done, `fail` for an id that was never listed. A drained node is not ready, and 4 s after the call it
+//! holds no client's connection that is idle, or that had a request in the last 2 s.
 //!
 //! Nothing is owed by a process that was killed or told to stop before the answer was due.
 
 use super::context::Context;
 use super::{Rule, Violation};
-use crate::ledger::{Call, NodeEvent, NodeNo, OperatorEvent, Signal};
+use crate::ledger::{Call, ClientEvent, ConnNo, NodeEvent, NodeNo, OperatorEvent, Signal};
 use crate::{Micros, seconds};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A drain is over so long after the call, and no request may be this young then.
+const DRAINS_FOR: Micros = 4_000_000;
+const LATE_REQUEST: Micros = 2_000_000;
+
 struct Asked {
     at: Micros,
     node: NodeNo,
@@ -59,6 +64,18 @@
             }
         }
     }
+    for a in asked.values().filter(|a| a.asks == Call::Standby && a.answered) {
+        let over = a.at + DRAINS_FOR + cx.slack();
+        let called_back = asked
+            .values()
+            .any(|b| b.node == a.node && b.asks == Call::Active && (a.at..over).contains(&b.at));
+        if called_back || over > cx.index.end() || stops(cx, a.node, a.at, over) {
+            continue;
+        }
+        for conn in held(cx, a.node, a.at, over) {
+            broken(over, a.node, format!("connection {} is held 4 s after the call to drain", conn.0));
+        }
+    }
     let end = cx.index.end();
     for a in asked.values().filter(|a| !a.answered && a.asks != Call::Nothing) {
         let due = a.at + within;
@@ -68,6 +85,27 @@
     }
 }
 
+/// Clients' connections to a node that are idle then, or had a request in the last 2 s. Bad clients do not hear that it drains: theirs
+/// count if they were there before.
+fn held(cx: &Context<'_>, node: NodeNo, called: Micros, at: Micros) -> Vec<ConnNo> {
+    let mut open: BTreeMap<ConnNo, Option<Micros>> = BTreeMap::new();
+    for r in cx.ledger.clients.records().iter().take_while(|r| r.at <= at) {
+        match r.event {
+            ClientEvent::Opened { conn, node: n, bad } if n == node && (!bad || r.at < called) => {
+                open.insert(conn, None);
+            }
+            ClientEvent::Sent { conn, .. } => {
+                open.entry(conn).and_modify(|last| *last = Some(r.at));
+            }
+            ClientEvent::Closed { conn, .. } => _ = open.remove(&conn),
+            _ => {}
+        }
+    }
+    let late = |last: Option<Micros>| last.is_some_and(|last| last > at - LATE_REQUEST);
+    let counts = |conn: &ConnNo, last| late(last) || cx.on_connection(*conn, at).open.is_empty();
+    open.into_iter().filter(|(conn, last)| counts(conn, *last)).map(|(conn, _)| conn).collect()
+}
+
 /// The node's process was killed or told to stop between two times, or was on its way out already.
 fn stops(cx: &Context<'_>, node: NodeNo, from: Micros, until: Micros) -> bool {
     let started = cx.process_start(node, from).unwrap_or(Micros::MIN);
--- a/crates/lab/src/experiment/check_fault.rs
+++ b/crates/lab/src/experiment/check_fault.rs
@@ -111,6 +111,8 @@
         | What::RefuseConnects
         | What::ResetConnects
         | What::Term
+        | What::TermHang
+        | What::Standby
         | What::Hup(_) => Ok(()),
     }
 }
--- a/crates/lab/src/experiment/fault.rs
+++ b/crates/lab/src/experiment/fault.rs
@@ -296,6 +296,11 @@
     /// Nodes: SIGTERM, killed at the latest when the longest deadline and 0.7 s are over, started `for_s` after it
     /// has ended.
     Term,
+    /// Nodes: as `term`; meanwhile half of the servers hang, from a drawn moment of the shutdown to one between the node's last
+    /// call and its end.
+    TermHang,
+    /// Nodes: operators tell them to drain, and `for_s` later to serve again. Real processes alone.
+    Standby,
     /// Nodes: a changed configuration file and SIGHUP.
     Hup(SignalSet),
     /// Nodes: the machine holds the process up, now and then, for up to `ms`.
@@ -340,6 +345,8 @@
             What::Flood { .. } => "flood",
             What::SlowReaders { .. } => "slow-readers",
             What::Term => "term",
+            What::TermHang => "term-hang",
+            What::Standby => "standby",
             What::Hup(_) => "hup",
             What::HoldUps { .. } => "hold-ups",
         }
@@ -367,7 +374,7 @@
             What::Surge { .. } | What::HotCaller { .. } | What::Flood { .. } | What::SlowReaders { .. } => {
                 &["clients"]
             }
-            What::Term | What::Hup(_) | What::HoldUps { .. } => &["nodes"],
+            What::Term | What::TermHang | What::Standby | What::Hup(_) | What::HoldUps { .. } => &["nodes"],
         }
     }
 
@@ -379,6 +386,7 @@
             What::Flush { .. }
                 | What::Kill { .. }
                 | What::Term
+                | What::TermHang
                 | What::Hup(_)
                 | What::Move { .. }
                 | What::Drain { .. }
--- a/crates/lab/src/faults/hands.rs
+++ b/crates/lab/src/faults/hands.rs
@@ -1,10 +1,11 @@
 //! The hands that carry steps out: on the stand-ins, the nodes' processes and the load.
 
 use super::active::{Active, Of};
+use super::operators::Operators;
 use super::steps::{Effect, Far, Step, Target, Wrong, steps};
 use crate::Micros;
 use crate::experiment::{self, Experiment, Occurrence, Spoil, schedule};
-use crate::ledger::{Book, LabEvent, ServerNo, Signal};
+use crate::ledger::{Book, Call, LabEvent, NodeEvent, OperatorEvent, ServerNo, Signal};
 use crate::load::{Command, Link, LoadThread, Plan, SlowReaders};
 use crate::node::{NodeError, Nodes};
 use crate::stand::{
@@ -78,9 +79,20 @@
     stopping: Vec<Stopping>,
     hits: BTreeMap<Of, Occurrence>,
     lab: Book<LabEvent>,
+    operators: Operators,
     renamed: u32,
 }
 
+/// What was done and seen besides the load and the stand-ins.
+pub struct Records {
+    /// Faults.
+    pub lab: Book<LabEvent>,
+    /// Processes of nodes.
+    pub nodes: Book<NodeEvent>,
+    /// Operators' calls.
+    pub operators: Book<OperatorEvent>,
+}
+
 /// Resets are made in stretches of this length.
 const STRETCH: Micros = 100_000;
 /// A process that was told to stop is killed at the earliest moment that the platform allows: after the longest deadline,
@@ -117,6 +129,7 @@
             stopping: Vec::new(),
             hits: BTreeMap::new(),
             lab: Book::default(),
+            operators: Operators::new(clock),
             renamed: 0,
         }
     }
@@ -187,8 +200,10 @@
     }
 
     /// Ends what could outlast the run, and takes the records of faults and of processes.
-    pub fn finish(self, patience: Micros) -> (Book<LabEvent>, Book<crate::ledger::NodeEvent>) {
-        (self.lab, self.nodes.map(|nodes| nodes.finish(patience)).unwrap_or_default())
+    pub fn finish(self, patience: Micros) -> Records {
+        let operators = self.operators.finish();
+        let nodes = self.nodes.map(|nodes| nodes.finish(patience)).unwrap_or_default();
+        Records { lab: self.lab, nodes, operators }
     }
 
     fn server(&self, target: Target) -> Option<ServerNo> {
@@ -262,6 +277,7 @@
             }
             Step::SlowOff => load.tell(Command::Slow(of.0 as u16, None)),
             Step::Term(node, rest) => self.stop(node, rest, load),
+            Step::Standby(node, drains) => self.drain_node(node, drains, load),
             Step::KillNode(node) => self.signal(node, Signal::Kill),
             Step::HoldUp(node) => self.signal(node, Signal::Stop),
             Step::GoOn(node) => self.signal(node, Signal::Continue),
@@ -486,6 +502,17 @@
         self.stopping.push(Stopping { node, kill_at, rest });
     }
 
+    /// Operators tell a node to drain, or to serve again; the front hears of it from the node.
+    fn drain_node(&mut self, node: usize, drains: bool, load: &LoadThread) {
+        let Some(at) = self.nodes.as_ref().filter(|nodes| nodes.runs(node)).and_then(|n| n.management(node))
+        else {
+            return;
+        };
+        let (asks, line) = if drains { (Call::Standby, "standby\n") } else { (Call::Active, "active\n") };
+        self.operators.call(node, at, asks, line);
+        load.tell(if drains { Command::Stopping(node as u16) } else { Command::Started(node as u16) });
+    }
+
     fn see_to_stopping(&mut self, now: Micros, load: &LoadThread) -> Result<(), HandsError> {
         let Some(nodes) = &mut self.nodes else { return Ok(()) };
         nodes.look();
--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -6,8 +6,9 @@
 pub(crate) mod active;
 mod conditions;
 mod hands;
+mod operators;
 mod steps;
 
 pub use conditions::{Conditions, SeenNow};
-pub use hands::{Hands, HandsError};
+pub use hands::{Hands, HandsError, Records};
 pub use steps::{Effect, Far, Step, Target, Wrong, steps};
--- a/crates/lab/src/faults/steps.rs
+++ b/crates/lab/src/faults/steps.rs
@@ -3,6 +3,7 @@
 use crate::experiment::{Experiment, Fault, Heal, Occurrence, Side, SignalSet, Spoil, What, Who};
 use crate::{Micros, millis, seconds};
 use lapisrudder_model::draw::stream;
+use rand::Rng;
 use rand_distr::{Distribution, Exp, Uniform};
 
 /// A party of the stand-ins.
@@ -104,6 +105,8 @@
     SlowOff,
     /// A node is told to stop; it is started so long after it has ended.
     Term(usize, Micros),
+    /// Operators tell a node to drain, or to serve again.
+    Standby(usize, bool),
     /// A node is killed.
     KillNode(usize),
     /// A node is started.
@@ -133,12 +136,19 @@
                 all.push((from, Step::KillNode(node)));
                 all.push((until, Step::StartNode(node)));
             }
-            What::Term => all.push((from, Step::Term(node, until - from))),
+            What::Term | What::TermHang => all.push((from, Step::Term(node, until - from))),
+            What::Standby => {
+                all.push((from, Step::Standby(node, true)));
+                all.push((until, Step::Standby(node, false)));
+            }
             What::Hup(set) => all.push((from, Step::Hup(node, set.clone()))),
             What::HoldUps { ms, every_s } => hold_ups(hit, node, (*ms, *every_s), seed, &mut all),
             _ => {}
         }
     }
+    if matches!(fault.what, What::TermHang) {
+        hang_along(e, hit, seed, &mut all);
+    }
     match (&fault.who, &fault.what) {
         (Who::Network { from: a, to: b }, what) => {
             if let Some(wrong) = wrong(what) {
@@ -181,6 +191,23 @@
     }
 }
 
+/// Every other server stands still from a moment of the shutdown that begins now, until one between the last call and the end of the
+/// process.
+fn hang_along(e: &Experiment, hit: &Occurrence, seed: u64, all: &mut Vec<(Micros, Step)>) {
+    const LAST_CALL: Micros = 450_000;
+    const ENDS: Micros = 100_000;
+    let which = (hit.fault as u64) << 40 | u64::from(hit.number);
+    let mut draws = stream(seed, "hang along", which);
+    let longest = e.classes.iter().map(|c| millis(c.deadline_ms)).max().unwrap_or(0);
+    let servers: usize = e.world.servers.iter().map(|kind| kind.count).sum();
+    let begins = hit.from + draws.random_range(0..=longest + LAST_CALL / 2);
+    let over = hit.from + longest + LAST_CALL + draws.random_range(0..=ENDS);
+    let spared = draws.random_range(0..2);
+    for place in (0..servers).filter(|place| place % 2 != spared) {
+        all.push((begins, Step::Pause(Target::Server(place), over - begins)));
+    }
+}
+
 fn targets(fault: &Fault, hit: &Occurrence) -> Vec<Target> {
     match fault.who {
         Who::Servers(_) => hit.servers.iter().map(|place| Target::Server(*place)).collect(),
--- a/crates/lab/src/node/mod.rs
+++ b/crates/lab/src/node/mod.rs
@@ -18,7 +18,7 @@
 pub use scratch::{Scratch, scratch};
 
 use crate::Micros;
-use crate::experiment::{Experiment, SignalSet};
+use crate::experiment::{Experiment, SignalSet, What};
 use crate::ledger::{Book, NodeEvent, NodeNo, Signal};
 use crate::stand::Clock;
 use lapisrudder_model::draw::stream;
@@ -66,6 +66,9 @@
     Build(String),
 }
 
+/// Operators call a node at a port that is so much higher than that of its clients: below those that the system deals out.
+const MANAGEMENT: u16 = 10_000;
+
 /// One node.
 #[derive(Debug)]
 struct Node {
@@ -139,11 +142,19 @@
         self.nodes.iter().map(|node| node.listen).collect()
     }
 
+    /// Where operators call a node, in an experiment in which they do.
+    pub fn management(&self, number: usize) -> Option<SocketAddr> {
+        let listen = self.nodes.get(number)?.listen;
+        let calls = self.experiment.faults.iter().any(|fault| matches!(fault.what, What::Standby));
+        calls.then(|| SocketAddr::new(listen.ip(), listen.port() + MANAGEMENT))
+    }
+
     /// Starts a node, with the list of servers that it is to know. Nothing if it runs.
     ///
     /// # Errors
     /// It cannot be started.
     pub fn start(&mut self, number: usize, known: Option<Value>) -> Result<(), NodeError> {
+        let management = self.management(number).map(|at| at.to_string());
         let Some(node) = self.nodes.get_mut(number) else { return Ok(()) };
         if node.process.is_some() {
             return Ok(());
@@ -160,12 +171,13 @@
         };
         node.config = config(&self.experiment, &place);
         write(&node.file, &node.config.to_string())?;
-        let env = [
+        let mut env = vec![
             ("EDGE_NAME", node.name.clone()),
             ("EDGE_LISTEN", node.listen.to_string()),
             ("EDGE_DISCOVERY", node.discovery.to_string()),
             ("EDGE_CONFIG", node.file.display().to_string()),
         ];
+        env.extend(management.map(|at| ("EDGE_MANAGEMENT", at)));
         let sockets = Some(self.experiment.world.nodes.sockets);
         let process = Process::start(&self.command, &env, &node.log, sockets)
             .map_err(|source| NodeError::Process { name: node.name.clone(), source })?;
--- a/crates/lab/src/run/arm.rs
+++ b/crates/lab/src/run/arm.rs
@@ -6,8 +6,8 @@
 use super::progress::Progress;
 use super::sink::{CountingBooks, Counts};
 use crate::experiment::{Experiment, SeenMetric, What};
-use crate::faults::{Conditions, Hands, SeenNow};
-use crate::ledger::{Book, LabEvent, Ledger, NodeEvent, Record, ServerEvent};
+use crate::faults::{Conditions, Hands, Records, SeenNow};
+use crate::ledger::{Book, Ledger, Record, ServerEvent};
 use crate::load::{Books, Command, LoadSpec, LoadThread, Plan, Seen, Through};
 use crate::node::Nodes;
 use crate::stand::{Clock, World, spec_of};
@@ -167,9 +167,9 @@
         nodes.sample();
     }
     let books = load.finish()?;
-    let (faults, processes) = hands.finish(STOP);
+    let records = hands.finish(STOP);
     let finished = world.finish()?;
-    let mut ledger = ledger(books, faults, processes, finished.sink, zero);
+    let mut ledger = ledger(books, records, finished.sink, zero);
     ledger.names = finished.names;
     ledger.names.loads = e.loads.iter().map(|l| l.name.clone()).collect();
     Ok(Played { ledger, trouble: finished.trouble, not_ready, plan: digest })
@@ -266,13 +266,7 @@
 }
 
 /// All books in one, with the start of the load as 0.
-fn ledger(
-    books: Books,
-    faults: Book<LabEvent>,
-    processes: Book<NodeEvent>,
-    sink: CountingBooks,
-    zero: Micros,
-) -> Ledger {
+fn ledger(books: Books, records: Records, sink: CountingBooks, zero: Micros) -> Ledger {
     fn moved<E: Copy>(from: &[Book<E>], zero: Micros) -> Book<E> {
         let mut to = Book::default();
         from.iter().flat_map(Book::records).for_each(|r| to.push(r.at - zero, r.event));
@@ -288,6 +282,7 @@
     for t in &mut tries {
         (t.due, t.first_due) = (t.due - zero, t.first_due - zero);
     }
+    let Records { lab: faults, nodes: processes, operators } = records;
     let mut lab = moved(&[books.lab, faults], zero);
     lab.absorb(stand.lab);
     Ledger {
@@ -296,6 +291,7 @@
         servers: stand.servers,
         discovery: stand.discovery,
         nodes: moved(&[processes, books.ready], zero),
+        operators: moved(&[operators], zero),
         lab,
         ..Ledger::default()
     }
--- a/crates/lab/src/sim/hands.rs
+++ b/crates/lab/src/sim/hands.rs
@@ -280,7 +280,8 @@
             What::Stale => self.discovery_is(Effect::Stale, of, Some(1.0)),
             What::Lag { s } => self.discovery_is(Effect::Lag, of, Some(*s)),
             What::Move { .. } => self.move_discovery(),
-            What::Term => {
+            // Servers do not hang along here: the simulator has breaks at chosen moments of its own.
+            What::Term | What::TermHang => {
                 let longest = self.e.classes.iter().map(|c| millis(c.deadline_ms)).max().unwrap_or(0);
                 let kill_at = now + longest.min(LONGEST_COUNTED) + 700_000;
                 for n in &hit.nodes {
@@ -288,6 +289,8 @@
                     self.hands.push(kill_at, Deed::KillNode(*n, self.nodes[*n].starts));
                 }
             }
+            // Operators call real processes alone.
+            What::Standby => {}
             What::Hup(_) => {
                 // The file says what it said.
                 let at = self.catalog.address();
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -77,11 +77,13 @@
 struct Drawn {
     who: String,
     what: String,
+    /// Seconds, where it does not last as long as any.
+    lasts: Option<f64>,
 }
 
 impl Drawn {
     fn new(who: impl Into<String>, what: impl Into<String>) -> Drawn {
-        Drawn { who: who.into(), what: what.into() }
+        Drawn { who: who.into(), what: what.into(), lasts: None }
     }
 
     /// The name of what it is.
@@ -93,7 +95,7 @@
 /// A kind of fault, drawn.
 type Kind = fn(&mut ChaCha8Rng) -> Drawn;
 
-const KINDS: [Kind; 22] = [
+const KINDS: [Kind; 24] = [
     |d| {
         Drawn::new(
             some_servers(d),
@@ -149,6 +151,10 @@
     |d| Drawn::new(some_nodes(d), "\"term\""),
     // Signals in series: several nodes within a moment.
     |_| Drawn::new("{ nodes = { count = 6 } }", "\"term\""),
+    // Servers that hang and come back between a last call and the end of the process.
+    |d| Drawn::new(some_nodes(d), "\"term-hang\""),
+    // Long enough that its end can be judged.
+    |d| Drawn { lasts: Some(5.0), ..Drawn::new(some_nodes(d), "\"standby\"") },
     // A crowd that fills the descriptors.
     |d| {
         Drawn::new(
@@ -181,7 +187,8 @@
 
 /// Adds a fault to the experiment's text.
 fn push(text: &mut String, name: &str, fault: &Drawn, when: &str, lasts: f64) {
-    let Drawn { who, what } = fault;
+    let Drawn { who, what, lasts: own } = fault;
+    let lasts = own.unwrap_or(lasts);
     let _ = write!(
         text,
         "[[fault]]\nname = \"{name}\"\nwho = {who}\nwhat = {what}\nwhen = {{ {when} }}\nfor_s = {lasts:.1}\n"
