--- a/crates/lab/src/experiment/fault.rs
+++ b/crates/lab/src/experiment/fault.rs
@@ -296,7 +296,7 @@
     /// Nodes: SIGTERM, killed at the latest when the longest deadline and 0.7 s are over, started `for_s` after it
     /// has ended.
     Term,
-    /// Nodes: as `term`; meanwhile half of the servers hang, from a drawn moment of the shutdown to one between the node's last
+    /// Nodes: as `term`; meanwhile all servers hang, from a drawn moment of the shutdown to one between the node's last
     /// call and its end.
     TermHang,
     /// Nodes: operators tell them to drain, and `for_s` later to serve again. Real processes alone.
--- a/crates/lab/src/stand/control.rs
+++ b/crates/lab/src/stand/control.rs
@@ -299,7 +299,9 @@
     pub fn known(&self, node: usize) -> Done<String> {
         self.run(move |stand| {
             let listing = stand.catalog().map(|catalog| catalog.machine.list());
-            let listing = listing.ok_or(ControlError::NoNode(node))?;
+            let mut listing = listing.ok_or(ControlError::NoNode(node))?;
+            // One whose process has given its place to another has no address, and a platform names none without.
+            listing.targets.retain(|member| stand.has_place(&member.uid));
             let (json, _) = stand.list_for(node, &listing);
             Ok(String::from_utf8_lossy(&json).into_owned())
         })
