Leave a connection that comes over after a drain its moment

Found by reading the change once more: a connection that a hand-over brings to a node whose drain is long over was to be closed at once, with a request that waited on it unread, and counted as held past the drain. Its end is set where it arrives, as any other's; the second setting is gone. No test: it takes a connection that is still there after a drain. tests/drained.rs, handover and operations pass.

--- a/src/net/virtual_server/release.rs
+++ b/src/net/virtual_server/release.rs
@@ -87,7 +87,6 @@
             self.admission.spoke(now, client.conn);
             self.touched.push(id);
         }
-        self.close_in_time(id, EARLIER, deadlines);
     }
 
     /// Operators have told the node to drain, at that time, or to serve again. A repeated call changes nothing.
