--- a/crates/lab/src/stand/control.rs
+++ b/crates/lab/src/stand/control.rs
@@ -301,7 +301,7 @@
             let listing = stand.catalog().map(|catalog| catalog.machine.list());
             let mut listing = listing.ok_or(ControlError::NoNode(node))?;
             // One whose process has given its place to another has no address, and a platform names none without.
-            listing.targets.retain(|member| stand.has_place(&member.uid));
+            listing.targets.retain(|member| !member.endpoint.is_empty() || stand.has_place(&member.uid));
             let (json, _) = stand.list_for(node, &listing);
             Ok(String::from_utf8_lossy(&json).into_owned())
         })
--- a/crates/lab/src/stand/discovery.rs
+++ b/crates/lab/src/stand/discovery.rs
@@ -271,10 +271,10 @@
         (0..self.parties.len()).find(|place| self.server_no(*place) == Some(no))
     }
 
-    /// A server of that name has an address, or is none of this world.
+    /// A server of that name has an address.
     pub(super) fn has_place(&mut self, uid: &str) -> bool {
         let number = self.catalog().and_then(|c| c.numbers.get(uid).copied());
-        number.is_none_or(|no| self.place_of(no).is_some())
+        number.is_some_and(|no| self.place_of(no).is_some())
     }
 
     /// The last byte of an answer was written.
