--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -2,9 +2,11 @@
 //! case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod burst;
+mod left;
 mod reload;
 mod stop;
 mod streams;
+mod swap;
 mod uploads;
 mod world;
 
@@ -30,6 +32,8 @@
         "burst" => burst::run(root, trouble, &record),
         "reload" => reload::run(root, trouble, &record),
         "uploads" => uploads::run(root, trouble, &record),
+        "swap" => swap::run(root, trouble, &record),
+        "left" => left::run(root, trouble, &record),
         "stop" => stop::run(root, trouble, &record),
         "streams" => streams::run(root, trouble, &record),
         _ => 2,
