Bound what is held for clients over all connections by one account

Cause: answers out of order, unsent output and read commands were bounded by connection only (32 answers of 64 KiB, 132 KB of commands each), and their sum over the connections was not. Resident memory is read once a second and acts on new requests alone.

Change: crates/limits/src/memory_account.rs counts input, uploads, answers and the room for answers to come over all connections, a third of memory_mb. A value that finds no room fails at once. Large answers are moved to the output and not appended; commands are read 16 KiB at a time, and left-over ones are taken before more is read. Commands in flight get an eighth of the memory, since each is held twice. The log line `open` shows what is held, so that a test can see that it is given back.

--- a/crates/codec/src/memcache.rs
+++ b/crates/codec/src/memcache.rs
@@ -184,12 +184,20 @@
 }
 
 /// Total length in bytes of the `ms` command at the start of a buffer, if its line is complete and its value
-/// is larger than [`MAX_BUFFERED_VALUE`] and not larger than [`MAX_VALUE`].
-pub fn large_command_length(buffer: &[u8]) -> Option<usize> {
+/// is not larger than [`MAX_VALUE`].
+pub fn set_command_length(buffer: &[u8]) -> Option<usize> {
     let (line, used) = split_line(buffer).ok()??;
     let mut tokens = tokens(line);
-    let length = tokens.next().filter(|name| *name == b"ms").and_then(|_| tokens.nth(1)).and_then(decimal)?;
-    ((MAX_BUFFERED_VALUE + 1)..=MAX_VALUE).contains(&length).then_some(used + length + 2)
+    let length: usize =
+        tokens.next().filter(|name| *name == b"ms").and_then(|_| tokens.nth(1)).and_then(decimal)?;
+    (length <= MAX_VALUE).then_some(used + length + 2)
+}
+
+/// The same, if the value is larger than [`MAX_BUFFERED_VALUE`].
+pub fn large_command_length(buffer: &[u8]) -> Option<usize> {
+    let total = set_command_length(buffer)?;
+    let (_, line) = split_line(buffer).ok()??;
+    (total - line - 2 > MAX_BUFFERED_VALUE).then_some(total)
 }
 
 /// The value of a parameter in a list of `name=value` pairs, separated by commas.
--- a/crates/engine/src/recorder.rs
+++ b/crates/engine/src/recorder.rs
@@ -57,6 +57,8 @@
     LastCall,
     /// The drain time of its connection is over.
     DrainOver,
+    /// The host had no room to keep its value for the client.
+    NoRoom,
     /// The host had no record of the request.
     Unknown,
 }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod keep_alive;
 mod linked_lists;
 mod load_shedding;
+pub mod memory_account;
 pub mod meter;
 pub mod orders;
 pub mod reserve;
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -5,9 +5,10 @@
 use lapisrudder::permit::{Close, Denial};
 use lapisrudder::time_limits::MAX_STALL;
 use lapisrudder::{Micros, RequestId};
-use lapisrudder_codec::memcache::{MAX_BUFFERED_VALUE, MAX_LINE};
+use lapisrudder_codec::memcache::{MAX_BUFFERED_VALUE, MAX_LINE, parse_command, set_command_length};
 use lapisrudder_io::{Probe, Read, Written};
 use lapisrudder_limits::drain::State;
+use lapisrudder_limits::memory_account::HeldBytes;
 use lapisrudder_limits::{Activity, ConnId};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
@@ -42,6 +43,9 @@
 
 /// Size of the read buffer: an incomplete command, and as much again to read into.
 pub const SCRATCH: usize = 2 * (MAX_LINE + MAX_BUFFERED_VALUE + 2);
+/// Maximum bytes of one read of commands, unless the rest of an incomplete command is longer. Commands that
+/// cannot be taken yet are kept, so this bounds memory.
+const READ_SIZE: usize = 16 << 10;
 
 /// A large value is read from its server while less than the high mark of it waits for its client, or while
 /// all clients' answers together leave space. A paused one is read on below the low mark.
@@ -54,7 +58,11 @@
 const UPLOAD_TIMEOUT: Micros = 10_000_000;
 
 pub enum Slot {
-    Waiting(RequestId),
+    Waiting {
+        request: RequestId,
+        /// Room that is kept for its answer, in bytes.
+        expected: usize,
+    },
     Ready(Vec<u8>),
     /// A large value that is streamed: what has arrived of it before it is next in order, and whether that is
     /// all.
@@ -79,6 +87,11 @@
     pub fn needs(&self) -> usize {
         2 * self.total
     }
+
+    /// Bytes that count for it: what is reserved, or what has been read before that.
+    fn held(&self) -> usize {
+        if self.admitted { self.needs() } else { self.bytes.len() }
+    }
 }
 
 #[derive(PartialEq)]
@@ -110,8 +123,10 @@
     pub input: Vec<u8>,
     /// A command with a large value, of which nothing is in `input`.
     pub upload: Option<Upload>,
-    /// Bytes of its answers that are counted in the sum over all clients.
-    pub counted: usize,
+    /// What is counted for it in the account of all clients.
+    pub counted: HeldBytes,
+    /// The account of all clients has room for the answer to a further command.
+    pub has_answer_room: bool,
     /// Reading of a large value from its server is paused until the client has taken more.
     stream_paused: bool,
     /// Pending answers, in the order of the commands.
@@ -157,7 +172,8 @@
             input: Vec::new(),
             upload: None,
             stream_paused: false,
-            counted: 0,
+            counted: HeldBytes::default(),
+            has_answer_room: true,
             slots: VecDeque::new(),
             output: Vec::new(),
             sent: 0,
@@ -238,12 +254,23 @@
         self.socket.finish()
     }
 
-    /// Whether another command may be taken.
+    /// Whether another command may be taken. With none pending a client may always send one; the others wait
+    /// unread until there is room for their answers.
     pub fn can_take_command(&self) -> bool {
         self.phase == Phase::Open
             && !self.leaving
             && self.slots.len() < MAX_PIPELINE
-            && self.output.len() - self.sent < MAX_UNSENT
+            && (self.slots.is_empty() || self.has_answer_room)
+            && self.unsent_in_order() < MAX_UNSENT
+    }
+
+    /// Bytes of answers that have not been sent and wait for the client alone.
+    fn unsent_in_order(&self) -> usize {
+        let ready = self.slots.iter().map_while(|slot| match slot {
+            Slot::Ready(bytes) => Some(bytes.len()),
+            Slot::Waiting { .. } | Slot::Stream { .. } => None,
+        });
+        ready.sum::<usize>() + self.output.len() - self.sent
     }
 
     /// Whether there is data that is not read for now: the client has reached its limits, the upload does not
@@ -362,6 +389,15 @@
     /// keeps sending does not keep others waiting.
     pub fn read<'s>(&mut self, scratch: &'s mut [u8], now: Micros) -> Option<&'s [u8]> {
         let held = self.input.len();
+        // Complete commands that were left over are taken first: with a read before each of them the input
+        // would grow.
+        if !matches!(parse_command(&self.input), Ok(None)) {
+            scratch[..held].copy_from_slice(&self.input);
+            return Some(&scratch[..held]);
+        }
+        let missing = set_command_length(&self.input).map_or(0, |total| total.saturating_sub(held));
+        let limit = scratch.len().min(held + missing.max(READ_SIZE));
+        let scratch = &mut scratch[..limit];
         scratch[..held].copy_from_slice(&self.input);
         let read = match self.socket.read(&mut scratch[held..]) {
             Read::End | Read::Broken(_) => return None,
@@ -453,21 +489,11 @@
 
     /// Sends ready answers as far as the socket takes them.
     pub fn flush(&mut self, now: Micros) -> io::Result<()> {
-        while let Some(slot) = self.slots.front_mut() {
-            match slot {
-                Slot::Waiting(_) => break,
-                Slot::Ready(bytes) => self.output.append(bytes),
-                Slot::Stream { bytes, over, .. } => {
-                    self.output.append(bytes);
-                    bytes.shrink_to(MAX_IDLE_BUFFER);
-                    if !*over {
-                        break;
-                    }
-                }
+        loop {
+            self.collect_output();
+            if self.sent == self.output.len() {
+                break;
             }
-            self.slots.pop_front();
-        }
-        while self.sent < self.output.len() {
             match self.socket.write(&[IoSlice::new(&self.output[self.sent..])]) {
                 Written::Bytes(n) => {
                     self.sent += n;
@@ -485,9 +511,6 @@
             }
             self.last_progress = now;
         }
-        self.output.clear();
-        self.output.shrink_to(MAX_IDLE_BUFFER);
-        self.sent = 0;
         if self.phase == Phase::Closing && self.slots.is_empty() {
             self.phase = Phase::Lingering;
             (self.last_progress, self.unread) = (now, true);
@@ -497,6 +520,35 @@
         Ok(())
     }
 
+    /// Moves the answers that are next in order to the output buffer: small ones together, a large one only
+    /// once nothing is unsent before it. It is moved without a copy then, and the buffer does not grow.
+    fn collect_output(&mut self) {
+        if self.sent == self.output.len() {
+            self.output.clear();
+            self.output.shrink_to(MAX_IDLE_BUFFER);
+            self.sent = 0;
+        }
+        while let Some(slot) = self.slots.front_mut() {
+            let (bytes, complete) = match slot {
+                Slot::Waiting { .. } => return,
+                Slot::Ready(bytes) => (bytes, true),
+                Slot::Stream { bytes, over, .. } => (bytes, *over),
+            };
+            let unsent = self.output.len() - self.sent;
+            if unsent > 0 && unsent + bytes.len() > MAX_COPIED_ANSWER {
+                return;
+            }
+            match unsent {
+                0 if !bytes.is_empty() => (self.output, self.sent) = (std::mem::take(bytes), 0),
+                _ => self.output.append(bytes),
+            }
+            if !complete {
+                return;
+            }
+            self.slots.pop_front();
+        }
+    }
+
     /// Removes sent bytes from the buffer if there are many. It would grow without limit for a client that
     /// reads slowly.
     fn compact(&mut self) {
@@ -508,7 +560,7 @@
 
     /// Begins an answer that is a large value and comes in pieces; `head` is its first line.
     pub fn begin_value(&mut self, request: RequestId, head: Vec<u8>) {
-        let is_pending = |s: &&mut Slot| matches!(s, Slot::Waiting(r) if *r == request);
+        let is_pending = |s: &&mut Slot| matches!(s, Slot::Waiting { request: r, .. } if *r == request);
         if let Some(slot) = self.slots.iter_mut().find(is_pending) {
             *slot = Slot::Stream { request, bytes: head, over: false };
         }
@@ -534,17 +586,45 @@
             _ => self.answer(&[piece], now)?,
         }
         self.compact();
-        self.stream_paused = self.unsent_bytes() >= HIGH_MARK && !has_space;
+        self.stream_paused = self.held().answers - self.sent >= HIGH_MARK && !has_space;
         Ok(!self.stream_paused)
     }
 
-    /// Bytes of its answers that have not been sent.
-    pub fn unsent_bytes(&self) -> usize {
-        let slots = self.slots.iter().map(|slot| match slot {
-            Slot::Waiting(_) => 0,
-            Slot::Ready(bytes) | Slot::Stream { bytes, .. } => bytes.len(),
+    /// What is held for this client, and the room that is kept for answers to come. A large value that is
+    /// being received may bring one more piece before reading from its server pauses.
+    pub fn held(&self) -> HeldBytes {
+        let mut held = HeldBytes {
+            input: self.input.len(),
+            uploads: self.upload.as_ref().map_or(0, Upload::held),
+            answers: self.output.len(),
+            expected: 0,
+        };
+        for slot in &self.slots {
+            match slot {
+                Slot::Waiting { expected, .. } => held.expected += expected,
+                Slot::Ready(bytes) => held.answers += bytes.len(),
+                Slot::Stream { bytes, over, .. } => {
+                    held.answers += bytes.len();
+                    held.expected += if *over { 0 } else { SCRATCH.saturating_sub(bytes.len()) };
+                }
+            }
+        }
+        held
+    }
+
+    /// The room that is kept for the answer to this request, in bytes.
+    pub fn expected(&self, request: RequestId) -> usize {
+        let kept = self.slots.iter().find_map(|slot| match slot {
+            Slot::Waiting { request: r, expected } if *r == request => Some(*expected),
+            _ => None,
         });
-        slots.sum::<usize>() + self.output.len() - self.sent
+        kept.unwrap_or(0)
+    }
+
+    /// Whether this request's answer is the next in order and nothing is unsent before it.
+    pub fn is_next_to_send(&self, request: RequestId) -> bool {
+        let next = matches!(self.slots.front(), Some(Slot::Waiting { request: r, .. }) if *r == request);
+        next && self.sent == self.output.len()
     }
 
     /// Completes a large value.
@@ -558,8 +638,8 @@
 
     /// The large value that was paused and may be read on, because the client has taken enough of it.
     pub fn take_resumable(&mut self) -> Option<RequestId> {
-        let Some(Slot::Stream { request, .. }) = self.slots.front() else { return None };
-        let ready = self.stream_paused && self.output.len() - self.sent < LOW_MARK;
+        let Some(Slot::Stream { request, bytes, .. }) = self.slots.front() else { return None };
+        let ready = self.stream_paused && self.output.len() - self.sent + bytes.len() < LOW_MARK;
         self.stream_paused &= !ready;
         ready.then_some(*request)
     }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -20,6 +20,7 @@
 use super::{CLIENT_SHARE_DIVISOR, Handle, OWN_DESCRIPTORS, Owner, Ready};
 use lapisrudder::wire::{Options, micros};
 use lapisrudder::{Micros, Scope};
+use lapisrudder_codec::memcache::{MAX_LINE, MAX_VALUE};
 use lapisrudder_config::{Config, Platform, Target};
 use lapisrudder_engine::recorder::EndReason;
 use lapisrudder_engine::{Engine, Final, Limits, Member, Order};
@@ -50,6 +51,16 @@
 /// How often the process's memory use is read.
 const MEMORY_CHECK_INTERVAL: Micros = 1_000_000;
 
+/// A third of the memory holds what is read from clients or waits for them: input, uploads and answers.
+const CLIENT_MEMORY_DIVISOR: usize = 3;
+/// The least for these: one command with the largest value, which is held as received and as passed on.
+const MIN_CLIENT_MEMORY: usize = 2 * (MAX_VALUE + MAX_LINE);
+/// An eighth holds other commands until they are answered. While they are written to servers, each is held
+/// twice.
+const COMMAND_MEMORY_DIVISOR: usize = 8;
+/// Large values are read ahead of their clients until an eighth of the memory holds unsent answers.
+const READ_AHEAD_DIVISOR: usize = 8;
+
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
     Serving,
@@ -234,17 +245,15 @@
             classes: Classes::new(&config.options),
             drain_call: None,
             max_in_flight: bounds.most_held.max(1),
-            // A quarter of the memory: the rest is for data that is read and sent.
-            max_command_bytes: (config.memory_mb as usize) << 18,
+            max_command_bytes: ((config.memory_mb as usize) << 20) / COMMAND_MEMORY_DIVISOR,
             memory: config.memory_mb << 20,
             resident: (now, 0),
             ports: ephemeral_ports(),
             options: config.options,
         };
-        // A third of the memory is for large values on their way to servers, a quarter for other commands.
-        // Answers that clients have not read may take an eighth: their buffers can be twice as large as their
-        // content.
-        node.server.set_budgets((node.memory / 3) as usize, (node.memory / 8) as usize);
+        let memory = node.memory as usize;
+        let capacity = (memory / CLIENT_MEMORY_DIVISOR).max(MIN_CLIENT_MEMORY);
+        node.server.set_memory_limits(capacity, memory / READ_AHEAD_DIVISOR);
         // Members that have left are recorded before the list: an outdated list that still names one of them
         // would otherwise bring it back.
         let gone = has_inherited.then_some(state.as_ref()).flatten().map(|state| state.gone.as_slice());
--- a/src/net/node/intake.rs
+++ b/src/net/node/intake.rs
@@ -22,6 +22,7 @@
                 }
                 ClientEvent::ClientLeft { request } => self.close(request, Ending::ClientLeft),
                 ClientEvent::DrainOver { request } => self.end(request, FAILED, EndReason::DrainOver),
+                ClientEvent::NoRoom { request } => self.end(request, FAILED, EndReason::NoRoom),
                 ClientEvent::Recall { ticket, retry_ms } => {
                     let Some(request) = self.requests.of_ticket(ticket) else { continue };
                     // A value whose transfer to the client has begun is not recalled.
--- a/src/net/node/report.rs
+++ b/src/net/node/report.rs
@@ -60,7 +60,8 @@
             *count += 1;
         }
         let connections = self.server.states();
-        info!(about = %moment, %requests, %connections, attempts = self.engine.flows(), "open");
+        let (attempts, held) = (self.engine.flows(), self.server.held());
+        info!(about = %moment, %requests, %connections, attempts, %held, "open");
     }
 
     /// Logs each open request: its id, class, time left, and the servers of its attempts.
--- a/src/net/requests.rs
+++ b/src/net/requests.rs
@@ -158,8 +158,14 @@
 impl Answers for AnswerSink<'_> {
     /// Passes the answer on, straight from the buffer that it was read into.
     fn served(&mut self, transaction: RequestId, request: &Request, answer: Answer<'_>) {
+        let Some(client) = self.requests.get(transaction).map(|open| open.client) else { return };
+        if let Answer::Value(value) = answer
+            && !self.server.has_room_for_value(client, transaction, value.len())
+        {
+            return self.server.refuse_value(transaction);
+        }
         let Some(open) = self.requests.remove(transaction, EndReason::Served, self.now) else { return };
-        let OpenRequest { client, ticket, time, .. } = open;
+        let OpenRequest { ticket, time, .. } = open;
         self.requests.note_answer(transaction, &time, self.server, self.now);
         let id = request.command.id();
         match answer {
@@ -178,6 +184,11 @@
 
     fn begins(&mut self, transaction: RequestId, request: &Request, length: usize) -> bool {
         let Some(open) = self.requests.open.get_mut(&transaction) else { return false };
+        if !self.server.has_room_for_value(open.client, transaction, length) {
+            // The pieces are dropped until the request has failed.
+            self.server.refuse_value(transaction);
+            return true;
+        }
         self.requests.streaming += usize::from(!std::mem::replace(&mut open.streams, true));
         let mut head = format!("VA {length} O").into_bytes();
         head.extend_from_slice(request.command.id());
@@ -187,11 +198,16 @@
     }
 
     fn piece(&mut self, transaction: RequestId, bytes: &[u8]) -> bool {
-        let Some(open) = self.requests.open.get(&transaction) else { return true };
+        let Some(open) = self.requests.open.get(&transaction).filter(|open| open.streams) else {
+            return true;
+        };
         self.server.push_piece(open.client, transaction, bytes, self.now)
     }
 
     fn ends(&mut self, transaction: RequestId) {
+        if self.requests.get(transaction).is_none_or(|open| !open.streams) {
+            return;
+        }
         let Some(open) = self.requests.remove(transaction, EndReason::Served, self.now) else { return };
         self.server.end_value(open.client, transaction);
         self.server.request_ended(open.ticket, true, self.now);
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -5,16 +5,17 @@
 mod release;
 mod states;
 
-use super::client::{Client, LingerRead, Slot, Upload};
+use super::client::{Client, LingerRead, SCRATCH, Slot, Upload};
 use super::deadlines::{Deadline, Deadlines, Key};
 use super::{Handle, Owner, Ready};
 use lapisrudder::permit::{Close, Denial, Violations};
 use lapisrudder::{Micros, RequestId};
-use lapisrudder_codec::memcache::{self, Command, OwnedRequest};
+use lapisrudder_codec::memcache::{self, Command, MAX_BUFFERED_VALUE, OwnedRequest};
 use lapisrudder_host::{RETRY_INTERVAL, RegisteredSource};
 use lapisrudder_io::{Listener, Probe, Shortage as Failures};
 use lapisrudder_limits::budget::Budget;
 use lapisrudder_limits::drain::Drain;
+use lapisrudder_limits::memory_account::{AnswerSize, HeldBytes, MemoryAccount};
 use lapisrudder_limits::{
     Admission, ConnId, EventKind, Intake, Order, RequestInfo, Resources, SettingsError, Ticket,
 };
@@ -59,6 +60,10 @@
     DrainOver {
         request: RequestId,
     },
+    /// There is no room for the value that answers a request: the request fails.
+    NoRoom {
+        request: RequestId,
+    },
     /// A transaction that was taken must end at once; its client may retry after this many milliseconds.
     Recall {
         ticket: Ticket,
@@ -136,10 +141,13 @@
     pub events: VecDeque<ClientEvent>,
     /// Large values that may be read on from their servers.
     pub resumed: Vec<RequestId>,
-    /// Bytes of answers that clients have not taken. Above the maximum only a small part of each large value
-    /// is buffered for its client.
-    unsent: usize,
-    max_unsent: usize,
+    /// What is held for all clients together.
+    account: MemoryAccount,
+    /// Size of the values that servers have sent of late.
+    answer_size: AnswerSize,
+    /// While clients have not taken this many bytes of answers, large values are read ahead of them. Above it
+    /// only a small part of each is buffered.
+    max_read_ahead: usize,
     /// Budget for commands with large values, and the bytes reserved for each of them that was taken.
     upload_budget: Budget,
     upload_bytes: FxHashMap<RequestId, usize>,
@@ -194,8 +202,9 @@
             violations: Violations::default(),
             events: VecDeque::new(),
             resumed: Vec::new(),
-            unsent: 0,
-            max_unsent: usize::MAX,
+            account: MemoryAccount::new(usize::MAX),
+            answer_size: AnswerSize::new(MAX_BUFFERED_VALUE),
+            max_read_ahead: usize::MAX,
             upload_budget: Budget::new(usize::MAX),
             upload_bytes: FxHashMap::default(),
         };
@@ -206,9 +215,16 @@
         Ok(server)
     }
 
-    /// Sets the maximum bytes of commands with large values, and of answers that clients have not taken.
-    pub fn set_budgets(&mut self, upload_budget: usize, unsent: usize) {
-        (self.upload_budget, self.max_unsent) = (Budget::new(upload_budget), unsent);
+    /// Sets the maximum of what is held for all clients together, and up to how many bytes of unsent answers
+    /// large values are read ahead. Called before the first client.
+    pub fn set_memory_limits(&mut self, capacity: usize, read_ahead: usize) {
+        self.account = MemoryAccount::new(capacity);
+        (self.upload_budget, self.max_read_ahead) = (Budget::new(capacity), read_ahead);
+    }
+
+    /// What is held for all clients together.
+    pub fn held(&self) -> HeldBytes {
+        self.account.held()
     }
 
     /// Returns reserved bytes to the budget.
@@ -229,6 +245,7 @@
 
     fn release_upload(&mut self, request: RequestId) {
         if let Some(bytes) = self.upload_bytes.remove(&request) {
+            self.account.replace(HeldBytes { uploads: bytes, ..HeldBytes::default() }, HeldBytes::default());
             self.free(bytes);
         }
     }
@@ -238,17 +255,39 @@
         if let Some(client) = self.clients.get_mut(&id) {
             client.begin_value(request, head);
             mark_dirty(&mut self.dirty, id, client);
+            recount(&mut self.account, client);
         }
     }
 
+    /// Whether a value of this length, or its first piece, may be kept until its client takes it. Records the
+    /// length for the estimate of the next answers.
+    pub fn has_room_for_value(&mut self, id: u64, request: RequestId, length: usize) -> bool {
+        let kept = length.min(SCRATCH);
+        self.answer_size.record(kept);
+        let Some(client) = self.clients.get(&id) else { return true };
+        // The room that was kept for this answer is its own.
+        let more = kept.saturating_sub(client.expected(request));
+        if client.is_next_to_send(request) {
+            self.account.fits_reserve(more)
+        } else {
+            self.account.fits(more)
+        }
+    }
+
+    /// Fails a request whose value has no room.
+    pub fn refuse_value(&mut self, request: RequestId) {
+        self.events.push_back(ClientEvent::NoRoom { request });
+    }
+
     /// Appends a piece of a large value. Returns false if no further piece can be buffered.
     pub fn push_piece(&mut self, id: u64, request: RequestId, piece: &[u8], now: Micros) -> bool {
         let Some(client) = self.clients.get_mut(&id) else { return true };
-        let has_space = client.push_piece(request, piece, self.unsent < self.max_unsent, now);
+        let reads_ahead = self.account.held().answers < self.max_read_ahead && self.account.fits(SCRATCH);
+        let has_space = client.push_piece(request, piece, reads_ahead, now);
         // After an error the next read reports that the connection is over.
         client.unread |= has_space.is_err();
         mark_dirty(&mut self.dirty, id, client);
-        recount(&mut self.unsent, client);
+        recount(&mut self.account, client);
         has_space.unwrap_or(true)
     }
 
@@ -427,12 +466,12 @@
         if why == CloseReason::Evicted && !client.lingers() {
             self.violations.record(Close { pending: !client.nothing_pending(), unread: false }.check());
         }
-        self.unsent -= client.counted;
+        self.account.replace(client.counted, HeldBytes::default());
         self.by_conn.remove(&client.conn);
         self.admission.on_closed(now, client.conn);
         deadlines.remove(client.deadline.take());
         let left = client.slots.iter().filter_map(|s| match s {
-            Slot::Waiting(request) | Slot::Stream { request, over: false, .. }
+            Slot::Waiting { request, .. } | Slot::Stream { request, over: false, .. }
                 if request.0 != READY_REQUEST =>
             {
                 Some(*request)
@@ -486,6 +525,7 @@
     fn process(&mut self, id: u64, scratch: &mut [u8], now: Micros, deadlines: &mut Deadlines) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.needs_retry = false;
+        client.has_answer_room = self.account.fits(self.answer_size.expected());
         client.ensure_registered();
         let state = match client.flush(now) {
             Ok(()) if client.lingers() => match client.read_lingering(scratch, now) {
@@ -509,7 +549,7 @@
             State::Open => {}
         }
         self.resumed.extend(client.take_resumable());
-        recount(&mut self.unsent, client);
+        recount(&mut self.account, client);
         let blocked = client.is_read_blocked();
         if client.needs_retry {
             self.retries.push(id);
@@ -601,6 +641,8 @@
         };
         let mut newest = None;
         let mut taken = 0;
+        // Room for the answers to the commands that are taken here, which is not counted yet.
+        let mut expected = 0;
         while client.can_take_command() {
             let bad = match memcache::parse_command(&buffer[taken..]) {
                 Ok(None) => break,
@@ -618,7 +660,15 @@
                             self.next_request += 1;
                             let number = RequestId(self.next_request);
                             newest = Some(number);
-                            client.slots.push_back(Slot::Waiting(number));
+                            // The first of a series can be sent as it comes, a receipt is small.
+                            let answer = match client.slots.is_empty() || request.write {
+                                true => 0,
+                                false => self.answer_size.expected(),
+                            };
+                            client.slots.push_back(Slot::Waiting { request: number, expected: answer });
+                            expected += answer;
+                            client.has_answer_room =
+                                self.account.fits(expected + self.answer_size.expected());
                             if let Some(command) = OwnedRequest::copy_of(&request, raw) {
                                 let event =
                                     ClientEvent::Command { client: id, request: number, command, came_after };
@@ -632,7 +682,9 @@
                             None
                         }
                         Command::Ready => {
-                            client.slots.push_back(Slot::Waiting(RequestId(READY_REQUEST)));
+                            client
+                                .slots
+                                .push_back(Slot::Waiting { request: RequestId(READY_REQUEST), expected: 0 });
                             self.awaiting_ready.push(id);
                             None
                         }
@@ -665,7 +717,11 @@
             client.keep_rest(rest);
         }
         match (uploaded, newest) {
-            (Some(bytes), Some(request)) => _ = self.upload_bytes.insert(request, bytes),
+            (Some(bytes), Some(request)) => {
+                self.upload_bytes.insert(request, bytes);
+                self.account
+                    .replace(HeldBytes::default(), HeldBytes { uploads: bytes, ..HeldBytes::default() });
+            }
             // The large command was not taken as a request.
             (Some(bytes), None) => self.free(bytes),
             (None, _) => {}
@@ -677,16 +733,18 @@
     pub fn answer(&mut self, id: u64, request: RequestId, parts: &[&[u8]], now: Micros) {
         self.release_upload(request);
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let is_pending = |s: &Slot| matches!(s, Slot::Waiting(r) if *r == request);
+        let is_pending = |s: &Slot| matches!(s, Slot::Waiting { request: r, .. } if *r == request);
         let Some(position) = client.slots.iter().position(is_pending) else { return };
         if position > 0 {
             client.slots[position] = Slot::Ready(parts.concat());
+            recount(&mut self.account, client);
             return;
         }
         client.slots.pop_front();
         // After an error the next read reports that the connection is over.
         client.unread |= client.answer(parts, now).is_err();
         mark_dirty(&mut self.dirty, id, client);
+        recount(&mut self.account, client);
     }
 
     /// Sends all answers of the event-loop iteration, in one write for each client.
@@ -696,7 +754,7 @@
             client.dirty = false;
             client.unread |= client.flush(now).is_err();
             self.resumed.extend(client.take_resumable());
-            recount(&mut self.unsent, client);
+            recount(&mut self.account, client);
             if client.unread || client.lingers() {
                 self.touched.push(id);
             }
@@ -732,10 +790,10 @@
     }
 }
 
-/// Updates a client's part in the sum of bytes that clients have not taken.
-fn recount(unsent: &mut usize, client: &mut Client) {
-    let held = client.unsent_bytes();
-    *unsent = *unsent + held - std::mem::replace(&mut client.counted, held);
+/// Updates a client's part in the account of all clients.
+fn recount(account: &mut MemoryAccount, client: &mut Client) {
+    let held = client.held();
+    account.replace(std::mem::replace(&mut client.counted, held), held);
 }
 
 fn error(what: impl std::fmt::Display) -> Vec<u8> {
--- a/src/net/virtual_server/release.rs
+++ b/src/net/virtual_server/release.rs
@@ -8,6 +8,7 @@
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_io::Stream;
 use lapisrudder_limits::drain::{Drain, DrainAction, Phase};
+use lapisrudder_limits::memory_account::HeldBytes;
 use std::os::fd::OwnedFd;
 
 /// Maximum bytes of an incomplete command that are handed over with its connection.
@@ -55,7 +56,7 @@
             let (conn, counted, deadline) = (client.conn, client.counted, client.deadline.take());
             match client.into_parts() {
                 Ok(parts) => {
-                    self.unsent -= counted;
+                    self.account.replace(counted, HeldBytes::default());
                     self.by_conn.remove(&conn);
                     self.admission.on_closed(now, conn);
                     deadlines.remove(deadline);
@@ -195,7 +196,7 @@
     fn fail_pending(&mut self, id: u64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         let pending = client.slots.iter().filter_map(|slot| match slot {
-            Slot::Waiting(request) if request.0 != READY_REQUEST => {
+            Slot::Waiting { request, .. } if request.0 != READY_REQUEST => {
                 Some(ClientEvent::DrainOver { request: *request })
             }
             _ => None,
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -187,6 +187,8 @@
     folder: Option<&'a str>,
     discovery: SocketAddr,
     sockets: u32,
+    /// Its memory limit in MB.
+    memory_mb: u32,
     /// Text of the operators' configuration file.
     operators: Option<&'a str>,
     /// Whether it has a management listener.
@@ -205,6 +207,7 @@
             folder: None,
             discovery,
             sockets: 1024,
+            memory_mb: 192,
             operators: None,
             managed: false,
             settings: SETTINGS,
@@ -213,9 +216,10 @@
     }
 
     fn run(self) -> Node {
-        let Start { name, listen, folder, discovery, sockets, operators, managed, settings, faults } = self;
+        let Start { name, listen, folder, discovery, sockets, memory_mb, .. } = self;
+        let Start { operators, managed, settings, faults, .. } = self;
         let config = format!(
-            r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":192}},"settings":{settings}}}"#
+            r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":{memory_mb}}},"settings":{settings}}}"#
         );
         let mut program = program(&config, &[("EDGE_DISCOVERY", &discovery.to_string())]);
         program.envs(managed.then_some(("EDGE_MANAGEMENT", "127.0.0.1:0")));
@@ -292,6 +296,22 @@
         Node::run(discovery, sockets, operators, false)
     }
 
+    /// A ready node with these limits on descriptors and memory.
+    pub fn with_limits(world: &World<Books>, sockets: u32, memory_mb: u32) -> Node {
+        let discovery = world.addresses().discovery(0).expect("discovery");
+        let node = Start { sockets, memory_mb, ..Start::new(discovery) }.run();
+        node.wait_ready();
+        node
+    }
+
+    /// The most memory that its process has had resident, in kB.
+    pub fn peak_memory_kb(&self) -> usize {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("its status");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak").trim();
+        peak.trim_end_matches(" kB").parse().expect("a number")
+    }
+
     /// A ready node with a management listener.
     pub fn with_management(world: &World<Books>, sockets: u32) -> Node {
         let discovery = world.addresses().discovery(0).expect("discovery");
--- /dev/null
+++ b/tests/held_memory.rs
@@ -0,0 +1,125 @@
+//! What is held for clients, over all their connections, stays within the memory limit, and is given back.
+
+#[allow(dead_code)]
+mod harness;
+
+use harness::*;
+use lapisrudder_lab::stand::{Books, Scripted, World, member};
+use std::io::Read;
+use std::thread;
+use std::time::Duration;
+
+/// The least memory limit of the platform, in MB, and a node's descriptors with it.
+const MEMORY_MB: u32 = 32;
+const SOCKETS: u32 = 256;
+/// The largest value that is no large value.
+const VALUE: usize = 64 << 10;
+
+/// A world whose cache server answers each read at once with a value of this length, and whose origin answers
+/// each write after this time.
+fn world_of(length: usize, write_time: Duration) -> (World<Books>, [Scripted; 2]) {
+    let value = vec![b'v'; length];
+    let cache = Scripted::start(move |asked, reply| {
+        let head = format!("VA {} O{} h1\r\n", value.len(), asked.id).into_bytes();
+        reply.send([&head, &value[..], b"\r\n"].concat());
+    });
+    let origin = Scripted::start(move |_, reply| {
+        thread::spawn(move || {
+            thread::sleep(write_time);
+            reply.send(http("r-1"));
+        });
+    });
+    let (cache, origin) = (cache.unwrap(), origin.unwrap());
+    let mut spec = spec(&[]);
+    spec.discovery.plan.members = vec![
+        member("c", &cache.address().to_string(), "cache", "z"),
+        member("o", &origin.address().to_string(), "origin", "z"),
+    ];
+    (world(spec, ids(0)), [cache, origin])
+}
+
+/// Fails unless the node has stayed within its memory limit, serves a new client, and has given back all that
+/// it held for clients, as it logs at its stop.
+fn assert_within_limit_and_serving(mut node: Node, length: usize) {
+    let peak = node.peak_memory_kb();
+    assert!(peak <= (MEMORY_MB as usize) << 10, "{peak} kB resident of {MEMORY_MB} MB");
+    let mut client = node.client();
+    client.send("mg k0 v Olast Pc=read,d=5000\r\n");
+    assert_eq!(client.read_line(), format!("VA {length} Olast\r\n"));
+    client.read_bytes(length + 2);
+    drop(client);
+    node.signal("-TERM");
+    let mut log = String::new();
+    node.child.stderr.take().expect("its log").read_to_string(&mut log).expect("text");
+    let stopping = log.lines().find(|line| line.contains("about=stopping")).expect("a line");
+    assert!(stopping.contains("input 0, uploads 0, answers 0, expected 0"), "{stopping}");
+}
+
+/// Reads the answer to a write: its receipt, or a refusal, since the slow origin takes only so many at a time.
+fn expect_write_ended(client: &mut Client) {
+    let answer = client.read_line();
+    assert!(answer.starts_with("HD ") || answer.starts_with("SERVER_ERROR busy"), "{answer:?}");
+}
+
+/// Fails if values that arrive before the answer that goes before them are held without a limit for all
+/// connections, or if any of their requests gets no answer, or if the memory is not given back.
+#[test]
+fn values_out_of_order_stay_within_the_memory_limit_of_all_connections() {
+    const CLIENTS: usize = 32;
+    const READS: usize = 31;
+    let (world, _servers) = world_of(VALUE, Duration::from_millis(1500));
+    let node = Node::with_limits(&world, SOCKETS, MEMORY_MB);
+    // Twice: what the first burst held must be there again for the second.
+    for burst in 0..2 {
+        let mut clients: Vec<Client> = (0..CLIENTS).map(|_| node.client()).collect();
+        for (c, client) in clients.iter_mut().enumerate() {
+            let write = format!("ms w{c} 1 Ow{burst}c{c} Pc=put,d=5000,k=k{burst}c{c}\r\nx\r\n");
+            let read = |n| format!("mg k{n} v Ob{burst}c{c}n{n} Pc=read,d=5000\r\n");
+            client.send(write + &(0..READS).map(read).collect::<String>());
+        }
+        for (c, client) in clients.iter_mut().enumerate() {
+            expect_write_ended(client);
+            for n in 0..READS {
+                let line = client.read_line();
+                assert_eq!(line, format!("VA {VALUE} Ob{burst}c{c}n{n}\r\n"));
+                client.read_bytes(VALUE + 2);
+            }
+        }
+    }
+    assert_within_limit_and_serving(node, VALUE);
+}
+
+/// Fails if the first pieces of many large values behind another answer are held without a limit.
+#[test]
+fn pieces_of_large_values_stay_within_the_memory_limit_of_all_connections() {
+    const LENGTH: usize = 300 << 10;
+    let (world, _servers) = world_of(LENGTH, Duration::from_millis(1500));
+    let node = Node::with_limits(&world, SOCKETS, MEMORY_MB);
+    let mut clients: Vec<Client> = (0..64).map(|_| node.client()).collect();
+    for (c, client) in clients.iter_mut().enumerate() {
+        let write = format!("ms w{c} 1 Ow{c} Pc=put,d=5000,k=k{c}\r\nx\r\n");
+        let read = |n| format!("mg k{n} v Oc{c}n{n} Pc=read,d=5000\r\n");
+        client.send(write + &(0..16).map(read).collect::<String>());
+    }
+    clients.iter_mut().for_each(expect_write_ended);
+    drop(clients);
+    assert_within_limit_and_serving(node, LENGTH);
+}
+
+/// Fails if commands that are read and cannot be taken yet are held without a limit for all connections.
+#[test]
+fn commands_that_wait_stay_within_the_memory_limit_of_all_connections() {
+    const LENGTH: usize = 10;
+    let (world, _servers) = world_of(LENGTH, Duration::from_millis(1500));
+    let node = Node::with_limits(&world, 1024, MEMORY_MB);
+    let mut clients: Vec<Client> = (0..200).map(|_| node.client()).collect();
+    let padding = "x".repeat(850);
+    for (c, client) in clients.iter_mut().enumerate() {
+        let write = format!("ms w{c} 1 Ow{c} Pc=put,d=5000,k=k{c}\r\nx\r\n");
+        let read = |n| format!("mg k{n} v Oc{c}n{n} Pc=read,d=5000,size={padding}\r\n");
+        client.send_in_background(&(write + &(0..160).map(read).collect::<String>()));
+    }
+    clients.iter_mut().for_each(expect_write_ended);
+    drop(clients);
+    assert_within_limit_and_serving(node, LENGTH);
+}
--- a/tests/large.rs
+++ b/tests/large.rs
@@ -181,9 +181,7 @@
         reply.send(answer(10, &id));
         expect_value(&mut small, 10, &id);
     }
-    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).unwrap();
-    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap().trim();
-    let peak: usize = peak.trim_end_matches(" kB").parse().unwrap();
+    let peak = node.peak_memory_kb();
     assert!(peak < 40 << 10, "{peak} kB for {READERS} values of 4 MiB");
     for client in &mut slow[..5] {
         assert!(client.read_bytes(MAX_LENGTH) == value(MAX_LENGTH));
