Give room to large writes for what has arrived, and bound their wait for it

What was read after its time was sent on with nearly its whole time in `d`. A client that stopped within a large write heard nothing for 10 s; it is owed an error or a close within 3 s.

Cause: room for a large command, twice its size, was reserved when its first line came and kept for as long as its client took to write it. What found no room was not read, without any deadline, and its time began when its last bytes were read.

Change: crates/limits/src/upload.rs decides. Room for the whole command is reserved for 0.5 s; after that the command holds what has arrived. A wait for room ends after a quarter of the client's time, 2 s at the most; then the command is read on with the room that is there. One that finds none, of any size, is read to its end, dropped, and told `busy`. Its time counts from when its connection was last read empty. Without a byte for 2.2 s it is given up, unless it waits behind answers of its own connection. Reading moved from src/net/virtual_server.rs to a module of its own; the byte budget with its unbounded queue is gone.

Evidence: tests/uploads.rs on the code before: four of four failed (no answer in time in three, stopped clients still connected after 3 s); a_small_write_without_room_is_refused_at_its_last_byte failed, too (held and served).

--- a/crates/codec/src/memcache.rs
+++ b/crates/codec/src/memcache.rs
@@ -200,6 +200,14 @@
     (total - line - 2 > MAX_BUFFERED_VALUE).then_some(total)
 }
 
+/// How many milliseconds the client of the `ms` command at the start of a buffer waits for its answer, if its
+/// line is complete and says so.
+pub fn set_command_wait_ms(buffer: &[u8]) -> Option<u64> {
+    let (line, _) = split_line(buffer).ok()??;
+    let list = tokens(line).skip(2).find_map(|word| word.strip_prefix(b"P"))?;
+    parameter(list, b"d").and_then(decimal)
+}
+
 /// The value of a parameter in a list of `name=value` pairs, separated by commas.
 pub fn parameter<'a>(list: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
     list.split(|b| *b == b',').find_map(|pair| pair.strip_prefix(name)?.strip_prefix(b"="))
--- a/crates/limits/src/admission/requests.rs
+++ b/crates/limits/src/admission/requests.rs
@@ -24,6 +24,16 @@
         }
     }
 
+    /// A command was read and dropped, since there was no room for it. Returns the time to retry, in
+    /// milliseconds, for the `busy` answer.
+    pub fn refuse_without_room(&mut self, now: Micros, conn: ConnId) -> u32 {
+        self.advance_clock(now);
+        self.record_request(now, conn);
+        let source = self.source_of(conn);
+        self.aggregator.record(now, EventKind::Rejected(Reason::Buffer), source);
+        self.shedder.retry_ms(now).max(1)
+    }
+
     /// Records the gap before this request, for the connection's class and for the connection itself.
     fn record_request(&mut self, now: Micros, conn: ConnId) {
         let Some(c) = self.table.get(conn) else { return };
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -25,7 +25,6 @@
 
 pub mod adaptive_limit;
 pub mod admission;
-pub mod budget;
 pub mod caps;
 pub mod coalescing_queue;
 mod connection_table;
@@ -45,6 +44,7 @@
 pub mod settings;
 pub mod share;
 pub mod source;
+pub mod upload;
 pub use admission::Admission;
 pub use orders::{
     Activity, ConnId, Event, EventKind, Explanation, Intake, Order, RequestInfo, Situation, Ticket,
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -8,7 +8,8 @@
 use lapisrudder_codec::memcache::{MAX_BUFFERED_VALUE, MAX_LINE, parse_command, set_command_length};
 use lapisrudder_io::{Probe, Read, Written};
 use lapisrudder_limits::drain::State;
-use lapisrudder_limits::memory_account::HeldBytes;
+use lapisrudder_limits::memory_account::{HeldBytes, MemoryAccount};
+use lapisrudder_limits::upload::Upload;
 use lapisrudder_limits::{Activity, ConnId};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
@@ -53,9 +54,11 @@
 const LOW_MARK: usize = 16 << 10;
 /// Sent bytes at the start of the output buffer are removed once there are this many.
 const COMPACT_THRESHOLD: usize = 64 << 10;
-/// An upload of a large value of which nothing arrives for this long is given up, because it holds part of
-/// the budget for uploads.
-const UPLOAD_TIMEOUT: Micros = 10_000_000;
+/// A command of which nothing arrives for this long is given up. A client that stops within a command is owed
+/// an error or a close within 3 s.
+const UPLOAD_TIMEOUT: Micros = 2_200_000;
+/// Time that remains for the next bytes after a read, however long ago the bytes that it found had arrived.
+const UPLOAD_GRACE: Micros = 500_000;
 
 pub enum Slot {
     Waiting {
@@ -73,27 +76,64 @@
     },
 }
 
-/// A command with a large value that is being received.
-pub struct Upload {
-    pub bytes: Vec<u8>,
-    /// Size of the complete command in bytes.
-    pub total: usize,
-    /// It fits into the budget; before that no more of it is read.
-    pub admitted: bool,
+/// A command that is received apart from `input`, because it is large or there is no room for it.
+pub struct Receiving {
+    pub upload: Upload,
+    /// What has been received; once it is refused, the last two bytes alone.
+    bytes: Vec<u8>,
 }
 
-impl Upload {
-    /// Bytes to reserve for it: it is held once as received and once as passed on.
-    pub fn needs(&self) -> usize {
-        2 * self.total
+impl Receiving {
+    pub fn new(upload: Upload, bytes: &[u8]) -> Receiving {
+        let mut receiving = Receiving { upload, bytes: bytes.to_vec() };
+        receiving.trim();
+        receiving
     }
 
-    /// Bytes that count for it: what is reserved, or what has been read before that.
-    fn held(&self) -> usize {
-        if self.admitted { self.needs() } else { self.bytes.len() }
+    fn receive(&mut self, bytes: &[u8], account: &MemoryAccount) {
+        self.upload.receive(bytes.len(), account);
+        if !self.upload.is_refused() {
+            // The whole command: memory is resident only once it is written to.
+            self.bytes.reserve_exact(self.upload.missing() + bytes.len());
+        }
+        self.bytes.extend_from_slice(bytes);
+        self.trim();
+    }
+
+    fn trim(&mut self) {
+        if self.upload.is_refused() {
+            self.bytes.drain(..self.bytes.len().saturating_sub(LINE_END.len()));
+            self.bytes.shrink_to_fit();
+        }
+    }
+
+    /// What has become of it, if it has arrived completely.
+    fn complete(self) -> UploadRead {
+        match self.upload.is_refused() {
+            false => UploadRead::Complete(self.bytes),
+            true if self.bytes == LINE_END => UploadRead::Refused,
+            true => UploadRead::Malformed,
+        }
     }
 }
 
+/// The end of a line, and of a value.
+const LINE_END: &[u8] = b"\r\n";
+
+/// What was read of a command that is received apart.
+pub enum UploadRead {
+    /// A part of it, or nothing.
+    Incomplete,
+    /// All of it.
+    Complete(Vec<u8>),
+    /// All of it, and it was dropped, since there was no room.
+    Refused,
+    /// The same, but its value does not end where it should.
+    Malformed,
+    /// The peer has closed.
+    Ended,
+}
+
 #[derive(PartialEq)]
 enum Phase {
     Open,
@@ -121,8 +161,8 @@
     socket: Socket,
     /// Part of a command that has been read.
     pub input: Vec<u8>,
-    /// A command with a large value, of which nothing is in `input`.
-    pub upload: Option<Upload>,
+    /// A command that is received apart, of which nothing is in `input`.
+    pub receiving: Option<Receiving>,
     /// What is counted for it in the account of all clients.
     pub counted: HeldBytes,
     /// The account of all clients has room for the answer to a further command.
@@ -170,7 +210,7 @@
             conn,
             socket,
             input: Vec::new(),
-            upload: None,
+            receiving: None,
             stream_paused: false,
             counted: HeldBytes::default(),
             has_answer_room: true,
@@ -224,7 +264,7 @@
     pub fn activity(&self) -> Activity {
         match self.phase {
             // Receiving a large value counts as activity: the client does not just occupy a connection.
-            Phase::Open if self.upload.is_some() => Activity::Pending,
+            Phase::Open if self.receiving.is_some() => Activity::Pending,
             Phase::Open if self.nothing_pending() && !self.unread => {
                 if self.input.is_empty() {
                     Activity::Idle
@@ -240,7 +280,7 @@
     /// Its state for logs.
     pub fn describe(&self, now: Micros) -> String {
         let (pending, unsent) = (self.slots.len(), self.output.len() - self.sent);
-        let upload = if self.upload.is_some() { " upload" } else { "" };
+        let upload = if self.receiving.is_some() { " upload" } else { "" };
         let unread = if self.unread { " unread" } else { "" };
         let leaving = if self.leaving { " leaving" } else { "" };
         let (activity, last_ms) = (self.activity(), (now - self.last_progress) / 1000);
@@ -276,8 +316,7 @@
     /// Whether there is data that is not read for now: the client has reached its limits, the upload does not
     /// fit into the budget, or the connection is to close or to go to another process.
     pub fn is_read_blocked(&self) -> bool {
-        let upload_waits = self.upload.as_ref().is_some_and(|u| !u.admitted);
-        self.unread && !self.lingers() && (upload_waits || !self.can_take_command())
+        self.unread && !self.lingers() && (self.waits_for_room() || !self.can_take_command())
     }
 
     /// Whether nothing has been read from it yet.
@@ -314,10 +353,16 @@
     }
 
     /// The time at which it is closed if nothing happens until then and it is not between requests.
-    pub fn due(&self) -> Option<Micros> {
+    pub fn close_due(&self) -> Option<Micros> {
         [self.stall_due(), self.drain_due()].into_iter().flatten().min()
     }
 
+    /// The next time at which it has to be checked.
+    pub fn due(&self) -> Option<Micros> {
+        let upload = self.receiving.as_ref().and_then(|receiving| receiving.upload.due());
+        [self.close_due(), upload].into_iter().flatten().min()
+    }
+
     /// Whether the time of its drain is over.
     pub fn is_past_drain(&self, now: Micros) -> bool {
         self.drain_due().is_some_and(|at| at <= now)
@@ -343,7 +388,7 @@
         let unread = if self.can_take_command() { self.check_readable() } else { self.unread };
         match () {
             () if self.lingers() => State::Lingering,
-            () if open && self.upload.is_some() => State::Unfinished,
+            () if open && self.receiving.is_some() => State::Unfinished,
             () if !self.slots.is_empty() && !self.is_sending() && open && unread => State::PendingUnread,
             () if !self.slots.is_empty() && !self.is_sending() => State::Pending,
             () if self.is_sending() => State::Sending,
@@ -357,8 +402,9 @@
         let timeout = match self.phase {
             Phase::Lingering => LINGER_TIME,
             Phase::ShutBetweenRequests => CLOSE_CHECK_TIME,
+            // Nothing is read of a command that waits, for room or behind pending answers.
+            _ if self.receiving.is_some() && !self.is_read_blocked() => UPLOAD_TIMEOUT,
             _ if self.sent < self.output.len() => UNSENT_TIMEOUT,
-            _ if self.upload.as_ref().is_some_and(|u| u.admitted) => UPLOAD_TIMEOUT,
             // Transactions have deadlines of their own, and the limits decide how long other clients may
             // stay.
             _ => return None,
@@ -378,6 +424,15 @@
         *self.came_after.get_or_insert(after.max(self.read_empty_at))
     }
 
+    /// Nothing is read now. What waits behind pending answers makes no progress, and the wait does not count.
+    /// The time of what waits for room does.
+    pub fn note_blocked(&mut self, now: Micros) {
+        if !self.can_take_command() {
+            self.forget_arrival();
+            self.last_progress = if self.receiving.is_some() { now } else { self.last_progress };
+        }
+    }
+
     /// Forgets the arrival time of unread data that waits behind pending answers: the wait does not count,
     /// and its time starts when it is read.
     pub fn forget_arrival(&mut self) {
@@ -427,22 +482,50 @@
         Some(&scratch[..held + read])
     }
 
-    /// Reads more of a command with a large value, but not beyond its end. Returns the command once it is
-    /// complete; `None` means that the peer has closed.
-    pub fn read_upload(&mut self, scratch: &mut [u8], now: Micros) -> Option<Option<Vec<u8>>> {
-        let Some(upload) = self.upload.as_mut().filter(|u| u.admitted) else { return Some(None) };
-        let space = (upload.total - upload.bytes.len()).min(scratch.len());
+    /// Reads more of a command that is received apart, but not beyond its end. What is read arrived after
+    /// `came_after`.
+    pub fn read_upload(
+        &mut self,
+        scratch: &mut [u8],
+        account: &MemoryAccount,
+        came_after: Micros,
+        now: Micros,
+    ) -> UploadRead {
+        let Some(mut receiving) = self.receiving.take() else { return UploadRead::Incomplete };
+        let space = receiving.upload.missing().min(scratch.len());
         match self.socket.read(&mut scratch[..space]) {
-            Read::End | Read::Broken(_) => return None,
+            Read::End | Read::Broken(_) => return UploadRead::Ended,
             Read::Bytes(n) => {
-                upload.bytes.extend_from_slice(&scratch[..n]);
-                self.last_progress = now;
+                receiving.receive(&scratch[..n], account);
+                self.last_progress = came_after.clamp(now - (UPLOAD_TIMEOUT - UPLOAD_GRACE), now);
+                if receiving.upload.missing() == 0 {
+                    return receiving.complete();
+                }
+                self.unread = n == space || self.socket.has_unread() != Probe::No;
             }
             Read::NotReady => self.unread = false,
             Read::Later(_) => self.needs_retry = true,
         }
-        let complete = upload.bytes.len() == upload.total;
-        Some(self.upload.take_if(|_| complete).map(|upload| upload.bytes))
+        if !self.unread {
+            (self.came_after, self.read_empty_at) = (None, now);
+        }
+        self.receiving = Some(receiving);
+        UploadRead::Incomplete
+    }
+
+    /// Begins to receive a command apart from the others.
+    pub fn receive_apart(&mut self, receiving: Receiving, now: Micros) {
+        (self.receiving, self.last_progress, self.unread) = (Some(receiving), now, true);
+    }
+
+    /// Ends a wait for room, or a reservation, that is over. Returns whether it did.
+    pub fn advance_upload(&mut self, now: Micros) -> bool {
+        self.receiving.as_mut().is_some_and(|receiving| receiving.upload.advance(now))
+    }
+
+    /// Whether a command waits for room.
+    pub fn waits_for_room(&self) -> bool {
+        self.receiving.as_ref().is_some_and(|receiving| receiving.upload.is_waiting())
     }
 
     /// Keeps the incomplete command at the end of what was read.
@@ -595,7 +678,7 @@
     pub fn held(&self) -> HeldBytes {
         let mut held = HeldBytes {
             input: self.input.len(),
-            uploads: self.upload.as_ref().map_or(0, Upload::held),
+            uploads: self.receiving.as_ref().map_or(0, |receiving| receiving.upload.held()),
             answers: self.output.len(),
             expected: 0,
         };
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -2,18 +2,18 @@
 //! which connections and requests are taken and how long a connection is kept; this module carries that out.
 
 mod accepting;
+mod reading;
 mod release;
 mod states;
 
-use super::client::{Client, LingerRead, SCRATCH, Slot, Upload};
+use super::client::{Client, LingerRead, SCRATCH, Slot};
 use super::deadlines::{Deadline, Deadlines, Key};
 use super::{Handle, Owner, Ready};
 use lapisrudder::permit::{Close, Denial, Violations};
 use lapisrudder::{Micros, RequestId};
-use lapisrudder_codec::memcache::{self, Command, MAX_BUFFERED_VALUE, OwnedRequest};
+use lapisrudder_codec::memcache::{MAX_BUFFERED_VALUE, OwnedRequest};
 use lapisrudder_host::{RETRY_INTERVAL, RegisteredSource};
-use lapisrudder_io::{Listener, Probe, Shortage as Failures};
-use lapisrudder_limits::budget::Budget;
+use lapisrudder_io::{Listener, Shortage as Failures};
 use lapisrudder_limits::drain::Drain;
 use lapisrudder_limits::memory_account::{AnswerSize, HeldBytes, MemoryAccount};
 use lapisrudder_limits::{
@@ -148,8 +148,9 @@
     /// While clients have not taken this many bytes of answers, large values are read ahead of them. Above it
     /// only a small part of each is buffered.
     max_read_ahead: usize,
-    /// Budget for commands with large values, and the bytes reserved for each of them that was taken.
-    upload_budget: Budget,
+    /// Clients whose commands wait for room, in order of arrival.
+    waiting_uploads: VecDeque<u64>,
+    /// Bytes that count for each command with a large value that was taken.
     upload_bytes: FxHashMap<RequestId, usize>,
 }
 
@@ -205,7 +206,7 @@
             account: MemoryAccount::new(usize::MAX),
             answer_size: AnswerSize::new(MAX_BUFFERED_VALUE),
             max_read_ahead: usize::MAX,
-            upload_budget: Budget::new(usize::MAX),
+            waiting_uploads: VecDeque::new(),
             upload_bytes: FxHashMap::default(),
         };
         server.open_spare();
@@ -219,7 +220,7 @@
     /// large values are read ahead. Called before the first client.
     pub fn set_memory_limits(&mut self, capacity: usize, read_ahead: usize) {
         self.account = MemoryAccount::new(capacity);
-        (self.upload_budget, self.max_read_ahead) = (Budget::new(capacity), read_ahead);
+        self.max_read_ahead = read_ahead;
     }
 
     /// What is held for all clients together.
@@ -227,26 +228,9 @@
         self.account.held()
     }
 
-    /// Returns reserved bytes to the budget.
-    fn free(&mut self, bytes: usize) {
-        let next = self.upload_budget.release(bytes);
-        self.admit(next);
-    }
-
-    /// Continues to read the commands with large values that now fit into the budget.
-    fn admit(&mut self, ids: Vec<u64>) {
-        for id in ids {
-            if let Some(upload) = self.clients.get_mut(&id).and_then(|c| c.upload.as_mut()) {
-                upload.admitted = true;
-                self.touched.push(id);
-            }
-        }
-    }
-
     fn release_upload(&mut self, request: RequestId) {
-        if let Some(bytes) = self.upload_bytes.remove(&request) {
-            self.account.replace(HeldBytes { uploads: bytes, ..HeldBytes::default() }, HeldBytes::default());
-            self.free(bytes);
+        if let Some(uploads) = self.upload_bytes.remove(&request) {
+            self.account.replace(HeldBytes { uploads, ..HeldBytes::default() }, HeldBytes::default());
         }
     }
 
@@ -482,14 +466,6 @@
         debug!(client = id, reason = ?why, owed = left.len(), "connection closed");
         self.events.extend(left.iter().map(|request| ClientEvent::ClientLeft { request: *request }));
         left.into_iter().for_each(|request| self.release_upload(request));
-        match client.upload {
-            Some(upload) if upload.admitted => self.free(upload.needs()),
-            Some(_) => {
-                let next = self.upload_budget.cancel(id);
-                self.admit(next);
-            }
-            None => {}
-        }
         self.resume(deadlines);
     }
 
@@ -578,7 +554,13 @@
     pub fn on_deadline(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.deadline = None;
-        match client.due() {
+        if client.advance_upload(now) {
+            recount(&mut self.account, client);
+            self.touched.push(id);
+            self.grant_uploads(now);
+        }
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        match client.close_due() {
             Some(due) if due <= now => {
                 let drained = client.is_past_drain(now);
                 if drained && !client.lingers() {
@@ -600,135 +582,6 @@
         }
     }
 
-    fn read(&mut self, id: u64, scratch: &mut [u8], now: Micros) -> State {
-        let Some(client) = self.clients.get_mut(&id).filter(|c| c.unread) else { return State::Open };
-        // Without this check the requests of a client that has left would be sent to servers, since nothing
-        // is read that reports its end.
-        if client.is_read_blocked() {
-            client.forget_arrival();
-            return if client.has_left() == Probe::Yes {
-                State::Closed(CloseReason::PeerEnded)
-            } else {
-                State::Open
-            };
-        }
-        // The client may have left while its connection waited to be accepted, or while the process was
-        // stalled: its requests must not be sent to servers.
-        let waited = client.is_fresh() || now - self.last_read > STALL_THRESHOLD;
-        match if waited { client.has_left() } else { Probe::No } {
-            Probe::No => {}
-            Probe::Yes => return State::Closed(CloseReason::PeerEnded),
-            Probe::Unknown => return State::Open,
-        }
-        // The arrival of the first bytes of a large value does not bound that of its last.
-        let large = client.upload.is_some();
-        let came_after = if large { self.came_after } else { client.came_after(self.came_after) };
-        let uploaded = client.upload.as_ref().map(Upload::needs);
-        let complete;
-        let buffer = match uploaded {
-            Some(_) => match client.read_upload(scratch, now) {
-                Some(Some(bytes)) => {
-                    complete = bytes;
-                    &complete[..]
-                }
-                Some(None) => return State::Open,
-                None => return State::Closed(CloseReason::PeerEnded),
-            },
-            None => match client.read(scratch, now) {
-                Some(buffer) => buffer,
-                None => return State::Closed(CloseReason::PeerEnded),
-            },
-        };
-        let mut newest = None;
-        let mut taken = 0;
-        // Room for the answers to the commands that are taken here, which is not counted yet.
-        let mut expected = 0;
-        while client.can_take_command() {
-            let bad = match memcache::parse_command(&buffer[taken..]) {
-                Ok(None) => break,
-                Err(what) => {
-                    client.stop_taking();
-                    // After this error the start of the next command is unknown.
-                    taken = buffer.len();
-                    Some(what)
-                }
-                Ok(Some((command, used))) => {
-                    let raw = &buffer[taken..taken + used];
-                    taken += used;
-                    match command {
-                        Command::Request(request) => {
-                            self.next_request += 1;
-                            let number = RequestId(self.next_request);
-                            newest = Some(number);
-                            // The first of a series can be sent as it comes, a receipt is small.
-                            let answer = match client.slots.is_empty() || request.write {
-                                true => 0,
-                                false => self.answer_size.expected(),
-                            };
-                            client.slots.push_back(Slot::Waiting { request: number, expected: answer });
-                            expected += answer;
-                            client.has_answer_room =
-                                self.account.fits(expected + self.answer_size.expected());
-                            if let Some(command) = OwnedRequest::copy_of(&request, raw) {
-                                let event =
-                                    ClientEvent::Command { client: id, request: number, command, came_after };
-                                self.events.push_back(event);
-                            }
-                            None
-                        }
-                        Command::Ready if self.standby.is_some() || self.ready => {
-                            let line = if self.standby.is_some() { NOT_READY } else { READY_LINE };
-                            client.slots.push_back(Slot::Ready(line.to_vec()));
-                            None
-                        }
-                        Command::Ready => {
-                            client
-                                .slots
-                                .push_back(Slot::Waiting { request: RequestId(READY_REQUEST), expected: 0 });
-                            self.awaiting_ready.push(id);
-                            None
-                        }
-                        Command::Quit => {
-                            client.stop_taking();
-                            None
-                        }
-                        Command::Bad(what) => Some(what),
-                    }
-                }
-            };
-            if let Some(what) = bad {
-                client.slots.push_back(Slot::Ready(error(what)));
-                client.count_error();
-            }
-        }
-        // Complete commands may be left over here, for which no edge-triggered event will come.
-        if !client.can_take_command() {
-            client.unread = true;
-            client.forget_arrival();
-        }
-        let rest = &buffer[taken..];
-        if let Some(total) = memcache::large_command_length(rest).filter(|_| client.can_take_command()) {
-            let mut upload = Upload { bytes: rest.to_vec(), total, admitted: false };
-            upload.admitted = self.upload_budget.acquire(id, upload.needs());
-            client.upload = Some(upload);
-            client.unread = true;
-            client.keep_rest(&[]);
-        } else {
-            client.keep_rest(rest);
-        }
-        match (uploaded, newest) {
-            (Some(bytes), Some(request)) => {
-                self.upload_bytes.insert(request, bytes);
-                self.account
-                    .replace(HeldBytes::default(), HeldBytes { uploads: bytes, ..HeldBytes::default() });
-            }
-            // The large command was not taken as a request.
-            (Some(bytes), None) => self.free(bytes),
-            (None, _) => {}
-        }
-        State::Open
-    }
-
     /// Answers a command. If it is the next in order, `parts` are sent without being joined.
     pub fn answer(&mut self, id: u64, request: RequestId, parts: &[&[u8]], now: Micros) {
         self.release_upload(request);
@@ -764,6 +617,7 @@
             self.admission.set_activity(now, client.conn, client.activity());
             self.update_deadline(id, deadlines);
         }
+        self.grant_uploads(now);
     }
 
     /// Answers a command that cannot be taken as a transaction with an error.
