Refuse a new configuration only for documented keys that it lost

Cause: Platform::check_no_key_lost asked for every key of the file in force, also for those that may be absent and those that the node does not know, and json::keys put the keys of all elements of an array together. So the only class with a key could not be dropped, and a class that had lost a documented key was applied with a default as long as another class had it.

Change: crates/config/src/required_keys.rs lists the keys that the platform's pages document as always present. These count where the file in force has them; each class and tenant must have those that the one of its name had, or that all had. Broken files stay refused, and some are now that were not.

--- a/crates/config/src/json.rs
+++ b/crates/config/src/json.rs
@@ -4,7 +4,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 use std::borrow::Cow;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// The line, from 1, of the value at a dotted path, in which a number is an index into an array; `None` if
 /// there is no such value.
@@ -30,26 +30,6 @@
     serde_json::from_str::<Fields>(text).ok().map(|fields| fields.0)
 }
 
-/// All dotted keys of a text. `[]` stands for the elements of an array, whatever their index.
-pub(crate) fn keys(text: &[u8]) -> BTreeSet<String> {
-    fn walk(value: &serde_json::Value, at: &str, keys: &mut BTreeSet<String>) {
-        match value {
-            serde_json::Value::Object(fields) => fields.iter().for_each(|(name, value)| {
-                let key = if at.is_empty() { name.clone() } else { format!("{at}.{name}") };
-                walk(value, &key, keys);
-                keys.insert(key);
-            }),
-            serde_json::Value::Array(values) => {
-                values.iter().for_each(|value| walk(value, &format!("{at}[]"), keys));
-            }
-            _ => {}
-        }
-    }
-    let mut keys = BTreeSet::new();
-    walk(&serde_json::from_slice(text).unwrap_or_default(), "", &mut keys);
-    keys
-}
-
 /// The line, from 1, at a byte offset.
 pub(crate) fn line_at(text: &str, offset: usize) -> usize {
     1 + text.bytes().take(offset).filter(|b| *b == b'\n').count()
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -27,6 +27,7 @@
 mod options;
 mod platform;
 mod problem;
+mod required_keys;
 mod sections;
 mod sources;
 
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -5,8 +5,8 @@
 use crate::members::{MemberList, RawList, Target};
 use crate::options::{Options, digest};
 use crate::problem::{Location, Problem, ProblemKind, Problems};
+use crate::required_keys::PresentKeys;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
 use std::env;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -71,25 +71,23 @@
     pub known: Vec<Target>,
     /// The settings.
     pub options: Options,
-    /// All keys of the file.
-    keys: BTreeSet<String>,
+    /// The keys of the file that a later one must not lack.
+    keys: PresentKeys,
 }
 
 impl Platform {
-    /// Checks that the file still has every key that it had at an earlier reading. Keys of the remembered
-    /// list (`known`) do not count: that is no setting.
+    /// Checks that the file still has every key that it had at an earlier reading. Keys that may be absent, or
+    /// that this build does not know, do not count, nor does the remembered list (`known`).
     ///
     /// # Errors
     /// A problem for each missing key.
     pub fn check_no_key_lost(&self, earlier: &Platform, path: &Path) -> Result<(), Problems> {
-        let missing =
-            earlier.keys.difference(&self.keys).filter(|key| key.split(['.', '[']).next() != Some("known"));
-        let problem = |key: &String| Problem {
+        let problem = |key: String| Problem {
             location: Location::File { path: path.into(), line: None },
-            key: key.clone(),
+            key,
             kind: ProblemKind::KeyLost,
         };
-        let problems: Vec<Problem> = missing.map(problem).collect();
+        let problems: Vec<Problem> = self.keys.lost_since(&earlier.keys).into_iter().map(problem).collect();
         if problems.is_empty() { Ok(()) } else { Err(Problems::new(problems)) }
     }
 
@@ -306,7 +304,7 @@
             revision: known.revision,
             known: known.targets,
             options,
-            keys: json::keys(text),
+            keys: PresentKeys::of(text),
         })
     }
 }
--- a/crates/config/tests/problems.rs
+++ b/crates/config/tests/problems.rs
@@ -244,3 +244,89 @@
     assert_eq!(lost_keys(r#""cores": 0.5, "#, ""), expected("limits.cores"));
     assert_eq!(lost_keys(r#""rev": 4, "#, ""), Vec::<String>::new(), "the remembered list is no setting");
 }
+
+/// A file with optional and unknown keys at every level.
+const RICH: &str = r#"{
+  "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "management": "127.0.0.1:2", "novel": {"a": [{"b": 1}]},
+  "limits": {"cores": 0.5, "sockets": 1024, "burst": 2},
+  "settings": {
+    "zones": ["z"], "host-types": ["cache"], "unheard-of": [{"a": 1}, {"b": 2}],
+    "bounds": {"multiplex": 32, "attempts-cap": 3, "fresh": {"deep": 1}},
+    "rules": {"cold-s": 24.0, "budget-free": 3.0, "extra-ratio": 0.1, "resend-span-s": 10.0, "gone-is-advice": true},
+    "tariffs": {"waste": 0.05, "fleet": 0.1},
+    "customers": [{"name": "a", "quota-per-s": 5.0, "tier": 1}, {"name": "b", "quota-per-s": 6.0}],
+    "request-classes": [
+      {"name": "read", "effect": "free", "give-up-s": 2.5, "slo-s": 0.75, "worth": 5},
+      {"name": "put", "effect": "guarded", "give-up-s": 2.5, "slo-s": 0.75, "worth": 5, "window-s": 9.0, "hue": "red"},
+      {"name": "trial", "effect": "free", "give-up-s": 2.5, "slo-s": 0.75, "worth": 5, "aim-stretch": 2.0}
+    ]
+  }
+}"#;
+
+/// The keys that are reported as lost when the text of `RICH` is changed as told.
+fn keys_lost(changes: &[(&str, &str)]) -> Vec<String> {
+    let parse = |text: &str| {
+        Platform::parse(text.as_bytes(), Path::new("p.json"), &Environment::default(), true).expect("sound")
+    };
+    let changed = changes.iter().fold(RICH.to_string(), |text, (from, to)| {
+        assert!(text.contains(from), "{from}");
+        text.replacen(from, to, 1)
+    });
+    let result = parse(&changed).check_no_key_lost(&parse(RICH), Path::new("p.json"));
+    result.map_or_else(|e| e.iter().map(|problem| problem.key.clone()).collect(), |()| Vec::new())
+}
+
+/// Fails if a good new configuration is refused because a key that may be absent, or is unknown, is gone.
+#[test]
+fn a_reloaded_file_may_lack_keys_that_are_optional_or_unknown() {
+    const TRIAL: &str = r#",
+      {"name": "trial", "effect": "free", "give-up-s": 2.5, "slo-s": 0.75, "worth": 5, "aim-stretch": 2.0}"#;
+    const PUT: &str = r#"
+      {"name": "put", "effect": "guarded", "give-up-s": 2.5, "slo-s": 0.75, "worth": 5, "window-s": 9.0, "hue": "red"},"#;
+    for (gone, left) in [
+        (TRIAL, ""),
+        (r#", "aim-stretch": 2.0"#, ""),
+        (r#", "hue": "red""#, ""),
+        (PUT, ""),
+        (r#""management": "127.0.0.1:2", "#, ""),
+        (r#", "novel": {"a": [{"b": 1}]}"#, ""),
+        (r#"{"a": [{"b": 1}]}"#, "7"),
+        (r#", "burst": 2"#, ""),
+        (r#" "unheard-of": [{"a": 1}, {"b": 2}],"#, ""),
+        (r#"{"a": 1}, "#, ""),
+        (r#", "fresh": {"deep": 1}"#, ""),
+        (r#"{"deep": 1}"#, "{}"),
+        (r#", "budget-free": 3.0, "extra-ratio": 0.1, "resend-span-s": 10.0, "gone-is-advice": true"#, ""),
+        (r#", "fleet": 0.1"#, ""),
+        (r#", "tier": 1"#, ""),
+        (r#"{"name": "a", "quota-per-s": 5.0, "tier": 1}, {"name": "b", "quota-per-s": 6.0}"#, ""),
+    ] {
+        assert_eq!(keys_lost(&[(gone, left)]), Vec::<String>::new(), "without {gone}");
+    }
+}
+
+/// Fails if a broken file is applied, because a documented key is missing at any level or in one element.
+#[test]
+fn a_reloaded_file_without_a_documented_key_is_broken() {
+    let class = r#""name": "renamed", "effect": "free", "give-up-s": 2.5, "slo-s": 0.75, "worth": 5, "aim"#;
+    for (change, key) in [
+        ((r#""name": "n0", "#, ""), "name"),
+        ((r#""cores": 0.5, "#, ""), "limits.cores"),
+        ((r#""zones": ["z"], "#, r#""novel": 1, "#), "settings.zones"),
+        ((r#", "host-types": ["cache"]"#, ""), "settings.host-types"),
+        ((r#""cold-s": 24.0, "#, ""), "settings.rules.cold-s"),
+        ((r#""waste": 0.05, "#, ""), "settings.tariffs.waste"),
+        ((r#""name": "b", "quota-per-s": 6.0"#, r#""name": "b""#), "settings.customers[].quota-per-s"),
+        ((r#""slo-s": 0.75, "worth": 5}"#, r#""slo-s": 0.75}"#), "settings.request-classes[].worth"),
+        ((r#""window-s": 9.0, "#, ""), "settings.request-classes[].window-s"),
+    ] {
+        assert_eq!(keys_lost(&[change]), [key], "{change:?}");
+    }
+    let renamed =
+        (r#""name": "trial", "effect": "free", "give-up-s": 2.5, "slo-s": 0.75, "worth": 5, "aim"#, class);
+    assert_eq!(keys_lost(&[renamed]), Vec::<String>::new());
+    assert_eq!(
+        keys_lost(&[renamed, (r#""worth": 5, "aim"#, r#""aim"#)]),
+        ["settings.request-classes[].worth"]
+    );
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -149,6 +149,32 @@
     served.expect("a value from the new list's server, though EDGE_DISCOVERY names the old discovery");
 }
 
+/// Fails if a good new configuration is refused, so that old rules stay in force, because it drops the only
+/// class with a key that may be absent.
+#[test]
+fn a_reload_may_drop_the_only_class_with_an_optional_key() {
+    const TRIAL: &str = r#"{"aim-stretch":2.0,"effect":"free","give-up-s":2.5,"group":"all","name":"trial","slo-s":0.75,"window-s":5.0,"worth":5.0},"#;
+    let world = world(spec(&["a"]), ids(10));
+    let discovery = world.addresses().discovery(0).unwrap();
+    let with_trial = SETTINGS
+        .replace(r#""request-classes":["#, &format!(r#""novel":{{"a":1}},"request-classes":[{TRIAL}"#));
+    let node = Node::with_settings(discovery, &with_trial);
+    node.wait_ready();
+    assert_eq!(node.client().ask("mg k0 v O0 Pc=fresh,d=2000\r\n"), "CLIENT_ERROR unknown class\r\n");
+    node.reload(|text| {
+        text.replace(r#""novel":{"a":1},"#, "")
+            .replace(TRIAL, &TRIAL.replace("trial", "fresh").replace(r#""aim-stretch":2.0,"#, ""))
+    });
+    wait_until(|| {
+        let answer = node.client().ask("mg k1 v O1 Pc=fresh,d=2000\r\n");
+        assert!(
+            answer.starts_with("CLIENT_ERROR unknown class") || answer == value_from("a", "1"),
+            "{answer:?}"
+        );
+        answer == value_from("a", "1")
+    });
+}
+
 /// Fails if the program starts with a bad configuration, or does not say in one line what is wrong with it.
 #[test]
 fn a_bad_configuration_ends_the_program_with_one_line() {
