Move a command that is received apart into a module of its own

What a command with a large value has received, and what becomes of it, is in src/net/receiving.rs now. No behaviour changes, but for one buffer: the rest of an answer that a socket does not take is reserved exactly, since appending it could make the buffer twice as large as what the memory account counts (seen by reading; its capacity shows nowhere, so no test guards it).

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,6 +2,7 @@
 
 use super::Socket;
 use super::deadlines::Key;
+use super::receiving::{Receiving, UploadRead};
 use lapisrudder::permit::{Close, Denial};
 use lapisrudder::time_limits::MAX_STALL;
 use lapisrudder::{Micros, RequestId};
@@ -9,7 +10,6 @@
 use lapisrudder_io::{Probe, Read, Written};
 use lapisrudder_limits::drain::State;
 use lapisrudder_limits::memory_account::{HeldBytes, MemoryAccount};
-use lapisrudder_limits::upload::Upload;
 use lapisrudder_limits::{Activity, ConnId};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
@@ -76,64 +76,6 @@
     },
 }
 
-/// A command that is received apart from `input`, because it is large or there is no room for it.
-pub struct Receiving {
-    pub upload: Upload,
-    /// What has been received; once it is refused, the last two bytes alone.
-    bytes: Vec<u8>,
-}
-
-impl Receiving {
-    pub fn new(upload: Upload, bytes: &[u8]) -> Receiving {
-        let mut receiving = Receiving { upload, bytes: bytes.to_vec() };
-        receiving.trim();
-        receiving
-    }
-
-    fn receive(&mut self, bytes: &[u8], account: &MemoryAccount) {
-        self.upload.receive(bytes.len(), account);
-        if !self.upload.is_refused() {
-            // The whole command: memory is resident only once it is written to.
-            self.bytes.reserve_exact(self.upload.missing() + bytes.len());
-        }
-        self.bytes.extend_from_slice(bytes);
-        self.trim();
-    }
-
-    fn trim(&mut self) {
-        if self.upload.is_refused() {
-            self.bytes.drain(..self.bytes.len().saturating_sub(LINE_END.len()));
-            self.bytes.shrink_to_fit();
-        }
-    }
-
-    /// What has become of it, if it has arrived completely.
-    fn complete(self) -> UploadRead {
-        match self.upload.is_refused() {
-            false => UploadRead::Complete(self.bytes),
-            true if self.bytes == LINE_END => UploadRead::Refused,
-            true => UploadRead::Malformed,
-        }
-    }
-}
-
-/// The end of a line, and of a value.
-const LINE_END: &[u8] = b"\r\n";
-
-/// What was read of a command that is received apart.
-pub enum UploadRead {
-    /// A part of it, or nothing.
-    Incomplete,
-    /// All of it.
-    Complete(Vec<u8>),
-    /// All of it, and it was dropped, since there was no room.
-    Refused,
-    /// The same, but its value does not end where it should.
-    Malformed,
-    /// The peer has closed.
-    Ended,
-}
-
 #[derive(PartialEq)]
 enum Phase {
     Open,
@@ -749,6 +691,7 @@
         }
         self.sent += done.min(held);
         done -= done.min(held);
+        self.output.reserve_exact(parts.iter().map(|part| part.len()).sum::<usize>() - done);
         for part in parts {
             let skipped = done.min(part.len());
             self.output.extend_from_slice(&part[skipped..]);
--- a/src/net/virtual_server/reading.rs
+++ b/src/net/virtual_server/reading.rs
@@ -5,7 +5,8 @@
     ClientEvent, CloseReason, NOT_READY, READY_LINE, READY_REQUEST, STALL_THRESHOLD, State, VirtualServer,
     error, recount,
 };
-use crate::net::client::{Receiving, Slot, UploadRead};
+use crate::net::client::Slot;
+use crate::net::receiving::{Receiving, UploadRead};
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{self, Command, MAX_LINE, OwnedRequest, Request};
 use lapisrudder_io::Probe;
