Move the queue of writes that wait for room into limits, with tests as before

Change: UploadQueue in crates/limits/src/upload.rs decides whose turn it is; the daemon reserves and reads. No behaviour changes.

--- a/crates/limits/src/admission/requests.rs
+++ b/crates/limits/src/admission/requests.rs
@@ -16,11 +16,7 @@
         self.record_request(now, conn);
         match self.admit(now, conn, request) {
             Ok(ticket) => Intake::Take { ticket },
-            Err(why) => {
-                let source = self.source_of(conn);
-                self.aggregator.record(now, EventKind::Rejected(why), source);
-                Intake::Refuse { retry_ms: self.shedder.retry_ms(now), why }
-            }
+            Err(why) => Intake::Refuse { retry_ms: self.record_refusal(now, conn, why), why },
         }
     }
 
@@ -29,9 +25,14 @@
     pub fn refuse_without_room(&mut self, now: Micros, conn: ConnId) -> u32 {
         self.advance_clock(now);
         self.record_request(now, conn);
+        self.record_refusal(now, conn, Reason::Buffer).max(1)
+    }
+
+    /// Records a refusal, and returns the time to retry in milliseconds.
+    fn record_refusal(&mut self, now: Micros, conn: ConnId, why: Reason) -> u32 {
         let source = self.source_of(conn);
-        self.aggregator.record(now, EventKind::Rejected(Reason::Buffer), source);
-        self.shedder.retry_ms(now).max(1)
+        self.aggregator.record(now, EventKind::Rejected(why), source);
+        self.shedder.retry_ms(now)
     }
 
     /// Records the gap before this request, for the connection's class and for the connection itself.
--- a/crates/limits/src/upload.rs
+++ b/crates/limits/src/upload.rs
@@ -7,6 +7,7 @@
 
 use crate::Micros;
 use crate::memory_account::MemoryAccount;
+use std::collections::VecDeque;
 
 /// Longest wait for room. A client that stops sending must be told within 3 s, and nothing is read from one
 /// that waits.
@@ -117,6 +118,33 @@
     }
 }
 
+/// The commands that wait for room, by the numbers of their clients, in order of arrival. Otherwise smaller
+/// ones could overtake a large one for ever.
+#[derive(Clone, Debug, Default)]
+pub struct UploadQueue {
+    waiting: VecDeque<u64>,
+}
+
+impl UploadQueue {
+    /// Adds a command behind the others.
+    pub fn push(&mut self, client: u64) {
+        self.waiting.push_back(client);
+    }
+
+    /// Takes the first command off the queue if there is room for it. `needs` gives the bytes that a command
+    /// needs, or `None` if it does not wait any more.
+    pub fn grant(&mut self, account: &MemoryAccount, needs: impl Fn(u64) -> Option<usize>) -> Option<u64> {
+        while let Some(client) = self.waiting.front().copied() {
+            match needs(client) {
+                Some(bytes) if !account.fits(bytes) => return None,
+                Some(_) => return self.waiting.pop_front(),
+                None => _ = self.waiting.pop_front(),
+            }
+        }
+        None
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -146,6 +174,49 @@
         assert!(upload.is_refused() && upload.held() == 0 && upload.missing() == 285);
     }
 
+    /// The commands of clients 1 to 4, which need this many bytes.
+    fn queue() -> UploadQueue {
+        let mut queue = UploadQueue::default();
+        (1..=4).for_each(|client| queue.push(client));
+        queue
+    }
+
+    fn needs(client: u64) -> Option<usize> {
+        [900, 500, 100, 1100].get(client as usize - 1).copied()
+    }
+
+    #[test]
+    fn the_longest_waiting_is_granted_first_whatever_its_size() {
+        let mut queue = queue();
+        assert_eq!(queue.grant(&account(500), needs), None, "900 is first and does not fit, nor would 500");
+        assert_eq!(queue.grant(&account(900), needs), Some(1));
+        assert_eq!(queue.grant(&account(499), needs), None);
+        assert_eq!(queue.grant(&account(500), needs), Some(2));
+        assert_eq!(queue.grant(&account(100), needs), Some(3));
+    }
+
+    #[test]
+    fn a_command_that_waits_no_longer_blocks_none_behind_it() {
+        let mut queue = queue();
+        let without_first = |client| needs(client).filter(|_| client != 1);
+        assert_eq!(queue.grant(&account(500), without_first), Some(2));
+        assert_eq!(queue.grant(&account(500), |_| None), None, "none waits any more");
+        assert_eq!(queue.grant(&account(1000), needs), None, "nor is any kept");
+    }
+
+    #[test]
+    fn a_command_above_the_capacity_gets_no_reservation_and_is_read_on_after_its_wait() {
+        let mut queue = UploadQueue::default();
+        queue.push(4);
+        assert_eq!(queue.grant(&account(1000), needs), None);
+        let mut upload = Upload::new(550, 10, 0, SECOND);
+        assert!(upload.advance(SECOND / 4));
+        upload.receive(490, &account(1000));
+        assert!(!upload.is_refused());
+        upload.receive(50, &account(0));
+        assert!(upload.is_refused());
+    }
+
     #[test]
     fn the_wait_for_room_ends_with_a_part_of_the_time_of_its_client() {
         for (client_wait, wait) in [(SECOND, SECOND / 4), (0, 0), (60 * SECOND, MAX_WAIT)] {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -258,7 +258,7 @@
     /// Whether there is data that is not read for now: the client has reached its limits, the upload does not
     /// fit into the budget, or the connection is to close or to go to another process.
     pub fn is_read_blocked(&self) -> bool {
-        self.unread && !self.lingers() && (self.waits_for_room() || !self.can_take_command())
+        self.unread && !self.lingers() && (self.room_waited_for().is_some() || !self.can_take_command())
     }
 
     /// Whether nothing has been read from it yet.
@@ -465,9 +465,15 @@
         self.receiving.as_mut().is_some_and(|receiving| receiving.upload.advance(now))
     }
 
-    /// Whether a command waits for room.
-    pub fn waits_for_room(&self) -> bool {
-        self.receiving.as_ref().is_some_and(|receiving| receiving.upload.is_waiting())
+    /// The bytes that a command needs which waits for room; `None` if none waits.
+    pub fn room_waited_for(&self) -> Option<usize> {
+        let upload = &self.receiving.as_ref()?.upload;
+        upload.is_waiting().then(|| upload.needs())
+    }
+
+    /// Reserves room for the command that waits for it.
+    pub fn reserve_upload(&mut self, now: Micros) {
+        self.receiving.iter_mut().for_each(|receiving| receiving.upload.reserve(now));
     }
 
     /// Keeps the incomplete command at the end of what was read.
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -16,6 +16,7 @@
 use lapisrudder_io::{Listener, Shortage as Failures};
 use lapisrudder_limits::drain::Drain;
 use lapisrudder_limits::memory_account::{AnswerSize, HeldBytes, MemoryAccount};
+use lapisrudder_limits::upload::UploadQueue;
 use lapisrudder_limits::{
     Admission, ConnId, EventKind, Intake, Order, RequestInfo, Resources, SettingsError, Ticket,
 };
@@ -148,8 +149,8 @@
     /// While clients have not taken this many bytes of answers, large values are read ahead of them. Above it
     /// only a small part of each is buffered.
     max_read_ahead: usize,
-    /// Clients whose commands wait for room, in order of arrival.
-    waiting_uploads: VecDeque<u64>,
+    /// Clients whose commands wait for room.
+    waiting_uploads: UploadQueue,
     /// Bytes that count for each command with a large value that was taken.
     upload_bytes: FxHashMap<RequestId, usize>,
 }
@@ -206,7 +207,7 @@
             account: MemoryAccount::new(usize::MAX),
             answer_size: AnswerSize::new(MAX_BUFFERED_VALUE),
             max_read_ahead: usize::MAX,
-            waiting_uploads: VecDeque::new(),
+            waiting_uploads: UploadQueue::default(),
             upload_bytes: FxHashMap::default(),
         };
         server.open_spare();
--- a/src/net/virtual_server/reading.rs
+++ b/src/net/virtual_server/reading.rs
@@ -5,13 +5,14 @@
     ClientEvent, CloseReason, NOT_READY, READY_LINE, READY_REQUEST, STALL_THRESHOLD, State, VirtualServer,
     error, recount,
 };
-use crate::net::client::Slot;
+use crate::net::client::{Client, Slot};
 use crate::net::receiving::{Receiving, UploadRead};
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{self, Command, MAX_LINE, OwnedRequest, Request};
 use lapisrudder_io::Probe;
 use lapisrudder_limits::memory_account::HeldBytes;
 use lapisrudder_limits::upload::Upload;
+use rustc_hash::FxHashMap;
 
 /// What was taken from the input of a client.
 struct Taken {
@@ -184,27 +185,19 @@
         client.keep_rest(&[]);
         recount(&mut self.account, client);
         if waits {
-            self.waiting_uploads.push_back(id);
+            self.waiting_uploads.push(id);
             self.grant_uploads(now);
         }
     }
 
-    /// Reserves room for commands that wait for it, in order of arrival. Otherwise smaller ones could overtake
-    /// a large one for ever.
+    /// Reserves room for commands that wait for it.
     pub(super) fn grant_uploads(&mut self, now: Micros) {
-        while let Some(id) = self.waiting_uploads.front() {
-            let client = self.clients.get_mut(id).filter(|client| client.waits_for_room());
-            if let Some(client) = client
-                && let Some(receiving) = &mut client.receiving
-            {
-                if !self.account.fits(receiving.upload.needs()) {
-                    return;
-                }
-                receiving.upload.reserve(now);
-                recount(&mut self.account, client);
-                self.touched.push(*id);
-            }
-            self.waiting_uploads.pop_front();
+        let needs = |clients: &FxHashMap<u64, Client>, id| clients.get(&id)?.room_waited_for();
+        while let Some(id) = self.waiting_uploads.grant(&self.account, |id| needs(&self.clients, id)) {
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            client.reserve_upload(now);
+            recount(&mut self.account, client);
+            self.touched.push(id);
         }
     }
 }
--- a/tests/held_memory.rs
+++ b/tests/held_memory.rs
@@ -58,6 +58,14 @@
     assert!(over.contains("input 0, uploads 0, answers 0, expected 0"), "{over}");
 }
 
+/// A write to the slow origin with this many reads behind it, whose ids begin with `name`; `more` goes behind the
+/// parameters of each read.
+fn write_and_reads(name: &str, reads: usize, more: &str) -> String {
+    let write = format!("ms w{name} 1 Ow{name} Pc=put,d=5000,k=k{name}\r\nx\r\n");
+    let read = |n| format!("mg k{n} v O{name}n{n} Pc=read,d=5000{more}\r\n");
+    write + &(0..reads).map(read).collect::<String>()
+}
+
 /// Reads the answer to a write: its receipt, or a refusal, since the slow origin takes only so many at a time.
 fn expect_write_ended(client: &mut Client) {
     let answer = client.read_line();
@@ -76,9 +84,7 @@
     for burst in 0..2 {
         let mut clients: Vec<Client> = (0..CLIENTS).map(|_| node.client()).collect();
         for (c, client) in clients.iter_mut().enumerate() {
-            let write = format!("ms w{c} 1 Ow{burst}c{c} Pc=put,d=5000,k=k{burst}c{c}\r\nx\r\n");
-            let read = |n| format!("mg k{n} v Ob{burst}c{c}n{n} Pc=read,d=5000\r\n");
-            client.send(write + &(0..READS).map(read).collect::<String>());
+            client.send(write_and_reads(&format!("b{burst}c{c}"), READS, ""));
         }
         for (c, client) in clients.iter_mut().enumerate() {
             expect_write_ended(client);
@@ -99,9 +105,7 @@
     let node = Node::with_limits(&world, SOCKETS, MEMORY_MB);
     let mut burst: Vec<Client> = (0..32).map(|_| node.client()).collect();
     for (c, client) in burst.iter_mut().enumerate() {
-        let write = format!("ms w{c} 1 Ow{c} Pc=put,d=5000,k=k{c}\r\nx\r\n");
-        let read = |n| format!("mg k{n} v Oc{c}n{n} Pc=read,d=5000\r\n");
-        client.send(write + &(0..31).map(read).collect::<String>());
+        client.send(write_and_reads(&format!("c{c}"), 31, ""));
     }
     // The values that wait behind the writes leave less room than a value needs.
     thread::sleep(Duration::from_millis(500));
@@ -125,9 +129,7 @@
     let node = Node::with_limits(&world, SOCKETS, MEMORY_MB);
     let mut clients: Vec<Client> = (0..64).map(|_| node.client()).collect();
     for (c, client) in clients.iter_mut().enumerate() {
-        let write = format!("ms w{c} 1 Ow{c} Pc=put,d=5000,k=k{c}\r\nx\r\n");
-        let read = |n| format!("mg k{n} v Oc{c}n{n} Pc=read,d=5000\r\n");
-        client.send(write + &(0..16).map(read).collect::<String>());
+        client.send(write_and_reads(&format!("c{c}"), 16, ""));
     }
     clients.iter_mut().for_each(expect_write_ended);
     drop(clients);
@@ -141,11 +143,9 @@
     let (world, _servers) = world_of(LENGTH, Duration::from_millis(1500));
     let node = Node::with_limits(&world, 1024, MEMORY_MB);
     let mut clients: Vec<Client> = (0..200).map(|_| node.client()).collect();
-    let padding = "x".repeat(850);
+    let padding = format!(",size={}", "x".repeat(850));
     for (c, client) in clients.iter_mut().enumerate() {
-        let write = format!("ms w{c} 1 Ow{c} Pc=put,d=5000,k=k{c}\r\nx\r\n");
-        let read = |n| format!("mg k{n} v Oc{c}n{n} Pc=read,d=5000,size={padding}\r\n");
-        client.send_in_background(&(write + &(0..160).map(read).collect::<String>()));
+        client.send_in_background(&write_and_reads(&format!("c{c}"), 160, &padding));
     }
     clients.iter_mut().for_each(expect_write_ended);
     drop(clients);
