Keep failures of accept apart between which nothing was tried

Cause: a run of failures ended only with a call that works, and its time was counted from the first failure to the last. Two things kept the count open while nothing was tried. The close of any connection during the pause before a retry cancelled the retry (`VirtualServer::remove` resumed accepting, and with an empty queue no readiness follows); a stall of the process has the same effect. The next failure, 0.25 s later or more, then counted as a shortage of descriptors, and the node closed idle clients to free some.

Evidence: `failures_of_accept_before_and_after_a_close_are_no_descriptor_ shortage` failed before this change with the same symptom ("client 1: \"\"", after one close in the pause).

--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -467,7 +467,7 @@
         debug!(client = id, reason = ?why, owed = left.len(), "connection closed");
         self.events.extend(left.iter().map(|request| ClientEvent::ClientLeft { request: *request }));
         left.into_iter().for_each(|request| self.release_upload(request));
-        self.resume(deadlines);
+        self.retry_accept_now(now, deadlines);
     }
 
     /// Asks the limits whether a command is taken as a transaction.
--- a/src/net/virtual_server/accepting.rs
+++ b/src/net/virtual_server/accepting.rs
@@ -226,6 +226,15 @@
         self.update_listener_interest();
     }
 
+    /// Tries to accept at once if accepting is paused, since a descriptor was freed. It is tried even if no
+    /// connection waits: only a call that works ends a run of failures.
+    pub(super) fn retry_accept_now(&mut self, now: Micros, deadlines: &mut Deadlines) {
+        if let Some(pause) = self.paused.take() {
+            deadlines.remove(Some(pause));
+            self.paused = Some(deadlines.add(now, Deadline::ResumeAccepting));
+        }
+    }
+
     /// Stops accepting; the existing connections close between requests. Returns false if connections may
     /// wait that cannot be accepted now: then this has to be called again, unless this was the `last` try.
     pub fn stop_accepting(&mut self, last: bool, now: Micros, deadlines: &mut Deadlines) -> bool {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -459,6 +459,40 @@
     assert!(control.delivered(Call::Accept).expect("a count") > 0, "no fault was injected");
 }
 
+/// Fails if the close of a connection, while `accept` is about to be retried, cancels the retry: the failures
+/// before it would count together with those at a later connection, and the node would close idle clients.
+#[test]
+fn failures_of_accept_before_and_after_a_close_are_no_descriptor_shortage() {
+    /// Longer than `accept` has to fail without a break before the node assumes a shortage.
+    const PAUSE: Duration = Duration::from_millis(300);
+    const KEPT: usize = 20;
+    let world = world(spec(&["a", "b"]), ids(2 * KEPT + 2));
+    let mut control = new_fault_table(1);
+    let node = start_node(world.addresses().discovery(0).expect("discovery"), &control);
+    node.wait_ready();
+    let mut kept: Vec<Client> = (0..=KEPT).map(|_| node.client()).collect();
+    let mut read = |kept: &mut Vec<Client>, first: usize| {
+        for (n, client) in kept.iter_mut().enumerate() {
+            let answer = client.read(&(first + n).to_string(), WAIT_MS);
+            assert!(answer.starts_with("value of"), "client {n}: {answer:?}");
+        }
+    };
+    read(&mut kept, 0);
+    // The call that takes the new connection works. The calls after it, which look for another one, fail.
+    let failures = Rule { skip: 1, max_failures: 12, ..Rule::always(Call::Accept, ENFILE) };
+    control.add(failures.on(&[Descriptor::Listener])).expect("a rule");
+    let new = node.client();
+    wait_until(|| control.delivered(Call::Accept).expect("a count") >= 6);
+    drop(kept.pop());
+    thread::sleep(PAUSE);
+    kept.push(new);
+    kept.push(node.client());
+    read(&mut kept, KEPT);
+    thread::sleep(PAUSE);
+    read(&mut kept, 0);
+    assert_eq!(control.delivered(Call::Accept).expect("a count"), 12);
+}
+
 /// Fails if events, those of new connections among them, are not handled while each call of the event loop's
 /// timer or each `epoll_wait` fails.
 #[test]
