Keep a dropped class's index while clients may still name the class

Cause: the clients' side keeps a dropped class's name for 2 s with its index in the engine. The engine gave the index to another class as soon as no transaction was open under it, and knew nothing of the names. A request under the old name was then taken under the new class: its effect, deadlines and number of attempts.

Evidence: `a_write_that_names_a_dropped_class_keeps_its_effect` failed before: 8 of 44 writes ran twice. `a_write_under_way_keeps_the_effect_under_which_it_ was_taken` passed before, and guards the open requests.

Change: `Engine::reconfigure` gets the indices of the dropped classes that clients may still name, and keeps these classes. Both callers pass them: the reload, and a change in the number of nodes. A class dropped by the configuration before the last keeps its index as well.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -138,10 +138,12 @@
     }
 
     /// Applies new settings. Returns the index of each of their classes, which later requests use. Open
-    /// transactions keep the class under which they were taken.
-    pub fn reconfigure(&mut self, mut settings: Settings, limits: Limits) -> Vec<usize> {
-        let open: Vec<usize> = self.transactions.all.values().map(|t| t.shared.request.class).collect();
-        let indices = self.classes.next(&mut settings, |index| open.contains(&index));
+    /// transactions keep the class under which they were taken. `retained` has the indices of dropped classes
+    /// under which the host may still take requests; they keep these classes.
+    pub fn reconfigure(&mut self, mut settings: Settings, limits: Limits, retained: &[usize]) -> Vec<usize> {
+        let mut in_use: Vec<usize> = self.transactions.all.values().map(|t| t.shared.request.class).collect();
+        in_use.extend_from_slice(retained);
+        let indices = self.classes.next(&mut settings, |index| in_use.contains(&index));
         self.second_copies = settings.second_copies;
         self.maintenance.set_origin_kind(settings.origin_kind);
         self.pool.set_limits(limits);
--- a/crates/engine/src/generations.rs
+++ b/crates/engine/src/generations.rs
@@ -1,6 +1,6 @@
 //! Settings by generation: a transaction keeps the class under which it was taken until its last attempt
 //! ends, however often the settings change. Classes are identified by their index; the index of a class that
-//! the settings no longer have is reused only when no transaction is open under it.
+//! the settings no longer have is reused only when no transaction is open under it and none can be taken.
 
 use lapisrudder_decisions::{Class, Settings};
 
@@ -21,9 +21,9 @@
         self.slots.len()
     }
 
-    /// Applies new settings, and returns the index of each of their classes. `open` says whether a
-    /// transaction is open under an index.
-    pub(crate) fn next(&mut self, settings: &mut Settings, open: impl Fn(usize) -> bool) -> Vec<usize> {
+    /// Applies new settings, and returns the index of each of their classes. `in_use` says whether
+    /// transactions are open, or may yet be taken, under an index.
+    pub(crate) fn next(&mut self, settings: &mut Settings, in_use: impl Fn(usize) -> bool) -> Vec<usize> {
         stamp(settings);
         let mut slots: Vec<Option<usize>> = Vec::with_capacity(settings.classes.len());
         // An unchanged class keeps its index, and with it what the decisions have learned about it.
@@ -35,7 +35,7 @@
         }
         for (i, class) in settings.classes.iter().enumerate() {
             if slots.get(i).is_some_and(Option::is_none) {
-                let free = (0..self.slots.len()).find(|p| !open(*p) && !slots.contains(&Some(*p)));
+                let free = (0..self.slots.len()).find(|p| !in_use(*p) && !slots.contains(&Some(*p)));
                 let slot = free.unwrap_or(self.slots.len());
                 match self.slots.get_mut(slot) {
                     Some(old) => *old = class.clone(),
--- a/crates/engine/tests/accounting.rs
+++ b/crates/engine/tests/accounting.rs
@@ -134,7 +134,7 @@
 fn the_origin_kind_is_that_of_the_current_settings() {
     let mut engine = engine();
     drain(&mut engine, 0);
-    engine.reconfigure(settings(0), lapisrudder_engine::Limits::default());
+    engine.reconfigure(settings(0), lapisrudder_engine::Limits::default(), &[]);
     engine.listed(Scope::Full, vec![member(7, 1), member(8, 0)]);
     drain(&mut engine, 5);
     for key in 0..20 {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -358,8 +358,9 @@
         self.reload_fleet(config.operators.fleet, &mut options, now);
         let settings = options.on_sockets();
         let limits = limits(&options, settings.siblings, self.sockets);
-        let places = self.engine.reconfigure(settings, limits);
-        self.classes.update(&options, &places, now);
+        let retained = self.classes.retained(&options, now);
+        let indices = self.engine.reconfigure(settings, limits, &retained);
+        self.classes.update(&options, &indices, now);
         // Open requests keep their deadlines, so the value never falls.
         self.longest_wait = self.longest_wait.max(longest_wait(&options));
         self.min_latency_target = min_latency_target(&options);
--- a/src/net/node/fleet_membership.rs
+++ b/src/net/node/fleet_membership.rs
@@ -40,8 +40,10 @@
         self.options.siblings = fleet.counted();
         let settings = self.options.on_sockets();
         let limits = limits(&self.options, settings.siblings, self.sockets);
-        let places = self.engine.reconfigure(settings, limits);
-        self.classes.update(&self.options, &places, self.clock.now());
+        let now = self.clock.now();
+        let retained = self.classes.retained(&self.options, now);
+        let indices = self.engine.reconfigure(settings, limits, &retained);
+        self.classes.update(&self.options, &indices, now);
     }
 
     /// Applies the reloaded section of the operators' file; sets the number of nodes that count in `options`.
