Plan a stop with the longest deadline of the settings in force

Cause: the node kept the longest deadline that any configuration since its start had had, and `stop` planned its last call with it. The platform counts with the deadlines in force, and killed the process before the last call.

Evidence: `a_stop_after_the_longest_deadline_has_fallen_answers_in_time` failed before (request 0 unanswered), for a class that was dropped and for one that became shorter. `a_stop_after_a_longer_deadline_has_come_waits_for_it` passed before and guards the other direction.

Change: the longest deadline is taken from the settings in force when the signal comes. Requests under a longer one of earlier settings fail at the last call, with an answer.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -139,7 +139,6 @@
     options: Options,
     classes: Classes,
     phase: Phase,
-    longest_wait: Micros,
     /// The shortest latency target of all request classes.
     min_latency_target: Micros,
     /// Descriptors that belong to no client and no member.
@@ -241,7 +240,6 @@
             phase: Phase::Serving,
             sockets,
             min_latency_target: min_latency_target(&config.options),
-            longest_wait: longest_wait(&config.options),
             classes: Classes::new(&config.options),
             drain_call: None,
             max_in_flight: bounds.most_held.max(1),
@@ -361,8 +359,6 @@
         let retained = self.classes.retained(&options, now);
         let indices = self.engine.reconfigure(settings, limits, &retained);
         self.classes.update(&options, &indices, now);
-        // Open requests keep their deadlines, so the value never falls.
-        self.longest_wait = self.longest_wait.max(longest_wait(&options));
         self.min_latency_target = min_latency_target(&options);
         self.max_in_flight = options.bounds.most_held.max(1);
         let names_changed =
--- a/src/net/node/ending.rs
+++ b/src/net/node/ending.rs
@@ -1,6 +1,6 @@
 //! How requests end, and how the process ends after the stop signal.
 
-use super::{FAILED, Node, Phase};
+use super::{FAILED, Node, Phase, longest_wait};
 use crate::net::deadlines::Deadline;
 use crate::net::requests::{EndContext, Ending};
 use lapisrudder::{Micros, RequestId};
@@ -68,8 +68,12 @@
             // counted from when it noticed the signal would be killed before it had answered everything. The
             // first is at least `MIN_ACCEPT_TIME`: where request deadlines are short, new connections still
             // arrive after them.
-            let stop = (self.longest_wait + STOP_ACCEPTING_AFTER).max(MIN_ACCEPT_TIME);
-            let last_call = (self.longest_wait + LAST_CALL_AFTER).max(stop + END_AFTER - LAST_CALL_AFTER);
+            //
+            // The platform counts with the deadlines of the settings in force. Requests under longer ones of
+            // earlier settings fail at the last call.
+            let longest_wait = longest_wait(&self.options);
+            let stop = (longest_wait + STOP_ACCEPTING_AFTER).max(MIN_ACCEPT_TIME);
+            let last_call = (longest_wait + LAST_CALL_AFTER).max(stop + END_AFTER - LAST_CALL_AFTER);
             self.deadlines.add(signalled_after + stop, Deadline::StopAccepting);
             self.deadlines.add(signalled_after + last_call, Deadline::LastCall);
             self.deadlines.add(signalled_after + last_call + END_AFTER - LAST_CALL_AFTER, Deadline::End);
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -125,3 +125,86 @@
     let twice: Vec<_> = written.filter(|(_, times)| **times > 1).collect();
     assert!(twice.is_empty(), "{twice:?}");
 }
+
+/// The platform kills a stopping process this long after the longest deadline of its classes.
+const KILL_AFTER: Duration = Duration::from_millis(700);
+
+/// Sends a node SIGTERM while clients hold requests that no server answers and send further ones, and fails if
+/// one of them has no final answer, or the process has not ended, when the platform kills it.
+fn stop_in_time(node: &mut Node, classes: &[&str], longest_s: f64) {
+    let killed_at = Instant::now() + Duration::from_secs_f64(longest_s) + KILL_AFTER;
+    node.signal("-TERM");
+    let mut waiting = Vec::new();
+    for n in 0.. {
+        // The last of them has time for its answer.
+        if Instant::now() + Duration::from_millis(50) >= killed_at - KILL_AFTER {
+            break;
+        }
+        let name = classes[n % classes.len()];
+        let mut client = node.client();
+        client.send(format!("mg k{n} v Os{n} Pc={name},d=2500\r\n"));
+        waiting.push((name, client));
+        thread::sleep(Duration::from_millis(20));
+    }
+    for (n, (name, client)) in waiting.iter_mut().enumerate() {
+        let answer = client.answer_by(killed_at).unwrap_or_else(|e| panic!("request {n}, {name}: {e}"));
+        assert!(answer.starts_with("SERVER_ERROR"), "request {n}, {name}: {answer:?}");
+    }
+    while node.child.try_wait().expect("its state").is_none() {
+        assert!(Instant::now() < killed_at, "the process is killed");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A node with these classes whose only server answers nothing.
+fn node_and_silent_server(classes: &[String]) -> (Node, Scripted, World<Books>) {
+    let server = Scripted::start(|_, _| {}).expect("a server");
+    let mut spec = spec(&[]);
+    spec.discovery.plan.members = vec![member("s", &server.address().to_string(), "cache", "z")];
+    let world = world(spec, ids(0));
+    let node = Node::with_settings(world.addresses().discovery(0).expect("discovery"), &settings(classes));
+    node.wait_ready();
+    (node, server, world)
+}
+
+/// Fails if a node that stops after its longest deadline was dropped, or became shorter, plans for the old
+/// one and is killed with requests unanswered.
+#[test]
+fn a_stop_after_the_longest_deadline_has_fallen_answers_in_time() {
+    let (read, long) = (class("read", "free", 0.5), class("long", "guarded", 2.5));
+    for second in [vec![read.clone()], vec![read.clone(), class("long", "guarded", 0.4)]] {
+        let (mut node, _server, _world) = node_and_silent_server(&[read.clone(), long.clone()]);
+        let mut early = node.client();
+        early.send("mg k v Oearly Pc=long,d=2500\r\n");
+        let trial = class("trial", "free", 0.3);
+        reload(&node, &[second, vec![trial]].concat(), "trial");
+        stop_in_time(&mut node, &["read", "long", "trial"], 0.5);
+        assert!(early.answer().starts_with("SERVER_ERROR"));
+    }
+}
+
+/// Fails if a node that stops after a longer deadline has come gives up requests before that deadline.
+#[test]
+fn a_stop_after_a_longer_deadline_has_come_waits_for_it() {
+    const OPEN_FOR: Duration = Duration::from_millis(1500);
+    let server = Scripted::start(|asked, reply| {
+        thread::spawn(move || {
+            thread::sleep(OPEN_FOR);
+            reply.send(format!("VA 1 O{}\r\nv\r\n", asked.id));
+        });
+    });
+    let server = server.expect("a server");
+    let mut spec = spec(&[]);
+    spec.discovery.plan.members = vec![member("s", &server.address().to_string(), "cache", "z")];
+    let world = world(spec, ids(0));
+    let first = class("read", "free", 0.5);
+    let discovery = world.addresses().discovery(0).expect("discovery");
+    let node = Node::with_settings(discovery, &settings(std::slice::from_ref(&first)));
+    node.wait_ready();
+    reload(&node, &[first, class("long", "free", 2.5)], "long");
+    let mut client = node.client();
+    client.send("mg k v Olate Pc=long,d=2400\r\n");
+    thread::sleep(Duration::from_millis(20));
+    node.signal("-TERM");
+    assert!(client.answer().starts_with("VA 1"));
+}
