Keep each large value's own pause, and read it on once it is the next in order

Cause: whether reading from a server is paused was one flag of the connection. With several values in a pipeline each piece of any of them wrote it: a value that was paused behind another was forgotten when that one went on or ended.

Change: the flag belongs to the value. A paused one is read on when it is the next in order and its client has taken enough. What has arrived behind the value that is next in order no longer counts as ahead of it: it could be paused with nothing of it unsent.

After: the test passes for values that arrive in order and for ones that all arrive before the first. A needless `mut` in tests/faults.rs goes with it.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -73,6 +73,8 @@
         request: RequestId,
         bytes: Vec<u8>,
         over: bool,
+        /// It is not read from its server until it is the next in order and its client has taken enough.
+        paused: bool,
     },
 }
 
@@ -109,8 +111,6 @@
     pub counted: HeldBytes,
     /// The account of all clients has room for the answer to a further command.
     pub has_answer_room: bool,
-    /// Reading of a large value from its server is paused until the client has taken more.
-    stream_paused: bool,
     /// Pending answers, in the order of the commands.
     pub slots: VecDeque<Slot>,
     output: Vec<u8>,
@@ -153,7 +153,6 @@
             socket,
             input: Vec::new(),
             receiving: None,
-            stream_paused: false,
             counted: HeldBytes::default(),
             has_answer_room: true,
             slots: VecDeque::new(),
@@ -593,7 +592,7 @@
     pub fn begin_value(&mut self, request: RequestId, head: Vec<u8>) {
         let is_pending = |s: &&mut Slot| matches!(s, Slot::Waiting { request: r, .. } if *r == request);
         if let Some(slot) = self.slots.iter_mut().find(is_pending) {
-            *slot = Slot::Stream { request, bytes: head, over: false };
+            *slot = Slot::Stream { request, bytes: head, over: false, paused: false };
         }
     }
 
@@ -617,8 +616,23 @@
             _ => self.answer(&[piece], now)?,
         }
         self.compact();
-        self.stream_paused = self.held().answers - self.sent >= HIGH_MARK && !has_space;
-        Ok(!self.stream_paused)
+        // What has arrived behind the value that is next in order does not count against it.
+        let ahead = if position == 0 { self.unsent_of_first() } else { self.held().answers - self.sent };
+        let pause = ahead >= HIGH_MARK && !has_space;
+        if let Some(Slot::Stream { paused, .. }) = self.slots.get_mut(position) {
+            *paused = pause;
+        }
+        Ok(!pause)
+    }
+
+    /// Bytes that the client has to take until the answer that is next in order is sent as far as it has
+    /// arrived.
+    fn unsent_of_first(&self) -> usize {
+        let arrived = match self.slots.front() {
+            Some(Slot::Ready(bytes) | Slot::Stream { bytes, .. }) => bytes.len(),
+            Some(Slot::Waiting { .. }) | None => 0,
+        };
+        self.output.len() - self.sent + arrived
     }
 
     /// What is held for this client, and the room that is kept for answers to come. A large value that is
@@ -661,18 +675,23 @@
     /// Completes a large value.
     pub fn end_value(&mut self, request: RequestId) {
         let is_this = |s: &&mut Slot| matches!(s, Slot::Stream { request: r, .. } if *r == request);
-        if let Some(Slot::Stream { bytes, over, .. }) = self.slots.iter_mut().find(is_this) {
+        if let Some(Slot::Stream { bytes, over, paused, .. }) = self.slots.iter_mut().find(is_this) {
             bytes.extend_from_slice(b"\r\n");
-            (*over, self.stream_paused) = (true, false);
+            (*over, *paused) = (true, false);
         }
     }
 
-    /// The large value that was paused and may be read on, because the client has taken enough of it.
+    /// The large value that was paused and may be read on: it is the next in order, and the client has taken
+    /// enough of it.
     pub fn take_resumable(&mut self) -> Option<RequestId> {
-        let Some(Slot::Stream { request, bytes, .. }) = self.slots.front() else { return None };
-        let ready = self.stream_paused && self.output.len() - self.sent + bytes.len() < LOW_MARK;
-        self.stream_paused &= !ready;
-        ready.then_some(*request)
+        let client_takes_more = self.unsent_of_first() < LOW_MARK;
+        match self.slots.front_mut() {
+            Some(Slot::Stream { request, paused, .. }) if *paused && client_takes_more => {
+                *paused = false;
+                Some(*request)
+            }
+            _ => None,
+        }
     }
 
     /// Takes the answer that is next in order. A small one is sent with all others of the event-loop
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -471,7 +471,7 @@
     let node = start_node(world.addresses().discovery(0).expect("discovery"), &control);
     node.wait_ready();
     let mut kept: Vec<Client> = (0..=KEPT).map(|_| node.client()).collect();
-    let mut read = |kept: &mut Vec<Client>, first: usize| {
+    let read = |kept: &mut Vec<Client>, first: usize| {
         for (n, client) in kept.iter_mut().enumerate() {
             let answer = client.read(&(first + n).to_string(), WAIT_MS);
             assert!(answer.starts_with("value of"), "client {n}: {answer:?}");
--- a/tests/large.rs
+++ b/tests/large.rs
@@ -156,6 +156,38 @@
     expect_value(&mut client, 100_000, "3");
 }
 
+/// Fails if a large value behind another on its connection is held back for good once its reading from the
+/// server was paused, though its client reads on and its server gives.
+#[test]
+fn large_values_in_a_pipeline_are_all_read_on_after_a_pause() {
+    const READS: usize = 8;
+    /// Reads ahead of clients stop at a part of this; all values together are several times as long.
+    const MEMORY_MB: u32 = 32;
+    for slow_first in [false, true] {
+        let (world, _cache, requests) = scripted();
+        let node = Node::with_limits(&world, 256, MEMORY_MB);
+        let mut client = node.client();
+        for n in 0..READS {
+            send_read(&mut client, &n.to_string(), 60_000);
+        }
+        let mut replies: Vec<(String, Reply)> =
+            (0..READS).map(|_| requests.recv_timeout(TEST_TIMEOUT).unwrap()).collect();
+        replies.sort_by(|a, b| a.0.cmp(&b.0));
+        if slow_first {
+            // All others arrive, and are paused, before the first begins.
+            let (id, first) = replies.remove(0);
+            replies.iter().for_each(|(id, reply)| reply.send(answer(MAX_LENGTH, id)));
+            thread::sleep(Duration::from_millis(300));
+            first.send(answer(MAX_LENGTH, &id));
+        } else {
+            replies.iter().for_each(|(id, reply)| reply.send(answer(MAX_LENGTH, id)));
+        }
+        // A pause in reading has the first value paused, too.
+        thread::sleep(Duration::from_millis(300));
+        (0..READS).for_each(|n| expect_value(&mut client, MAX_LENGTH, &n.to_string()));
+    }
+}
+
 /// Fails if values that their clients do not read are buffered in full, or delay requests of other clients.
 #[test]
 fn slow_readers_use_little_memory_and_delay_no_other_request() {
