Keep a reservation while what has arrived of its command is unread

What callers saw: clients that wrote large values at full speed were refused with `busy` after a stall of the process.

Cause: the 0.5 s for which room is reserved for a command passed while nothing was read. After the stall all reservations were over at once, their room went to commands that waited, and the first ones found none for what had long arrived.

Change: a reservation that is over stays for a further 0.1 s at a time as long as bytes of its client have arrived that are not read. A client that sends slowly or stops has none, and loses it as before.

--- a/crates/limits/src/upload.rs
+++ b/crates/limits/src/upload.rs
@@ -16,6 +16,8 @@
 const WAIT_DIVISOR: Micros = 4;
 /// Room for the whole command is reserved for this long.
 const RESERVATION_TIME: Micros = 500_000;
+/// A reservation stays for this long at a time while bytes that have arrived are not read.
+const UNREAD_EXTENSION: Micros = 100_000;
 /// Each byte is held as received, and once more as passed on to a server.
 const COPIES: usize = 2;
 
@@ -100,13 +102,18 @@
         }
     }
 
-    /// Ends a wait or a reservation that is over. Returns whether it did.
-    pub fn advance(&mut self, now: Micros) -> bool {
-        let over = self.due().is_some_and(|until| until <= now);
-        if over {
-            self.room = Room::AsReceived;
+    /// Ends a wait or a reservation that is over. Returns whether it did. A reservation stays while bytes of
+    /// the command have arrived that are not read (`has_unread`): the process is slow then, not the client.
+    pub fn advance(&mut self, now: Micros, has_unread: bool) -> bool {
+        if self.due().is_none_or(|until| until > now) {
+            return false;
         }
-        over
+        if has_unread && matches!(self.room, Room::Reserved { .. }) {
+            self.room = Room::Reserved { until: now + UNREAD_EXTENSION };
+            return false;
+        }
+        self.room = Room::AsReceived;
+        true
     }
 
     /// Counts further bytes. Without room for them the command is refused.
@@ -166,7 +173,7 @@
         upload.reserve(0);
         upload.receive(5, &account(0));
         assert_eq!((upload.held(), upload.needs(), upload.missing()), (800, 0, 385));
-        assert!(!upload.advance(RESERVATION_TIME - 1) && upload.advance(RESERVATION_TIME));
+        assert!(!upload.advance(RESERVATION_TIME - 1, false) && upload.advance(RESERVATION_TIME, false));
         assert_eq!((upload.held(), upload.due()), (30, None));
         upload.receive(50, &account(100));
         assert!(!upload.is_refused() && upload.held() == 130);
@@ -174,6 +181,18 @@
         assert!(upload.is_refused() && upload.held() == 0 && upload.missing() == 285);
     }
 
+    #[test]
+    fn a_reservation_stays_while_what_has_arrived_is_unread() {
+        let mut upload = Upload::new(400, 10, 0, 2 * SECOND);
+        assert!(upload.advance(SECOND / 2, true), "a wait ends nevertheless");
+        upload.reserve(0);
+        for now in [RESERVATION_TIME, 3 * SECOND] {
+            assert!(!upload.advance(now, true));
+            assert_eq!((upload.held(), upload.due()), (800, Some(now + UNREAD_EXTENSION)));
+        }
+        assert!(upload.advance(3 * SECOND + UNREAD_EXTENSION, false));
+    }
+
     /// The commands of clients 1 to 4, which need this many bytes.
     fn queue() -> UploadQueue {
         let mut queue = UploadQueue::default();
@@ -210,7 +229,7 @@
         queue.push(4);
         assert_eq!(queue.grant(&account(1000), needs), None);
         let mut upload = Upload::new(550, 10, 0, SECOND);
-        assert!(upload.advance(SECOND / 4));
+        assert!(upload.advance(SECOND / 4, false));
         upload.receive(490, &account(1000));
         assert!(!upload.is_refused());
         upload.receive(50, &account(0));
@@ -222,7 +241,7 @@
         for (client_wait, wait) in [(SECOND, SECOND / 4), (0, 0), (60 * SECOND, MAX_WAIT)] {
             let mut upload = Upload::new(400, 10, 7, client_wait);
             assert_eq!(upload.due(), Some(7 + wait));
-            assert!(upload.is_waiting() && upload.advance(7 + wait) && !upload.is_waiting());
+            assert!(upload.is_waiting() && upload.advance(7 + wait, false) && !upload.is_waiting());
         }
     }
 }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -461,7 +461,11 @@
 
     /// Ends a wait for room, or a reservation, that is over. Returns whether it did.
     pub fn advance_upload(&mut self, now: Micros) -> bool {
-        self.receiving.as_mut().is_some_and(|receiving| receiving.upload.advance(now))
+        if self.receiving.is_none() {
+            return false;
+        }
+        let has_unread = self.check_readable() && !self.is_read_blocked();
+        self.receiving.as_mut().is_some_and(|receiving| receiving.upload.advance(now, has_unread))
     }
 
     /// The bytes that a command needs which waits for room; `None` if none waits.
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -114,6 +114,38 @@
     assert!(told_ms <= left_ms + TOLD_TIME_SLACK_MS, "told {told_ms} ms, its client has {left_ms} ms left");
 }
 
+/// Fails if clients that write at full speed are refused because the process stalled: the time of their
+/// reservations passed while nothing was read.
+#[test]
+fn writes_at_full_speed_outlast_a_stall_of_the_process() {
+    /// Longer than room is reserved for a write.
+    const STALL: Duration = Duration::from_millis(700);
+    const LENGTH: usize = 2048 * KIB;
+    const CLIENTS: usize = 5;
+    let (node, _world, _origin, _writes) = node_and_origin();
+    let begin = |n| {
+        let mut client = node.client();
+        client.send(format!("ms w{n} {LENGTH} O{n} Pc=put,d=20000,k={n}\r\nv"));
+        client
+    };
+    let begun: Vec<Client> = (0..CLIENTS).map(begin).collect();
+    // Room is reserved for the first of them.
+    thread::sleep(Duration::from_millis(50));
+    node.pause_process();
+    let finish = |mut client: Client| {
+        thread::spawn(move || {
+            client.send("v".repeat(LENGTH - 1) + "\r\n");
+            client.answer()
+        })
+    };
+    let writes: Vec<_> = begun.into_iter().map(finish).collect();
+    thread::sleep(STALL);
+    node.signal("-CONT");
+    for (n, write) in writes.into_iter().enumerate() {
+        assert_eq!(write.join().expect("an answer"), format!("HD O{n} cr-1\r\n"));
+    }
+}
+
 /// Fails if a write for which there is no room gets no refusal at its last byte, or if its connection or the
 /// node is of no use after that.
 #[test]
