Read ahead of a client's pending commands, so that its end is seen

Cause: a client with 32 pending commands wasn't read. Its end comes behind the rest of its commands, which waited in its kernel for room in the node's receive buffer, so that no check of the socket could see it.

Change: while no further command can be taken, input is read ahead, up to 4 MiB a connection and an eighth of the account for all connections, which leaves room for a command with a large value. It counts as input, and stands in for the socket when commands can be taken again.

--- a/crates/limits/src/memory_account.rs
+++ b/crates/limits/src/memory_account.rs
@@ -49,6 +49,9 @@
     }
 }
 
+/// Input may have this part of the capacity.
+const INPUT_DIVISOR: usize = 8;
+
 /// The sum over all clients, and its limit.
 #[derive(Clone, Debug)]
 pub struct MemoryAccount {
@@ -78,6 +81,13 @@
         self.held.total().saturating_add(bytes) <= self.capacity
     }
 
+    /// How many more bytes of input may be held whose commands cannot be taken yet. Input has a small part of
+    /// the capacity, so that a command with a large value finds room beside it.
+    pub fn room_for_input(&self) -> usize {
+        let of_input = (self.capacity / INPUT_DIVISOR).saturating_sub(self.held.input);
+        of_input.min(self.capacity.saturating_sub(self.held.total()))
+    }
+
     /// Whether that many more bytes may be held for a client that cannot be told to wait. A quarter of the
     /// capacity is kept for these beyond what [`MemoryAccount::fits`] allows.
     pub fn fits_reserve(&self, bytes: usize) -> bool {
@@ -130,6 +140,18 @@
         assert!(account.held() == HeldBytes::default() && account.fits(100));
     }
 
+    #[test]
+    fn input_has_a_part_of_the_capacity_that_is_free() {
+        let mut account = MemoryAccount::new(800);
+        assert_eq!(account.room_for_input(), 100);
+        account.replace(HeldBytes::default(), HeldBytes { input: 60, ..HeldBytes::default() });
+        assert_eq!(account.room_for_input(), 40);
+        account.replace(HeldBytes::default(), HeldBytes { answers: 730, ..HeldBytes::default() });
+        assert_eq!(account.room_for_input(), 10);
+        account.replace(HeldBytes::default(), HeldBytes { input: 90, ..HeldBytes::default() });
+        assert_eq!(account.room_for_input(), 0);
+    }
+
     #[test]
     fn one_large_answer_is_expected_again_for_a_while() {
         let mut size = AnswerSize::new(1000);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,6 +2,7 @@
 
 use super::Socket;
 use super::deadlines::Key;
+use super::read_ahead::ReadAhead;
 use super::receiving::{Receiving, UploadRead};
 use lapisrudder::permit::{Close, Denial};
 use lapisrudder::time_limits::MAX_STALL;
@@ -48,6 +49,10 @@
 /// cannot be taken yet are kept, so this bounds memory.
 const READ_SIZE: usize = 16 << 10;
 
+/// Maximum bytes that are read of one connection while no further command can be taken: as much as a client's
+/// kernel takes at once.
+const MAX_READ_AHEAD: usize = 4 << 20;
+
 /// A large value is read from its server while less than the high mark of it waits for its client, or while
 /// all clients' answers together leave space. A paused one is read on below the low mark.
 const HIGH_MARK: usize = 64 << 10;
@@ -105,6 +110,8 @@
     socket: Socket,
     /// Part of a command that has been read.
     pub input: Vec<u8>,
+    /// What was read behind it while no further command can be taken.
+    ahead: ReadAhead,
     /// A command that is received apart, of which nothing is in `input`.
     pub receiving: Option<Receiving>,
     /// What is counted for it in the account of all clients.
@@ -152,6 +159,7 @@
             conn,
             socket,
             input: Vec::new(),
+            ahead: ReadAhead::default(),
             receiving: None,
             counted: HeldBytes::default(),
             has_answer_room: true,
@@ -395,12 +403,12 @@
         let limit = scratch.len().min(held + missing.max(READ_SIZE));
         let scratch = &mut scratch[..limit];
         scratch[..held].copy_from_slice(&self.input);
-        let read = match self.socket.read(&mut scratch[held..]) {
+        let read = match self.read_next(&mut scratch[held..]) {
             Read::End | Read::Broken(_) => return None,
             Read::Bytes(n) => {
                 // A short read does not prove that the socket is empty: the rest of a command would wait for
                 // an edge-triggered event that has already been reported.
-                self.unread = held + n == scratch.len() || self.socket.has_unread() != Probe::No;
+                self.unread = held + n == scratch.len() || self.has_more();
                 self.arrived_at = Micros::MIN;
                 n
             }
@@ -423,6 +431,50 @@
         Some(&scratch[..held + read])
     }
 
+    /// Reads what arrived next: what was read ahead goes first.
+    fn read_next(&mut self, buffer: &mut [u8]) -> Read {
+        match self.ahead.take(buffer) {
+            0 => self.socket.read(buffer),
+            count => Read::Bytes(count),
+        }
+    }
+
+    /// Whether more has arrived than was taken, as far as that is known.
+    fn has_more(&self) -> bool {
+        !self.ahead.is_empty() || self.socket.has_unread() != Probe::No
+    }
+
+    /// Whether input may be read although no command can be taken: answers are pending, or wait for the client.
+    pub fn may_read_ahead(&self) -> bool {
+        self.phase == Phase::Open && !self.leaving && self.receiving.is_none()
+    }
+
+    /// Reads on without taking commands, up to `room` bytes. Returns whether the client has left.
+    pub fn read_ahead(&mut self, scratch: &mut [u8], room: usize) -> bool {
+        let mut room = room.min(MAX_READ_AHEAD.saturating_sub(self.ahead.len()));
+        while room > 0 {
+            let size = room.min(scratch.len());
+            match self.socket.read(&mut scratch[..size]) {
+                Read::End | Read::Broken(_) => return true,
+                Read::Bytes(count) => {
+                    self.ahead.push(&scratch[..count]);
+                    room -= count;
+                }
+                Read::NotReady => return false,
+                Read::Later(_) => {
+                    self.needs_retry = true;
+                    return false;
+                }
+            }
+        }
+        false
+    }
+
+    /// Bytes of input that are held and are no command that was taken.
+    pub fn input_len(&self) -> usize {
+        self.input.len() + self.ahead.len()
+    }
+
     /// Reads more of a command that is received apart, but not beyond its end. What is read arrived after
     /// `came_after`.
     pub fn read_upload(
@@ -434,7 +486,7 @@
     ) -> UploadRead {
         let Some(mut receiving) = self.receiving.take() else { return UploadRead::Incomplete };
         let space = receiving.upload.missing().min(scratch.len());
-        match self.socket.read(&mut scratch[..space]) {
+        match self.read_next(&mut scratch[..space]) {
             Read::End | Read::Broken(_) => return UploadRead::Ended,
             Read::Bytes(n) => {
                 receiving.receive(&scratch[..n], account);
@@ -442,7 +494,7 @@
                 if receiving.upload.missing() == 0 {
                     return receiving.complete();
                 }
-                self.unread = n == space || self.socket.has_unread() != Probe::No;
+                self.unread = n == space || self.has_more();
             }
             Read::NotReady => self.unread = false,
             Read::Later(_) => self.needs_retry = true,
@@ -514,9 +566,13 @@
     ///
     /// # Errors
     /// The client, if the connection cannot be removed from the event loop.
-    pub fn into_parts(self) -> Result<(OwnedFd, Vec<u8>), Box<Client>> {
+    pub fn into_parts(mut self) -> Result<(OwnedFd, Vec<u8>), Box<Client>> {
         match self.socket.into_inner() {
-            Ok(stream) => Ok((stream.into(), self.input)),
+            Ok(stream) => {
+                let mut input = self.input;
+                input.extend(self.ahead.take_all());
+                Ok((stream.into(), input))
+            }
             Err(socket) => Err(Box::new(Client { socket, needs_retry: true, ..self })),
         }
     }
@@ -548,7 +604,7 @@
         if self.phase == Phase::Closing && self.slots.is_empty() {
             self.phase = Phase::Lingering;
             (self.last_progress, self.unread) = (now, true);
-            self.input = Vec::new();
+            (self.input, self.ahead) = (Vec::new(), ReadAhead::default());
             self.socket.finish()?;
         }
         Ok(())
@@ -643,7 +699,7 @@
     /// being received may bring one more piece before reading from its server pauses.
     pub fn held(&self) -> HeldBytes {
         let mut held = HeldBytes {
-            input: self.input.len(),
+            input: self.input_len(),
             uploads: self.receiving.as_ref().map_or(0, |receiving| receiving.upload.held()),
             answers: self.output.len(),
             expected: 0,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod management;
 mod node;
+mod read_ahead;
 mod receiving;
 mod requests;
 mod takeover;
--- a/src/net/virtual_server/reading.rs
+++ b/src/net/virtual_server/reading.rs
@@ -30,6 +30,10 @@
         // is read that reports its end.
         if client.is_read_blocked() {
             client.note_blocked(now);
+            // The end of the connection arrives behind all that the client has sent.
+            if client.may_read_ahead() && client.read_ahead(scratch, self.account.room_for_input()) {
+                return State::Closed(CloseReason::PeerEnded);
+            }
             return match client.has_left() {
                 Probe::Yes => State::Closed(CloseReason::PeerEnded),
                 Probe::No | Probe::Unknown => State::Open,
--- a/src/net/virtual_server/release.rs
+++ b/src/net/virtual_server/release.rs
@@ -47,7 +47,7 @@
         deadlines: &mut Deadlines,
     ) -> Vec<(OwnedFd, Vec<u8>)> {
         for client in self.clients.values_mut() {
-            client.leaving = client.input.len() <= MAX_TRANSFER_INPUT && client.receiving.is_none();
+            client.leaving = client.input_len() <= MAX_TRANSFER_INPUT && client.receiving.is_none();
         }
         let free: Vec<u64> =
             self.clients.iter().filter(|(_, c)| c.can_leave()).map(|(id, _)| *id).take(max).collect();
