Carry out management calls in the order in which they were found

What callers saw: of contradicting calls found in one event-loop iteration the earlier one held, for `standby` and `active` as for bans.

Cause: complete calls were taken off the end of a list.

Evidence: `management_calls_that_are_found_together_are_carried_out_in_order` failed before: the node was ready after `active`, `active`, `standby`.

Change: a queue.

--- a/src/net/management.rs
+++ b/src/net/management.rs
@@ -7,7 +7,7 @@
 use lapisrudder::Micros;
 use lapisrudder_codec::management::{MAX_CALL, parse};
 use lapisrudder_io::{Read, Written};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 
@@ -44,8 +44,9 @@
     listener: ControlListener,
     /// By number: the first is the oldest.
     clients: BTreeMap<u64, ManagementClient>,
-    /// Connections whose call is complete or invalid, with the time after which it arrived.
-    complete: Vec<(u64, Micros)>,
+    /// Connections whose call is complete or invalid, with the time after which it arrived, in the order in
+    /// which they were found.
+    complete: VecDeque<(u64, Micros)>,
     /// Everything that this event-loop iteration finds arrived after this time.
     came_after: Micros,
     /// The connections that wait to be accepted arrived after this time, if accepting one has failed.
@@ -62,7 +63,7 @@
 impl Management {
     pub fn new(at: SocketAddr, handle: &Handle, now: Micros) -> io::Result<Management> {
         let listener = ControlListener::new(at, Owner::Management, handle)?;
-        let (clients, complete) = (BTreeMap::new(), Vec::new());
+        let (clients, complete) = (BTreeMap::new(), VecDeque::new());
         Ok(Management { listener, clients, complete, came_after: now, backlog_after: None })
     }
 
@@ -154,7 +155,7 @@
                     let space = MAX_CALL.saturating_sub(client.input.len());
                     client.input.extend_from_slice(&buffer[..n.min(space)]);
                     if !matches!(parse(&client.input), Ok(None)) {
-                        self.complete.push((id, came_after));
+                        self.complete.push_back((id, came_after));
                         complete = true;
                     }
                 }
@@ -192,7 +193,7 @@
 
     /// The next call that is complete or invalid.
     pub fn poll_call(&mut self) -> Option<ReceivedCall> {
-        let (client, came_after) = self.complete.pop()?;
+        let (client, came_after) = self.complete.pop_front()?;
         let line = self.clients.get(&client).map(|c| c.input.clone()).unwrap_or_default();
         Some(ReceivedCall { client, line, came_after })
     }
@@ -212,7 +213,7 @@
         if client.answered {
             self.clients.remove(&id);
         } else if !self.is_complete(id) {
-            self.complete.push((id, now));
+            self.complete.push_back((id, now));
         }
     }
 }
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -41,6 +41,24 @@
     assert_eq!(caller.answer(), "ok ready\n");
 }
 
+/// Fails if calls that are found in one event-loop iteration are carried out in another order than they came:
+/// the earlier one of two that contradict each other would hold.
+#[test]
+fn management_calls_that_are_found_together_are_carried_out_in_order() {
+    let world = world(spec(&["a"]), ids(2));
+    let node = Node::with_management(&world, 1024);
+    for (calls, status) in [
+        (["active\n", "active\n", "standby\n"], "fail draining\n"),
+        (["standby\n", "standby\n", "active\n"], "ok ready\n"),
+    ] {
+        node.pause_process();
+        let mut callers: Vec<Client> = calls.iter().map(|call| node.open_call(call)).collect();
+        node.signal("-CONT");
+        callers.iter_mut().for_each(|caller| assert!(caller.answer().starts_with("ok ")));
+        assert_eq!(node.call("status\n"), status, "after {calls:?}");
+    }
+}
+
 /// Fails if silent management connections and more clients than there are descriptors keep a call from being
 /// answered.
 #[test]
