Pass changed settings to the engine in one place

The reload and a change in the number of nodes each computed limits and retained classes, reconfigured the engine and updated the classes' indices. Both call `reconfigure_engine` now, so that a step can't be forgotten in one of them, as the retained classes had to be added to both. Behaviour is as before.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -354,16 +354,12 @@
         }
         let Platform { mut options, discovery, .. } = config.platform;
         self.reload_fleet(config.operators.fleet, &mut options, now);
-        let settings = options.on_sockets();
-        let limits = limits(&options, settings.siblings, self.sockets);
-        let retained = self.classes.retained(&options, now);
-        let indices = self.engine.reconfigure(settings, limits, &retained);
-        self.classes.update(&options, &indices, now);
         self.min_latency_target = min_latency_target(&options);
         self.max_in_flight = options.bounds.most_held.max(1);
         let names_changed =
             options.zones != self.options.zones || options.host_types != self.options.host_types;
         self.options = options;
+        self.reconfigure_engine(now);
         info!(classes = %self.classes, "reload: settings applied");
         if discovery == self.discovery.address() && !names_changed {
             return info!("reload: address of discovery is unchanged");
@@ -373,6 +369,15 @@
         self.handle_discovery_updates();
     }
 
+    /// Passes the settings to the engine, and learns the indices of their classes.
+    fn reconfigure_engine(&mut self, now: Micros) {
+        let settings = self.options.on_sockets();
+        let limits = limits(&self.options, settings.siblings, self.sockets);
+        let retained = self.classes.retained(&self.options, now);
+        let indices = self.engine.reconfigure(settings, limits, &retained);
+        self.classes.update(&self.options, &indices, now);
+    }
+
     // ---- Events passed to the engine ------------------------------------------------------------------
 
     fn handle_discovery_updates(&mut self) {
--- a/src/net/node/fleet_membership.rs
+++ b/src/net/node/fleet_membership.rs
@@ -1,7 +1,7 @@
 //! The node as a member of its fleet: events of the membership, budgets that follow the size of the fleet,
 //! and the hand-over of the membership from one process of the node to the next.
 
-use super::{Node, limits};
+use super::Node;
 use crate::net::fleet::Fleet;
 use lapisrudder::Micros;
 use lapisrudder::wire::Options;
@@ -38,12 +38,7 @@
     pub(super) fn apply_fleet_size(&mut self) {
         let Some(fleet) = &self.fleet else { return };
         self.options.siblings = fleet.counted();
-        let settings = self.options.on_sockets();
-        let limits = limits(&self.options, settings.siblings, self.sockets);
-        let now = self.clock.now();
-        let retained = self.classes.retained(&self.options, now);
-        let indices = self.engine.reconfigure(settings, limits, &retained);
-        self.classes.update(&self.options, &indices, now);
+        self.reconfigure_engine(self.clock.now());
     }
 
     /// Applies the reloaded section of the operators' file; sets the number of nodes that count in `options`.
