Parse the line of a half-received write once, and don't ask twice for a client's end

The length of a write, whether it is large and its client's time each split the same line again; `memcache::SetCommand` is the line once, and shares the look-up of flags and of the waiting time with the complete command.

A read ahead that emptied the socket has seen whether the client has left, so the second system call is made only where it stopped before that. `read_ahead` says so with the `Probe` that the caller has anyway.

Behaviour and expectations are as before; the test on lengths has the same table.

--- a/crates/codec/src/memcache.rs
+++ b/crates/codec/src/memcache.rs
@@ -17,7 +17,7 @@
 /// Maximum length of a key in bytes.
 pub const MAX_KEY: usize = 250;
 /// Values of up to this many bytes are buffered and parsed as part of their command or answer. Larger ones
-/// are reported by their line alone ([`Answer::LargeValue`], [`large_command_length`]).
+/// are reported by their line alone ([`Answer::LargeValue`], [`SetCommand`]).
 pub const MAX_BUFFERED_VALUE: usize = 64 * 1024;
 /// Maximum size of a value in bytes.
 pub const MAX_VALUE: usize = 4 << 20;
@@ -166,8 +166,7 @@
     };
     let write = name == Some(b"ms");
     let key = rest.next().unwrap_or_default();
-    let flag = |letter: u8| tokens(line).skip(2).find(|w| w[0] == letter).map(|w| &w[1..]);
-    let id = flag(b'O').unwrap_or_default();
+    let id = flag(line, b'O').unwrap_or_default();
     let invalid = match () {
         _ if key.is_empty() || key.len() > MAX_KEY => Some("bad key"),
         _ if line.iter().any(|b| *b < b' ' || *b == 127) => Some("control character"),
@@ -175,7 +174,7 @@
         _ if !write && !tokens(line).skip(2).any(|w| w == b"v") => Some("value not asked for"),
         _ => None,
     };
-    let extra = flag(b'P').unwrap_or_default();
+    let extra = flag(line, b'P').unwrap_or_default();
     let command = match invalid {
         Some(reason) => Command::Bad(reason),
         None => Command::Request(Request { write, key, id, extra, line, value }),
@@ -183,29 +182,44 @@
     Ok(Some((command, used)))
 }
 
-/// Total length in bytes of the `ms` command at the start of a buffer, if its line is complete and its value
-/// is not larger than [`MAX_VALUE`].
-pub fn set_command_length(buffer: &[u8]) -> Option<usize> {
-    let (line, used) = split_line(buffer).ok()??;
-    let mut tokens = tokens(line);
-    let length: usize =
-        tokens.next().filter(|name| *name == b"ms").and_then(|_| tokens.nth(1)).and_then(decimal)?;
-    (length <= MAX_VALUE).then_some(used + length + 2)
+/// An `ms` command at the start of a buffer, of which the line is complete at least.
+pub struct SetCommand<'a> {
+    line: &'a [u8],
+    value_length: usize,
+    /// Length of the whole command in bytes.
+    pub length: usize,
+}
+
+impl<'a> SetCommand<'a> {
+    /// The command at the start of a buffer, if there is one with a value not larger than [`MAX_VALUE`].
+    pub fn at_start(buffer: &'a [u8]) -> Option<SetCommand<'a>> {
+        let (line, used) = split_line(buffer).ok()??;
+        let mut tokens = tokens(line);
+        let is_set = tokens.next() == Some(b"ms");
+        let value_length = tokens.nth(1).filter(|_| is_set).and_then(decimal)?;
+        let length = used + value_length + 2;
+        (value_length <= MAX_VALUE).then_some(SetCommand { line, value_length, length })
+    }
+
+    /// Whether its value is larger than [`MAX_BUFFERED_VALUE`].
+    pub fn is_large(&self) -> bool {
+        self.value_length > MAX_BUFFERED_VALUE
+    }
+
+    /// How many milliseconds its client waits for the answer, if it says so.
+    pub fn wait_ms(&self) -> Option<u64> {
+        wait_ms(flag(self.line, b'P')?)
+    }
 }
 
-/// The same, if the value is larger than [`MAX_BUFFERED_VALUE`].
-pub fn large_command_length(buffer: &[u8]) -> Option<usize> {
-    let total = set_command_length(buffer)?;
-    let (_, line) = split_line(buffer).ok()??;
-    (total - line - 2 > MAX_BUFFERED_VALUE).then_some(total)
+/// The text of a flag behind the key of a command.
+fn flag(line: &[u8], letter: u8) -> Option<&[u8]> {
+    tokens(line).skip(2).find(|word| word[0] == letter).map(|word| &word[1..])
 }
 
-/// How many milliseconds the client of the `ms` command at the start of a buffer waits for its answer, if its
-/// line is complete and says so.
-pub fn set_command_wait_ms(buffer: &[u8]) -> Option<u64> {
-    let (line, _) = split_line(buffer).ok()??;
-    let list = tokens(line).skip(2).find_map(|word| word.strip_prefix(b"P"))?;
-    parameter(list, b"d").and_then(decimal)
+/// The time that a client waits for the answer, in a list of parameters (`d`, milliseconds).
+fn wait_ms(parameters: &[u8]) -> Option<u64> {
+    parameter(parameters, b"d").and_then(decimal)
 }
 
 /// The value of a parameter in a list of `name=value` pairs, separated by commas.
@@ -222,7 +236,7 @@
     /// How many milliseconds the client waits for the answer, counted from when it sent the request
     /// (parameter `d`).
     pub fn wait_ms(&self) -> Option<u64> {
-        self.parameter(b"d").and_then(decimal)
+        wait_ms(self.extra)
     }
 
     /// Appends the parameters as received, with the client's waiting time (`d`) replaced by `wait_ms`.
@@ -419,7 +433,8 @@
             ("mg k 65537 O9\r\n", None),
             ("ms k -1 O9\r\n", None),
         ] {
-            assert_eq!(large_command_length(text.as_bytes()), size, "{text:?}");
+            let large = SetCommand::at_start(text.as_bytes()).filter(SetCommand::is_large);
+            assert_eq!(large.map(|command| command.length), size, "{text:?}");
         }
     }
 
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -7,7 +7,7 @@
 use lapisrudder::permit::{Close, Denial};
 use lapisrudder::time_limits::MAX_STALL;
 use lapisrudder::{Micros, RequestId};
-use lapisrudder_codec::memcache::{MAX_BUFFERED_VALUE, MAX_LINE, parse_command, set_command_length};
+use lapisrudder_codec::memcache::{MAX_BUFFERED_VALUE, MAX_LINE, SetCommand, parse_command};
 use lapisrudder_io::{Probe, Read, Written};
 use lapisrudder_limits::drain::State;
 use lapisrudder_limits::memory_account::{HeldBytes, MemoryAccount};
@@ -399,7 +399,8 @@
             scratch[..held].copy_from_slice(&self.input);
             return Some(&scratch[..held]);
         }
-        let missing = set_command_length(&self.input).map_or(0, |total| total.saturating_sub(held));
+        let missing =
+            SetCommand::at_start(&self.input).map_or(0, |command| command.length.saturating_sub(held));
         let limit = scratch.len().min(held + missing.max(READ_SIZE));
         let scratch = &mut scratch[..limit];
         scratch[..held].copy_from_slice(&self.input);
@@ -449,25 +450,26 @@
         self.phase == Phase::Open && !self.leaving && self.receiving.is_none()
     }
 
-    /// Reads on without taking commands, up to `room` bytes. Returns whether the client has left.
-    pub fn read_ahead(&mut self, scratch: &mut [u8], room: usize) -> bool {
+    /// Reads on without taking commands, up to `room` bytes. Returns whether the client has left; that is
+    /// unknown if not all was read.
+    pub fn read_ahead(&mut self, scratch: &mut [u8], room: usize) -> Probe {
         let mut room = room.min(MAX_READ_AHEAD.saturating_sub(self.ahead.len()));
         while room > 0 {
             let size = room.min(scratch.len());
             match self.socket.read(&mut scratch[..size]) {
-                Read::End | Read::Broken(_) => return true,
+                Read::End | Read::Broken(_) => return Probe::Yes,
                 Read::Bytes(count) => {
                     self.ahead.push(&scratch[..count]);
                     room -= count;
                 }
-                Read::NotReady => return false,
+                Read::NotReady => return Probe::No,
                 Read::Later(_) => {
                     self.needs_retry = true;
-                    return false;
+                    break;
                 }
             }
         }
-        false
+        Probe::Unknown
     }
 
     /// Bytes of input that are held and are no command that was taken.
--- a/src/net/virtual_server/reading.rs
+++ b/src/net/virtual_server/reading.rs
@@ -8,7 +8,7 @@
 use crate::net::client::{Client, Slot};
 use crate::net::receiving::{Receiving, UploadRead};
 use lapisrudder::{Micros, RequestId};
-use lapisrudder_codec::memcache::{self, Command, MAX_LINE, OwnedRequest, Request};
+use lapisrudder_codec::memcache::{self, Command, MAX_LINE, OwnedRequest, Request, SetCommand};
 use lapisrudder_io::Probe;
 use lapisrudder_limits::memory_account::HeldBytes;
 use lapisrudder_limits::upload::Upload;
@@ -31,10 +31,11 @@
         if client.is_read_blocked() {
             client.note_blocked(now);
             // The end of the connection arrives behind all that the client has sent.
-            if client.may_read_ahead() && client.read_ahead(scratch, self.account.room_for_input()) {
-                return State::Closed(CloseReason::PeerEnded);
-            }
-            return match client.has_left() {
+            let left = match client.may_read_ahead() {
+                true => client.read_ahead(scratch, self.account.room_for_input()),
+                false => Probe::Unknown,
+            };
+            return match if left == Probe::Unknown { client.has_left() } else { left } {
                 Probe::Yes => State::Closed(CloseReason::PeerEnded),
                 Probe::No | Probe::Unknown => State::Open,
             };
@@ -173,14 +174,14 @@
             return client.keep_rest(rest);
         }
         let more = rest.len().saturating_sub(client.counted.input);
-        let upload = match memcache::set_command_length(rest) {
-            Some(total) if memcache::large_command_length(rest).is_some() => {
-                let wait_ms = memcache::set_command_wait_ms(rest).unwrap_or(0);
+        let upload = match SetCommand::at_start(rest) {
+            Some(command) if command.is_large() => {
+                let wait_ms = command.wait_ms().unwrap_or(0);
                 let client_wait = Micros::try_from(wait_ms.saturating_mul(1000)).unwrap_or(Micros::MAX);
-                Upload::new(total, rest.len(), now, client_wait)
+                Upload::new(command.length, rest.len(), now, client_wait)
             }
-            Some(total) if rest.len() > MAX_LINE && !self.account.fits(more) => {
-                Upload::refused(total, rest.len())
+            Some(command) if rest.len() > MAX_LINE && !self.account.fits(more) => {
+                Upload::refused(command.length, rest.len())
             }
             _ => return client.keep_rest(rest),
         };
