--- a/tests/answered.rs
+++ b/tests/answered.rs
@@ -5,7 +5,7 @@
 mod harness;
 
 use harness::*;
-use lapisrudder_lab::stand::{Asked, Reply, Scripted, World, member};
+use lapisrudder_lab::stand::{Asked, Reply, Scripted, World};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -52,14 +52,10 @@
             let sender = sender.clone();
             Scripted::start(move |asked, reply| _ = sender.send((asked, reply))).expect("a peer")
         });
-        let mut spec = spec(&[]);
-        let [c, d, o] = peers.each_ref().map(|peer| peer.address().to_string());
-        spec.discovery.plan.members = vec![
-            member("c", &c, "cache", "z"),
-            member("d", &d, "cache", "z"),
-            member("o", &o, "origin", "z"),
-        ];
-        TestAnswered { world: world(spec, ids(0)), _peers: peers, attempts }
+        let [c, d, o] = &peers;
+        let spec = spec_with_peers(&[], &[("c", "cache", c), ("d", "cache", d), ("o", "origin", o)]);
+        let world = world(spec, ids(0));
+        TestAnswered { world, _peers: peers, attempts }
     }
 
     /// A ready node whose classes give up after 0.3 s, so that it ends 0.85 s after SIGTERM.
--- a/tests/drained.rs
+++ b/tests/drained.rs
@@ -8,7 +8,7 @@
 use harness::*;
 use lapisrudder_fault_shim::errno::EMFILE;
 use lapisrudder_fault_shim::{Call, Descriptor, Rule};
-use lapisrudder_lab::stand::{Books, Scripted, World, member};
+use lapisrudder_lab::stand::{Books, Scripted, World};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::thread;
@@ -251,8 +251,7 @@
         Some(format!("VA {LARGE} O{}\r\n{value}\r\n", asked.id))
     });
     let server = server.expect("a server");
-    let mut spec = spec(&[]);
-    spec.discovery.plan.members = vec![member("c", &server.address().to_string(), "cache", "z")];
+    let spec = spec_with_peers(&[], &[("c", "cache", &server)]);
     let world = world(spec, ids(0));
     let node = Node::with_management(&world, 1024);
     (world, server, node)
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -12,7 +12,7 @@
     EPROTO,
 };
 use lapisrudder_fault_shim::{Call, Control, Descriptor, Rule, table as faults};
-use lapisrudder_lab::stand::{Books, World};
+use lapisrudder_lab::stand::{Books, Scripted, World};
 use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -498,10 +498,8 @@
 #[test]
 fn a_large_write_that_is_taken_in_small_parts_delays_no_other_request() {
     const LENGTH: usize = 4 << 20;
-    let origin = lapisrudder_lab::stand::Scripted::start(|_, _| {}).expect("an origin");
-    let mut spec = spec(&["a", "b"]);
-    let origin_address = origin.address().to_string();
-    spec.discovery.plan.members = vec![lapisrudder_lab::stand::member("o", &origin_address, "origin", "z")];
+    let origin = Scripted::start(|_, _| {}).expect("an origin");
+    let spec = spec_with_peers(&["a", "b"], &[("o", "origin", &origin)]);
     let world = world(spec, ids(20));
     let mut control = new_fault_table(1);
     let node = start_node(world.addresses().discovery(0).expect("discovery"), &control);
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -4,7 +4,7 @@
 pub mod shim;
 
 use lapisrudder_lab::ledger::{ServerEvent, ServerNo};
-use lapisrudder_lab::stand::{Books, Clock, Notice, Reply, Scripted, ServerSpec, Spec, World};
+use lapisrudder_lab::stand::{Books, Clock, Notice, Reply, Scripted, ServerSpec, Spec, World, member};
 use lapisrudder_model::server::{Class, Dist};
 use lapisrudder_model::value::{Key, Maker, RequestId, Uid, check};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -41,6 +41,15 @@
     spec
 }
 
+/// The same, with these peers that the test answers for: the name, the type and the peer of each.
+pub fn spec_with_peers(servers: &[&str], peers: &[(&str, &str, &Scripted)]) -> Spec {
+    let mut spec = spec(servers);
+    let listed =
+        |(name, kind, peer): &(&str, &str, &Scripted)| member(name, &peer.address().to_string(), kind, "z");
+    spec.discovery.plan.members = peers.iter().map(listed).collect();
+    spec
+}
+
 /// Starts a world whose servers hold the key that [`Client::read`] asks for, for each of the ids.
 pub fn world(spec: Spec, ids: impl Iterator<Item = String>) -> World<Books> {
     let servers: Vec<String> = spec.servers.iter().map(|server| server.uid.clone()).collect();
--- a/tests/held_memory.rs
+++ b/tests/held_memory.rs
@@ -4,7 +4,7 @@
 mod harness;
 
 use harness::*;
-use lapisrudder_lab::stand::{Books, Scripted, World, member};
+use lapisrudder_lab::stand::{Books, Scripted, World};
 use std::io::Read;
 use std::thread;
 use std::time::Duration;
@@ -30,11 +30,7 @@
         });
     });
     let (cache, origin) = (cache.unwrap(), origin.unwrap());
-    let mut spec = spec(&[]);
-    spec.discovery.plan.members = vec![
-        member("c", &cache.address().to_string(), "cache", "z"),
-        member("o", &origin.address().to_string(), "origin", "z"),
-    ];
+    let spec = spec_with_peers(&[], &[("c", "cache", &cache), ("o", "origin", &origin)]);
     (world(spec, ids(0)), [cache, origin])
 }
 
--- a/tests/large.rs
+++ b/tests/large.rs
@@ -4,7 +4,7 @@
 mod harness;
 
 use harness::*;
-use lapisrudder_lab::stand::{Books, Reply, Scripted, World, member};
+use lapisrudder_lab::stand::{Books, Reply, Scripted, World};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::Duration;
@@ -34,8 +34,7 @@
         let _ = sender.send((asked.id, reply));
     });
     let cache = cache.unwrap();
-    let mut spec = spec(&[]);
-    spec.discovery.plan.members = vec![member("c", &cache.address().to_string(), "cache", "z")];
+    let spec = spec_with_peers(&[], &[("c", "cache", &cache)]);
     (world(spec, ids(0)), cache, requests)
 }
 
@@ -230,8 +229,7 @@
         reply.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nr-77");
     });
     let origin = origin.unwrap();
-    let mut spec = spec(&["a"]);
-    spec.discovery.plan.members = vec![member("o", &origin.address().to_string(), "origin", "z")];
+    let spec = spec_with_peers(&["a"], &[("o", "origin", &origin)]);
     let world = world(spec, ids(0));
     let node = Node::start(&world);
     let writes: Vec<_> = (0..20)
--- a/tests/left.rs
+++ b/tests/left.rs
@@ -4,7 +4,7 @@
 mod harness;
 
 use harness::*;
-use lapisrudder_lab::stand::{Books, Scripted, World, member};
+use lapisrudder_lab::stand::{Books, Scripted, World};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -28,11 +28,7 @@
         reply.send(http("value"));
     });
     let (cache, origin) = (cache.expect("a server"), origin.expect("an origin"));
-    let mut spec = spec(&[]);
-    spec.discovery.plan.members = vec![
-        member("c", &cache.address().to_string(), "cache", "z"),
-        member("o", &origin.address().to_string(), "origin", "z"),
-    ];
+    let spec = spec_with_peers(&[], &[("c", "cache", &cache), ("o", "origin", &origin)]);
     let world = world(spec, ids(0));
     let node = Node::start(&world);
     (node, world, [cache, origin], fetches)
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -5,7 +5,7 @@
 mod harness;
 
 use harness::*;
-use lapisrudder_lab::stand::{Scripted, member};
+use lapisrudder_lab::stand::Scripted;
 use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::process::Command;
@@ -76,8 +76,7 @@
 /// Runs a flood, with `ordinary_clients` clients before it and as many during it.
 fn run_flood(operators: Option<&str>, ordinary_clients: u8) -> FloodReport {
     let holder = Scripted::answering(|asked| Some(format!("VA 4 O{} h1\r\nhere\r\n", asked.id))).unwrap();
-    let mut spec = spec(&[]);
-    spec.discovery.plan.members = vec![member("c", &holder.address().to_string(), "cache", "z")];
+    let spec = spec_with_peers(&[], &[("c", "cache", &holder)]);
     let world = world(spec, ids(0));
     let node = Node::with_operator_config(world.addresses().discovery(0).unwrap(), 160, operators);
     node.wait_ready();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -5,7 +5,7 @@
 mod harness;
 
 use harness::*;
-use lapisrudder_lab::stand::{Scripted, member};
+use lapisrudder_lab::stand::Scripted;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -78,8 +78,7 @@
         Some(format!("VA {} O{} h1\r\n{big}\r\n", big.len(), asked.id))
     })
     .unwrap();
-    let mut spec = spec(&[]);
-    spec.discovery.plan.members = vec![member("c", &cache.address().to_string(), "cache", "z")];
+    let spec = spec_with_peers(&[], &[("c", "cache", &cache)]);
     let world = world(spec, ids(0));
     let node = Node::start(&world);
     let mut client = node.client();
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -4,7 +4,7 @@
 mod harness;
 
 use harness::*;
-use lapisrudder_lab::stand::{Books, Scripted, World, member};
+use lapisrudder_lab::stand::{Books, Scripted, Spec, World};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -43,6 +43,14 @@
     });
 }
 
+/// A ready node with these classes in a world.
+fn node_in(spec: Spec, classes: &[String]) -> (Node, World<Books>) {
+    let world = world(spec, ids(0));
+    let node = Node::with_settings(world.addresses().discovery(0).expect("discovery"), &settings(classes));
+    node.wait_ready();
+    (node, world)
+}
+
 /// How often the origin has run each write, by its id.
 type Runs = Arc<Mutex<HashMap<String, usize>>>;
 
@@ -62,11 +70,8 @@
         });
     });
     let origin = origin.expect("an origin");
-    let mut spec = spec(&["a"]);
-    spec.discovery.plan.members = vec![member("o", &origin.address().to_string(), "origin", "z")];
-    let world = world(spec, ids(0));
-    let node = Node::with_settings(world.addresses().discovery(0).expect("discovery"), &settings(classes));
-    node.wait_ready();
+    let spec = spec_with_peers(&["a"], &[("o", "origin", &origin)]);
+    let (node, world) = node_in(spec, classes);
     (node, world, origin, runs)
 }
 
@@ -159,11 +164,8 @@
 /// A node with these classes whose only server answers nothing.
 fn node_and_silent_server(classes: &[String]) -> (Node, Scripted, World<Books>) {
     let server = Scripted::start(|_, _| {}).expect("a server");
-    let mut spec = spec(&[]);
-    spec.discovery.plan.members = vec![member("s", &server.address().to_string(), "cache", "z")];
-    let world = world(spec, ids(0));
-    let node = Node::with_settings(world.addresses().discovery(0).expect("discovery"), &settings(classes));
-    node.wait_ready();
+    let spec = spec_with_peers(&[], &[("s", "cache", &server)]);
+    let (node, world) = node_in(spec, classes);
     (node, server, world)
 }
 
@@ -194,13 +196,9 @@
         });
     });
     let server = server.expect("a server");
-    let mut spec = spec(&[]);
-    spec.discovery.plan.members = vec![member("s", &server.address().to_string(), "cache", "z")];
-    let world = world(spec, ids(0));
+    let spec = spec_with_peers(&[], &[("s", "cache", &server)]);
     let first = class("read", "free", 0.5);
-    let discovery = world.addresses().discovery(0).expect("discovery");
-    let node = Node::with_settings(discovery, &settings(std::slice::from_ref(&first)));
-    node.wait_ready();
+    let (node, _world) = node_in(spec, std::slice::from_ref(&first));
     reload(&node, &[first, class("long", "free", 2.5)], "long");
     let mut client = node.client();
     client.send("mg k v Olate Pc=long,d=2400\r\n");
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -4,7 +4,7 @@
 mod harness;
 
 use harness::*;
-use lapisrudder_lab::stand::{Books, Scripted, World, member};
+use lapisrudder_lab::stand::{Books, Scripted, World};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -38,8 +38,7 @@
         reply.send(http("r-1"));
     });
     let origin = origin.unwrap();
-    let mut spec = spec(&["a"]);
-    spec.discovery.plan.members = vec![member("o", &origin.address().to_string(), "origin", "z")];
+    let spec = spec_with_peers(&["a"], &[("o", "origin", &origin)]);
     let world = world(spec, ids(0));
     let node = Node::with_limits(&world, 256, MEMORY_MB);
     (node, world, origin, writes)
