--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -110,7 +110,7 @@
     assert_eq!(
         (&first["name"], &first["state"]),
         (&"m2".into(), &"left".into()),
-        "the first change after the replacement"
+        "the first change after the replacement: {line}"
     );
 }
 
