--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -100,6 +100,10 @@
 pub struct Discovery {
     pub at: SocketAddr,
     pub state: Arc<(Mutex<Members>, Condvar)>,
+    /// The open connections of callers.
+    open: Arc<Mutex<Vec<TcpStream>>>,
+    /// It is down: new connections are refused.
+    down: Flag,
     record: Record,
 }
 
@@ -112,17 +116,56 @@
             members.changed.insert(e.uid.clone(), 1);
             members.list.insert(e.uid.clone(), e);
         }
-        let it = Discovery { at, state: Arc::new((Mutex::new(members), Condvar::new())), record: record.clone() };
+        let state = Arc::new((Mutex::new(members), Condvar::new()));
+        let it = Discovery { at, state, open: Arc::default(), down: flag(), record: record.clone() };
         let this = it.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            let mut listener = Some(listener);
+            loop {
+                if is_set(&this.down) {
+                    listener = None;
+                    thread::sleep(ms(5));
+                    continue;
+                }
+                let Some(listening) = &listener else {
+                    listener = TcpListener::bind(at).ok();
+                    continue;
+                };
+                let _ = listening.set_nonblocking(true);
+                let Ok((stream, _)) = listening.accept() else {
+                    thread::sleep(ms(2));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
                 let this = this.clone();
+                this.open.lock().unwrap().extend(stream.try_clone());
                 thread::spawn(move || _ = this.serve(stream));
             }
         });
         it
     }
 
+    /// Discovery goes down: watches end, and new connections are refused.
+    pub fn go_down(&self) {
+        set(&self.down);
+        thread::sleep(ms(20));
+        self.reset_watches();
+        self.record.line("discovery: is down");
+    }
+
+    pub fn come_back(&self) {
+        self.down.store(false, Ordering::SeqCst);
+        self.record.line("discovery: is back");
+    }
+
+    /// Ends all open watches; new calls are answered as ever.
+    pub fn reset_watches(&self) {
+        self.record.line("discovery: all open watches are reset");
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// The whole list in discovery's form.
     pub fn known(&self) -> String {
         let m = self.state.0.lock().unwrap();
@@ -364,6 +407,8 @@
     pub classes: Vec<(&'static str, &'static str, f64, f64, f64)>,
     pub attempts: usize,
     pub second_copies: bool,
+    /// The platform holds the process to its number of descriptors (`ulimit -n`).
+    pub enforce_sockets: bool,
 }
 
 impl Default for Settings {
@@ -376,6 +421,7 @@
             classes: vec![("read", "free", 2.5, 0.75, 5.0), ("put", "guarded", 5.0, 1.5, 10.0)],
             attempts: 3,
             second_copies: true,
+            enforce_sockets: false,
         }
     }
 }
@@ -423,6 +469,7 @@
             .find_map(|l| l.strip_prefix("run = \"")?.split('"').next())
             .unwrap_or_else(|| cannot_run("no run command"))
             .to_string();
+        let run = if settings.enforce_sockets { format!("ulimit -n {} && {run}", settings.sockets) } else { run };
         let it = Platform { listen, config: folder.join("config.json"), folder, run, record: record.clone() };
         it.write_config(settings, discovery);
         it
