--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -96,7 +96,7 @@
         count += 1;
         let mut total = 0;
         if let Ok(mut client) = Client::connect(at) {
-            let line = mg(&format!("piece-{}", n * 7 + count % 5), &format!("a{n:x}e{count:x}"), "read", 2400);
+            let line = mg(&format!("piece-{}", n * 7 + count % 5), &format!("a{n:x}x{count:x}"), "read", 2400);
             let _ = client.send(line.as_bytes());
             let _ = client.stream.set_read_timeout(Some(ms(3000)));
             let mut buffer = vec![0; PIECE];
@@ -127,7 +127,7 @@
         count += 1;
         let mut ok = false;
         if let Ok(mut client) = Client::connect(at) {
-            let id = format!("b{n:x}e{count:x}");
+            let id = format!("b{n:x}x{count:x}");
             let mut sent = client.send(ms_line(&format!("lesson-{n}"), size, &id, "put", 4800, &id).as_bytes());
             for piece in value.chunks(PIECE) {
                 sent = sent.and_then(|()| client.send(piece));
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -124,7 +124,7 @@
             }
         };
         let key = |part: u64| (n * 131 + count * 17 + part * 7919) % 5000;
-        let line = |part| mg(&format!("week-{}", key(part)), &format!("{n:x}e{count:x}p{part}"), "read", 2400);
+        let line = |part| mg(&format!("week-{}", key(part)), &format!("{n:x}x{count:x}p{part}"), "read", 2400);
         let _ = client.send((0..AT_ONCE).map(line).collect::<String>().as_bytes());
         let mut over = false;
         for _ in 0..AT_ONCE {
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -283,8 +283,17 @@
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
                 let Ok(mut out) = stream.try_clone() else { return };
-                let mut input = BufReader::new(stream);
-                while let Ok(Some(got)) = read_command(&mut input) {
+                // Commands are read as they come, whatever the answers before them take.
+                let (sender, commands) = std::sync::mpsc::channel();
+                thread::spawn(move || {
+                    let mut input = BufReader::new(stream);
+                    while let Ok(Some(got)) = read_command(&mut input) {
+                        if sender.send(got).is_err() {
+                            break;
+                        }
+                    }
+                });
+                for got in commands {
                     if handler(&got, &mut out).is_err() {
                         break;
                     }
