Review case 9: a server out by hand is used after an upgrade where $TMPDIR is long

The socket on which two processes of a node meet does not fit into the address of a Unix socket from about 71 characters of $TMPDIR on: the new process starts without the bans.

--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,15 +1,22 @@
-//! While the process of a node is replaced, a bad client that uses the id of another client's open request is served.
+//! A server that operators have taken out by hand is used again once the process of the node is replaced, where the path
+//! of `$TMPDIR` is long.
 #[path = "../stand-2/stand.rs"]
 mod stand;
 
 use stand::*;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-/// How long a server takes for the usual client's read.
-const SLOW_MS: u64 = 1800;
-const ROUNDS: u64 = 3;
+/// Length of the path of `$TMPDIR`.
+const TMPDIR_LENGTH: usize = 80;
+const CLIENTS: u64 = 10;
+const BAN: Duration = Duration::from_secs(2);
+const UPGRADE: Duration = Duration::from_secs(4);
+const PLAYED: Duration = Duration::from_secs(14);
+/// The grace of the settings, the 50 ms of sockets, and 150 ms for this program's own delay.
+const GRACE: Duration = Duration::from_millis(500 + 50 + 150);
 
 fn main() {
     let record = Record::new();
@@ -18,65 +25,94 @@
 }
 
 fn run(record: &Record) -> Vec<String> {
-    let ran = Arc::new(Mutex::new(Vec::<(String, String)>::new()));
-    let (log, runs) = (record.clone(), ran.clone());
-    let handler: Handler = Arc::new(move |got, out| {
-        log.line(format!("server: runs mg {} O{}", got.key, got.id));
-        runs.lock().unwrap().push((got.id.clone(), got.key.clone()));
-        thread::sleep(ms(if got.key.starts_with("slow") { SLOW_MS } else { 20 }));
-        va(out, &got.id, &made_for(&got.key, &got.id, 100))
-    });
-    let entries = (0..6).map(|n| Entry::new(&format!("s-{n}"), cache_server(handler.clone()), "gewoon"));
-    let mut entries: Vec<Entry> = entries.collect();
+    let got = Arc::new(Mutex::new(Vec::<(u64, String, Instant)>::new()));
+    let server = |n: u64| {
+        let got = got.clone();
+        let handler: Handler = Arc::new(move |request, out| {
+            got.lock().unwrap().push((n, request.id.clone(), request.at));
+            thread::sleep(ms(20));
+            va(out, &request.id, &made_for(&request.key, &request.id, 100))
+        });
+        Entry::new(&format!("s-{n}"), cache_server(handler), "gewoon")
+    };
+    let mut entries: Vec<Entry> = (0..6).map(server).collect();
     let origin = origin(Arc::new(|got, out| http_200(out, &made_for(&got.key, &got.id, 100))));
     entries.push(Entry::new("z-origin", origin, "origin"));
     let discovery = Discovery::start(entries, record);
-    let platform = Platform::new(&Settings::default(), &discovery, record);
+    let folder = std::env::var("CASE_TMP").unwrap_or_default();
+    let name = format!("tmp-of-{}", "n".repeat(TMPDIR_LENGTH.saturating_sub(folder.len() + 8)));
+    record.line(format!("$TMPDIR has {} characters", folder.len() + 1 + name.len()));
+    let settings = Settings { tmp: name, ..Settings::default() };
+    let platform = Platform::new(&settings, &discovery, record);
     let mut node = platform.start("node-0.log");
-    let mut broken = Vec::new();
-    for round in 0..ROUNDS {
-        let id = format!("{round:x}f03aa5c7e2d41");
-        let mut usual = Client::connect(platform.listen).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let sent = Instant::now();
-        let _ = usual.send(mg(&format!("slow-{round}"), &id, "read", 2400).as_bytes());
-        record.line(format!("usual client: sent mg slow-{round} O{id}"));
-        thread::sleep(ms(100));
-        let mut old = None;
-        if trouble() {
-            record.line("platform: starts `run` a second time");
-            let new = platform.start(&format!("node-{}.log", round + 1));
-            record.line("platform: the new process says yes: SIGTERM to the old one");
-            node.signal("TERM");
-            old = Some(std::mem::replace(&mut node, new));
-        }
-        thread::sleep(ms(300));
-        let mut bad = Client::connect(platform.listen).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let _ = bad.send(mg(&format!("other-{round}"), &id, "read", 2400).as_bytes());
-        record.line(format!("bad client: sent mg other-{round} with the same id O{id}"));
-        let answer = bad.answer(ms(3000));
-        let open = sent.elapsed() < ms(SLOW_MS - 100);
-        record.line(format!("bad client: got {} while the other request was {}", answer.short(), if open { "open" } else { "over" }));
-        let usual_answer = usual.answer(ms(3000));
-        record.line(format!("usual client: got {} after {} ms", usual_answer.short(), sent.elapsed().as_millis()));
-        if open && matches!(answer, Answer::Value { .. }) {
-            broken.push(format!("the bad client's read with the id of the open request O{id} was served"));
-        }
-        if let Answer::Value { id: of, value } = usual_answer {
-            if of != id || !value.starts_with(format!("slow-{round}/").as_bytes()) {
-                broken.push(format!("the usual client's O{id} got the value of another request"));
-            }
-        }
-        if let Some(mut old) = old {
-            let until = Instant::now() + ms(3700);
-            while !old.has_ended() && Instant::now() < until {
-                thread::sleep(ms(20));
+    let (at, began) = (platform.listen, Instant::now());
+    let clients: Vec<_> = (0..CLIENTS).map(|n| thread::spawn(move || client(at, n, began + PLAYED))).collect();
+    thread::sleep(BAN);
+    let answer = node.call("maint-on s-0").unwrap_or_default();
+    let out_since = Instant::now();
+    record.line(format!("operator: maint-on s-0 got {:?}", answer.trim_end()));
+    if !answer.starts_with("ok") {
+        cannot_run("maint-on got no yes");
+    }
+    thread::sleep(UPGRADE.saturating_sub(began.elapsed()));
+    let mut old = None;
+    if trouble() {
+        record.line("platform: starts `run` a second time");
+        let new = platform.start("node-1.log");
+        record.line("platform: the new process says yes: SIGTERM to the old one");
+        node.signal("TERM");
+        old = Some((std::mem::replace(&mut node, new), Instant::now()));
+    }
+    while began.elapsed() < PLAYED {
+        thread::sleep(ms(20));
+        if let Some((mut process, since)) = old.take() {
+            if process.has_ended() {
+                record.line("platform: the old process has ended");
+            } else if since.elapsed() < ms(3700) {
+                old = Some((process, since));
             }
-            record.line("platform: the old process is gone");
         }
     }
-    for id in (0..ROUNDS).map(|round| format!("{round:x}f03aa5c7e2d41")) {
-        let keys: Vec<String> = ran.lock().unwrap().iter().filter(|(of, _)| *of == id).map(|(_, k)| k.clone()).collect();
-        record.line(format!("servers ran for O{id}: {keys:?}"));
+    let mut broken = Vec::new();
+    if node.has_ended() {
+        broken.push("the node ended".into());
+    }
+    let served: u64 = clients.into_iter().map(|c| c.join().unwrap_or(0)).sum();
+    record.line(format!("clients: {served} served"));
+    let got = got.lock().unwrap();
+    let late: Vec<_> = got.iter().filter(|(n, _, when)| *n == 0 && *when > out_since + GRACE).collect();
+    for (_, id, when) in late.iter().take(20) {
+        record.line(format!("server s-0 got O{id} {} ms after the yes to maint-on", (*when - out_since).as_millis()));
+    }
+    if let Some((_, id, when)) = late.last() {
+        broken.push(format!(
+            "{} requests were sent to s-0, which is out by hand, the last (O{id}) {} ms after the yes",
+            late.len(), (*when - out_since).as_millis()
+        ));
+    }
+    if served < 100 {
+        cannot_run("too little was served");
     }
     broken
 }
+
+fn client(at: SocketAddr, n: u64, until: Instant) -> u64 {
+    let (mut served, mut count) = (0, 0u64);
+    let mut open: Option<Client> = None;
+    while Instant::now() < until {
+        count += 1;
+        let Ok(mut client) = open.take().map_or_else(|| Client::connect(at), Ok) else {
+            thread::sleep(ms(50));
+            continue;
+        };
+        let _ = client.send(mg(&format!("week-{}", (n * 31 + count) % 200), &format!("{n:x}x{count:x}"), "read", 2400).as_bytes());
+        match client.answer(ms(3000)) {
+            Answer::Nothing(_) | Answer::Cut(_) => continue,
+            Answer::Value { .. } => served += 1,
+            _ => {}
+        }
+        open = Some(client);
+        thread::sleep(ms(20));
+    }
+    served
+}
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -416,6 +416,8 @@
     pub classes: Vec<(&'static str, &'static str, f64, f64, f64)>,
     pub attempts: usize,
     pub second_copies: bool,
+    /// The name of the folder for `$TMPDIR`.
+    pub tmp: String,
     /// The platform holds the process to its number of descriptors (`ulimit -n`).
     pub enforce_sockets: bool,
 }
@@ -430,6 +432,7 @@
             classes: vec![("read", "free", 2.5, 0.75, 5.0), ("put", "guarded", 5.0, 1.5, 10.0)],
             attempts: 3,
             second_copies: true,
+            tmp: "tmp".into(),
             enforce_sockets: false,
         }
     }
@@ -458,6 +461,7 @@
     pub listen: SocketAddr,
     pub folder: PathBuf,
     run: String,
+    tmp: PathBuf,
     config: PathBuf,
     record: Record,
 }
@@ -479,7 +483,7 @@
             .unwrap_or_else(|| cannot_run("no run command"))
             .to_string();
         let run = if settings.enforce_sockets { format!("ulimit -n {} && {run}", settings.sockets) } else { run };
-        let it = Platform { listen, config: folder.join("config.json"), folder, run, record: record.clone() };
+        let it = Platform { listen, config: folder.join("config.json"), tmp: folder.join(&settings.tmp), folder, run, record: record.clone() };
         it.write_config(settings, discovery);
         it
     }
@@ -496,8 +500,8 @@
     /// Starts `run`, and waits until it answers `status` with ok.
     pub fn start(&self, log: &str) -> Process {
         let management = SocketAddr::from(([127, 0, 0, 1], free_port()));
-        let tmp = self.folder.join("tmp");
-        let _ = fs::create_dir_all(&tmp);
+        let tmp = &self.tmp;
+        let _ = fs::create_dir_all(tmp);
         let log = File::create(self.folder.join(log)).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let child = Command::new("/bin/sh")
             .args(["-c", &self.run])
@@ -505,7 +509,7 @@
             .env("EDGE_LISTEN", self.listen.to_string())
             .env("EDGE_CONFIG", &self.config)
             .env("EDGE_MANAGEMENT", management.to_string())
-            .env("TMPDIR", &tmp)
+            .env("TMPDIR", tmp)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
             .stderr(log)
