Review: the case on values from many servers goes, the one on ids comes back as case 10

Case 10 is the earlier case on ids of open requests over a take-over, unchanged but for its number; the former case 10 is 9.

--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,17 +1,15 @@
-//! A server breaks off a large value; a write that its client had sent behind that read has run, and gets no answer.
+//! While the process of a node is replaced, a bad client that uses the id of another client's open request is served.
 #[path = "../stand-2/stand.rs"]
 mod stand;
 
 use stand::*;
-use std::io::{Error, ErrorKind, Write};
-use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Instant;
 
-/// Bytes of the large value, and how many of them the server gives before its connection ends.
-const LARGE: usize = 1 << 20;
-const GIVEN: usize = 300 << 10;
+/// How long a server takes for the usual client's read.
+const SLOW_MS: u64 = 1800;
+const ROUNDS: u64 = 3;
 
 fn main() {
     let record = Record::new();
@@ -20,61 +18,65 @@
 }
 
 fn run(record: &Record) -> Vec<String> {
-    let log = record.clone();
+    let ran = Arc::new(Mutex::new(Vec::<(String, String)>::new()));
+    let (log, runs) = (record.clone(), ran.clone());
     let handler: Handler = Arc::new(move |got, out| {
-        log.line(format!("server: got mg {} O{}", got.key, got.id));
-        if !got.key.starts_with("large") {
-            return va(out, &got.id, &made_for(&got.key, &got.id, 200));
-        }
-        let value = made_for(&got.key, &got.id, LARGE);
-        out.write_all(format!("VA {LARGE} O{} h1\r\n", got.id).as_bytes())?;
-        if !trouble() {
-            out.write_all(&value)?;
-            return out.write_all(b"\r\n");
-        }
-        out.write_all(&value[..GIVEN])?;
-        thread::sleep(ms(50));
-        log.line(format!("server: breaks off O{} after {GIVEN} bytes", got.id));
-        Err(Error::from(ErrorKind::ConnectionReset))
+        log.line(format!("server: runs mg {} O{}", got.key, got.id));
+        runs.lock().unwrap().push((got.id.clone(), got.key.clone()));
+        thread::sleep(ms(if got.key.starts_with("slow") { SLOW_MS } else { 20 }));
+        va(out, &got.id, &made_for(&got.key, &got.id, 100))
     });
-    let entries = (0..3).map(|n| Entry::new(&format!("s-{n}"), cache_server(handler.clone()), "gewoon"));
+    let entries = (0..6).map(|n| Entry::new(&format!("s-{n}"), cache_server(handler.clone()), "gewoon"));
     let mut entries: Vec<Entry> = entries.collect();
-    let log = record.clone();
-    let ran = Arc::new(Mutex::new(BTreeSet::new()));
-    let runs = ran.clone();
-    let origin = origin(Arc::new(move |got, out| {
-        if !got.write {
-            return http_200(out, &made_for(&got.key, &got.id, 200));
-        }
-        log.line(format!("origin: ran PUT {} O{}, receipt r-{}", got.key, got.id, got.id));
-        runs.lock().unwrap().insert(got.id.clone());
-        http_200(out, format!("r-{}", got.id).as_bytes())
-    }));
-    entries.push(Entry::new("o-0", origin, "origin"));
+    let origin = origin(Arc::new(|got, out| http_200(out, &made_for(&got.key, &got.id, 100))));
+    entries.push(Entry::new("z-origin", origin, "origin"));
     let discovery = Discovery::start(entries, record);
     let platform = Platform::new(&Settings::default(), &discovery, record);
-    let mut node = platform.start("node.log");
+    let mut node = platform.start("node-0.log");
     let mut broken = Vec::new();
-    for n in 0..20 {
-        let mut client = Client::connect(platform.listen).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let ids = [format!("{n:08x}a"), format!("{n:08x}b")];
-        let write = ms_line(&format!("lesson-{n}"), 5, &ids[1], "put", 4000, &format!("{n:016x}"));
-        let text = mg(&format!("large-{n}"), &ids[0], "read", 2000) + &write + "hello\r\n";
+    for round in 0..ROUNDS {
+        let id = format!("{round:x}f03aa5c7e2d41");
+        let mut usual = Client::connect(platform.listen).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let sent = Instant::now();
-        client.send(text.as_bytes()).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        for id in &ids {
-            let answer = client.answer(ms(4600));
-            let took = sent.elapsed().as_millis();
-            record.line(format!("client {n}: O{id} sent at {} got {} after {took} ms", record.ms() as u128 - took, answer.short()));
-            if id == &ids[1] && matches!(answer, Answer::Nothing(_) | Answer::Cut(_)) {
-                let has_run = ran.lock().unwrap().contains(id);
-                let run = if has_run { "has run" } else { "has not run" };
-                broken.push(format!("write O{id} was taken and {run}, and the node closed its connection with no answer"));
+        let _ = usual.send(mg(&format!("slow-{round}"), &id, "read", 2400).as_bytes());
+        record.line(format!("usual client: sent mg slow-{round} O{id}"));
+        thread::sleep(ms(100));
+        let mut old = None;
+        if trouble() {
+            record.line("platform: starts `run` a second time");
+            let new = platform.start(&format!("node-{}.log", round + 1));
+            record.line("platform: the new process says yes: SIGTERM to the old one");
+            node.signal("TERM");
+            old = Some(std::mem::replace(&mut node, new));
+        }
+        thread::sleep(ms(300));
+        let mut bad = Client::connect(platform.listen).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let _ = bad.send(mg(&format!("other-{round}"), &id, "read", 2400).as_bytes());
+        record.line(format!("bad client: sent mg other-{round} with the same id O{id}"));
+        let answer = bad.answer(ms(3000));
+        let open = sent.elapsed() < ms(SLOW_MS - 100);
+        record.line(format!("bad client: got {} while the other request was {}", answer.short(), if open { "open" } else { "over" }));
+        let usual_answer = usual.answer(ms(3000));
+        record.line(format!("usual client: got {} after {} ms", usual_answer.short(), sent.elapsed().as_millis()));
+        if open && matches!(answer, Answer::Value { .. }) {
+            broken.push(format!("the bad client's read with the id of the open request O{id} was served"));
+        }
+        if let Answer::Value { id: of, value } = usual_answer {
+            if of != id || !value.starts_with(format!("slow-{round}/").as_bytes()) {
+                broken.push(format!("the usual client's O{id} got the value of another request"));
+            }
+        }
+        if let Some(mut old) = old {
+            let until = Instant::now() + ms(3700);
+            while !old.has_ended() && Instant::now() < until {
+                thread::sleep(ms(20));
             }
+            record.line("platform: the old process is gone");
         }
     }
-    if node.has_ended() {
-        broken.push("the node ended".into());
+    for id in (0..ROUNDS).map(|round| format!("{round:x}f03aa5c7e2d41")) {
+        let keys: Vec<String> = ran.lock().unwrap().iter().filter(|(of, _)| *of == id).map(|(_, k)| k.clone()).collect();
+        record.line(format!("servers ran for O{id}: {keys:?}"));
     }
     broken
 }
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -12,7 +12,7 @@
 const SERVERS: u64 = 200;
 const SOCKETS: usize = 256;
 /// Less than a third of the descriptors, each with one connection.
-const CLIENTS: u64 = 80;
+const CLIENTS: u64 = 76;
 /// Commands that a client sends at once.
 const AT_ONCE: u64 = 4;
 /// Discovery goes down, is back, and a quarter of the servers begin to drain, so long after the clients came.
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,33 +1,17 @@
-//! Servers give values of the common size slowly: what the node keeps of them until they are whole counts in no account,
-//! and the node goes over its memory limit.
+//! A server breaks off a large value; a write that its client had sent behind that read has run, and gets no answer.
 #[path = "../stand-2/stand.rs"]
 mod stand;
 
 use stand::*;
-use std::io::{Read, Write};
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::io::{Error, ErrorKind, Write};
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-const MEMORY_MB: u64 = 32;
-const SOCKETS: usize = 1024;
-const SERVERS: u64 = 150;
-/// Less than a third of the descriptors, each with one connection.
-const CLIENTS: u64 = 300;
-/// Commands that a client sends at once.
-const AT_ONCE: u64 = 4;
-/// Less than 64 KiB.
-const SIZE: usize = 65_000;
-/// A server writes a piece, and then waits: half a second for a value.
-const PIECE: usize = 4 << 10;
-const SERVER_WAIT: Duration = Duration::from_millis(30);
-/// A client reads a piece, and then waits: a third of a second for a value.
-const CLIENT_PIECE: usize = 8 << 10;
-const CLIENT_WAIT: Duration = Duration::from_millis(40);
-const PLAYED: Duration = Duration::from_secs(12);
-/// What a client waits after a refusal or a failure.
-const BACKOFF: Duration = Duration::from_millis(300);
+/// Bytes of the large value, and how many of them the server gives before its connection ends.
+const LARGE: usize = 1 << 20;
+const GIVEN: usize = 300 << 10;
 
 fn main() {
     let record = Record::new();
@@ -36,106 +20,61 @@
 }
 
 fn run(record: &Record) -> Vec<String> {
-    let handler: Handler = Arc::new(|got, out| {
-        let value = made_for(&got.key, &got.id, SIZE);
-        if !trouble() {
-            return va(out, &got.id, &value);
+    let log = record.clone();
+    let handler: Handler = Arc::new(move |got, out| {
+        log.line(format!("server: got mg {} O{}", got.key, got.id));
+        if !got.key.starts_with("large") {
+            return va(out, &got.id, &made_for(&got.key, &got.id, 200));
         }
-        out.write_all(format!("VA {SIZE} O{} h1\r\n", got.id).as_bytes())?;
-        for piece in value.chunks(PIECE) {
-            out.write_all(piece)?;
-            thread::sleep(SERVER_WAIT);
+        let value = made_for(&got.key, &got.id, LARGE);
+        out.write_all(format!("VA {LARGE} O{} h1\r\n", got.id).as_bytes())?;
+        if !trouble() {
+            out.write_all(&value)?;
+            return out.write_all(b"\r\n");
         }
-        out.write_all(b"\r\n")
+        out.write_all(&value[..GIVEN])?;
+        thread::sleep(ms(50));
+        log.line(format!("server: breaks off O{} after {GIVEN} bytes", got.id));
+        Err(Error::from(ErrorKind::ConnectionReset))
     });
-    let entries = (0..SERVERS).map(|n| Entry::new(&format!("s-{n:03}"), cache_server(handler.clone()), "gewoon"));
+    let entries = (0..3).map(|n| Entry::new(&format!("s-{n}"), cache_server(handler.clone()), "gewoon"));
     let mut entries: Vec<Entry> = entries.collect();
-    let origin = origin(Arc::new(|got, out| http_200(out, &made_for(&got.key, &got.id, 200))));
-    entries.push(Entry::new("z-origin", origin, "origin"));
+    let log = record.clone();
+    let ran = Arc::new(Mutex::new(BTreeSet::new()));
+    let runs = ran.clone();
+    let origin = origin(Arc::new(move |got, out| {
+        if !got.write {
+            return http_200(out, &made_for(&got.key, &got.id, 200));
+        }
+        log.line(format!("origin: ran PUT {} O{}, receipt r-{}", got.key, got.id, got.id));
+        runs.lock().unwrap().insert(got.id.clone());
+        http_200(out, format!("r-{}", got.id).as_bytes())
+    }));
+    entries.push(Entry::new("o-0", origin, "origin"));
     let discovery = Discovery::start(entries, record);
-    let settings = Settings { memory_mb: MEMORY_MB, sockets: SOCKETS, ..Settings::default() };
-    let platform = Platform::new(&settings, &discovery, record);
+    let platform = Platform::new(&Settings::default(), &discovery, record);
     let mut node = platform.start("node.log");
-    let (at, until) = (platform.listen, Instant::now() + PLAYED);
-    let clients: Vec<_> = (0..CLIENTS).map(|n| thread::spawn(move || client(at, n, until))).collect();
-    let (mut most, mut most_at, mut next_line) = (0, 0, Instant::now());
-    while Instant::now() < until && !node.has_ended() {
-        thread::sleep(ms(5));
-        let held = node.memory_kb("RssAnon").unwrap_or(0);
-        if held > most {
-            (most, most_at) = (held, record.ms());
-        }
-        if Instant::now() >= next_line {
-            next_line += ms(500);
-            record.line(format!("memory of the process alone (RssAnon): {held} kB, descriptors {}", node.descriptors()));
+    let mut broken = Vec::new();
+    for n in 0..20 {
+        let mut client = Client::connect(platform.listen).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let ids = [format!("{n:08x}a"), format!("{n:08x}b")];
+        let write = ms_line(&format!("lesson-{n}"), 5, &ids[1], "put", 4000, &format!("{n:016x}"));
+        let text = mg(&format!("large-{n}"), &ids[0], "read", 2000) + &write + "hello\r\n";
+        let sent = Instant::now();
+        client.send(text.as_bytes()).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        for id in &ids {
+            let answer = client.answer(ms(4600));
+            let took = sent.elapsed().as_millis();
+            record.line(format!("client {n}: O{id} sent at {} got {} after {took} ms", record.ms() as u128 - took, answer.short()));
+            if id == &ids[1] && matches!(answer, Answer::Nothing(_) | Answer::Cut(_)) {
+                let has_run = ran.lock().unwrap().contains(id);
+                let run = if has_run { "has run" } else { "has not run" };
+                broken.push(format!("write O{id} was taken and {run}, and the node closed its connection with no answer"));
+            }
         }
     }
-    let mut broken = Vec::new();
     if node.has_ended() {
         broken.push("the node ended".into());
     }
-    let mut sums = [0u64; 2];
-    for client in clients {
-        let (served, not) = client.join().unwrap_or((0, 0));
-        sums = [sums[0] + served, sums[1] + not];
-    }
-    record.line(format!("clients: {} values read, {} tries with a refusal or a failure", sums[0], sums[1]));
-    record.line(format!("most memory: {most} kB at {most_at} ms; limit {} kB", MEMORY_MB << 10));
-    if most > MEMORY_MB << 10 {
-        broken.push(format!("the node held {most} kB, over its limit of {} kB, and is killed", MEMORY_MB << 10));
-    }
-    if sums[0] == 0 {
-        cannot_run("nothing was served");
-    }
     broken
 }
-
-/// Sends some reads at once, reads their answers slowly, and begins again.
-fn client(at: SocketAddr, n: u64, until: Instant) -> (u64, u64) {
-    let (mut served, mut not, mut count) = (0, 0, 0u64);
-    let mut open: Option<Client> = None;
-    while Instant::now() < until {
-        count += 1;
-        let Ok(mut client) = open.take().map_or_else(|| Client::connect(at), Ok) else {
-            thread::sleep(BACKOFF);
-            continue;
-        };
-        let key = |part: u64| (n * 131 + count * 17 + part * 7919) % 3000;
-        let line = |part| mg(&format!("week-{}", key(part)), &format!("{n:x}x{count:x}p{part}"), "read", 2450);
-        let _ = client.send((0..AT_ONCE).map(line).collect::<String>().as_bytes());
-        let _ = client.stream.set_read_timeout(Some(ms(3500)));
-        let mut text = Vec::new();
-        let mut buffer = vec![0; CLIENT_PIECE];
-        let began = Instant::now();
-        let (mut values, mut others) = (0, 0);
-        while values + others < AT_ONCE && began.elapsed() < ms(9000) {
-            match client.stream.read(&mut buffer) {
-                Ok(0) | Err(_) => break,
-                Ok(got) => text.extend_from_slice(&buffer[..got]),
-            }
-            // Whole answers are taken off the front.
-            while let Some(end) = text.iter().position(|b| *b == b'\n') {
-                let length = if text.starts_with(b"VA ") { end + 1 + SIZE + 2 } else { end + 1 };
-                if text.len() < length {
-                    break;
-                }
-                if text.starts_with(b"VA ") {
-                    values += 1;
-                } else {
-                    others += 1;
-                }
-                text.drain(..length);
-            }
-            thread::sleep(CLIENT_WAIT);
-        }
-        served += values;
-        if values < AT_ONCE {
-            not += 1;
-            thread::sleep(BACKOFF);
-        }
-        if values + others == AT_ONCE {
-            open = Some(client);
-        }
-    }
-    (served, not)
-}
