--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -39,7 +39,10 @@
     let server = |n: u64| {
         let got = got.clone();
         let handler: Handler = Arc::new(move |request, out| {
-            got.lock().unwrap().push((n, request.id.clone(), request.at));
+            // What is no command of this case's clients does not count: the port may be known to a stranger.
+            if request.id.contains('x') {
+                got.lock().unwrap().push((n, request.id.clone(), request.at));
+            }
             thread::sleep(ms(120));
             va(out, &request.id, &made_for(&request.key, &request.id, 200))
         });
