Refuse an id that is in use in the other process while a node is replaced

Cause: ids in use were known to each process alone. A replacement hands over the state of one moment; ids change with each request, in both processes.

Change: while two processes run, each holds an fcntl lock at the position of each of its ids in one file beside the take-over socket. A claim is decided at once, also while the other process is stalled; the system frees the ids of a process that ends in any way. The old process claims its ids before it sends its state. One that runs alone holds no locks.

--- a/crates/engine/src/audit.rs
+++ b/crates/engine/src/audit.rs
@@ -47,7 +47,7 @@
         let (connections, members, carried, waiting, slots, bytes) = self.pool.audit();
         Audit {
             transactions: self.transactions.all.len(),
-            client_ids: self.transactions.client_id_count(),
+            client_ids: self.transactions.client_ids.len(),
             open: self.transactions.open,
             flows: self
                 .transactions
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,6 +1,7 @@
 //! [`Engine`], the type that hosts drive: turns reports of the host into events for the decisions, and their
 //! actions into orders for the host.
 
+use crate::client_ids::IdDigest;
 use crate::config::{Config, Limits};
 use crate::connection::AnswerPart;
 use crate::deadlines::{Deadline, Deadlines};
@@ -155,7 +156,22 @@
 
     /// An open transaction has this client's id: [`Engine::take`] would refuse another.
     pub fn is_id_in_use(&self, id: &[u8]) -> bool {
-        self.transactions.is_id_in_use(id)
+        self.transactions.client_ids.is_in_use(id)
+    }
+
+    /// The ids of all transactions, also of answered ones with attempts that have not ended.
+    pub fn ids_in_use(&self) -> impl Iterator<Item = IdDigest> {
+        self.transactions.client_ids.digests()
+    }
+
+    /// Begins or ends to record which ids become free, for [`Engine::take_released_ids`].
+    pub fn report_released_ids(&mut self, report: bool) {
+        self.transactions.client_ids.report_released(report);
+    }
+
+    /// The ids that have become free since the last call.
+    pub fn take_released_ids(&mut self) -> Vec<IdDigest> {
+        self.transactions.client_ids.take_released()
     }
 
     /// Takes a transaction: it gets exactly one final answer. The host gives it a number that it never uses
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -84,6 +84,7 @@
 #![warn(missing_docs, unreachable_pub)]
 
 mod audit;
+mod client_ids;
 mod config;
 mod connection;
 mod deadlines;
@@ -98,6 +99,7 @@
 mod watch;
 
 pub use audit::Audit;
+pub use client_ids::IdDigest;
 pub use config::{Config, Limits};
 pub use deadlines::{Deadlines, Key as DeadlineKey};
 pub use engine::{
--- a/crates/engine/src/transactions.rs
+++ b/crates/engine/src/transactions.rs
@@ -1,14 +1,13 @@
 //! Transactions, and their events in the form that the decisions take.
 
+use crate::client_ids::ClientIds;
 use crate::deadlines::{Deadline, Deadlines, Key};
 use crate::flow::{FlowId, SharedRequest};
 use crate::recorder::{Recorder, Step};
 use lapisrudder_decisions::permit::Denial;
 use lapisrudder_decisions::{CacheNote, Ended, Event, Micros, Outcome, RequestId, ServerId};
-use rustc_hash::{FxHashMap, FxHashSet};
-use std::borrow::Borrow;
+use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
-use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use tracing::{debug, warn};
 
@@ -57,8 +56,8 @@
 #[derive(Default)]
 pub(crate) struct Transactions {
     pub all: FxHashMap<RequestId, Transaction>,
-    /// The same transactions by the ids that their clients gave them.
-    client_ids: FxHashSet<ByClientId>,
+    /// The ids that their clients gave them.
+    pub client_ids: ClientIds,
     /// Number of transactions without a final answer.
     pub open: usize,
     pub events: VecDeque<Event>,
@@ -78,41 +77,9 @@
 /// would otherwise occupy descriptors forever. A client that does not read is closed after the same time.
 const STREAM_STALL_TIMEOUT: Micros = 30_000_000;
 
-/// A transaction's shared state, hashed and compared by its client's id.
-struct ByClientId(Arc<SharedRequest>);
-
-impl Borrow<[u8]> for ByClientId {
-    fn borrow(&self) -> &[u8] {
-        self.0.request.command.id()
-    }
-}
-
-impl Hash for ByClientId {
-    fn hash<H: Hasher>(&self, state: &mut H) {
-        Borrow::<[u8]>::borrow(self).hash(state);
-    }
-}
-
-impl PartialEq for ByClientId {
-    fn eq(&self, other: &ByClientId) -> bool {
-        Borrow::<[u8]>::borrow(self) == Borrow::<[u8]>::borrow(other)
-    }
-}
-
-impl Eq for ByClientId {}
-
 impl Transactions {
-    pub(crate) fn is_id_in_use(&self, id: &[u8]) -> bool {
-        self.client_ids.contains(id)
-    }
-
-    /// Number of client ids in use.
-    pub(crate) fn client_id_count(&self) -> usize {
-        self.client_ids.len()
-    }
-
     pub(crate) fn add(&mut self, id: RequestId, transaction: Transaction) {
-        self.client_ids.insert(ByClientId(transaction.shared.clone()));
+        self.client_ids.add(transaction.shared.clone());
         self.events.push_back(Event::Request(transaction.shared.request.event(id)));
         self.open += 1;
         self.all.insert(id, transaction);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 mod read_ahead;
 mod receiving;
 mod requests;
+mod shared_ids;
 mod takeover;
 mod virtual_server;
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -15,6 +15,7 @@
 use super::fleet::{self, Fleet};
 use super::management::{self, Management};
 use super::requests::{AnswerSink, OpenRequests};
+use super::shared_ids::SharedIds;
 use super::takeover::{self, Link, TakeoverListener};
 use super::virtual_server::{Queue, VirtualServer};
 use super::{CLIENT_SHARE_DIVISOR, Handle, OWN_DESCRIPTORS, Owner, Ready};
@@ -135,6 +136,8 @@
     members: Members<Ready>,
     discovery: Discovery<Ready>,
     requests: OpenRequests,
+    /// The ids of open requests, where another process of this node runs too.
+    shared_ids: SharedIds,
     engine: Engine,
     options: Options,
     classes: Classes,
@@ -211,6 +214,7 @@
         let inherited = state.as_ref().and_then(|state| inherited_list(state, config.discovery));
         let has_inherited = inherited.is_some();
         let (revision, known) = inherited.unwrap_or(remembered);
+        let shared_ids = SharedIds::new(meeting_path.as_deref());
         let mut node = Node {
             handle: handle.clone(),
             meeting_path,
@@ -236,6 +240,7 @@
             members: Members::new(handle),
             discovery: Discovery::new(config.discovery, revision, handle, Owner::Discovery),
             requests: OpenRequests::default(),
+            shared_ids,
             engine: Engine::new(lapisrudder_engine::Config { settings, seed: config.seed, limits }, now),
             phase: Phase::Serving,
             sockets,
@@ -504,6 +509,7 @@
                 None => {}
             }
         }
+        self.free_shared_ids();
         self.compare_records();
         if !self.server.ready && self.engine.any_open() {
             self.server.set_ready(self.clock.now());
--- a/src/net/node/intake.rs
+++ b/src/net/node/intake.rs
@@ -8,7 +8,7 @@
 use lapisrudder::{Micros, RequestId};
 use lapisrudder_codec::memcache::{MAX_BUFFERED_VALUE, OwnedRequest};
 use lapisrudder_engine::recorder::EndReason;
-use lapisrudder_engine::{MAX_TRANSACTION_TIME, Request, TakeError};
+use lapisrudder_engine::{IdDigest, MAX_TRANSACTION_TIME, Request, TakeError};
 use lapisrudder_limits::{Intake, RequestInfo};
 use tracing::debug;
 
@@ -85,6 +85,11 @@
                 return self.server.answer(client, id, &[line.as_bytes()], now);
             }
         };
+        let id_digest = IdDigest::of(request.id);
+        if !self.shared_ids.claim(id_digest) {
+            self.server.request_ended(ticket, false, now);
+            return self.server.reject(client, id, TakeError::IdInUse, now);
+        }
         let key = lapisrudder::Key(digest(&String::from_utf8_lossy(request.key)));
         let repeated = request.parameter(b"r") == Some(b"1");
         let reserve = time.due - time.answer_by;
@@ -92,6 +97,7 @@
         match self.engine.take(now, id, request) {
             Ok(()) => self.requests.add(id, OpenRequest { client, ticket, streams: false, time }),
             Err(what) => {
+                self.shared_ids.release(id_digest);
                 self.server.request_ended(ticket, false, now);
                 self.server.reject(client, id, what, now);
             }
--- a/src/net/node/replacing.rs
+++ b/src/net/node/replacing.rs
@@ -48,6 +48,7 @@
     /// Applies the state of the predecessor, except for its list of members.
     pub(super) fn adopt_state(&mut self, state: State) {
         let now = self.clock.now();
+        self.share_ids();
         for ban in state.bans {
             self.engine.adopt_ban(ServerId(ban.id), Ban { name: ban.name, since: ban.since });
         }
@@ -58,6 +59,26 @@
         info!(descriptors = state.grant.descriptors, "takeover: started beside the predecessor");
     }
 
+    /// Shares the ids of open requests with the other process, from before either can name one of the other's.
+    fn share_ids(&mut self) {
+        self.engine.report_released_ids(true);
+        self.shared_ids.share(self.engine.ids_in_use());
+    }
+
+    /// Frees the ids whose requests are over.
+    pub(super) fn free_shared_ids(&mut self) {
+        self.engine.take_released_ids().into_iter().for_each(|id| self.shared_ids.release(id));
+    }
+
+    /// Keeps the ids to this process if no other is left.
+    fn stop_sharing_if_alone(&mut self) {
+        let is_alone = self.predecessor.is_none() && self.successor.is_none();
+        if is_alone && self.shared_ids.is_shared() {
+            self.engine.report_released_ids(false);
+            self.shared_ids.stop_sharing();
+        }
+    }
+
     pub(super) fn apply_grant(&mut self, grant: Grant, now: Micros) {
         self.clients_at_predecessor = grant.clients_kept;
         self.set_descriptor_limit(grant.descriptors, now);
@@ -114,6 +135,7 @@
         if let Some(why) = over {
             info!("takeover: connection to the predecessor ended: {why}");
             self.predecessor = None;
+            self.stop_sharing_if_alone();
             self.join_fleet(None, now);
             self.clients_at_predecessor = 0;
             self.set_descriptor_limit(self.all_descriptors, now);
@@ -138,6 +160,7 @@
         self.pending_successor = None;
         let Some(mut successor) = self.successor.take() else { return };
         info!("takeover: the successor is gone, this process continues: {why}");
+        self.stop_sharing_if_alone();
         self.set_descriptor_limit(self.all_descriptors, now);
         if successor.ready {
             if self.phase == Phase::Serving {
@@ -170,6 +193,7 @@
             }
         };
         let Some(mut link) = self.pending_successor.take() else { return };
+        self.share_ids();
         let split = DescriptorSplit::new(self.all_descriptors, self.descriptors());
         let maintenance = self.engine.maintenance();
         let state = State {
--- a/src/net/takeover.rs
+++ b/src/net/takeover.rs
@@ -20,8 +20,9 @@
 /// The old process must send its state within this time. Its event-loop iterations take milliseconds; one
 /// that hangs is not waited for.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Descriptors that the take-over needs: the listener, a connection, and a socket that is being passed.
-pub const SOCKETS: usize = 4;
+/// Descriptors that the take-over needs: the listener, a connection, a socket that is being passed, and the
+/// file of [`SharedIds`](super::shared_ids::SharedIds).
+pub const SOCKETS: usize = 5;
 /// Connecting to the old process is retried for this long.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Size of the read buffer.
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -9,6 +9,7 @@
 use lapisrudder_model::value::{Key, Maker, RequestId, Uid, check};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::unix::fs::FileTypeExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::{Arc, Mutex, atomic::AtomicUsize, atomic::Ordering};
@@ -404,11 +405,12 @@
             .run()
     }
 
-    /// The Unix socket on which a successor asks this node to hand over; it is the only file in its folder.
-    pub fn takeover_socket(&self) -> std::path::PathBuf {
-        let mut files =
-            std::fs::read_dir(self.folder.as_ref().expect("a folder")).expect("the folder's files");
-        files.next().expect("a file").expect("its entry").path()
+    /// The Unix socket on which a successor asks this node to hand over; it is the only socket in its folder.
+    pub fn takeover_socket(&self) -> PathBuf {
+        let files = std::fs::read_dir(self.folder.as_ref().expect("a folder")).expect("the folder's files");
+        let mut paths = files.map(|entry| entry.expect("an entry"));
+        let socket = paths.find(|entry| entry.file_type().expect("its type").is_socket());
+        socket.expect("a socket").path()
     }
 
     /// Waits until the management call `status` says that the node is ready.
