Receive large writes into memory of their own that is resident only as it fills

Cause: a large write reserved a buffer for the whole command with its first bytes. The allocator takes such buffers from its heap once it has seen one freed, with the pages of the buffers before them: each write that had only begun could hold 4 MiB, which no account counted.

Change: such a command is received into an anonymous mapping, which is given back with it, and passed on to the engine without a copy.

--- a/crates/codec/src/memcache/owned.rs
+++ b/crates/codec/src/memcache/owned.rs
@@ -1,13 +1,14 @@
 //! A request that owns its bytes and so outlives the buffer that it was read into.
 
 use super::{Command, Request, parse_command};
+use bytes::Bytes;
 use std::ops::Range;
 
 /// A request that owns its bytes, with the position of each of its parts: it is parsed once and then only
 /// sliced.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnedRequest {
-    raw: Box<[u8]>,
+    raw: Bytes,
     write: bool,
     key: Span,
     id: Span,
@@ -45,10 +46,20 @@
     /// Copies the command that a request was parsed from; `None` if `raw` is not the buffer that the
     /// request's slices point into.
     pub fn copy_of(request: &Request, raw: &[u8]) -> Option<OwnedRequest> {
+        OwnedRequest::with_parts_of(request, raw, || Bytes::copy_from_slice(raw))
+    }
+
+    /// The same without a copy, from the buffer that the request was parsed from.
+    pub fn in_buffer(request: &Request, raw: &Bytes) -> Option<OwnedRequest> {
+        OwnedRequest::with_parts_of(request, raw, || raw.clone())
+    }
+
+    /// A request with these bytes; its parts lie as those of `request` do in `raw`.
+    fn with_parts_of(request: &Request, raw: &[u8], bytes: impl FnOnce() -> Bytes) -> Option<OwnedRequest> {
         let line = span_of(raw, request.line)?;
         let extra = span_of(raw, request.extra)?;
         Some(OwnedRequest {
-            raw: raw.into(),
+            raw: bytes(),
             write: request.write,
             key: span_of(raw, request.key)?,
             id: span_of(raw, request.id)?,
--- a/src/net/virtual_server/reading.rs
+++ b/src/net/virtual_server/reading.rs
@@ -13,6 +13,7 @@
 use lapisrudder_limits::memory_account::HeldBytes;
 use lapisrudder_limits::upload::Upload;
 use rustc_hash::FxHashMap;
+use tracing::info;
 
 /// What was taken from the input of a client.
 struct Taken {
@@ -53,7 +54,7 @@
             return self.read_upload(id, scratch, came_after, now);
         }
         let Some(buffer) = client.read(scratch, now) else { return State::Closed(CloseReason::PeerEnded) };
-        let Taken { bytes, .. } = self.take_commands(id, buffer, came_after);
+        let Taken { bytes, .. } = self.take_commands(id, buffer, came_after, OwnedRequest::copy_of);
         self.keep_rest(id, &buffer[bytes..], now);
         State::Open
     }
@@ -76,7 +77,8 @@
                 client.stop_taking();
             }
             UploadRead::Complete(command) => {
-                let Taken { newest, .. } = self.take_commands(id, &command, came_after);
+                let own = |request: &Request, _: &[u8]| OwnedRequest::in_buffer(request, &command);
+                let Taken { newest, .. } = self.take_commands(id, &command, came_after, own);
                 if let Some(request) = newest {
                     let uploads = Upload::taken(command.len());
                     self.upload_bytes.insert(request, uploads);
@@ -87,8 +89,15 @@
         State::Open
     }
 
-    /// Takes the complete commands at the start of a buffer, as far as the client may have more pending.
-    fn take_commands(&mut self, id: u64, buffer: &[u8], came_after: Micros) -> Taken {
+    /// Takes the complete commands at the start of a buffer, as far as the client may have more pending. `own`
+    /// makes a request that outlives the buffer, from the bytes of its command.
+    fn take_commands(
+        &mut self,
+        id: u64,
+        buffer: &[u8],
+        came_after: Micros,
+        own: impl Fn(&Request, &[u8]) -> Option<OwnedRequest>,
+    ) -> Taken {
         let mut taken = Taken { bytes: 0, newest: None };
         // Room for the answers to the commands that are taken here, which is not counted yet.
         let mut expected = 0;
@@ -113,7 +122,8 @@
                             expected += answer;
                             client.has_answer_room =
                                 self.account.fits(expected + self.answer_size.expected());
-                            let number = self.take_request(id, &request, &rest[..used], answer, came_after);
+                            let command = own(&request, &rest[..used]);
+                            let number = self.take_request(id, command, answer, came_after);
                             taken.newest = Some(number);
                         }
                         Command::Ready => self.take_ready_call(id),
@@ -133,8 +143,7 @@
     fn take_request(
         &mut self,
         id: u64,
-        request: &Request,
-        raw: &[u8],
+        command: Option<OwnedRequest>,
         expected: usize,
         came_after: Micros,
     ) -> RequestId {
@@ -143,7 +152,7 @@
         if let Some(client) = self.clients.get_mut(&id) {
             client.slots.push_back(Slot::Waiting { request: number, expected });
         }
-        if let Some(command) = OwnedRequest::copy_of(request, raw) {
+        if let Some(command) = command {
             self.events.push_back(ClientEvent::Command { client: id, request: number, command, came_after });
         }
         number
@@ -186,7 +195,12 @@
             _ => return client.keep_rest(rest),
         };
         let waits = upload.is_waiting();
-        client.receive_apart(Receiving::new(upload, rest), now);
+        let total = upload.missing() + rest.len();
+        let receiving = Receiving::new(upload, rest).unwrap_or_else(|e| {
+            info!("no address space for a command of {total} bytes: {e}");
+            Receiving::refused(total, rest)
+        });
+        client.receive_apart(receiving, now);
         client.keep_rest(&[]);
         recount(&mut self.account, client);
         if waits {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -316,10 +316,19 @@
 
     /// The most memory that its process has had resident, in kB.
     pub fn peak_memory_kb(&self) -> usize {
+        self.memory_kb("VmHWM:")
+    }
+
+    /// The memory of the process itself, without its program's file: what the platform limits.
+    pub fn anonymous_memory_kb(&self) -> usize {
+        self.memory_kb("RssAnon:")
+    }
+
+    fn memory_kb(&self, figure: &str) -> usize {
         let status =
             std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("its status");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak").trim();
-        peak.trim_end_matches(" kB").parse().expect("a number")
+        let line = status.lines().find_map(|line| line.strip_prefix(figure)).expect("the figure").trim();
+        line.trim_end_matches(" kB").parse().expect("a number")
     }
 
     /// A ready node with a management listener.
--- a/tests/held_memory.rs
+++ b/tests/held_memory.rs
@@ -5,6 +5,7 @@
 
 use harness::*;
 use lapisrudder_lab::stand::{Books, Scripted, World};
+use std::collections::VecDeque;
 use std::io::Read;
 use std::thread;
 use std::time::Duration;
@@ -147,3 +148,44 @@
     drop(clients);
     assert_within_limit_and_serving(node, LENGTH);
 }
+
+/// Fails if room that is reserved for large writes, but not written to, takes memory: the buffers of earlier
+/// writes come back with their pages.
+#[test]
+fn large_writes_that_have_only_begun_take_no_memory() {
+    const WRITERS: usize = 10;
+    const LARGE: usize = 4 << 20;
+    /// Each writer sends a byte this often, so that it does not count as stopped.
+    const DRIP_INTERVAL: Duration = Duration::from_millis(350);
+    let (world, _servers) = world_of(VALUE, Duration::ZERO);
+    let node = Node::with_limits(&world, SOCKETS, MEMORY_MB);
+    let begin = |id: usize| {
+        let mut client = node.client();
+        client.send(format!("ms w{id} {LARGE} Ow{id} Pc=put,d=60000,k=k{id}\r\n"));
+        (client, 0)
+    };
+    let drip = |writers: &mut VecDeque<(Client, usize)>| {
+        for (client, sent) in writers.iter_mut() {
+            client.send("v");
+            *sent += 1;
+        }
+        thread::sleep(DRIP_INTERVAL);
+    };
+    let finish = |(mut client, sent): (Client, usize)| {
+        client.send("v".repeat(LARGE - sent) + "\r\n");
+        assert!(client.read_line().starts_with("HD "));
+    };
+    finish(begin(0));
+    let mut writers: VecDeque<(Client, usize)> = (1..=WRITERS).map(begin).collect();
+    // Until none of them waits for room, or has room for the whole reserved.
+    (0..8).for_each(|_| drip(&mut writers));
+    let before = node.anonymous_memory_kb();
+    for id in 1..=WRITERS {
+        finish(writers.pop_front().expect("a writer"));
+        writers.push_back(begin(WRITERS + id));
+        (0..2).for_each(|_| drip(&mut writers));
+        // What one whole write takes may stay: as it was received, and as it was passed on.
+        let more = node.anonymous_memory_kb().saturating_sub(before);
+        assert!(more <= 2 * LARGE >> 10, "{more} kB more after {id} whole writes, {WRITERS} have begun");
+    }
+}
