Receive a large value whole before it is sent if commands wait behind it

Where the server only stalled, the write got nothing at its own time.

Cause: a large value was passed on from its first bytes, whatever was taken behind it, and the protocol can end a value early only by a close.

Evidence: commands_behind_a_large_value_that_fails_get_their_answers and a_command_that_comes_within_a_large_value_is_taken_behind_it failed before: the value was begun, and the second command was taken within it.

Change: a value with commands behind it is sent only once it is complete. If it breaks off, stalls to its read's deadline, is malformed or finds no room, the read fails by a line of its own. It is read when it is the next in order, with room for all of it in the account. A value with nothing behind it is passed on as it comes, and no command is taken behind it until its end.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -59,6 +59,8 @@
 const LOW_MARK: usize = 16 << 10;
 /// Sent bytes at the start of the output buffer are removed once there are this many.
 const COMPACT_THRESHOLD: usize = 64 << 10;
+/// What follows a value.
+const VALUE_END: &[u8] = b"\r\n";
 /// A command of which nothing arrives for this long is given up. A client that stops within a command is owed
 /// an error or a close within 3 s.
 const UPLOAD_TIMEOUT: Micros = 2_200_000;
@@ -80,9 +82,20 @@
         over: bool,
         /// It is not read from its server until it is the next in order and its client has taken enough.
         paused: bool,
+        /// It is sent only once it is complete: commands wait behind it, and would lose their answers if the
+        /// connection had to be closed within it.
+        whole: Option<WholeValue>,
     },
 }
 
+/// A large value that is received whole before any of it is sent.
+pub struct WholeValue {
+    /// Size of the answer, with its first line and its end.
+    length: usize,
+    /// Room for all of it is kept.
+    has_room: bool,
+}
+
 #[derive(PartialEq)]
 enum Phase {
     Open,
@@ -250,9 +263,16 @@
             && !self.leaving
             && self.slots.len() < MAX_PIPELINE
             && (self.slots.is_empty() || self.has_answer_room)
+            && !self.passes_value_on()
             && self.unsent_in_order() < MAX_UNSENT
     }
 
+    /// Whether a large value is passed on as it comes. If it ends short the connection has to be closed, so that
+    /// nothing is taken behind it.
+    fn passes_value_on(&self) -> bool {
+        matches!(self.slots.back(), Some(Slot::Stream { over: false, whole: None, .. }))
+    }
+
     /// Bytes of answers that have not been sent and wait for the client alone.
     fn unsent_in_order(&self) -> usize {
         let ready = self.slots.iter().map_while(|slot| match slot {
@@ -327,7 +347,10 @@
 
     /// Whether a large value is being streamed, or answers wait for the client to take them.
     fn is_sending(&self) -> bool {
-        let streams = matches!(self.slots.front(), Some(Slot::Stream { .. }));
+        let streams = match self.slots.front() {
+            Some(Slot::Stream { over, whole, .. }) => *over || whole.is_none(),
+            Some(Slot::Waiting { .. } | Slot::Ready(_)) | None => false,
+        };
         streams || self.sent < self.output.len()
     }
 
@@ -624,6 +647,7 @@
             let (bytes, complete) = match slot {
                 Slot::Waiting { .. } => return,
                 Slot::Ready(bytes) => (bytes, true),
+                Slot::Stream { over: false, whole: Some(_), .. } => return,
                 Slot::Stream { bytes, over, .. } => (bytes, *over),
             };
             let unsent = self.output.len() - self.sent;
@@ -650,11 +674,62 @@
         }
     }
 
-    /// Begins an answer that is a large value and comes in pieces; `head` is its first line.
-    pub fn begin_value(&mut self, request: RequestId, head: Vec<u8>) {
-        let is_pending = |s: &&mut Slot| matches!(s, Slot::Waiting { request: r, .. } if *r == request);
-        if let Some(slot) = self.slots.iter_mut().find(is_pending) {
-            *slot = Slot::Stream { request, bytes: head, over: false, paused: false };
+    /// Begins an answer that is a large value of `length` bytes and comes in pieces; `head` is its first line. It
+    /// is received whole if commands wait behind it.
+    pub fn begin_value(&mut self, request: RequestId, head: Vec<u8>, length: usize) {
+        let Some(position) = self.position_waiting(request) else { return };
+        let length = head.len() + length + VALUE_END.len();
+        let whole = self.has_commands_behind(position).then_some(WholeValue { length, has_room: false });
+        self.slots[position] = Slot::Stream { request, bytes: head, over: false, paused: false, whole };
+    }
+
+    /// Whether commands wait behind the one at a position, so that a large value would be received whole.
+    fn has_commands_behind(&self, position: usize) -> bool {
+        position + 1 < self.slots.len()
+    }
+
+    /// The position of a request without an answer.
+    fn position_waiting(&self, request: RequestId) -> Option<usize> {
+        self.slots.iter().position(|s| matches!(s, Slot::Waiting { request: r, .. } if *r == request))
+    }
+
+    /// The value that is to be received whole and is the next in order now, with the room that it needs beyond
+    /// what is counted for it.
+    pub fn whole_value_in_turn(&self) -> Option<(RequestId, usize)> {
+        if self.output.len() - self.sent >= LOW_MARK {
+            return None;
+        }
+        match self.slots.front()? {
+            Slot::Stream { request, bytes, over: false, whole: Some(whole), .. } if !whole.has_room => {
+                Some((*request, whole.length.saturating_sub(bytes.len().max(SCRATCH))))
+            }
+            _ => None,
+        }
+    }
+
+    /// Keeps room for all of the value that is the next in order, and has it read on.
+    pub fn keep_room_for_whole_value(&mut self) {
+        if let Some(Slot::Stream { bytes, paused, whole: Some(whole), .. }) = self.slots.front_mut() {
+            (whole.has_room, *paused) = (true, false);
+            bytes.reserve_exact(whole.length.saturating_sub(bytes.len()));
+        }
+    }
+
+    /// Answers a request with this line in place of its large value, unless a part of the value may have been
+    /// sent. Returns whether it did.
+    pub fn replace_value(&mut self, request: RequestId, line: &[u8]) -> bool {
+        let is_this = |s: &Slot| matches!(s, Slot::Stream { request: r, .. } if *r == request);
+        let Some(position) = self.slots.iter().position(is_this) else { return false };
+        match self.slots.get_mut(position) {
+            Some(slot @ Slot::Stream { over: false, whole: Some(_), .. }) => {
+                *slot = Slot::Ready(line.to_vec());
+                true
+            }
+            Some(slot) if position > 0 => {
+                *slot = Slot::Ready(line.to_vec());
+                true
+            }
+            _ => false,
         }
     }
 
@@ -669,7 +744,9 @@
         let is_this = |s: &Slot| matches!(s, Slot::Stream { request: r, .. } if *r == request);
         let Some(position) = self.slots.iter().position(is_this) else { return Ok(true) };
         match self.slots.get_mut(position) {
-            Some(Slot::Stream { bytes, .. }) if position > 0 || !bytes.is_empty() => {
+            Some(Slot::Stream { bytes, whole, .. })
+                if position > 0 || whole.is_some() || !bytes.is_empty() =>
+            {
                 bytes.extend_from_slice(piece);
                 if position == 0 {
                     self.flush(now)?;
@@ -680,11 +757,10 @@
         self.compact();
         // What has arrived behind the value that is next in order does not count against it.
         let ahead = if position == 0 { self.unsent_of_first() } else { self.held().answers - self.sent };
-        let pause = ahead >= HIGH_MARK && !has_space;
-        if let Some(Slot::Stream { paused, .. }) = self.slots.get_mut(position) {
-            *paused = pause;
-        }
-        Ok(!pause)
+        let Some(Slot::Stream { paused, whole, .. }) = self.slots.get_mut(position) else { return Ok(true) };
+        let has_room = whole.as_ref().is_some_and(|whole| whole.has_room);
+        *paused = ahead >= HIGH_MARK && !has_space && !has_room;
+        Ok(!*paused)
     }
 
     /// Bytes that the client has to take until the answer that is next in order is sent as far as it has
@@ -710,9 +786,13 @@
             match slot {
                 Slot::Waiting { expected, .. } => held.expected += expected,
                 Slot::Ready(bytes) => held.answers += bytes.len(),
-                Slot::Stream { bytes, over, .. } => {
+                Slot::Stream { bytes, over, whole, .. } => {
                     held.answers += bytes.len();
-                    held.expected += if *over { 0 } else { SCRATCH.saturating_sub(bytes.len()) };
+                    let room = match whole {
+                        Some(WholeValue { length, has_room: true }) => *length,
+                        _ => SCRATCH,
+                    };
+                    held.expected += if *over { 0 } else { room.saturating_sub(bytes.len()) };
                 }
             }
         }
@@ -728,6 +808,13 @@
         kept.unwrap_or(0)
     }
 
+    /// Room that a large value of `length` bytes needs if it begins now: all of it if it is received whole and is
+    /// the next in order, otherwise that of a piece.
+    pub fn room_for_value(&self, request: RequestId, length: usize) -> usize {
+        let first_with_more = self.position_waiting(request) == Some(0) && self.has_commands_behind(0);
+        if first_with_more { length.max(SCRATCH) } else { length.min(SCRATCH) }
+    }
+
     /// Whether this request's answer is the next in order and nothing is unsent before it.
     pub fn is_next_to_send(&self, request: RequestId) -> bool {
         let next = matches!(self.slots.front(), Some(Slot::Waiting { request: r, .. }) if *r == request);
@@ -738,7 +825,7 @@
     pub fn end_value(&mut self, request: RequestId) {
         let is_this = |s: &&mut Slot| matches!(s, Slot::Stream { request: r, .. } if *r == request);
         if let Some(Slot::Stream { bytes, over, paused, .. }) = self.slots.iter_mut().find(is_this) {
-            bytes.extend_from_slice(b"\r\n");
+            bytes.extend_from_slice(VALUE_END);
             (*over, *paused) = (true, false);
         }
     }
@@ -748,7 +835,7 @@
     pub fn take_resumable(&mut self) -> Option<RequestId> {
         let client_takes_more = self.unsent_of_first() < LOW_MARK;
         match self.slots.front_mut() {
-            Some(Slot::Stream { request, paused, .. }) if *paused && client_takes_more => {
+            Some(Slot::Stream { request, paused, whole: None, .. }) if *paused && client_takes_more => {
                 *paused = false;
                 Some(*request)
             }
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -1,6 +1,7 @@
 //! The daemon's own deadlines, checked in each event-loop iteration. The engine has those of transactions and
 //! members.
 
+use lapisrudder::RequestId;
 pub use lapisrudder_engine::DeadlineKey as Key;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +26,8 @@
     ReopenTakeover,
     /// A hand-over that could not begin is tried again.
     BeginHandOver,
+    /// A large value that is sent only once it is complete must be complete.
+    WholeValue(RequestId),
     /// A stopping node may end if no client is left.
     Leave,
     /// The time for which a stopping node accepts connections is over.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -438,6 +438,7 @@
                 Deadline::ReopenTakeover => {}
                 Deadline::BeginHandOver if self.successor.is_none() => self.begin_hand_over(now),
                 Deadline::BeginHandOver => {}
+                Deadline::WholeValue(request) => self.end(request, FAILED, EndReason::Overdue),
                 Deadline::LastCall => self.last_call(),
                 Deadline::End => self.enter(Phase::Over),
             }
@@ -561,7 +562,7 @@
                 Final::Failed { .. } => self.end(transaction, FAILED, EndReason::Failed),
                 Final::Overdue { .. } => self.end(transaction, FAILED, EndReason::Overdue),
             },
-            Order::Break { transaction } => self.end(transaction, b"", EndReason::BrokenOff),
+            Order::Break { transaction } => self.end(transaction, FAILED, EndReason::BrokenOff),
             Order::Watch => {
                 self.discovery.watch(now);
                 self.handle_discovery_updates();
--- a/src/net/node/intake.rs
+++ b/src/net/node/intake.rs
@@ -1,6 +1,7 @@
 //! Intake of requests: each command of a client is checked, and then taken, refused or rejected.
 
 use super::{FAILED, Node, Phase};
+use crate::net::deadlines::Deadline;
 use crate::net::requests::{Ending, OpenRequest};
 use crate::net::virtual_server::ClientEvent;
 use lapisrudder::time_limits::RequestTime;
@@ -12,6 +13,9 @@
 use lapisrudder_limits::{Intake, RequestInfo};
 use tracing::debug;
 
+/// For how long a value is received whole whose turn comes after the deadline of its request.
+const LATE_VALUE_TIME: Micros = 1_000_000;
+
 impl Node {
     /// Handles the events of the clients' side.
     pub(super) fn handle_client_events(&mut self) {
@@ -22,6 +26,7 @@
                 }
                 ClientEvent::ClientLeft { request } => self.close(request, Ending::ClientLeft),
                 ClientEvent::DrainOver { request } => self.end(request, FAILED, EndReason::DrainOver),
+                ClientEvent::WholeValueInTurn { request } => self.limit_whole_value(request),
                 ClientEvent::NoRoom { request } => self.end(request, FAILED, EndReason::NoRoom),
                 ClientEvent::Recall { ticket, retry_ms } => {
                     let Some(request) = self.requests.of_ticket(ticket) else { continue };
@@ -36,6 +41,15 @@
         }
     }
 
+    /// Limits how long a value is received of which nothing is sent before it is complete: to the deadline of its
+    /// request, or if that has passed while its client took the answers before it, to a time of its own.
+    fn limit_whole_value(&mut self, request: RequestId) {
+        let Some(open) = self.requests.get(request) else { return };
+        let now = self.clock.now();
+        let until = if now < open.time.answer_by { open.time.answer_by } else { now + LATE_VALUE_TIME };
+        self.deadlines.add(until, Deadline::WholeValue(request));
+    }
+
     /// Takes a transaction, which gets exactly one final answer from here on.
     fn take_request(&mut self, client: u64, id: RequestId, command: OwnedRequest, came_after: Micros) {
         let now = self.clock.now();
--- a/src/net/requests.rs
+++ b/src/net/requests.rs
@@ -27,7 +27,8 @@
 
 /// How the host ends a request.
 pub enum Ending<'a> {
-    /// This line is its final answer. If streaming of its value has begun, the connection is closed instead.
+    /// This line is its final answer. If a part of its value may have been sent, the connection is closed
+    /// instead.
     Answer(&'a [u8], EndReason),
     /// Its client has left, so no answer is sent.
     ClientLeft,
@@ -102,10 +103,12 @@
         let OpenRequest { client, ticket, streams, time } = request;
         if let Ending::Answer(line, _) = ending {
             debug!(number = id.0, client, line = %String::from_utf8_lossy(line).trim_end(), "request ended");
-            self.note_answer(id, &time, server, now);
             match streams {
-                true => server.abort(client, now, deadlines),
-                false => server.answer(client, id, &[line], now),
+                true => server.fail_value(client, id, line, now, deadlines),
+                false => {
+                    self.note_answer(id, &time, server, now);
+                    server.answer(client, id, &[line], now);
+                }
             }
         }
         server.request_ended(ticket, false, now);
@@ -193,7 +196,7 @@
         let mut head = format!("VA {length} O").into_bytes();
         head.extend_from_slice(request.command.id());
         head.extend_from_slice(b"\r\n");
-        self.server.begin_value(open.client, transaction, head);
+        self.server.begin_value(open.client, transaction, head, length);
         true
     }
 
--- a/src/net/virtual_server.rs
+++ b/src/net/virtual_server.rs
@@ -61,6 +61,10 @@
     DrainOver {
         request: RequestId,
     },
+    /// The value that answers a request is received whole, and it is the next in order now.
+    WholeValueInTurn {
+        request: RequestId,
+    },
     /// There is no room for the value that answers a request: the request fails.
     NoRoom {
         request: RequestId,
@@ -236,9 +240,9 @@
     }
 
     /// Begins an answer that is a large value and comes in pieces.
-    pub fn begin_value(&mut self, id: u64, request: RequestId, head: Vec<u8>) {
+    pub fn begin_value(&mut self, id: u64, request: RequestId, head: Vec<u8>, length: usize) {
         if let Some(client) = self.clients.get_mut(&id) {
-            client.begin_value(request, head);
+            client.begin_value(request, head, length);
             mark_dirty(&mut self.dirty, id, client);
             recount(&mut self.account, client);
         }
@@ -247,11 +251,10 @@
     /// Whether a value of this length, or its first piece, may be kept until its client takes it. Records the
     /// length for the estimate of the next answers.
     pub fn has_room_for_value(&mut self, id: u64, request: RequestId, length: usize) -> bool {
-        let kept = length.min(SCRATCH);
-        self.answer_size.record(kept);
+        self.answer_size.record(length.min(SCRATCH));
         let Some(client) = self.clients.get(&id) else { return true };
         // The room that was kept for this answer is its own.
-        let more = kept.saturating_sub(client.expected(request));
+        let more = client.room_for_value(request, length).saturating_sub(client.expected(request));
         if client.is_next_to_send(request) {
             self.account.fits_reserve(more)
         } else {
@@ -283,10 +286,23 @@
         mark_dirty(&mut self.dirty, id, client);
     }
 
-    /// Closes the connection of a large value that cannot be completed: the client sees the value end before
-    /// its length.
-    pub fn abort(&mut self, id: u64, now: Micros, deadlines: &mut Deadlines) {
-        self.remove(id, CloseReason::AnswerAborted, now, deadlines);
+    /// Ends a large value that cannot be completed. If nothing of it can have been sent, the client gets this
+    /// line in its place; otherwise its connection is closed, and it sees the value end before its length.
+    pub fn fail_value(
+        &mut self,
+        id: u64,
+        request: RequestId,
+        line: &[u8],
+        now: Micros,
+        deadlines: &mut Deadlines,
+    ) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.replace_value(request, line) {
+            mark_dirty(&mut self.dirty, id, client);
+            recount(&mut self.account, client);
+        } else {
+            self.remove(id, CloseReason::AnswerAborted, now, deadlines);
+        }
     }
 
     /// Number of clients' connections.
@@ -525,7 +541,7 @@
             State::Open if !flushed => return self.remove(id, CloseReason::PeerEnded, now, deadlines),
             State::Open => {}
         }
-        self.resumed.extend(client.take_resumable());
+        resume_values(client, &self.account, &mut self.resumed, &mut self.events);
         recount(&mut self.account, client);
         let blocked = client.is_read_blocked();
         if client.needs_retry {
@@ -607,7 +623,7 @@
             let Some(client) = self.clients.get_mut(&id) else { continue };
             client.dirty = false;
             client.unread |= client.flush(now).is_err();
-            self.resumed.extend(client.take_resumable());
+            resume_values(client, &self.account, &mut self.resumed, &mut self.events);
             recount(&mut self.account, client);
             if client.unread || client.lingers() {
                 self.touched.push(id);
@@ -645,6 +661,25 @@
     }
 }
 
+/// Has the value that is the next in order read on, if its client has taken enough. One that is received whole
+/// needs room for all of it, and fails without.
+fn resume_values(
+    client: &mut Client,
+    account: &MemoryAccount,
+    resumed: &mut Vec<RequestId>,
+    events: &mut VecDeque<ClientEvent>,
+) {
+    match client.whole_value_in_turn() {
+        Some((request, needs)) if account.fits_reserve(needs) => {
+            client.keep_room_for_whole_value();
+            resumed.push(request);
+            events.push_back(ClientEvent::WholeValueInTurn { request });
+        }
+        Some((request, _)) => events.push_back(ClientEvent::NoRoom { request }),
+        None => resumed.extend(client.take_resumable()),
+    }
+}
+
 /// Updates a client's part in the account of all clients.
 fn recount(account: &mut MemoryAccount, client: &mut Client) {
     let held = client.held();
--- a/tests/large.rs
+++ b/tests/large.rs
@@ -7,7 +7,7 @@
 use lapisrudder_lab::stand::{Books, Reply, Scripted, World};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The longest value that the node accepts.
 const MAX_LENGTH: usize = 4 << 20;
@@ -256,3 +256,71 @@
         assert_eq!(answer, receipt);
     }
 }
+
+/// A read of a large value, and what its server does after the first part of it.
+#[derive(Clone, Copy, Debug)]
+enum ValueEnd {
+    /// It closes the connection.
+    Breaks,
+    /// It sends nothing more.
+    Stalls,
+    /// It sends bytes that do not belong to the value, in place of the line end.
+    IsMalformed,
+}
+
+/// Fails if a command that was sent behind a read gets no answer because the value before it ends short, stalls
+/// or is malformed, though it has run and its answer is there.
+#[test]
+fn commands_behind_a_large_value_that_fails_get_their_answers() {
+    const PART: usize = 300_000;
+    let write = |id: &str| format!("ms w{id} 1 O{id} Pc=put,d=4000,k={id}\r\nv\r\n");
+    for end in [ValueEnd::Breaks, ValueEnd::Stalls, ValueEnd::IsMalformed] {
+        let (sender, requests) = channel();
+        let cache = Scripted::start(move |asked, reply| _ = sender.send((asked.id, reply))).unwrap();
+        let origin = Scripted::start(|_, reply| reply.send(http("r-1"))).unwrap();
+        let spec = spec_with_peers(&[], &[("c", "cache", &cache), ("o", "origin", &origin)]);
+        let world = world(spec, ids(0));
+        let node = Node::start(&world);
+        let mut client = node.client();
+        let began = Instant::now();
+        client.send(format!("mg k v O1 Pc=read,d=1500\r\n{}", write("2")));
+        let (id, reply) = requests.recv_timeout(TEST_TIMEOUT).unwrap();
+        let whole = answer(MAX_LENGTH, &id);
+        match end {
+            ValueEnd::Breaks | ValueEnd::Stalls => reply.send(&whole[..PART]),
+            ValueEnd::IsMalformed => reply.send([&whole[..whole.len() - 2], b"xx"].concat()),
+        }
+        if matches!(end, ValueEnd::Breaks) {
+            thread::sleep(Duration::from_millis(50));
+            reply.close();
+        }
+        assert_eq!(client.read_line(), "SERVER_ERROR failed\r\n", "{end:?}");
+        assert_eq!(client.read_line(), "HD O2 cr-1\r\n", "{end:?}");
+        assert!(began.elapsed() < Duration::from_secs(2), "{end:?}: {:?}", began.elapsed());
+        // The connection is of use for more.
+        client.send(write("3"));
+        assert_eq!(client.read_line(), "HD O3 cr-1\r\n", "{end:?}");
+    }
+}
+
+/// Fails if a command is taken behind a value that is passed on as it comes: its answer would be lost with the
+/// connection if the value ended short.
+#[test]
+fn a_command_that_comes_within_a_large_value_is_taken_behind_it() {
+    let (world, _cache, requests) = scripted();
+    let node = Node::start(&world);
+    let mut client = node.client();
+    send_read(&mut client, "1", 60_000);
+    let (id, reply) = requests.recv_timeout(TEST_TIMEOUT).unwrap();
+    let whole = answer(MAX_LENGTH, &id);
+    reply.send(&whole[..300_000]);
+    assert_eq!(client.read_line(), format!("VA {MAX_LENGTH} O1\r\n"));
+    send_read(&mut client, "2", 60_000);
+    assert!(requests.recv_timeout(Duration::from_millis(200)).is_err(), "taken within the value");
+    reply.send(&whole[300_000..]);
+    assert!(client.read_bytes(MAX_LENGTH) == value(MAX_LENGTH));
+    assert_eq!(client.read_line(), "\r\n");
+    let (id, reply) = requests.recv_timeout(TEST_TIMEOUT).unwrap();
+    reply.send(answer(3, &id));
+    expect_value(&mut client, 3, "2");
+}
