Keep connections to members within the descriptors that are theirs

Cause: a member without a connection got one whatever the limit on all connections, so that with more members than that nothing bounded them. The descriptor that was meant for discovery was in use.

Evidence: members_beyond_the_number_of_descriptors_do_not_take_those_of_others failed before with 158 descriptors of 128, and connections_stay_within_the_ limit_where_members_outnumber_it with four connections of two.

Change: a second limit has no exception: the descriptors but for the node's own and the third that clients may have. An idle connection makes room for a member without one; where all are in use, members wait in order for the next. Both processes of a replacement keep to their shares, and clients are admitted up to what members really hold.

--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -43,7 +43,8 @@
     pub to_origin: usize,
     /// The same limit per listed member: a larger fleet has more misses.
     pub to_origin_per_member: f64,
-    /// Maximum number of connections to all members. A member without any may still have one beyond it.
+    /// Maximum number of connections to all members. A member without any may still have one beyond it, as far as
+    /// [`Engine::limit_connections`](crate::Engine::limit_connections) allows.
     pub in_all: usize,
 }
 
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -608,10 +608,15 @@
         self.pool.reserve()
     }
 
-    /// Limits the connections to all members from now on: another process of the node has the others. Flows
-    /// in flight continue.
-    pub fn limit_connections(&mut self, in_all: usize, now: Micros) {
-        self.pool.limit_connections(in_all, now, &mut self.deadlines);
+    /// Limits the connections to all members from now on: beyond `in_all` only members without any get one, and
+    /// beyond `max` nobody does. Flows in flight continue.
+    pub fn limit_connections(&mut self, in_all: usize, max: usize, now: Micros) {
+        self.pool.limit_connections(in_all, max, now, &mut self.deadlines);
+    }
+
+    /// The host needs a descriptor: closes the idle connection that was used longest ago. False if there is none.
+    pub fn give_up_idle_connection(&mut self) -> bool {
+        self.pool.give_up_idle(&mut self.deadlines)
     }
 
     /// Attempts that were written although they were not allowed to begin, by reason.
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -1,10 +1,13 @@
 //! Pool members: which flows wait for which member, and the connections that carry them.
 
+mod connection_limit;
+
 use crate::config::Limits;
 use crate::connection::{Abandoned, AnswerPart, Connection, SETTLE_TIME, WriteChecks};
 use crate::deadlines::{self, Deadline};
 use crate::flow::{Flow, FlowId};
 use crate::order::{Conn, Order};
+use connection_limit::ConnectionLimit;
 use lapisrudder_decisions::permit::{Denial, Violations};
 use lapisrudder_decisions::{Micros, Outcome, RequestId, ServerId, Stage};
 use rustc_hash::FxHashMap;
@@ -60,6 +63,7 @@
     pub(crate) lost: VecDeque<LostFlow>,
     /// Orders for the host.
     pub(crate) orders: VecDeque<Order>,
+    limit: ConnectionLimit,
 }
 
 impl Pool {
@@ -80,6 +84,7 @@
             denied: Vec::new(),
             lost: VecDeque::new(),
             orders: VecDeque::new(),
+            limit: ConnectionLimit::default(),
         }
     }
 
@@ -139,16 +144,6 @@
         self.recompute_limits();
     }
 
-    /// Limits the number of connections to all members from now on, and closes idle ones beyond it.
-    pub(crate) fn limit_connections(&mut self, in_all: usize, now: Micros, deadlines: &mut Deadlines) {
-        self.limits.in_all = in_all;
-        while self.connections.len() > in_all
-            && let Some((_, id)) = self.idle.pop_first()
-        {
-            self.close(id, now, deadlines);
-        }
-    }
-
     /// Sends nothing new to a member: waiting flows end, and connections without a flow close.
     fn retire(&mut self, server: ServerId, deadlines: &mut Deadlines) {
         let Some(member) = self.members.get_mut(&server) else { return };
@@ -243,6 +238,9 @@
                 let has_capacity =
                     member.connections.len() - streams < max && self.connections.len() < self.limits.in_all;
                 if has_capacity || member.connections.is_empty() {
+                    if !self.make_room(server, deadlines) {
+                        return;
+                    }
                     self.connect(server, now, deadlines);
                     continue;
                 }
@@ -498,6 +496,7 @@
                 if !c.origin {
                     self.idle.insert((key, id));
                     self.trim_idle(now, deadlines);
+                    self.serve_waiting_members(now, deadlines);
                 }
             }
             None => self.close(id, now, deadlines),
@@ -536,6 +535,7 @@
             Some((server, false)) => self.not_connected(server, Outcome::ConnectFailed, now, deadlines),
             None => {}
         }
+        self.serve_waiting_members(now, deadlines);
     }
 
     /// Removes a connection. Each flow on it ends, or waits for another connection. Returns the member, and
--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -481,3 +481,36 @@
     fixture.pool.transmitted(Conn(0), 1);
     assert_eq!(fixture.pool.violations().found().collect::<Vec<_>>(), [(Denial::NoAnswerPending, 1)]);
 }
+
+/// Each of several members had a connection of its own whatever the limit, and the descriptors that belonged to
+/// discovery and to clients were in use.
+#[test]
+fn connections_stay_within_the_limit_where_members_outnumber_it() {
+    const MAX: usize = 2;
+    let mut fixture = Fixture::new(false, 1);
+    fixture.pool.limit_connections(1, MAX, 0, &mut fixture.deadlines);
+    let others = [ServerId(2), ServerId(3), ServerId(4)];
+    for (attempt, server) in (1..).zip(others) {
+        fixture.pool.update_member(server, fixture.at, false, Stage::Live, &mut fixture.deadlines);
+        let id = FlowId { request: RequestId(1), attempt };
+        let flow = Flow {
+            id,
+            shared: fixture.shared.clone(),
+            until: Micros::MAX,
+            begin_by: Micros::MAX,
+            moved: false,
+        };
+        fixture.pool.send(server, flow, 0, &mut fixture.deadlines);
+    }
+    fixture.pool.recompute_limits();
+    assert_eq!(fixture.pool.connections.len(), MAX);
+    // Each answer frees a connection, which the next member in order gets.
+    for (conn, next) in [(0, Some(others[1])), (1, Some(others[2])), (2, None)] {
+        fixture.establish(conn);
+        fixture.answer(conn, "EN O9 h0\r\n");
+        assert!(fixture.pool.connections.len() <= MAX);
+        let opened = fixture.pool.connections.get(&Conn(conn + MAX as u64)).map(|c| c.server);
+        assert_eq!(opened, next, "after the answer on connection {conn}");
+    }
+    assert!(fixture.pool.lost.is_empty());
+}
--- a/crates/host/src/discovery.rs
+++ b/crates/host/src/discovery.rs
@@ -192,6 +192,11 @@
         self.queue_update(event);
     }
 
+    /// A connect waits for a resource of this machine that is exhausted, such as descriptors.
+    pub fn lacks_resource(&self) -> bool {
+        self.pending_connect.is_some()
+    }
+
     /// A call has to be retried by [`Discovery::retry`].
     pub fn needs_retry(&self) -> bool {
         self.retry_pending || self.pending_connect.is_some()
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -266,6 +266,9 @@
             Some(state) => node.adopt_state(state),
             None => node.open_takeover_listener(),
         }
+        if node.predecessor.is_none() {
+            node.set_descriptor_limit(config.sockets, now);
+        }
         if predecessor_silent {
             node.set_descriptor_limit(config.sockets / 2, now);
             node.deadlines.add(now + PREDECESSOR_GONE_AFTER, Deadline::PredecessorGone);
@@ -461,7 +464,7 @@
         let resources = Resources {
             connections: match &self.successor {
                 Some(successor) => successor.clients,
-                None => self.sockets.saturating_sub(self.engine.reserve()),
+                None => self.sockets.saturating_sub(self.engine.reserve().max(self.engine.connections())),
             },
             clients_room: (self.all_descriptors / CLIENT_SHARE_DIVISOR)
                 .saturating_sub(self.clients_at_predecessor),
--- a/src/net/node/replacing.rs
+++ b/src/net/node/replacing.rs
@@ -2,6 +2,7 @@
 //! how many descriptors it holds meanwhile.
 
 use super::{Node, Phase, Successor};
+use crate::net::CLIENT_SHARE_DIVISOR;
 use crate::net::deadlines::Deadline;
 use crate::net::takeover::{Link, TakeoverListener};
 use lapisrudder::maintenance::Ban;
@@ -26,7 +27,12 @@
     /// Limits this process to `descriptors` from now on; the other process may use the rest.
     pub(super) fn set_descriptor_limit(&mut self, descriptors: usize, now: Micros) {
         self.sockets = descriptors.saturating_sub(self.own);
-        self.engine.limit_connections(self.sockets / 2, now);
+        let clients =
+            (self.all_descriptors / CLIENT_SHARE_DIVISOR).saturating_sub(self.clients_at_predecessor);
+        let in_all = self.sockets / 2;
+        // Descriptors that clients may need are left to them, also where there are more members than the rest.
+        let max = self.sockets.saturating_sub(clients).max(in_all);
+        self.engine.limit_connections(in_all, max, now);
     }
 
     pub(super) fn open_takeover_listener(&mut self) {
@@ -251,7 +257,8 @@
         successor.clients = clients + spare;
         // Until the successor serves, this process keeps as many connections to members as it has.
         let members = if successor.ready { 0 } else { self.engine.connections() + spare };
-        self.engine.limit_connections(members, now);
+        let max = self.engine.connections() + spare;
+        self.engine.limit_connections(members, max, now);
         if let Some(grant) = successor.split.update(held, clients) {
             successor.link.send(&Message::Grant(grant), None);
         }
--- a/src/net/node/retry.rs
+++ b/src/net/node/retry.rs
@@ -28,6 +28,9 @@
         let now = self.clock.now();
         let Node { members, scratch, engine, server, requests, .. } = self;
         members.retry(scratch, engine, &mut AnswerSink { server, requests, now }, now);
+        if self.discovery.lacks_resource() {
+            self.engine.give_up_idle_connection();
+        }
         self.discovery.retry(&mut self.scratch, &self.options, now);
         self.handle_discovery_updates();
         self.management.iter_mut().for_each(Management::retry);
--- a/tests/held_memory.rs
+++ b/tests/held_memory.rs
@@ -186,6 +186,6 @@
         (0..2).for_each(|_| drip(&mut writers));
         // What one whole write takes may stay: as it was received, and as it was passed on.
         let more = node.anonymous_memory_kb().saturating_sub(before);
-        assert!(more <= 2 * LARGE >> 10, "{more} kB more after {id} whole writes, {WRITERS} have begun");
+        assert!(more <= (2 * LARGE) >> 10, "{more} kB more after {id} whole writes, {WRITERS} have begun");
     }
 }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -190,3 +190,36 @@
     let served = reads_of_ordinary_clients(&node, 4, 40).len();
     assert!(crowd.len() >= 40 && served == 40, "{served} of 40");
 }
+
+/// Fails if the connections to members take the descriptors of everything else, or more than there are, where the
+/// list has more members than the node has descriptors for them.
+#[test]
+fn members_beyond_the_number_of_descriptors_do_not_take_those_of_others() {
+    const SOCKETS: u32 = 128;
+    const CLIENTS: usize = 30;
+    const AT_ONCE: usize = 6;
+    let names: Vec<String> = (0..120).map(|n| format!("s{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let world = world(spec(&names), ids(CLIENTS * AT_ONCE));
+    let node = Node::with_descriptor_limit(&world, SOCKETS);
+    let pause = |micros| {
+        names.iter().for_each(|name| world.control().pause(server_no(&world, name), micros).expect("paused"));
+    };
+    pause(60_000_000);
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| node.client()).collect();
+    let id = |client: usize, n: usize| client * AT_ONCE + n;
+    for (c, client) in clients.iter_mut().enumerate() {
+        client.send(
+            (0..AT_ONCE).map(|n| format!("mg k{0} v O{0} Pc=read,d=60000\r\n", id(c, n))).collect::<String>(),
+        );
+    }
+    thread::sleep(Duration::from_millis(500));
+    let descriptors =
+        || std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).expect("a process").count();
+    let held = descriptors();
+    assert!(held <= SOCKETS as usize, "{held} descriptors of {SOCKETS}");
+    pause(0);
+    for client in &mut clients {
+        (0..AT_ONCE).for_each(|_| assert!(!client.answer().is_empty()));
+    }
+}
