Keep the id of a write in use after its client has left, as it may yet run

What callers saw: a client sent a write and left; the same id again 0.3 s later ran a second time, at the same process and at its successor.

Cause: an id was free once the node had given its attempts up, which it does as soon as the client leaves. The server may still run them.

Evidence: a_write_whose_client_left_does_not_run_again_under_its_id failed before: the write was sent to the origin again.

Change: the id of a request with an effect that may have run stays in use for the window of its class, and at least for the time that its client would have waited, 60 s at the most and 4,096 ids at a time. A process that ends tells its successor. Reads, writes that never ran and answered requests keep none.

After: the tests of tests/shared_ids.rs and of the engine pass.

--- a/crates/engine/src/client_ids.rs
+++ b/crates/engine/src/client_ids.rs
@@ -1,8 +1,11 @@
 //! The ids that clients gave to the transactions. Members repeat them in their answers, so that no two
-//! transactions may have the same one at a time.
+//! transactions may have the same one at a time. The id of a request with an effect whose client has left stays
+//! in use for a while: the request may yet run, and would have its effect twice if it were taken again.
 
+use crate::deadlines::{Deadline, Deadlines};
 use crate::flow::SharedRequest;
-use rustc_hash::{FxHashSet, FxHasher};
+use lapisrudder_decisions::Micros;
+use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 use std::borrow::Borrow;
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
@@ -20,10 +23,18 @@
     }
 }
 
+/// Maximum number of ids that stay in use after their transactions. A client may send requests and leave as fast
+/// as it can.
+const MAX_HELD: usize = 4096;
+/// Longest time for which an id stays in use after its transaction.
+pub(crate) const MAX_HOLD_TIME: Micros = 60_000_000;
+
 /// The client ids of all transactions.
 #[derive(Default)]
 pub(crate) struct ClientIds {
     in_use: FxHashSet<ByClientId>,
+    /// Ids that stay in use without a transaction, until then.
+    held: FxHashMap<IdDigest, Micros>,
     /// Ids that have become free since the host last asked; none while it does not want to know.
     released: Option<Vec<IdDigest>>,
 }
@@ -53,7 +64,7 @@
 
 impl ClientIds {
     pub(crate) fn is_in_use(&self, id: &[u8]) -> bool {
-        self.in_use.contains(id)
+        self.in_use.contains(id) || !self.held.is_empty() && self.held.contains_key(&IdDigest::of(id))
     }
 
     /// Number of ids in use.
@@ -69,12 +80,45 @@
     /// Frees the id of a transaction that is over.
     pub(crate) fn remove(&mut self, id: &[u8]) {
         self.in_use.remove(id);
-        self.released.iter_mut().for_each(|released| released.push(IdDigest::of(id)));
+        self.report(IdDigest::of(id));
+    }
+
+    /// Ends a transaction, but keeps its id in use until then.
+    pub(crate) fn remove_later(&mut self, id: &[u8], until: Micros, deadlines: &mut Deadlines<Deadline>) {
+        self.in_use.remove(id);
+        self.hold(IdDigest::of(id), until, deadlines);
+    }
+
+    /// Keeps an id in use until then.
+    pub(crate) fn hold(&mut self, id: IdDigest, until: Micros, deadlines: &mut Deadlines<Deadline>) {
+        if self.held.len() >= MAX_HELD {
+            return self.report(id);
+        }
+        if self.held.insert(id, until).is_none() {
+            deadlines.add(until, Deadline::HeldId(id));
+        }
+    }
+
+    /// Frees an id that was kept in use.
+    pub(crate) fn release(&mut self, id: IdDigest) {
+        self.held.remove(&id);
+        self.report(id);
+    }
+
+    /// The ids that are kept in use without a transaction, and until when.
+    pub(crate) fn held(&self) -> impl Iterator<Item = (IdDigest, Micros)> {
+        self.held.iter().map(|(id, until)| (*id, *until))
+    }
+
+    /// Records that an id has become free.
+    fn report(&mut self, id: IdDigest) {
+        self.released.iter_mut().for_each(|released| released.push(id));
     }
 
     /// The ids in use.
     pub(crate) fn digests(&self) -> impl Iterator<Item = IdDigest> {
-        self.in_use.iter().map(|request| IdDigest::of(request.borrow()))
+        let open = self.in_use.iter().map(|request| IdDigest::of(request.borrow()));
+        open.chain(self.held.keys().copied())
     }
 
     /// Begins or ends to record the ids that become free.
--- a/crates/engine/src/deadlines.rs
+++ b/crates/engine/src/deadlines.rs
@@ -1,5 +1,6 @@
 //! Deadlines in order of time, handled in each iteration of the host's event loop.
 
+use crate::client_ids::IdDigest;
 use crate::flow::FlowId;
 use crate::order::Conn;
 use lapisrudder_decisions::{Micros, RequestId};
@@ -19,6 +20,8 @@
     Transaction(RequestId),
     /// The connect, settle or idle time of a connection to a pool member is over.
     Connection(Conn),
+    /// The id of a transaction that is over becomes free.
+    HeldId(IdDigest),
 }
 
 /// Deadlines for items of type `T`. Those with the same time are returned in the order in which they were
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,7 +1,7 @@
 //! [`Engine`], the type that hosts drive: turns reports of the host into events for the decisions, and their
 //! actions into orders for the host.
 
-use crate::client_ids::IdDigest;
+use crate::client_ids::{IdDigest, MAX_HOLD_TIME};
 use crate::config::{Config, Limits};
 use crate::connection::AnswerPart;
 use crate::deadlines::{Deadline, Deadlines};
@@ -16,7 +16,7 @@
 use lapisrudder_decisions::maintenance::{Ban, BanError, Maintenance};
 use lapisrudder_decisions::permit::{Begin, Violations};
 use lapisrudder_decisions::{
-    Action, Balancer, CacheNote, Event, Listed, Micros, Outcome, RequestId, Scope, ServerId, Settings,
+    Action, Balancer, CacheNote, Effect, Event, Listed, Micros, Outcome, RequestId, Scope, ServerId, Settings,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -202,14 +202,45 @@
         let id = ClientId::new(request.command.id());
         self.transactions.recorder.note(now, transaction, None, Step::Taken(id));
         let shared = Arc::new(SharedRequest::new(request));
-        self.transactions
-            .add(transaction, Transaction { shared, due, deadline, flows: Vec::new(), stream: None });
+        self.transactions.add(
+            transaction,
+            Transaction { shared, due, deadline, flows: Vec::new(), stream: None, hold_id_until: None },
+        );
         Ok(())
     }
 
-    /// The client of a transaction has left, or the host has answered it itself: no answer is needed any
-    /// more, and its flows are cancelled. False if it had its final answer already.
+    /// The client of a transaction has left: no answer is needed any more, and its flows are cancelled. If it has
+    /// an effect and may have run, its id stays in use for as long as servers remember it, or its client would
+    /// have waited. False if it had its final answer already.
     pub fn client_left(&mut self, now: Micros, transaction: RequestId) -> bool {
+        self.keep_id_in_use(now, transaction);
+        self.end_request(now, transaction)
+    }
+
+    /// Has the id of an open transaction with an effect stay in use after its end, in case it may have run.
+    fn keep_id_in_use(&mut self, now: Micros, transaction: RequestId) {
+        let Some(open) = self.transactions.all.get_mut(&transaction).filter(|t| !t.shared.answered()) else {
+            return;
+        };
+        let class = self.classes.get(open.shared.request.class);
+        let window = class.filter(|class| class.effect != Effect::Safe).map(|class| class.repeat_window);
+        open.hold_id_until = window.map(|window| open.due.max(now + window).min(now + MAX_HOLD_TIME));
+    }
+
+    /// Ids that stay in use although their transactions are over, and until when.
+    pub fn held_ids(&self) -> impl Iterator<Item = (IdDigest, Micros)> {
+        self.transactions.client_ids.held()
+    }
+
+    /// Keeps an id in use until then: a request with it may have run, in another process of this node.
+    pub fn hold_id(&mut self, now: Micros, id: IdDigest, until: Micros) {
+        let until = until.min(now + MAX_HOLD_TIME);
+        self.transactions.client_ids.hold(id, until, &mut self.deadlines);
+    }
+
+    /// The host has answered a transaction itself: no answer is needed any more, and its flows are cancelled.
+    /// False if it had its final answer already.
+    pub fn end_request(&mut self, now: Micros, transaction: RequestId) -> bool {
         if let Some(flow) = self.transactions.streaming_flow(transaction) {
             self.give_up(flow, Outcome::Cancelled, now);
             return true;
@@ -438,6 +469,7 @@
                     self.transactions.events.push_back(Event::ClientLeft { request: id });
                 }
                 Deadline::Connection(conn) => self.pool.on_deadline(conn, now, &mut self.deadlines),
+                Deadline::HeldId(id) => self.transactions.client_ids.release(id),
             }
         }
     }
@@ -467,7 +499,7 @@
                 actions.drain(..).for_each(|action| self.carry_out(action, now));
                 self.actions = actions;
             } else {
-                self.transactions.drop_over();
+                self.transactions.drop_over(&mut self.deadlines);
                 if !self.pool.flush_next(now, &mut self.deadlines) {
                     return None;
                 }
--- a/crates/engine/src/generations.rs
+++ b/crates/engine/src/generations.rs
@@ -21,6 +21,11 @@
         self.slots.len()
     }
 
+    /// The class at an index.
+    pub(crate) fn get(&self, index: usize) -> Option<&Class> {
+        self.slots.get(index)
+    }
+
     /// Applies new settings, and returns the index of each of their classes. `in_use` says whether
     /// transactions are open, or may yet be taken, under an index.
     pub(crate) fn next(&mut self, settings: &mut Settings, in_use: impl Fn(usize) -> bool) -> Vec<usize> {
--- a/crates/engine/src/transactions.rs
+++ b/crates/engine/src/transactions.rs
@@ -28,6 +28,8 @@
     pub flows: Vec<FlowState>,
     /// The attempt whose large value is being passed on to the client.
     pub stream: Option<Stream>,
+    /// Its client has left without an answer. If it may have run, its id stays in use until then.
+    pub hold_id_until: Option<Micros>,
 }
 
 /// A large value that is being passed on.
@@ -228,12 +230,16 @@
     /// Drops the transactions that are over, once the decisions have handled all events. A pending event may
     /// make the decisions send once more; the end of that attempt must be reported to them, or it counts as
     /// in flight forever.
-    pub(crate) fn drop_over(&mut self) {
+    pub(crate) fn drop_over(&mut self, deadlines: &mut Deadlines<Deadline>) {
         while let Some(request) = self.maybe_over.pop() {
             if self.all.get(&request).is_some_and(Transaction::is_over)
                 && let Some(transaction) = self.all.remove(&request)
             {
-                self.client_ids.remove(transaction.shared.request.command.id());
+                let id = transaction.shared.request.command.id();
+                match transaction.hold_id_until.filter(|_| transaction.may_have_run()) {
+                    Some(until) => self.client_ids.remove_later(id, until, deadlines),
+                    None => self.client_ids.remove(id),
+                }
             }
         }
     }
--- a/crates/engine/tests/iteration.rs
+++ b/crates/engine/tests/iteration.rs
@@ -1,17 +1,21 @@
 //! The order of events within one event-loop iteration.
 
 use lapisrudder_codec::memcache::{OwnedRequest, RequestParts};
-use lapisrudder_decisions::{Class, Key, Listed, Mode, RequestId, Scope, ServerId, Settings};
+use lapisrudder_decisions::{Class, Effect, Key, Listed, Mode, RequestId, Scope, ServerId, Settings};
 use lapisrudder_engine::{Answer, Config, Engine, Final, Limits, Member, Order, Request, TakeError};
 
 fn engine() -> Engine {
-    let class = Class { latency_target: 750_000, worth: 1.0, ..Class::default() };
+    engine_of(Class { latency_target: 750_000, worth: 1.0, ..Class::default() }, false)
+}
+
+fn engine_of(class: Class, may_cancel: bool) -> Engine {
     let settings = Settings {
         classes: vec![class],
         mode: Mode::Aside,
         max_attempts: 3,
         siblings: 1,
         second_copies: true,
+        may_cancel,
         ..Settings::default()
     };
     let mut engine = Engine::new(Config { settings, ..Config::default() }, 0);
@@ -213,3 +217,34 @@
     assert_eq!(engine.poll_order(1), Some(Order::Close { conn }), "the rest of it never goes out");
     assert!(engine.poll_order(1).is_some(), "the other goes on elsewhere");
 }
+
+/// Fails if the id of a request with an effect is free while a request that may have run could be taken again, or
+/// if it is never free.
+#[test]
+fn the_id_of_a_request_that_may_have_run_is_kept_in_use_for_its_window() {
+    const WINDOW: i64 = 2_000_000;
+    for (effect, written, kept) in [
+        (Effect::Unsafe, true, true),
+        (Effect::Keyed, true, true),
+        (Effect::Unsafe, false, false),
+        (Effect::Safe, true, false),
+    ] {
+        let class =
+            Class { effect, repeat_window: WINDOW, latency_target: 750_000, worth: 1.0, ..Class::default() };
+        let mut engine = engine_of(class, true);
+        engine.take(0, RequestId(1), request("a", false)).unwrap();
+        let Some(Order::Connect { conn, .. }) = engine.poll_order(0) else { panic!() };
+        engine.connected(0, conn);
+        assert_eq!(engine.poll_order(0), Some(Order::Write { conn, probe: true }));
+        if written {
+            let bytes = engine.transmit(conn).map(<[u8]>::len).sum();
+            engine.transmitted(conn, bytes);
+        }
+        assert!(engine.client_left(10, RequestId(1)));
+        for (now, in_use) in [(10, kept), (9 + WINDOW, kept), (10 + WINDOW, false)] {
+            engine.wake(now);
+            while engine.poll_order(now).is_some() {}
+            assert_eq!(engine.is_id_in_use(b"a"), in_use, "{effect:?}, written: {written}, at {now}");
+        }
+    }
+}
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -581,7 +581,7 @@
                 FrontNews::Recall { ticket, retry_ms } => {
                     let Some(&request) = self.ledger.tickets.get(&ticket) else { continue };
                     self.end(request, format!("SERVER_ERROR busy {retry_ms}\r\n").as_bytes(), cx);
-                    self.engine.client_left(cx.now, request);
+                    self.engine.end_request(cx.now, request);
                 }
             }
         }
--- a/crates/takeover/src/frame.rs
+++ b/crates/takeover/src/frame.rs
@@ -106,6 +106,7 @@
             Message::Out(ban),
             Message::Back { id: 7 },
             Message::Standby(DrainCall::untimed(false)),
+            Message::HeldIds(vec![crate::HeldId { digest: u64::MAX, until: 9 }]),
         ]
     }
 
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -146,6 +146,15 @@
     pub grant: Grant,
 }
 
+/// The id of a request that may have run in the old process and got no answer.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct HeldId {
+    /// The digest of the id.
+    pub digest: u64,
+    /// Until when no other request may have it, in microseconds on the machine's monotonic clock.
+    pub until: i64,
+}
+
 /// A message from one process to the other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
@@ -177,4 +186,7 @@
     },
     /// In either direction: operators have the node drain, or serve again.
     Standby(DrainCall),
+    /// From old to new, last: ids that stay in use after the old process has ended. Older versions of the program
+    /// do not know it, and end the connection, as its end would.
+    HeldIds(Vec<HeldId>),
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -100,6 +100,8 @@
     /// Limit of clients' connections in this process: those it holds and half of its spare descriptors, so
     /// that none is closed that could be handed over.
     clients: usize,
+    /// It was told which ids stay in use after this process.
+    has_held_ids: bool,
 }
 
 pub struct Node {
@@ -443,7 +445,10 @@
                 Deadline::BeginHandOver => {}
                 Deadline::WholeValue(request) => self.end(request, FAILED, EndReason::Overdue),
                 Deadline::LastCall => self.last_call(),
-                Deadline::End => self.enter(Phase::Over),
+                Deadline::End => {
+                    self.hand_over_held_ids();
+                    self.enter(Phase::Over);
+                }
             }
         }
         self.discovery.wake(now);
@@ -528,7 +533,7 @@
             // Connections may have arrived since the event loop reported the others: closing the listener
             // would reset those that wait to be accepted.
             let queue = self.accept(self.clock.now());
-            if queue == Queue::Empty && self.server.is_empty() {
+            if queue == Queue::Empty && self.server.is_empty() && self.hand_over_held_ids() {
                 self.enter(Phase::Over);
             }
         }
--- a/src/net/node/replacing.rs
+++ b/src/net/node/replacing.rs
@@ -8,6 +8,7 @@
 use lapisrudder::maintenance::Ban;
 use lapisrudder::{Listed, Micros, ServerId, Stage};
 use lapisrudder_config::Target;
+use lapisrudder_engine::IdDigest;
 use lapisrudder_io::held_descriptors;
 use lapisrudder_takeover::{self as messages, DescriptorSplit, DrainCall, Grant, Message, State};
 use std::net::SocketAddr;
@@ -76,6 +77,28 @@
         self.engine.take_released_ids().into_iter().for_each(|id| self.shared_ids.release(id));
     }
 
+    /// Tells the successor, before this process ends, which ids stay in use. Returns whether all is sent.
+    pub(super) fn hand_over_held_ids(&mut self) -> bool {
+        let Some(successor) = &mut self.successor else { return true };
+        if !std::mem::replace(&mut successor.has_held_ids, true) {
+            let clock = &self.clock;
+            let held = self
+                .engine
+                .held_ids()
+                .map(|(id, until)| messages::HeldId { digest: id.0, until: clock.to_monotonic(until) });
+            successor.link.send(&Message::HeldIds(held.collect()), None);
+        }
+        successor.link.is_flushed()
+    }
+
+    /// Keeps ids of the predecessor in use.
+    fn adopt_held_ids(&mut self, ids: &[messages::HeldId], now: Micros) {
+        for id in ids {
+            let until = self.clock.from_monotonic(id.until);
+            self.engine.hold_id(now, IdDigest(id.digest), until);
+        }
+    }
+
     /// Keeps the ids to this process if no other is left.
     fn stop_sharing_if_alone(&mut self) {
         let is_alone = self.predecessor.is_none() && self.successor.is_none();
@@ -134,6 +157,7 @@
                         self.server.adopt(fd, input, now, &mut self.deadlines);
                     }
                 }
+                Message::HeldIds(ids) => self.adopt_held_ids(&ids, now),
                 Message::Fleet(inherited) => self.join_fleet(fd.map(|fd| (inherited, fd)), now),
                 other => self.apply_operator_message(other, now),
             }
@@ -217,7 +241,7 @@
             grant: split.grant(self.server.count()),
         };
         link.send(&Message::State(state), Some(listener));
-        self.successor = Some(Successor { link, split, ready: false, clients: 0 });
+        self.successor = Some(Successor { link, split, ready: false, clients: 0, has_held_ids: false });
         info!("takeover: a successor has started beside this process");
         self.hand_over(now);
     }
--- a/src/net/requests.rs
+++ b/src/net/requests.rs
@@ -94,7 +94,10 @@
     /// Ends a request: answers its client, notifies the limits, and cancels its attempts.
     pub fn close(&mut self, id: RequestId, ending: Ending<'_>, parties: EndContext<'_>) {
         let EndContext { server, engine, deadlines, now } = parties;
-        engine.client_left(now, id);
+        match &ending {
+            Ending::Answer(..) => engine.end_request(now, id),
+            Ending::ClientLeft => engine.client_left(now, id),
+        };
         let reason = match &ending {
             Ending::Answer(_, reason) => *reason,
             Ending::ClientLeft => EndReason::ClientLeft,
--- a/tests/shared_ids.rs
+++ b/tests/shared_ids.rs
@@ -10,6 +10,8 @@
 use std::time::{Duration, Instant};
 
 const IN_USE: &str = "CLIENT_ERROR request id in use\r\n";
+/// A node notices within this time that a client has left.
+const LEFT_NOTICED: Duration = Duration::from_millis(300);
 /// An id of a process that has ended is free again within this time.
 const FREED_WITHIN: Duration = Duration::from_secs(1);
 
@@ -150,3 +152,42 @@
         assert_eq!(other.answer(), format!("VA 1 O{id}\r\nv\r\n"));
     }
 }
+
+/// Fails if a write whose client has left runs again when its id comes again: at the same process, at its
+/// successor beside it, and at that one when the old process has ended.
+#[test]
+fn a_write_whose_client_left_does_not_run_again_under_its_id() {
+    let mut held = node_before_held_answers();
+    let mut leaves = held.node.client();
+    leaves.send(write("put", "1"));
+    let _put = held.next("put");
+    drop(leaves);
+    thread::sleep(LEFT_NOTICED);
+    assert_eq!(held.node.client().ask(&write("put", "1")), IN_USE, "at the same process");
+    let mut stays = held.node.client();
+    stays.send(read("kept", "2"));
+    let kept = held.next("kept");
+    let mut old = held.replace();
+    assert_eq!(held.node.client().ask(&write("put", "1")), IN_USE, "beside the old process");
+    kept.send(value("2"));
+    assert_eq!(stays.answer(), "VA 1 O2\r\nv\r\n");
+    drop(stays);
+    assert!(old.child.wait().expect("its end").success());
+    assert_eq!(held.node.client().ask(&write("put", "1")), IN_USE, "after the old process");
+    assert!(held.asked.try_recv().is_err(), "nothing ran again");
+}
+
+/// Fails if the id of a read whose client has left, or of a write that never ran, is refused.
+#[test]
+fn an_id_without_an_effect_is_free_once_its_client_has_left() {
+    let held = node_before_held_answers();
+    let mut leaves = held.node.client();
+    leaves.send(read("kept", "1"));
+    let _kept = held.next("kept");
+    drop(leaves);
+    thread::sleep(LEFT_NOTICED);
+    let mut other = held.node.client();
+    other.send(read("again", "1"));
+    held.next("again").send(value("1"));
+    assert_eq!(other.answer(), "VA 1 O1\r\nv\r\n");
+}
